--- /dev/null
+++ b/packages/config/Configuration.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <QByteArray>
+#include <absl/status/statusor.h>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+// The published configuration: what the service files of all services add up to. It travels as
+// one JSON document under one key of the platform.
+
+namespace hemlockweir {
+
+// One level of urgency. Lower rank is served first.
+struct PriorityClass {
+    std::string name; // as callers send it in X-Priority
+    uint32_t rank = 0; // 0 is the most urgent
+    uint32_t firstTokenMs = 310; // ms, target for the first token
+    uint32_t deadlineMs = 10000; // ms, longest wait for the first token before a refusal
+    double floorShare = 0.0; // 0..1, share of the slots kept for this class under floods
+
+    auto operator<=>(const PriorityClass&) const = default;
+};
+
+// One caller and its weight in fair sharing.
+struct Caller {
+    std::string name;
+    std::string keySha256; // lower-case hexadecimal SHA-256 of the caller's key
+    double weight = 1.0;
+    std::string defaultPriority; // priority class used when the request names none
+
+    auto operator<=>(const Caller&) const = default;
+};
+
+// One model and how its replicas are formed.
+struct Model {
+    std::string name;
+    std::string pool; // pool of the instances that may serve it
+    uint32_t members = 1; // instances in one replica, all in one fabric domain
+    uint32_t replicas = 1; // wanted replicas in each failure domain; 0: as many as fit
+
+    auto operator<=>(const Model&) const = default;
+};
+
+// One plain service beside the models, reached under its path.
+struct PlainService {
+    std::string name;
+    std::string pool; // pool of the instances that serve it
+    std::string path; // prefix of the request path, such as /orders
+    bool idempotent = false; // whether its POSTs may be repeated
+
+    auto operator<=>(const PlainService&) const = default;
+};
+
+// What is in force everywhere.
+struct Configuration {
+    std::string publication; // unique id of the publish that wrote it
+    std::vector<PriorityClass> priorities;
+    std::vector<Caller> callers;
+    std::vector<Model> models;
+    std::vector<PlainService> services;
+
+    auto operator<=>(const Configuration&) const = default;
+
+    // Look-ups; null when unknown.
+    const Caller* findCallerByKey(const std::string& keySha256) const;
+    const Caller* findCaller(const std::string& name) const;
+    const PriorityClass* findPriority(const std::string& name) const;
+    const Model* findModel(const std::string& name) const;
+    const PlainService* findService(const std::string& path) const;
+};
+
+// The platform's key of the configuration.
+inline constexpr char configurationKey[] = "/hemlockweir/configuration";
+
+// The largest configuration that the platform's service holds.
+inline constexpr qsizetype maxConfigurationBytes = 1000 * 1000;
+
+// Writes a configuration as JSON.
+QByteArray formatConfiguration(const Configuration& configuration);
+
+// Reads a configuration; InvalidArgument names the field.
+absl::StatusOr<Configuration> parseConfiguration(const QByteArray& json);
+
+// Checks what single fields can not show: duplicate names, unknown references, shares over one.
+absl::Status validateConfiguration(const Configuration& configuration);
+
+// Returns the SHA-256 of a caller's key as lower-case hexadecimal digits.
+std::string hashCallerKey(const QByteArray& key);
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/config/Settings.cpp
@@ -0,0 +1,133 @@
+#include "config/Settings.h"
+
+#include "config/TomlReader.h"
+
+#include <QHostAddress>
+#include <QUrl>
+
+namespace hemlockweir {
+
+std::string Endpoint::toString() const
+{
+    const bool isIpv6 = address.find(':') != std::string::npos;
+    return (isIpv6 ? "[" + address + "]" : address) + ":" + std::to_string(port);
+}
+
+absl::StatusOr<Endpoint> parseEndpoint(const std::string& text)
+{
+    const QUrl url(QString::fromStdString("http://" + text), QUrl::StrictMode);
+    const QHostAddress address(url.host());
+    if (!url.isValid() || address.isNull() || url.port() <= 0)
+        return absl::InvalidArgumentError("write ADDRESS:PORT with an IP number, such as \"10.0.0.4:8080\"");
+    return Endpoint { .address = address.toString().toStdString(), .port = static_cast<uint16_t>(url.port()) };
+}
+
+static Endpoint readEndpoint(TableReader& reader, std::string_view key)
+{
+    const std::string text = reader.requireString(key);
+    if (text.empty())
+        return {};
+    const absl::StatusOr<Endpoint> endpoint = parseEndpoint(text);
+    if (endpoint.ok())
+        return *endpoint;
+    reader.noteError(key, std::string(endpoint.status().message()));
+    return {};
+}
+
+static void checkUrl(TableReader& reader, std::string_view key, const std::string& text)
+{
+    const QUrl url(QString::fromStdString(text), QUrl::StrictMode);
+    if (!url.isValid() || url.scheme() != "http" || QHostAddress(url.host()).isNull())
+        reader.noteError(key, "write http://ADDRESS:PORT with an IP number");
+}
+
+static void readNode(TableReader& reader, Settings& settings)
+{
+    constexpr size_t minKeyBytes = 16;
+    settings.node = reader.requireString("name");
+    settings.domain = reader.requireString("failure_domain");
+    settings.region = reader.readString("region", "default");
+    settings.callers = readEndpoint(reader, "callers");
+    settings.peers = readEndpoint(reader, "peers");
+    for (const std::string& seed : reader.readStrings("seeds")) {
+        const absl::StatusOr<Endpoint> endpoint = parseEndpoint(seed);
+        if (endpoint.ok())
+            settings.seeds.push_back(*endpoint);
+        else
+            reader.noteError("seeds", "'" + seed + "': " + std::string(endpoint.status().message()));
+    }
+    settings.clusterKey = reader.requireString("cluster_key");
+    if (!settings.clusterKey.empty() && settings.clusterKey.size() < minKeyBytes)
+        reader.noteError("cluster_key", "write a secret of at least 16 characters, the same on every node");
+    settings.workers = static_cast<int>(reader.readInteger("workers", settings.workers, 1, 64));
+    if (!settings.callers.address.empty() && settings.callers == settings.peers)
+        reader.noteError("peers", "is the same address as callers; write another port");
+}
+
+static void readPlatform(TableReader& reader, Settings& settings)
+{
+    settings.platformUrls = reader.readStrings("urls");
+    if (settings.platformUrls.empty())
+        reader.noteError("urls", "write at least one, such as [\"http://10.0.0.2:2379\"]");
+    for (const std::string& url : settings.platformUrls)
+        checkUrl(reader, "urls", url);
+    settings.instancesUrl = reader.requireString("instances_url");
+    if (!settings.instancesUrl.empty())
+        checkUrl(reader, "instances_url", settings.instancesUrl);
+}
+
+static Millis readMillis(TableReader& reader, std::string_view key, Millis fallback, int64_t least)
+{
+    constexpr int64_t dayMs = 86400000;
+    return Millis(reader.readInteger(key, fallback.count(), least, dayMs));
+}
+
+static void readLimits(TableReader& reader, Settings& settings)
+{
+    settings.headBytes = static_cast<size_t>(reader.readInteger("head_bytes", static_cast<int64_t>(settings.headBytes), 1024, 1024 * 1024));
+    settings.bodyBytes = static_cast<size_t>(reader.readInteger("body_bytes", static_cast<int64_t>(settings.bodyBytes), 1024, 1024 * 1024 * 1024));
+    settings.requestTimeout = readMillis(reader, "request_timeout_ms", settings.requestTimeout, 10);
+    settings.idleTimeout = readMillis(reader, "idle_timeout_ms", settings.idleTimeout, 10);
+    settings.maxConnections = static_cast<int>(reader.readInteger("max_connections", settings.maxConnections, 1, 1000000));
+    settings.maxConnectionsPerAddress = static_cast<int>(reader.readInteger("max_connections_per_address", settings.maxConnectionsPerAddress, 1, 1000000));
+    settings.maxWaiting = static_cast<int>(reader.readInteger("max_waiting", settings.maxWaiting, 0, 1000000));
+}
+
+static void readTiming(TableReader& reader, Settings& settings)
+{
+    settings.heartbeatInterval = readMillis(reader, "heartbeat_interval_ms", settings.heartbeatInterval, 10);
+    settings.statusInterval = readMillis(reader, "status_interval_ms", settings.statusInterval, 10);
+    settings.statusFreshness = readMillis(reader, "status_freshness_ms", settings.statusFreshness, 20);
+    settings.leaseTtl = readMillis(reader, "lease_ttl_ms", settings.leaseTtl, 1000);
+    settings.silenceTimeout = readMillis(reader, "silence_timeout_ms", settings.silenceTimeout, 10);
+    settings.shutdownTimeout = readMillis(reader, "shutdown_timeout_ms", settings.shutdownTimeout, 0);
+    if (settings.statusFreshness < 2 * settings.statusInterval)
+        reader.noteError("status_freshness_ms", "write at least twice status_interval_ms, or no group is ever served");
+}
+
+absl::StatusOr<Settings> parseSettings(const std::string& text, const std::string& file)
+{
+    const absl::StatusOr<toml::table> table = parseToml(text, file);
+    if (!table.ok())
+        return table.status();
+    Settings settings;
+    std::vector<std::string> errors;
+    TableReader root(*table, file, "", errors);
+    const toml::table empty;
+    auto readSection = [&](std::string_view name, void (*read)(TableReader&, Settings&)) {
+        const toml::table* section = root.readTable(name);
+        TableReader reader(section ? *section : empty, file, std::string(name), errors);
+        read(reader, settings);
+        reader.rejectUnknownKeys();
+    };
+    readSection("node", readNode);
+    readSection("platform", readPlatform);
+    readSection("limits", readLimits);
+    readSection("timing", readTiming);
+    root.rejectUnknownKeys();
+    if (const absl::Status status = joinErrors(errors); !status.ok())
+        return status;
+    return settings;
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/config/Settings.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "base/Clock.h"
+
+#include <absl/status/statusor.h>
+#include <string>
+#include <vector>
+
+// The settings of one node, read from its TOML file before any socket opens.
+
+namespace hemlockweir {
+
+// An IP number and a port.
+struct Endpoint {
+    std::string address; // IP number
+    uint16_t port = 0;
+
+    std::string toString() const;
+    auto operator<=>(const Endpoint&) const = default;
+};
+
+// Reads ADDRESS:PORT, where ADDRESS is an IP number (IPv6 in brackets).
+absl::StatusOr<Endpoint> parseEndpoint(const std::string& text);
+
+// Everything a node learns from its settings file.
+struct Settings {
+    // [node]
+    std::string node; // unique name
+    std::string domain; // failure domain
+    std::string region; // region of the failure domain
+    Endpoint callers; // TCP, requests of callers and operators
+    Endpoint peers; // UDP and TCP, the other nodes
+    std::vector<Endpoint> seeds; // other nodes to greet first
+    std::string clusterKey; // secret that authenticates nodes to each other
+    int workers = 2; // threads that serve callers
+
+    // [platform]
+    std::vector<std::string> platformUrls; // http://ADDRESS:PORT of the key-value service
+    std::string instancesUrl; // http://ADDRESS:PORT/path of the instance list
+
+    // [limits]
+    size_t headBytes = 16 * 1024; // bytes
+    size_t bodyBytes = 4 * 1024 * 1024; // bytes
+    Millis requestTimeout { 10000 }; // ms
+    Millis idleTimeout { 60000 }; // ms
+    int maxConnections = 4096;
+    int maxConnectionsPerAddress = 1024;
+    int maxWaiting = 2000; // requests waiting for a slot
+
+    // [timing]
+    Millis heartbeatInterval { 200 }; // ms, between nodes
+    Millis statusInterval { 300 }; // ms, between two looks at an instance
+    Millis statusFreshness { 1500 }; // ms, oldest report that still counts
+    Millis leaseTtl { 5000 }; // ms, right to form groups in a failure domain
+    Millis silenceTimeout { 2000 }; // ms without a token before a stream is given up
+    Millis shutdownTimeout { 60000 }; // ms for requests in flight at a planned stop
+};
+
+// Reads and checks a settings file; the error lists every mistake with file and line.
+absl::StatusOr<Settings> parseSettings(const std::string& text, const std::string& file);
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/http/HttpClient.cpp
@@ -0,0 +1,221 @@
+#include "http/HttpClient.h"
+
+#include <QNetworkAccessManager>
+#include <QNetworkProxy>
+#include <QNetworkReply>
+#include <QNetworkRequest>
+#include <cstring>
+#include <map>
+
+namespace hemlockweir {
+
+// Qt 6.4 runs this many connections a host and manager at once and queues the rest.
+static constexpr int callsPerHostAndManager = 6;
+
+// A body that can not be rewound, so that Qt can not send it a second time.
+class HttpCall::Body : public QIODevice {
+public:
+    explicit Body(const QByteArray& bytes)
+        : bytes_(bytes)
+    {
+        open(QIODevice::ReadOnly | QIODevice::Unbuffered);
+    }
+
+    bool isSequential() const override { return true; }
+    qint64 bytesAvailable() const override { return bytes_.size() - at_ + QIODevice::bytesAvailable(); }
+    bool wasRead() const { return wasRead_; }
+
+protected:
+    qint64 readData(char* data, qint64 maxSize) override
+    {
+        wasRead_ = true;
+        const qint64 count = std::min<qint64>(maxSize, bytes_.size() - at_);
+        if (count == 0)
+            return -1;
+        std::memcpy(data, bytes_.constData() + at_, static_cast<size_t>(count));
+        at_ += count;
+        return count;
+    }
+
+    qint64 writeData(const char*, qint64) override { return -1; }
+
+private:
+    QByteArray bytes_;
+    qint64 at_ = 0;
+    bool wasRead_ = false;
+};
+
+HttpCall::HttpCall(CallOptions options, CallHooks hooks)
+    : options_(std::move(options))
+    , hooks_(std::move(hooks))
+    , sequentialBody_(std::make_shared<Body>(options_.body))
+{
+    timer_.setSingleShot(true);
+    connect(&timer_, &QTimer::timeout, this, &HttpCall::noteTimeout);
+}
+
+HttpCall::~HttpCall()
+{
+    cancel();
+}
+
+bool HttpCall::mayHaveBeenSent() const
+{
+    return sequentialBody_->wasRead() || headSeen_;
+}
+
+void HttpCall::attach(QNetworkReply* reply)
+{
+    reply_ = reply;
+    // The reply may read the body until it is destroyed, which can be after this call is.
+    connect(reply, &QObject::destroyed, [body = sequentialBody_] {});
+    timer_.start(options_.firstByteTimeout);
+    connect(reply, &QNetworkReply::metaDataChanged, this, [this] {
+        if (headSeen_ || !reply_)
+            return;
+        headSeen_ = true;
+        if (hooks_.onHead)
+            hooks_.onHead(reply_->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt());
+    });
+    connect(reply, &QNetworkReply::readyRead, this, &HttpCall::readData);
+    connect(reply, &QNetworkReply::finished, this, &HttpCall::finish);
+}
+
+void HttpCall::readData()
+{
+    if (done_ || !reply_)
+        return;
+    if (options_.silenceTimeout.count() > 0)
+        timer_.start(options_.silenceTimeout);
+    else
+        timer_.stop();
+    const QByteArray piece = reply_->readAll();
+    const int status = reply_->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    if (hooks_.onData && status == 200)
+        hooks_.onData(piece);
+    else
+        received_ += piece;
+}
+
+void HttpCall::noteTimeout()
+{
+    timedOut_ = true;
+    if (reply_)
+        reply_->abort();
+}
+
+static CallEnd classifyEnd(const QNetworkReply& reply, bool timedOut, bool maySent, int status)
+{
+    if (timedOut)
+        return maySent ? CallEnd::TimedOut : CallEnd::NotSent;
+    if (reply.error() == QNetworkReply::NoError)
+        return CallEnd::Answered;
+    // Qt reports a 4xx or 5xx answer as an error although it arrived whole.
+    const bool contentError = reply.error() >= QNetworkReply::ContentAccessDenied && reply.error() != QNetworkReply::ContentReSendError
+        && reply.error() <= QNetworkReply::UnknownServerError;
+    if (status >= 300 && contentError)
+        return CallEnd::Answered;
+    return maySent ? CallEnd::Broken : CallEnd::NotSent;
+}
+
+void HttpCall::finish()
+{
+    if (done_ || !reply_)
+        return;
+    if (reply_->bytesAvailable() > 0)
+        readData();
+    if (done_ || !reply_)
+        return;
+    done_ = true;
+    timer_.stop();
+    CallResult result;
+    result.status = reply_->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    result.end = classifyEnd(*reply_, timedOut_, mayHaveBeenSent(), result.status);
+    result.body = received_;
+    result.error = timedOut_ ? QStringLiteral("timeout") : reply_->errorString();
+    reply_->deleteLater();
+    reply_ = nullptr;
+    if (onRelease_)
+        onRelease_();
+    if (hooks_.onDone)
+        hooks_.onDone(result);
+}
+
+void HttpCall::cancel()
+{
+    if (done_)
+        return;
+    done_ = true;
+    timer_.stop();
+    if (!reply_)
+        return;
+    reply_->disconnect(this);
+    reply_->abort();
+    reply_->deleteLater();
+    reply_ = nullptr;
+    if (onRelease_)
+        onRelease_();
+}
+
+struct HttpClient::Manager {
+    QNetworkAccessManager network;
+    std::map<QString, int> callsByHost;
+};
+
+struct HttpClient::Managers {
+    std::vector<std::unique_ptr<Manager>> all;
+
+    // Returns a manager with room for one more call to this host.
+    Manager& findFree(const QString& host)
+    {
+        for (const auto& manager : all) {
+            if (manager->callsByHost[host] < callsPerHostAndManager)
+                return *manager;
+        }
+        auto& manager = *all.emplace_back(std::make_unique<Manager>());
+        manager.network.setProxy(QNetworkProxy::NoProxy);
+        manager.network.setRedirectPolicy(QNetworkRequest::ManualRedirectPolicy);
+        return manager;
+    }
+};
+
+HttpClient::HttpClient()
+    : managers_(std::make_shared<Managers>())
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+std::shared_ptr<HttpCall> HttpClient::start(CallOptions options, CallHooks hooks)
+{
+    const QString host = options.url.authority();
+    Manager& manager = managers_->findFree(host);
+    ++manager.callsByHost[host];
+
+    QNetworkRequest request(options.url);
+    for (const HttpHeader& header : options.headers)
+        request.setRawHeader(header.name, header.value);
+    request.setRawHeader("Connection", "close");
+    request.setAttribute(QNetworkRequest::Http2AllowedAttribute, false);
+    request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
+
+    std::shared_ptr<HttpCall> call(new HttpCall(std::move(options), std::move(hooks)));
+    // A weak reference: a call may outlive its client.
+    call->onRelease_ = [weak = std::weak_ptr(managers_), raw = &manager, host] {
+        if (const auto managers = weak.lock()) {
+            if (--raw->callsByHost[host] == 0)
+                raw->callsByHost.erase(host);
+        }
+    };
+    if (call->options_.body.isEmpty() && call->options_.method == "GET") {
+        call->attach(manager.network.get(request));
+        return call;
+    }
+    if (!request.hasRawHeader("Content-Type"))
+        request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+    request.setHeader(QNetworkRequest::ContentLengthHeader, call->options_.body.size());
+    call->attach(manager.network.sendCustomRequest(request, call->options_.method, call->sequentialBody_.get()));
+    return call;
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/http/HttpServer.cpp
@@ -0,0 +1,304 @@
+#include "http/HttpServer.h"
+
+#include "http/GuardedSocket.h"
+
+#include <QAbstractHttpServer>
+#include <QHttpServerResponder>
+#include <QJsonDocument>
+#include <QTcpServer>
+#include <QThread>
+#include <QUrlQuery>
+
+namespace hemlockweir {
+
+static QByteArray methodName(QHttpServerRequest::Method method)
+{
+    switch (method) {
+    case QHttpServerRequest::Method::Get:
+        return "GET";
+    case QHttpServerRequest::Method::Put:
+        return "PUT";
+    case QHttpServerRequest::Method::Delete:
+        return "DELETE";
+    case QHttpServerRequest::Method::Post:
+        return "POST";
+    case QHttpServerRequest::Method::Head:
+        return "HEAD";
+    case QHttpServerRequest::Method::Options:
+        return "OPTIONS";
+    case QHttpServerRequest::Method::Patch:
+        return "PATCH";
+    default:
+        return "UNKNOWN";
+    }
+}
+
+Exchange::Exchange(const QHttpServerRequest& request, QTcpSocket* socket, QHttpServerResponder&& responder, qint64 replyBufferBytes)
+    : method_(methodName(request.method()))
+    , path_(request.url().path())
+    , rawQuery_(request.url().query().toUtf8())
+    , body_(request.body())
+    , socket_(socket)
+    , responder_(std::make_unique<QHttpServerResponder>(std::move(responder)))
+    , replyBufferBytes_(replyBufferBytes)
+{
+    for (const auto& [name, value] : request.headers())
+        headers_.push_back({ name.toLower(), value });
+    connect(socket, &QTcpSocket::disconnected, this, &Exchange::noteGone);
+    if (auto* guarded = qobject_cast<GuardedSocket*>(socket))
+        guarded->startReply();
+}
+
+Exchange::~Exchange()
+{
+    if (auto* guarded = qobject_cast<GuardedSocket*>(socket_.data()))
+        guarded->finishReply();
+    if (!isOver())
+        abort();
+}
+
+QString Exchange::query(const QString& name) const
+{
+    return QUrlQuery(QString::fromUtf8(rawQuery_)).queryItemValue(name, QUrl::FullyDecoded);
+}
+
+QByteArray Exchange::header(const QByteArray& name) const
+{
+    const QByteArray lower = name.toLower();
+    for (const HttpHeader& header : headers_) {
+        if (header.name == lower)
+            return header.value;
+    }
+    return {};
+}
+
+void Exchange::noteGone()
+{
+    const bool wasOver = over_;
+    over_ = true;
+    socket_ = nullptr;
+    if (!wasOver && onGone)
+        onGone();
+}
+
+void Exchange::writeHead(int status, const QByteArray& contentType, const std::vector<HttpHeader>& headers)
+{
+    responder_->writeStatusLine(static_cast<QHttpServerResponder::StatusCode>(status));
+    responder_->writeHeader("Content-Type", contentType);
+    for (const HttpHeader& header : headers)
+        responder_->writeHeader(header.name, header.value);
+}
+
+void Exchange::sendJson(int status, const QJsonObject& object, const std::vector<HttpHeader>& headers)
+{
+    sendBytes(status, "application/json", QJsonDocument(object).toJson(QJsonDocument::Compact), headers);
+}
+
+void Exchange::sendBytes(int status, const QByteArray& contentType, const QByteArray& bytes, const std::vector<HttpHeader>& headers)
+{
+    if (isOver() || streaming_)
+        return;
+    writeHead(status, contentType, headers);
+    responder_->writeHeader("Content-Length", QByteArray::number(bytes.size()));
+    responder_->writeBody(bytes);
+    over_ = true;
+    responder_.reset();
+}
+
+void Exchange::startStream(const QByteArray& contentType, const std::vector<HttpHeader>& headers)
+{
+    if (isOver() || streaming_)
+        return;
+    streaming_ = true;
+    writeHead(200, contentType, headers);
+    responder_->writeHeader("Cache-Control", "no-cache");
+    responder_->writeHeader("Transfer-Encoding", "chunked");
+    responder_->writeBody(QByteArray());
+}
+
+void Exchange::sendChunk(const QByteArray& bytes)
+{
+    if (isOver() || !streaming_ || bytes.isEmpty())
+        return;
+    responder_->writeBody(QByteArray::number(bytes.size(), 16) + "\r\n" + bytes + "\r\n");
+    if (socket_ && socket_->bytesToWrite() > replyBufferBytes_)
+        abort();
+}
+
+void Exchange::sendEvent(const QByteArray& data)
+{
+    sendChunk("data: " + data + "\n\n");
+}
+
+void Exchange::finishStream()
+{
+    if (isOver() || !streaming_)
+        return;
+    responder_->writeBody(QByteArray("0\r\n\r\n"));
+    over_ = true;
+    responder_.reset();
+}
+
+void Exchange::abort()
+{
+    if (socket_)
+        socket_->abort();
+}
+
+namespace {
+
+    // The Qt server of one worker. It hands every request to the handler; Qt's own routing is unused.
+    class WorkerServer : public QAbstractHttpServer {
+    public:
+        WorkerServer(const HttpServerOptions& options, RequestHandler handler, std::shared_ptr<std::atomic<int>> inFlight)
+            : options_(options)
+            , handler_(std::move(handler))
+            , inFlight_(std::move(inFlight))
+        {
+        }
+
+    protected:
+        bool handleRequest(const QHttpServerRequest& request, QTcpSocket* socket) override
+        {
+            ++*inFlight_;
+            auto* raw = new Exchange(request, socket, makeResponder(request, socket), options_.replyBufferBytes);
+            std::shared_ptr<Exchange> exchange(raw, [inFlight = inFlight_](Exchange* done) {
+                --*inFlight;
+                delete done;
+            });
+            handler_(std::move(exchange));
+            return true;
+        }
+
+        void missingHandler(const QHttpServerRequest&, QTcpSocket*) override { }
+
+    private:
+        const HttpServerOptions& options_;
+        RequestHandler handler_;
+        std::shared_ptr<std::atomic<int>> inFlight_;
+    };
+
+    // A QTcpServer that never listens: it passes adopted sockets to the Qt server bound to it.
+    class SocketFeed : public QTcpServer {
+    public:
+        SocketFeed(const HttpServerOptions& options, std::shared_ptr<ConnectionCount> connections)
+            : options_(options)
+            , connections_(std::move(connections))
+        {
+        }
+
+        void adopt(qintptr descriptor)
+        {
+            auto* socket = new GuardedSocket(options_, connections_, this);
+            if (!socket->adopt(descriptor)) {
+                socket->connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
+                return;
+            }
+            addPendingConnection(socket);
+            Q_EMIT newConnection();
+        }
+
+    private:
+        const HttpServerOptions& options_;
+        std::shared_ptr<ConnectionCount> connections_;
+    };
+
+} // namespace
+
+// One worker: a thread of its own (or the starting one) with a Qt server in it.
+class HttpServer::Worker : public QObject {
+public:
+    Worker(const HttpServerOptions& options, const RequestHandler& handler, const std::shared_ptr<std::atomic<int>>& inFlight,
+        const std::shared_ptr<ConnectionCount>& connections, bool ownThread)
+    {
+        auto open = [&, this] {
+            server_ = std::make_unique<WorkerServer>(options, handler, inFlight);
+            feed_ = new SocketFeed(options, connections);
+            feed_->setMaxPendingConnections(options.maxConnections);
+            server_->bind(feed_);
+        };
+        if (!ownThread) {
+            open();
+            return;
+        }
+        moveToThread(&thread_);
+        thread_.start();
+        QMetaObject::invokeMethod(this, open, Qt::BlockingQueuedConnection);
+    }
+
+    ~Worker() override
+    {
+        if (!thread_.isRunning())
+            return;
+        QMetaObject::invokeMethod(
+            this, [this] { server_.reset(); }, Qt::BlockingQueuedConnection);
+        thread_.quit();
+        thread_.wait();
+    }
+
+    void adopt(qintptr descriptor)
+    {
+        QMetaObject::invokeMethod(this, [this, descriptor] { feed_->adopt(descriptor); });
+    }
+
+private:
+    QThread thread_;
+    std::unique_ptr<WorkerServer> server_;
+    SocketFeed* feed_ = nullptr; // owned by server_
+};
+
+// Accepts on the starting thread and deals connections out in turn.
+class HttpServer::Acceptor : public QTcpServer {
+public:
+    explicit Acceptor(HttpServer& server)
+        : server_(server)
+    {
+    }
+
+protected:
+    void incomingConnection(qintptr descriptor) override
+    {
+        server_.workers_[next_++ % server_.workers_.size()]->adopt(descriptor);
+    }
+
+private:
+    HttpServer& server_;
+    size_t next_ = 0;
+};
+
+HttpServer::HttpServer(HttpServerOptions options, RequestHandler handler)
+    : options_(std::move(options))
+    , handler_(std::move(handler))
+    , inFlight_(std::make_shared<std::atomic<int>>(0))
+    , connections_(std::make_shared<ConnectionCount>(options_.maxConnections, options_.maxConnectionsPerAddress))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+absl::Status HttpServer::start()
+{
+    const int count = std::max(1, options_.workers);
+    for (int i = 0; i < count; ++i)
+        workers_.push_back(std::make_unique<Worker>(options_, handler_, inFlight_, connections_, options_.workers > 0));
+    acceptor_ = std::make_unique<Acceptor>(*this);
+    acceptor_->setListenBacklogSize(1024);
+    if (!acceptor_->listen(options_.address, options_.port)) {
+        return absl::UnavailableError("cannot listen on " + options_.address.toString().toStdString() + ":"
+            + std::to_string(options_.port) + ": " + acceptor_->errorString().toStdString());
+    }
+    return absl::OkStatus();
+}
+
+void HttpServer::stopListening()
+{
+    if (acceptor_)
+        acceptor_->close();
+}
+
+quint16 HttpServer::port() const
+{
+    return acceptor_ ? acceptor_->serverPort() : 0;
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/http/RequestScanner.cpp
@@ -0,0 +1,131 @@
+#include "http/RequestScanner.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <optional>
+
+namespace hemlockweir {
+
+static constexpr std::string_view lineEnd = "\r\n";
+static constexpr std::string_view headEnd = "\r\n\r\n";
+
+static std::string lowercase(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) { return std::tolower(c); });
+    return lower;
+}
+
+static std::string_view trim(std::string_view text)
+{
+    const size_t first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+static std::optional<size_t> parseLength(std::string_view text)
+{
+    size_t value = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || result.ec != std::errc() || result.ptr != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+RequestScanner::RequestScanner(RequestLimits limits)
+    : limits_(limits)
+{
+}
+
+ScanVerdict RequestScanner::scan(std::string_view bytes)
+{
+    ScanVerdict verdict = ScanVerdict::Ok;
+    for (size_t at = 0; at < bytes.size();) {
+        if (bodyLeft_ > 0) {
+            const size_t taken = std::min(bodyLeft_, bytes.size() - at);
+            bodyLeft_ -= taken;
+            at += taken;
+            requestsSeen_ += bodyLeft_ == 0;
+            continue;
+        }
+        const ScanVerdict found = scanHeadByte(bytes[at++]);
+        if (found == ScanVerdict::Continue)
+            verdict = found;
+        else if (found != ScanVerdict::Ok)
+            return found;
+    }
+    return verdict;
+}
+
+ScanVerdict RequestScanner::scanHeadByte(char byte)
+{
+    // Blank lines before a request line are allowed by RFC 9112 and skipped here.
+    if (head_.empty() && (byte == '\r' || byte == '\n'))
+        return ScanVerdict::Ok;
+    if (head_.size() >= limits_.headBytes)
+        return ScanVerdict::HeadTooLarge;
+    head_ += byte;
+    if (byte == '\0' || (byte == '\n' && (head_.size() < 2 || head_[head_.size() - 2] != '\r')))
+        return ScanVerdict::BadRequest;
+    if (!head_.ends_with(headEnd))
+        return ScanVerdict::Ok;
+    const ScanVerdict verdict = checkHead();
+    head_.clear();
+    requestsSeen_ += bodyLeft_ == 0;
+    return verdict;
+}
+
+ScanVerdict RequestScanner::checkRequestLine(std::string_view line) const
+{
+    const size_t first = line.find(' ');
+    const size_t last = line.rfind(' ');
+    if (first == std::string_view::npos || first == last || first == 0)
+        return ScanVerdict::BadRequest;
+    if (line.substr(0, last).find(' ', first + 1) != std::string_view::npos)
+        return ScanVerdict::BadRequest;
+    const std::string_view version = line.substr(last + 1);
+    if (version == "HTTP/1.1" || version == "HTTP/1.0")
+        return ScanVerdict::Ok;
+    return version.starts_with("HTTP/") ? ScanVerdict::VersionNotSupported : ScanVerdict::BadRequest;
+}
+
+ScanVerdict RequestScanner::checkHead()
+{
+    std::string_view rest = std::string_view(head_).substr(0, head_.size() - lineEnd.size());
+    const size_t lineLength = rest.find(lineEnd);
+    if (const ScanVerdict verdict = checkRequestLine(rest.substr(0, lineLength)); verdict != ScanVerdict::Ok)
+        return verdict;
+    rest.remove_prefix(lineLength + lineEnd.size());
+
+    std::optional<size_t> length;
+    bool waitsForContinue = false;
+    while (!rest.empty()) {
+        const size_t end = rest.find(lineEnd);
+        const std::string_view line = rest.substr(0, end);
+        rest.remove_prefix(end + lineEnd.size());
+        const size_t colon = line.find(':');
+        // A blank before the colon, or a folded line, lets two parsers disagree on the name.
+        if (colon == std::string_view::npos || colon == 0 || line.substr(0, colon).find_first_of(" \t") != std::string_view::npos)
+            return ScanVerdict::BadRequest;
+        const std::string name = lowercase(line.substr(0, colon));
+        const std::string_view value = trim(line.substr(colon + 1));
+        if (name == "transfer-encoding")
+            return ScanVerdict::LengthRequired;
+        if (name == "expect")
+            waitsForContinue = lowercase(value) == "100-continue";
+        if (name != "content-length")
+            continue;
+        const std::optional<size_t> parsed = parseLength(value);
+        if (!parsed || length)
+            return ScanVerdict::BadRequest;
+        length = parsed;
+    }
+    bodyLeft_ = length.value_or(0);
+    if (bodyLeft_ > limits_.bodyBytes)
+        return ScanVerdict::PayloadTooLarge;
+    return waitsForContinue && bodyLeft_ > 0 ? ScanVerdict::Continue : ScanVerdict::Ok;
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/node/CallerApi.cpp
@@ -0,0 +1,98 @@
+#include "node/CallerApi.h"
+
+#include "node/CompletionFlow.h"
+#include "node/PlainFlow.h"
+
+#include <QJsonArray>
+
+namespace hemlockweir {
+
+CallerApi::CallerApi(Tables& tables, Hooks hooks)
+    : tables_(tables)
+    , hooks_(std::move(hooks))
+{
+}
+
+void CallerApi::handle(std::shared_ptr<Exchange> exchange)
+{
+    if (handleOperator(*exchange))
+        return;
+    if (exchange->path() == "/v1/completions")
+        handleCompletion(std::move(exchange), false);
+    else if (exchange->path() == "/v1/chat/completions")
+        handleCompletion(std::move(exchange), true);
+    else
+        handlePlain(std::move(exchange));
+}
+
+QJsonObject CallerApi::listModels() const
+{
+    QJsonArray models;
+    const ConfigSnapshot config = tables_.config.snapshot();
+    for (const Model& model : config.configuration->models)
+        models.append(QJsonObject { { "id", QString::fromStdString(model.name) }, { "object", "model" } });
+    return { { "object", "list" }, { "data", models } };
+}
+
+bool CallerApi::handleOperator(Exchange& exchange)
+{
+    const QString path = exchange.path();
+    if (path == "/healthz")
+        exchange.sendJson(200, { { "ok", true } });
+    else if (path == "/readyz")
+        exchange.sendJson(hooks_.isReady() ? 200 : 503, { { "ready", hooks_.isReady() } });
+    else if (path == "/metrics")
+        exchange.sendBytes(200, "text/plain; version=0.0.4", QByteArray::fromStdString(tables_.metrics.expose()));
+    else if (path == "/v1/models")
+        exchange.sendJson(200, listModels());
+    else if (path == "/operator/status")
+        exchange.sendJson(200, hooks_.status());
+    else
+        return false;
+    return true;
+}
+
+void CallerApi::handleCompletion(std::shared_ptr<Exchange> exchange, bool isChat)
+{
+    const ConfigSnapshot config = tables_.config.snapshot();
+    CallerRequestResult read = readCallerRequest(*exchange, *config.configuration, tables_.random);
+    if (!read.request) {
+        sendError(*exchange, read.error);
+        return;
+    }
+    ErrorReply error { .status = 400, .type = "bad_request", .message = {}, .outcome = Outcome::NotRun, .requestId = read.request->requestId };
+    absl::StatusOr<CompletionRequest> completion = parseCompletionRequest(exchange->body(), isChat);
+    if (exchange->method() != "POST") {
+        error.status = 405;
+        error.message = "use POST";
+    } else if (!completion.ok()) {
+        error.message = std::string(completion.status().message());
+    } else if (!config.configuration->findModel(completion->model)) {
+        error.status = 404;
+        error.type = "unknown_model";
+        error.message = "the model '" + completion->model + "' is not configured";
+    }
+    if (!error.message.empty()) {
+        sendError(*exchange, error);
+        return;
+    }
+    CompletionFlow::start(tables_, std::move(exchange), std::move(*read.request), std::move(*completion));
+}
+
+void CallerApi::handlePlain(std::shared_ptr<Exchange> exchange)
+{
+    const ConfigSnapshot config = tables_.config.snapshot();
+    const PlainService* service = config.configuration->findService(exchange->path().toStdString());
+    if (!service) {
+        sendError(*exchange, { .status = 404, .type = "not_found", .message = "no such path or service", .outcome = Outcome::NotRun });
+        return;
+    }
+    CallerRequestResult read = readCallerRequest(*exchange, *config.configuration, tables_.random);
+    if (!read.request) {
+        sendError(*exchange, read.error);
+        return;
+    }
+    PlainFlow::start(tables_, std::move(exchange), std::move(*read.request), *service);
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/node/CompletionFlow.cpp
@@ -0,0 +1,260 @@
+#include "node/CompletionFlow.h"
+
+#include "base/Log.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+
+namespace hemlockweir {
+
+// Times that one request is sent to endpoints, when sending it again does no harm.
+static constexpr uint32_t maxAttempts = 4;
+
+absl::StatusOr<CompletionRequest> parseCompletionRequest(const QByteArray& body, bool isChat)
+{
+    QJsonParseError error {};
+    const QJsonDocument document = QJsonDocument::fromJson(body, &error);
+    if (!document.isObject())
+        return absl::InvalidArgumentError("the body is not a JSON object: " + error.errorString().toStdString());
+    const QJsonObject object = document.object();
+    CompletionRequest request { .body = object, .model = object["model"].toString().toStdString(), .isChat = isChat, .isStreamed = object["stream"].toBool(), .maxTokens = 128 };
+    if (request.model.empty())
+        return absl::InvalidArgumentError("\"model\" is required");
+    if (isChat && !object["messages"].isArray())
+        return absl::InvalidArgumentError("\"messages\" is required and is an array");
+    if (!isChat && !object["prompt"].isString())
+        return absl::InvalidArgumentError("\"prompt\" is required and is a string");
+    if (object.contains("max_tokens")) {
+        constexpr int mostTokens = 1000000;
+        const int maxTokens = object["max_tokens"].toInt(-1);
+        if (maxTokens < 1 || maxTokens > mostTokens)
+            return absl::InvalidArgumentError("\"max_tokens\" takes a whole number from 1 to 1000000");
+        request.maxTokens = static_cast<uint32_t>(maxTokens);
+    }
+    return request;
+}
+
+void CompletionFlow::start(Tables& tables, std::shared_ptr<Exchange> exchange, CallerRequest request, CompletionRequest completion)
+{
+    auto* flow = new CompletionFlow(tables, std::move(exchange), std::move(request), std::move(completion));
+    flow->claim([flow] { flow->schedule(); });
+}
+
+CompletionFlow::CompletionFlow(Tables& tables, std::shared_ptr<Exchange> exchange, CallerRequest request, CompletionRequest completion)
+    : Flow(tables, std::move(exchange), std::move(request))
+    , completion_(std::move(completion))
+    , seed_(completion_.body.contains("seed") ? static_cast<uint64_t>(completion_.body["seed"].toDouble()) : tables.random() >> 32)
+{
+}
+
+void CompletionFlow::cancelWork()
+{
+    call_.reset();
+    if (jobId_ != 0 && !holdsSlot_)
+        tables_.scheduler.cancel(jobId_);
+    freeSlot();
+}
+
+void CompletionFlow::schedule()
+{
+    jobId_ = tables_.nextJob++;
+    const Job job {
+        .id = jobId_,
+        .model = completion_.model,
+        .caller = request().caller.name,
+        .weight = request().caller.weight,
+        .rank = request().priority.rank,
+        .deadline = arrivedAt_ + request().deadline,
+        .cost = static_cast<double>(completion_.maxTokens - received_),
+        .avoidGroups = failedGroups_,
+    };
+    const uint64_t id = jobId_;
+    auto post = poster();
+    JobHooks hooks {
+        .onDecision = [this, id, post, scheduler = &tables_.scheduler](const Decision& decision) { post([this, id, decision] { takeDecision(id, decision); }); },
+        .onPreempt = [this, id, post] { post([this, id] { yieldSlot(id); }); },
+    };
+    tables_.scheduler.submit(job, hooks);
+}
+
+void CompletionFlow::takeDecision(uint64_t jobId, const Decision& decision)
+{
+    if (jobId != jobId_ || hasEnded())
+        return;
+    if (decision.isGranted()) {
+        holdsSlot_ = true;
+        attempt(decision.replica);
+        return;
+    }
+    jobId_ = 0;
+    const Outcome outcome = mayHaveRun_ ? Outcome::Unknown : Outcome::NotRun;
+    ErrorReply error { .status = 503, .type = "overloaded", .message = "no slot became free before the deadline", .outcome = outcome, .retryAfter = decision.retryAfter };
+    if (decision.refusal == Refusal::QueueFull)
+        error.message = "too many requests are waiting";
+    else if (decision.refusal == Refusal::NoReplica)
+        error.message = "no whole group serves this model now";
+    fail(error);
+}
+
+void CompletionFlow::freeSlot()
+{
+    // A job whose grant is still on its way to this thread is finished as well.
+    if (jobId_ != 0)
+        tables_.scheduler.finish(jobId_);
+    jobId_ = 0;
+    holdsSlot_ = false;
+}
+
+void CompletionFlow::yieldSlot(uint64_t jobId)
+{
+    if (jobId != jobId_ || hasEnded() || isClaimed())
+        return;
+    call_.reset();
+    freeSlot();
+    schedule();
+}
+
+void CompletionFlow::attempt(const Replica& replica)
+{
+    replica_ = replica;
+    ++attempt_;
+    record_.attempts = attempt_;
+    QJsonObject body = completion_.body;
+    body["stream"] = true;
+    body["max_tokens"] = static_cast<int>(completion_.maxTokens);
+    body["seed"] = static_cast<double>(seed_);
+    const QString path = completion_.isChat ? QStringLiteral("/v1/chat/completions") : QStringLiteral("/v1/completions");
+    CallOptions options {
+        .url = QUrl(QStringLiteral("http://") + QString::fromStdString(replica.leader) + path),
+        .headers = {
+            { "X-Request-Id", QByteArray::fromStdString(request().requestId) },
+            { "X-Attempt", QByteArray::number(attempt_) },
+            { "X-Group", QByteArray::fromStdString(replica.group) },
+            { "X-Group-Epoch", QByteArray::number(static_cast<qulonglong>(replica.epoch)) },
+            { "X-Priority-Rank", QByteArray::number(request().priority.rank) },
+            { "X-Resume-Offset", QByteArray::number(received_) },
+        },
+        .body = QJsonDocument(body).toJson(QJsonDocument::Compact),
+        .firstByteTimeout = tables_.silenceTimeout,
+        .silenceTimeout = tables_.silenceTimeout,
+    };
+    events_ = std::make_unique<EventStream>([this](const QByteArray& data) { takeEvent(data); });
+    CallHooks hooks;
+    hooks.onData = [this](const QByteArray& bytes) {
+        if (!events_->feed(bytes) && call_)
+            call_->cancel();
+    };
+    hooks.onDone = [this](const CallResult& result) { takeCallEnd(result); };
+    call_ = client().start(options, hooks);
+}
+
+void CompletionFlow::takeEvent(const QByteArray& data)
+{
+    const QJsonObject event = QJsonDocument::fromJson(data).object();
+    // A piece of another request or attempt is never passed on.
+    const bool isOurs = event["request_id"].toString().toStdString() == request().requestId && event["attempt"].toInt() == static_cast<int>(attempt_);
+    if (!isOurs)
+        return;
+    if (event.contains("finish_reason"))
+        finishReason_ = event["finish_reason"].toString();
+    else if (event["index"].toInt(-1) == static_cast<int>(received_))
+        takeToken(event);
+}
+
+void CompletionFlow::takeToken(const QJsonObject& event)
+{
+    if (received_ == 0)
+        record_.firstToken = tables_.clock() - arrivedAt_;
+    ++received_;
+    record_.tokens = received_;
+    sendToken(event["text"].toString());
+}
+
+void CompletionFlow::takeCallEnd(const CallResult& result)
+{
+    mayHaveRun_ = mayHaveRun_ || result.end != CallEnd::NotSent;
+    freeSlot();
+    if (result.isSuccess() && !finishReason_.isEmpty()) {
+        sendFinish();
+        return;
+    }
+    retryOrFail(result);
+}
+
+void CompletionFlow::retryOrFail(const CallResult& result)
+{
+    logWarning("attempt_failed", { { "request", request().requestId }, { "group", replica_->group }, { "epoch", std::to_string(replica_->epoch) }, { "attempt", std::to_string(attempt_) }, { "http", std::to_string(result.status) }, { "error", result.error.toStdString() } });
+    tables_.fleet.suspectGroup(replica_->group, replica_->epoch);
+    failedGroups_.push_back(replica_->group);
+    // An engine that answers 409 or 503 says that it did not run the request.
+    const bool wasRefused = result.end == CallEnd::Answered && (result.status == 409 || result.status == 503) && received_ == 0;
+    const bool mayRepeat = !isClaimed() || result.end == CallEnd::NotSent || wasRefused;
+    if (wasRefused && attempt_ == 1)
+        mayHaveRun_ = false;
+    if (mayRepeat && attempt_ < maxAttempts) {
+        schedule();
+        return;
+    }
+    const Outcome outcome = mayHaveRun_ ? Outcome::Unknown : Outcome::NotRun;
+    fail({ .status = 502, .type = "endpoint_failed", .message = "the endpoint failed and the request could not be taken up by another", .outcome = outcome });
+}
+
+QJsonObject CompletionFlow::makeChunk(const QString& text, const QJsonValue& finishReason) const
+{
+    QJsonObject choice { { "index", 0 }, { "finish_reason", finishReason } };
+    if (completion_.isChat)
+        choice["delta"] = text.isEmpty() ? QJsonObject() : QJsonObject { { "content", text } };
+    else
+        choice["text"] = text;
+    return {
+        { "id", QString::fromStdString(request().requestId) },
+        { "object", completion_.isChat ? "chat.completion.chunk" : "text_completion" },
+        { "model", QString::fromStdString(completion_.model) },
+        { "choices", QJsonArray { choice } },
+    };
+}
+
+QJsonObject CompletionFlow::makeWhole() const
+{
+    QJsonObject choice { { "index", 0 }, { "finish_reason", finishReason_ } };
+    if (completion_.isChat)
+        choice["message"] = QJsonObject { { "role", "assistant" }, { "content", text_ } };
+    else
+        choice["text"] = text_;
+    return {
+        { "id", QString::fromStdString(request().requestId) },
+        { "object", completion_.isChat ? "chat.completion" : "text_completion" },
+        { "model", QString::fromStdString(completion_.model) },
+        { "choices", QJsonArray { choice } },
+        { "usage", QJsonObject { { "completion_tokens", static_cast<int>(received_) } } },
+    };
+}
+
+void CompletionFlow::sendToken(const QString& text)
+{
+    text_ += text;
+    if (!completion_.isStreamed)
+        return;
+    if (!exchange().isStreaming())
+        exchange().startStream("text/event-stream", { { "X-Request-Id", QByteArray::fromStdString(request().requestId) } });
+    exchange().sendEvent(QJsonDocument(makeChunk(text, QJsonValue())).toJson(QJsonDocument::Compact));
+}
+
+void CompletionFlow::sendFinish()
+{
+    const QByteArray whole = QJsonDocument(makeWhole()).toJson(QJsonDocument::Compact);
+    storeAnswer({ .status = 200, .contentType = "application/json", .body = whole }, [this, whole] {
+        if (completion_.isStreamed) {
+            exchange().startStream("text/event-stream");
+            exchange().sendEvent(QJsonDocument(makeChunk({}, finishReason_)).toJson(QJsonDocument::Compact));
+            exchange().sendEvent("[DONE]");
+            exchange().finishStream();
+        } else {
+            exchange().sendBytes(200, "application/json", whole, { { "X-Request-Id", QByteArray::fromStdString(request().requestId) } });
+        }
+        const bool isLate = record_.firstToken > Millis(request().priority.firstTokenMs);
+        end(isLate ? RequestEnd::Late : RequestEnd::Whole);
+    });
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/node/CompletionFlow.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "http/EventStream.h"
+#include "node/Flow.h"
+
+#include <QJsonObject>
+
+// One model request from its arrival to its last token: scheduled onto a whole group, streamed,
+// and taken up again on another group at the same token if the first one fails.
+
+namespace hemlockweir {
+
+// What /v1/completions and /v1/chat/completions ask for.
+struct CompletionRequest {
+    QJsonObject body; // as sent, passed on to the engine
+    std::string model;
+    bool isChat = false;
+    bool isStreamed = false;
+    uint32_t maxTokens = 128;
+};
+
+class CompletionFlow : public Flow {
+    Q_OBJECT
+public:
+    // Starts handling; the flow deletes itself when done.
+    static void start(Tables& tables, std::shared_ptr<Exchange> exchange, CallerRequest request, CompletionRequest completion);
+
+private:
+    CompletionFlow(Tables& tables, std::shared_ptr<Exchange> exchange, CallerRequest request, CompletionRequest completion);
+
+    void cancelWork() override;
+
+    // Scheduling.
+    void schedule();
+    void takeDecision(uint64_t jobId, const Decision& decision);
+    void freeSlot();
+    void yieldSlot(uint64_t jobId);
+
+    // One attempt on one group.
+    void attempt(const Replica& replica);
+    void takeEvent(const QByteArray& data);
+    void takeToken(const QJsonObject& event);
+    void takeCallEnd(const CallResult& result);
+    void retryOrFail(const CallResult& result);
+
+    // Towards the caller.
+    void sendToken(const QString& text);
+    void sendFinish();
+    QJsonObject makeChunk(const QString& text, const QJsonValue& finishReason) const;
+    QJsonObject makeWhole() const;
+
+    CompletionRequest completion_;
+    uint64_t seed_;
+    uint64_t jobId_ = 0; // 0: no job queued or running
+    bool holdsSlot_ = false;
+    std::optional<Replica> replica_;
+    std::shared_ptr<HttpCall> call_;
+    std::unique_ptr<EventStream> events_;
+    uint32_t attempt_ = 0;
+    uint32_t received_ = 0; // tokens received in order, over all attempts
+    QString text_;
+    QString finishReason_;
+    std::vector<std::string> failedGroups_;
+    bool mayHaveRun_ = false;
+};
+
+// Reads the body of a model request; InvalidArgument says what to write instead.
+absl::StatusOr<CompletionRequest> parseCompletionRequest(const QByteArray& body, bool isChat);
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/node/Flow.cpp
@@ -0,0 +1,136 @@
+#include "node/Flow.h"
+
+#include "base/Log.h"
+
+#include <QCryptographicHash>
+#include <QThreadStorage>
+
+namespace hemlockweir {
+
+Flow::Flow(Tables& tables, std::shared_ptr<Exchange> exchange, CallerRequest request)
+    : tables_(tables)
+    , arrivedAt_(tables.clock())
+    , handle_(std::make_shared<Handle>())
+    , exchange_(std::move(exchange))
+    , request_(std::move(request))
+{
+    handle_->flow = this;
+    record_.caller = request_.caller.name;
+    record_.priority = request_.priority.name;
+    exchange_->onGone = [this] {
+        // The work goes on under a claim: the caller may come back for its answer.
+        if (!claimed_) {
+            cancelWork();
+            end(RequestEnd::Abandoned);
+        }
+    };
+}
+
+Flow::~Flow()
+{
+    exchange_->onGone = {};
+    std::lock_guard lock(handle_->mutex);
+    handle_->flow = nullptr;
+}
+
+HttpClient& Flow::client()
+{
+    static QThreadStorage<std::shared_ptr<HttpClient>> clients;
+    if (!clients.hasLocalData())
+        clients.setLocalData(std::make_shared<HttpClient>());
+    return *clients.localData();
+}
+
+Flow::Poster Flow::poster() const
+{
+    return [handle = handle_](std::function<void()> step) {
+        std::lock_guard lock(handle->mutex);
+        // A step that is still queued when the flow is deleted is dropped by Qt.
+        if (handle->flow)
+            QMetaObject::invokeMethod(handle->flow, std::move(step), Qt::QueuedConnection);
+    };
+}
+
+ClaimRequest Flow::makeClaimRequest() const
+{
+    const QByteArray what = exchange_->method() + '\n' + exchange_->path().toUtf8() + '\n' + exchange_->body();
+    return { .caller = request_.caller.name,
+        .idempotencyKey = request_.idempotencyKey,
+        .requestHash = QCryptographicHash::hash(what, QCryptographicHash::Sha256) };
+}
+
+void Flow::claim(std::function<void()> granted)
+{
+    if (request_.idempotencyKey.isEmpty()) {
+        granted();
+        return;
+    }
+    claimed_ = true;
+    auto take = [this, granted](const ClaimResult& result) { takeClaim(result, granted); };
+    QMetaObject::invokeMethod(&tables_.ledger, [ledger = &tables_.ledger, claim = makeClaimRequest(), take, post = poster()] {
+        ledger->claim(claim, [take, post](const ClaimResult& result) {
+            post([take, result] { take(result); });
+        });
+    });
+}
+
+void Flow::takeClaim(const ClaimResult& result, const std::function<void()>& granted)
+{
+    claimed_ = result.outcome == ClaimOutcome::Granted;
+    switch (result.outcome) {
+    case ClaimOutcome::Granted:
+        granted();
+        return;
+    case ClaimOutcome::Finished:
+        exchange_->sendBytes(result.answer.status, result.answer.contentType, result.answer.body,
+            { { "X-Request-Id", QByteArray::fromStdString(request_.requestId) }, { "Idempotent-Replay", "true" } });
+        end(RequestEnd::Whole);
+        return;
+    case ClaimOutcome::Running:
+        fail({ .status = 409, .type = "in_progress_or_unknown", .message = "a request with this Idempotency-Key was started before; it is running or its outcome is unknown, and it will not be run again", .outcome = Outcome::Unknown });
+        return;
+    case ClaimOutcome::Mismatch:
+        fail({ .status = 422, .type = "idempotency_key_reused", .message = "this Idempotency-Key was used for another request", .outcome = Outcome::NotRun });
+        return;
+    case ClaimOutcome::Unavailable:
+        fail({ .status = 503, .type = "claim_unavailable", .message = "the request could not be claimed, so it was not run", .outcome = Outcome::NotRun, .retryAfter = Millis(1000) });
+        return;
+    }
+}
+
+void Flow::storeAnswer(const StoredAnswer& answer, std::function<void()> done)
+{
+    if (!claimed_) {
+        done();
+        return;
+    }
+    QMetaObject::invokeMethod(&tables_.ledger, [ledger = &tables_.ledger, claim = makeClaimRequest(), answer, done, post = poster()] {
+        ledger->complete(claim, answer, [done, post](bool) { post(done); });
+    });
+}
+
+void Flow::fail(ErrorReply error)
+{
+    if (ended_)
+        return;
+    error.requestId = request_.requestId;
+    if (claimed_ && error.outcome == Outcome::NotRun) {
+        QMetaObject::invokeMethod(&tables_.ledger, [ledger = &tables_.ledger, claim = makeClaimRequest()] { ledger->abandon(claim); });
+    }
+    logInfo("request_failed", { { "request", request_.requestId }, { "caller", request_.caller.name }, { "type", error.type }, { "outcome", outcomeName(error.outcome) } });
+    sendError(*exchange_, error);
+    end(error.outcome == Outcome::NotRun ? RequestEnd::Refused : RequestEnd::Failed);
+}
+
+void Flow::end(RequestEnd how)
+{
+    if (ended_)
+        return;
+    ended_ = true;
+    record_.end = how;
+    record_.total = tables_.clock() - arrivedAt_;
+    tables_.metrics.recordRequest(record_);
+    deleteLater();
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/node/Node.cpp
@@ -0,0 +1,298 @@
+#include "node/Node.h"
+
+#include "base/Log.h"
+
+#include <QJsonArray>
+#include <QUrl>
+#include <algorithm>
+#include <chrono>
+#include <set>
+
+namespace hemlockweir {
+
+static constexpr Millis pumpInterval { 5 };
+static constexpr Millis stopCheckInterval { 20 };
+
+// Wall time in milliseconds: grows over restarts without any disk.
+static uint64_t makeIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<uint64_t>(std::chrono::duration_cast<Millis>(now).count());
+}
+
+static KvClient::Options makePlatformOptions(const Settings& settings)
+{
+    KvClient::Options options;
+    for (const std::string& url : settings.platformUrls)
+        options.endpoints.emplace_back(QString::fromStdString(url));
+    return options;
+}
+
+static PeerLinkOptions makePeerOptions(const Settings& settings, uint64_t incarnation, const Clock& clock)
+{
+    PeerLinkOptions options { .node = settings.node,
+        .incarnation = incarnation,
+        .address = QHostAddress(QString::fromStdString(settings.peers.address)),
+        .port = settings.peers.port,
+        .seeds = {},
+        .clusterKey = QByteArray::fromStdString(settings.clusterKey),
+        .heartbeatInterval = settings.heartbeatInterval,
+        .clock = clock };
+    for (const Endpoint& seed : settings.seeds)
+        options.seeds.push_back(seed.toString());
+    return options;
+}
+
+static HttpServerOptions makeServerOptions(const Settings& settings)
+{
+    return { .address = QHostAddress(QString::fromStdString(settings.callers.address)),
+        .port = settings.callers.port,
+        .workers = settings.workers,
+        .limits = { .headBytes = settings.headBytes, .bodyBytes = settings.bodyBytes },
+        .requestTimeout = settings.requestTimeout,
+        .idleTimeout = settings.idleTimeout,
+        .maxConnections = settings.maxConnections,
+        .maxConnectionsPerAddress = settings.maxConnectionsPerAddress };
+}
+
+Node::Node(Settings settings)
+    : settings_(std::move(settings))
+    , clock_(makeSteadyClock())
+    , random_(makeSystemRandom())
+    , incarnation_(makeIncarnation())
+    , fleet_({ .freshness = settings_.statusFreshness, .clock = clock_ })
+    , scheduler_({ .maxWaiting = static_cast<size_t>(settings_.maxWaiting),
+          .domain = settings_.domain,
+          .clock = clock_,
+          .random = random_,
+          .findReplicas = [this](const std::string& model) { return fleet_.findReplicas(model); } })
+    , platform_(makePlatformOptions(settings_))
+    , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .random = random_ }, platform_)
+    , peers_(makePeerOptions(settings_, incarnation_, clock_))
+    , follower_({}, config_, platform_)
+    , manager_({ .node = settings_.node,
+                   .domain = settings_.domain,
+                   .instancesUrl = QUrl(QString::fromStdString(settings_.instancesUrl)),
+                   .statusInterval = settings_.statusInterval,
+                   .statusFreshness = settings_.statusFreshness,
+                   .leaseTtl = std::chrono::duration_cast<std::chrono::seconds>(settings_.leaseTtl),
+                   .clock = clock_,
+                   .models = [this] { return config_.snapshot().configuration->models; },
+                   .domainsToPlan = [this] { return domainsToPlan(); },
+                   .shouldObserve = [this](const Instance& instance) { return shouldObserve(instance); } },
+          fleet_, platform_)
+    , tables_ { .config = config_,
+        .fleet = fleet_,
+        .scheduler = scheduler_,
+        .metrics = metrics_,
+        .ledger = ledger_,
+        .clock = clock_,
+        .random = random_,
+        .silenceTimeout = settings_.silenceTimeout }
+    , api_(tables_, { .isReady = [this] { return isReady(); }, .status = [this] { return describe(); } })
+    , server_(makeServerOptions(settings_), [this](std::shared_ptr<Exchange> exchange) { api_.handle(std::move(exchange)); })
+{
+    connectParts();
+}
+
+Node::~Node() = default;
+
+void Node::connectParts()
+{
+    peers_.onMessage = [this](const Envelope& envelope) { takeMessage(envelope); };
+    peers_.onPeerChanged = [this](const Peer& peer) {
+        if (!peer.alive)
+            scheduler_.dropPeer(peer.node);
+    };
+    connect(&shareTimer_, &QTimer::timeout, this, &Node::shareTables);
+    connect(&pumpTimer_, &QTimer::timeout, this, [this] { scheduler_.pump(); });
+    connect(&stopTimer_, &QTimer::timeout, this, &Node::checkStopped);
+}
+
+absl::Status Node::start()
+{
+    peers_.setHeartbeat(makeHeartbeat());
+    if (const absl::Status status = peers_.start(); !status.ok())
+        return status;
+    if (const absl::Status status = server_.start(); !status.ok())
+        return status;
+    follower_.start();
+    manager_.start();
+    shareTimer_.start(settings_.heartbeatInterval);
+    pumpTimer_.start(pumpInterval);
+    logInfo("node_started", { { "node", settings_.node }, { "incarnation", std::to_string(incarnation_) }, { "domain", settings_.domain }, { "callers", settings_.callers.toString() } });
+    return absl::OkStatus();
+}
+
+void Node::stop(std::function<void()> onStopped)
+{
+    if (tables_.isStopping.exchange(true))
+        return;
+    logInfo("node_stopping", { { "in_flight", std::to_string(server_.requestsInFlight()) } });
+    onStopped_ = std::move(onStopped);
+    stopDeadline_ = clock_() + settings_.shutdownTimeout;
+    manager_.release();
+    peers_.setHeartbeat(makeHeartbeat());
+    stopTimer_.start(stopCheckInterval);
+}
+
+void Node::checkStopped()
+{
+    const int inFlight = server_.requestsInFlight();
+    if (inFlight > 0 && clock_() < stopDeadline_)
+        return;
+    server_.stopListening();
+    stopTimer_.stop();
+    logInfo("node_stopped", { { "in_flight", std::to_string(inFlight) } });
+    onStopped_();
+}
+
+Heartbeat Node::makeHeartbeat() const
+{
+    return { .domain = settings_.domain,
+        .region = settings_.region,
+        .callers = settings_.callers.toString(),
+        .peers = settings_.peers.toString(),
+        .configRevision = config_.snapshot().revision,
+        .leaving = tables_.isStopping };
+}
+
+bool Node::hasNodeIn(const std::string& domain) const
+{
+    const std::vector<Peer> peers = peers_.peers();
+    return domain == settings_.domain || std::any_of(peers.begin(), peers.end(), [&](const Peer& peer) {
+        return peer.alive && !peer.heartbeat.leaving && peer.heartbeat.domain == domain;
+    });
+}
+
+std::vector<std::string> Node::domainsToPlan() const
+{
+    std::set<std::string> domains { settings_.domain };
+    for (const InstanceView& view : fleet_.instances())
+        domains.insert(view.instance.domain);
+    std::erase_if(domains, [&](const std::string& domain) { return domain != settings_.domain && hasNodeIn(domain); });
+    return { domains.begin(), domains.end() };
+}
+
+bool Node::shouldObserve(const Instance& instance) const
+{
+    const ConfigSnapshot config = config_.snapshot();
+    const auto& models = config.configuration->models;
+    const bool isEngine = std::any_of(models.begin(), models.end(), [&](const Model& model) { return model.pool == instance.pool; });
+    return !isEngine || instance.domain == settings_.domain || !hasNodeIn(instance.domain);
+}
+
+void Node::takeMessage(const Envelope& envelope)
+{
+    if (envelope.kind == MessageKind::Groups)
+        takeGroups(envelope);
+    else if (envelope.kind == MessageKind::Usage)
+        takeUsage(envelope);
+}
+
+void Node::takeGroups(const Envelope& envelope)
+{
+    const absl::StatusOr<Groups> groups = decodeBody<Groups>(envelope.body);
+    if (!groups.ok())
+        return;
+    for (const GroupRow& row : groups->rows) {
+        if (!row.whole) {
+            fleet_.dropRemoteReplica(row.group);
+            continue;
+        }
+        fleet_.setRemoteReplica(envelope.sender.node,
+            { .group = row.group,
+                .epoch = row.epoch,
+                .model = row.model,
+                .domain = row.domain,
+                .leader = row.leader,
+                .slots = row.slots,
+                .running = row.running,
+                .waiting = row.waiting,
+                .reportedAt = clock_() - Millis(row.ageMs) });
+    }
+}
+
+void Node::takeUsage(const Envelope& envelope)
+{
+    const absl::StatusOr<Usage> usage = decodeBody<Usage>(envelope.body);
+    if (!usage.ok())
+        return;
+    std::map<std::string, uint32_t> inFlight;
+    for (const GroupUse& row : usage->groups)
+        inFlight[row.group] = row.inFlight;
+    scheduler_.setPeerUse(envelope.sender.node, inFlight);
+}
+
+void Node::shareTables()
+{
+    peers_.setHeartbeat(makeHeartbeat());
+    shareGroups();
+    shareUsage();
+    metrics_.setGauge("hemlockweir_waiting_requests", "Requests waiting for a slot", static_cast<double>(scheduler_.waitingCount()));
+}
+
+void Node::shareGroups()
+{
+    constexpr size_t rowsPerDatagram = 8;
+    Groups message;
+    for (const GroupCondition& group : fleet_.groups()) {
+        const Replica& replica = group.replica;
+        const Millis age = group.whole ? clock_() - replica.reportedAt : Millis(0);
+        message.rows.push_back({ .group = group.group,
+            .epoch = group.epoch,
+            .model = group.model,
+            .domain = group.domain,
+            .leader = replica.leader,
+            .members = static_cast<uint32_t>(group.members.size()),
+            .whole = group.whole,
+            .running = replica.running,
+            .waiting = replica.waiting,
+            .slots = replica.slots,
+            .ageMs = static_cast<uint32_t>(age.count()) });
+        if (message.rows.size() == rowsPerDatagram) {
+            peers_.broadcast(message);
+            message.rows.clear();
+        }
+    }
+    if (!message.rows.empty())
+        peers_.broadcast(message);
+}
+
+void Node::shareUsage()
+{
+    Usage usage;
+    for (const auto& [group, inFlight] : scheduler_.inFlightByGroup()) {
+        if (usage.groups.size() < maxRowsPerMessage)
+            usage.groups.push_back({ .group = group, .inFlight = inFlight });
+    }
+    peers_.broadcast(usage);
+}
+
+bool Node::isReady() const
+{
+    return !tables_.isStopping && config_.snapshot().revision > 0;
+}
+
+QJsonObject Node::describe() const
+{
+    QJsonArray groups;
+    for (const GroupCondition& group : fleet_.groups()) {
+        QJsonArray members;
+        for (const std::string& member : group.members)
+            members.append(QString::fromStdString(member));
+        groups.append(QJsonObject { { "group", QString::fromStdString(group.group) }, { "epoch", static_cast<double>(group.epoch) },
+            { "model", QString::fromStdString(group.model) }, { "domain", QString::fromStdString(group.domain) }, { "members", members },
+            { "whole", group.whole }, { "reason", QString::fromStdString(group.reason) } });
+    }
+    QJsonArray peers;
+    for (const Peer& peer : peers_.peers()) {
+        peers.append(QJsonObject { { "node", QString::fromStdString(peer.node) }, { "domain", QString::fromStdString(peer.heartbeat.domain) },
+            { "alive", peer.alive }, { "leaving", peer.heartbeat.leaving }, { "revision", static_cast<double>(peer.heartbeat.configRevision) } });
+    }
+    return { { "node", QString::fromStdString(settings_.node) }, { "incarnation", static_cast<double>(incarnation_) },
+        { "domain", QString::fromStdString(settings_.domain) }, { "revision", static_cast<double>(config_.snapshot().revision) },
+        { "ready", isReady() }, { "waiting", static_cast<int>(scheduler_.waitingCount()) }, { "groups", groups }, { "peers", peers } };
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/node/Node.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "config/Settings.h"
+#include "fleet/FleetManager.h"
+#include "membership/PeerLink.h"
+#include "node/CallerApi.h"
+#include "rollout/ConfigFollower.h"
+
+// One entry node: the control thread's parts, the shared tables and the server, put together.
+
+namespace hemlockweir {
+
+class Node : public QObject {
+    Q_OBJECT
+public:
+    explicit Node(Settings settings);
+    ~Node() override;
+
+    // Opens the sockets and starts everything; the error says what could not be opened.
+    absl::Status start();
+
+    // Begins a planned stop: no new work, requests in flight go on. `onStopped` is called when
+    // the last one is answered or the shutdown timeout has passed.
+    void stop(std::function<void()> onStopped);
+
+private:
+    void connectParts();
+    void takeMessage(const Envelope& envelope);
+    void takeGroups(const Envelope& envelope);
+    void takeUsage(const Envelope& envelope);
+    void shareTables();
+    void shareGroups();
+    void shareUsage();
+    void checkStopped();
+    bool hasNodeIn(const std::string& domain) const;
+    std::vector<std::string> domainsToPlan() const;
+    bool shouldObserve(const Instance& instance) const;
+    bool isReady() const;
+    QJsonObject describe() const;
+    Heartbeat makeHeartbeat() const;
+
+    Settings settings_;
+    Clock clock_;
+    Random random_;
+    uint64_t incarnation_;
+    ConfigTable config_;
+    FleetTable fleet_;
+    Scheduler scheduler_;
+    Metrics metrics_;
+    KvClient platform_;
+    ClaimLedger ledger_;
+    PeerLink peers_;
+    ConfigFollower follower_;
+    FleetManager manager_;
+    Tables tables_;
+    CallerApi api_;
+    HttpServer server_;
+    QTimer shareTimer_;
+    QTimer pumpTimer_;
+    QTimer stopTimer_;
+    Millis stopDeadline_ { 0 };
+    std::function<void()> onStopped_;
+};
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/node/PlainFlow.cpp
@@ -0,0 +1,84 @@
+#include "node/PlainFlow.h"
+
+#include "base/Log.h"
+
+#include <algorithm>
+
+namespace hemlockweir {
+
+// Times that one request is sent to instances, when sending it again does no harm.
+static constexpr uint32_t maxAttempts = 3;
+
+void PlainFlow::start(Tables& tables, std::shared_ptr<Exchange> exchange, CallerRequest request, PlainService service)
+{
+    auto* flow = new PlainFlow(tables, std::move(exchange), std::move(request), std::move(service));
+    flow->claim([flow] { flow->attempt(); });
+}
+
+PlainFlow::PlainFlow(Tables& tables, std::shared_ptr<Exchange> exchange, CallerRequest request, PlainService service)
+    : Flow(tables, std::move(exchange), std::move(request))
+    , service_(std::move(service))
+{
+}
+
+void PlainFlow::cancelWork()
+{
+    call_.reset();
+}
+
+bool PlainFlow::mayRepeat() const
+{
+    const QByteArray method = const_cast<PlainFlow*>(this)->exchange().method();
+    return !isClaimed() && (method == "GET" || method == "HEAD" || service_.idempotent);
+}
+
+void PlainFlow::attempt()
+{
+    std::vector<Instance> candidates = tables_.fleet.findPlainInstances(service_.pool);
+    std::erase_if(candidates, [&](const Instance& instance) { return std::find(tried_.begin(), tried_.end(), instance.id) != tried_.end(); });
+    if (candidates.empty()) {
+        fail({ .status = 503, .type = "no_instance", .message = "no live instance of this service is known", .outcome = mayHaveRun_ ? Outcome::Unknown : Outcome::NotRun, .retryAfter = Millis(1000) });
+        return;
+    }
+    const Instance& instance = candidates[tables_.random() % candidates.size()];
+    instance_ = instance.id;
+    tried_.push_back(instance.id);
+    ++record_.attempts;
+    CallOptions options {
+        .method = exchange().method(),
+        .url = QUrl(QStringLiteral("http://") + QString::fromStdString(instance.address) + exchange().path()),
+        .headers = {
+            { "Content-Type", exchange().header("Content-Type").isEmpty() ? QByteArray("application/octet-stream") : exchange().header("Content-Type") },
+            { "X-Request-Id", QByteArray::fromStdString(request().requestId) },
+            { "X-Caller", QByteArray::fromStdString(request().caller.name) },
+            { "Idempotency-Key", request().idempotencyKey },
+        },
+        .body = exchange().body(),
+        .firstByteTimeout = request().deadline,
+        .silenceTimeout = tables_.silenceTimeout,
+    };
+    call_ = client().start(options, { .onHead = {}, .onData = {}, .onDone = [this](const CallResult& result) { takeCallEnd(result); } });
+}
+
+void PlainFlow::takeCallEnd(const CallResult& result)
+{
+    mayHaveRun_ = mayHaveRun_ || result.end != CallEnd::NotSent;
+    if (result.end == CallEnd::Answered) {
+        record_.firstToken = tables_.clock() - arrivedAt_;
+        const StoredAnswer answer { .status = result.status, .contentType = "application/json", .body = result.body };
+        storeAnswer(answer, [this, answer] {
+            exchange().sendBytes(answer.status, answer.contentType, answer.body, { { "X-Request-Id", QByteArray::fromStdString(request().requestId) } });
+            end(RequestEnd::Whole);
+        });
+        return;
+    }
+    logWarning("attempt_failed", { { "request", request().requestId }, { "instance", instance_ }, { "error", result.error.toStdString() } });
+    tables_.fleet.dropStatus(instance_);
+    if ((result.end == CallEnd::NotSent || mayRepeat()) && record_.attempts < maxAttempts) {
+        attempt();
+        return;
+    }
+    fail({ .status = 502, .type = "endpoint_failed", .message = "the service's instance gave no whole answer", .outcome = mayHaveRun_ ? Outcome::Unknown : Outcome::NotRun });
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/node/Tables.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "fleet/FleetTable.h"
+#include "ledger/ClaimLedger.h"
+#include "report/Metrics.h"
+#include "rollout/ConfigTable.h"
+#include "schedule/Scheduler.h"
+
+#include <atomic>
+
+// What the workers share. Lock order: Scheduler, then FleetTable; every other lock is a leaf and
+// none is held while a hook runs. The ledger lives on the control thread: post to it.
+
+namespace hemlockweir {
+
+struct Tables {
+    ConfigTable& config;
+    FleetTable& fleet;
+    Scheduler& scheduler;
+    Metrics& metrics;
+    ClaimLedger& ledger;
+    Clock clock;
+    Random random;
+    Millis silenceTimeout { 2000 }; // ms without a token before a stream is given up
+    std::atomic<bool> isStopping { false }; // a planned stop has begun
+    std::atomic<uint64_t> nextJob { 1 };
+};
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/wire/Bounded.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cereal/cereal.hpp>
+#include <cereal/types/string.hpp>
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+// Length checks for what comes from the network: cereal sizes a container by the length it reads,
+// so each one is serialized with the largest length that its message allows.
+//
+//   template <class Archive> void serialize(Archive& archive) { archive(bounded(name, 64)); }
+
+namespace hemlockweir {
+
+// A reference to a string or vector, and how many elements it may have.
+template <typename Container>
+struct Bounded {
+    Container& value;
+    uint32_t limit;
+};
+
+// Wraps a container for serialization. Reading more than `limit` elements throws
+// std::length_error, which decodeMessage() turns into a status.
+template <typename Container>
+Bounded<Container> bounded(Container& value, uint32_t limit)
+{
+    return { value, limit };
+}
+
+template <class Archive, typename Container>
+void save(Archive& archive, const Bounded<Container>& field)
+{
+    if (field.value.size() > field.limit)
+        throw std::length_error("a field is longer than its message allows");
+    archive(static_cast<uint32_t>(field.value.size()));
+    for (auto& element : field.value)
+        archive(element);
+}
+
+template <class Archive, typename Container>
+void load(Archive& archive, Bounded<Container>& field)
+{
+    uint32_t size = 0;
+    archive(size);
+    if (size > field.limit)
+        throw std::length_error("a field is longer than its message allows");
+    field.value.clear();
+    for (uint32_t i = 0; i < size; ++i) {
+        typename Container::value_type element {};
+        archive(element);
+        field.value.push_back(std::move(element));
+    }
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/wire/Codec.cpp
@@ -0,0 +1,60 @@
+#include "wire/Codec.h"
+
+#include <QMessageAuthenticationCode>
+
+namespace hemlockweir {
+
+static constexpr char magic[] = { 'H', 'W' };
+static constexpr qsizetype headBytes = 4;
+static constexpr qsizetype tagBytes = 16;
+
+static QByteArray makeTag(const QByteArray& bytes, const QByteArray& clusterKey)
+{
+    return QMessageAuthenticationCode::hash(bytes, clusterKey, QCryptographicHash::Sha256).left(tagBytes);
+}
+
+static bool equalsInConstantTime(const QByteArray& a, const QByteArray& b)
+{
+    if (a.size() != b.size())
+        return false;
+    int difference = 0;
+    for (qsizetype i = 0; i < a.size(); ++i)
+        difference |= a[i] ^ b[i];
+    return difference == 0;
+}
+
+QByteArray sealEnvelope(const Envelope& envelope, const QByteArray& clusterKey)
+{
+    QByteArray bytes(magic, sizeof(magic));
+    bytes += static_cast<char>(wireVersion);
+    bytes += static_cast<char>(envelope.kind);
+    const QByteArray sender = encodeBody(envelope.sender);
+    bytes += static_cast<char>(sender.size() >> 8);
+    bytes += static_cast<char>(sender.size() & 0xff);
+    bytes += sender;
+    bytes += envelope.body;
+    return bytes + makeTag(bytes, clusterKey);
+}
+
+absl::StatusOr<Envelope> openEnvelope(const QByteArray& bytes, const QByteArray& clusterKey)
+{
+    constexpr qsizetype senderLengthBytes = 2;
+    constexpr qsizetype leastBytes = headBytes + senderLengthBytes + tagBytes;
+    if (bytes.size() < leastBytes || !bytes.startsWith(QByteArray(magic, sizeof(magic))))
+        return absl::InvalidArgumentError("not a message of this system");
+    if (static_cast<uint8_t>(bytes[2]) != wireVersion)
+        return absl::InvalidArgumentError("message of wire version " + std::to_string(static_cast<uint8_t>(bytes[2])));
+    const QByteArray signedBytes = bytes.left(bytes.size() - tagBytes);
+    if (!equalsInConstantTime(makeTag(signedBytes, clusterKey), bytes.right(tagBytes)))
+        return absl::PermissionDeniedError("the tag does not match; is cluster_key the same on every node?");
+    const qsizetype senderBytes = (static_cast<uint8_t>(bytes[4]) << 8) | static_cast<uint8_t>(bytes[5]);
+    const qsizetype bodyAt = headBytes + senderLengthBytes + senderBytes;
+    if (bodyAt > signedBytes.size())
+        return absl::InvalidArgumentError("cut short");
+    absl::StatusOr<Sender> sender = decodeBody<Sender>(signedBytes.mid(headBytes + senderLengthBytes, senderBytes));
+    if (!sender.ok())
+        return sender.status();
+    return Envelope { .kind = static_cast<MessageKind>(bytes[3]), .sender = *sender, .body = signedBytes.mid(bodyAt) };
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/wire/Messages.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "wire/Bounded.h"
+
+#include <compare>
+
+// The messages between nodes. Each fits one datagram unless it says otherwise; tables are cut
+// into several messages by their senders.
+
+namespace hemlockweir {
+
+// Limits of the fields below; see also maxDatagramBytes in Codec.h.
+inline constexpr uint32_t maxNameLength = 96; // names of nodes, groups, models, callers
+inline constexpr uint32_t maxEndpointLength = 64; // ADDRESS:PORT
+inline constexpr uint32_t maxRowsPerMessage = 64; // rows of a table in one datagram
+inline constexpr uint32_t maxGroupMembers = 64;
+
+// Which message a body holds; part of the envelope. Values are never reused.
+enum class MessageKind : uint8_t {
+    Heartbeat = 1,
+    Nodes = 2,
+    Groups = 3,
+    Usage = 4,
+    Suspects = 5,
+    Counters = 6,
+};
+
+// Says that a node runs, and what it has. Sent every heartbeat interval.
+struct Heartbeat {
+    static constexpr MessageKind kind = MessageKind::Heartbeat;
+    std::string domain;
+    std::string region;
+    std::string callers; // ADDRESS:PORT for callers and operators
+    std::string peers; // ADDRESS:PORT for nodes
+    int64_t configRevision = 0; // newest configuration held
+    bool leaving = false; // in a planned stop
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(bounded(domain, maxNameLength), bounded(region, maxNameLength), bounded(callers, maxEndpointLength),
+            bounded(peers, maxEndpointLength), configRevision, leaving);
+    }
+    auto operator<=>(const Heartbeat&) const = default;
+};
+
+// One node as another has heard of it.
+struct NodeRow {
+    std::string node;
+    std::string peers; // ADDRESS:PORT
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(bounded(node, maxNameLength), bounded(peers, maxEndpointLength));
+    }
+    auto operator<=>(const NodeRow&) const = default;
+};
+
+// Introduces nodes to each other, so that the platform is not needed for it.
+struct Nodes {
+    static constexpr MessageKind kind = MessageKind::Nodes;
+    std::vector<NodeRow> rows;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(bounded(rows, maxRowsPerMessage));
+    }
+    auto operator<=>(const Nodes&) const = default;
+};
+
+// One group as its observer sees it.
+struct GroupRow {
+    std::string group;
+    uint64_t epoch = 0;
+    std::string model;
+    std::string domain;
+    std::string leader; // ADDRESS:PORT of the member that takes requests
+    uint32_t members = 0;
+    bool whole = false; // every member agreed on this group and epoch
+    uint32_t running = 0; // requests in the engine
+    uint32_t waiting = 0; // requests queued in the engine
+    uint32_t slots = 0; // requests the engine runs at once
+    uint32_t ageMs = 0; // ms, age of the oldest member report behind this row
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(bounded(group, maxNameLength), epoch, bounded(model, maxNameLength), bounded(domain, maxNameLength),
+            bounded(leader, maxEndpointLength), members, whole, running, waiting, slots, ageMs);
+    }
+    auto operator<=>(const GroupRow&) const = default;
+};
+
+// Groups that the sender observes.
+struct Groups {
+    static constexpr MessageKind kind = MessageKind::Groups;
+    std::vector<GroupRow> rows;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(bounded(rows, maxRowsPerMessage));
+    }
+    auto operator<=>(const Groups&) const = default;
+};
+
+// Requests that the sender has in flight on one group.
+struct GroupUse {
+    std::string group;
+    uint32_t inFlight = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(bounded(group, maxNameLength), inFlight);
+    }
+    auto operator<=>(const GroupUse&) const = default;
+};
+
+// What one caller uses at the sender.
+struct CallerUse {
+    std::string caller;
+    uint32_t inFlight = 0; // requests running
+    uint32_t waiting = 0; // requests queued
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(bounded(caller, maxNameLength), inFlight, waiting);
+    }
+    auto operator<=>(const CallerUse&) const = default;
+};
+
+// The sender's use of groups and by callers. Rows that are missing are zero.
+struct Usage {
+    static constexpr MessageKind kind = MessageKind::Usage;
+    std::vector<GroupUse> groups;
+    std::vector<CallerUse> callers;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(bounded(groups, maxRowsPerMessage), bounded(callers, maxRowsPerMessage));
+    }
+    auto operator<=>(const Usage&) const = default;
+};
+
+} // namespace hemlockweir
--- /dev/null
+++ b/programs/hemlockweir.cpp
@@ -0,0 +1,89 @@
+// The entry node: reads its settings, runs until SIGTERM or SIGINT, then stops as planned.
+
+#include "base/Log.h"
+#include "config/TomlReader.h"
+#include "node/Node.h"
+
+#include <QCoreApplication>
+#include <QSocketNotifier>
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <iostream>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace options = boost::program_options;
+using namespace hemlockweir;
+
+static constexpr int exitUsage = 2;
+static constexpr int exitFailed = 1;
+
+// A signal handler may only write to a descriptor; the event loop reads the other end.
+static int signalSockets[2];
+
+static void forwardSignal(int)
+{
+    const char byte = 1;
+    [[maybe_unused]] const ssize_t written = write(signalSockets[0], &byte, sizeof(byte));
+}
+
+static absl::StatusOr<Settings> loadSettings(const std::string& path)
+{
+    const absl::StatusOr<std::string> text = readTextFile(path);
+    if (!text.ok())
+        return text.status();
+    return parseSettings(*text, path);
+}
+
+static int run(int argc, char** argv, const Settings& settings)
+{
+    QCoreApplication application(argc, argv);
+    Node node(settings);
+    if (const absl::Status status = node.start(); !status.ok()) {
+        std::cerr << status.message() << '\n';
+        return exitFailed;
+    }
+    PCHECK(socketpair(AF_UNIX, SOCK_STREAM, 0, signalSockets) == 0);
+    std::signal(SIGTERM, forwardSignal);
+    std::signal(SIGINT, forwardSignal);
+    std::signal(SIGPIPE, SIG_IGN);
+    QSocketNotifier notifier(signalSockets[1], QSocketNotifier::Read);
+    QObject::connect(&notifier, &QSocketNotifier::activated, &application, [&] {
+        notifier.setEnabled(false);
+        node.stop([] { QCoreApplication::quit(); });
+    });
+    return QCoreApplication::exec();
+}
+
+int main(int argc, char** argv)
+{
+    options::options_description description("hemlockweir: the entry node. Usage: hemlockweir --settings FILE");
+    description.add_options()("help,h", "show this text")("settings,s", options::value<std::string>(), "the node's TOML settings file")(
+        "check", "check the settings and exit");
+    options::variables_map values;
+    try {
+        options::store(options::parse_command_line(argc, argv, description), values);
+    } catch (const options::error& error) {
+        std::cerr << error.what() << "\n\n"
+                  << description;
+        return exitUsage;
+    }
+    if (values.count("help") > 0) {
+        std::cout << description;
+        return 0;
+    }
+    if (values.count("settings") == 0) {
+        std::cerr << "--settings FILE is required\n\n"
+                  << description;
+        return exitUsage;
+    }
+    const absl::StatusOr<Settings> settings = loadSettings(values["settings"].as<std::string>());
+    if (!settings.ok()) {
+        std::cerr << settings.status().message() << '\n';
+        return exitUsage;
+    }
+    if (values.count("check") > 0)
+        return 0;
+    startLogging(argv[0]);
+    return run(argc, argv, *settings);
+}
--- /dev/null
+++ b/scripts/lib.sh
@@ -0,0 +1,25 @@
+# Shared by the scripts: finds the project, installs what is missing, builds.
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+BUILD_DIR="${BUILD_DIR:-build}"
+
+PACKAGES="g++ cmake ninja-build ccache clang-format clang-tidy curl qt6-base-dev qt6-httpserver-dev qt6-websockets-dev
+libcereal-dev prometheus-cpp-dev libboost-program-options-dev libgoogle-glog-dev libabsl-dev librapidcheck-dev
+libtomlplusplus-dev libgtest-dev"
+
+install_packages() {
+    local missing=""
+    for package in $PACKAGES; do
+        dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing="$missing $package"
+    done
+    if [ -n "$missing" ]; then
+        apt-get update -qq
+        # shellcheck disable=SC2086
+        DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $missing
+    fi
+}
+
+build() {
+    cmake -S . -B "$BUILD_DIR" -G Ninja "$@" >/dev/null
+    cmake --build "$BUILD_DIR"
+}
--- /dev/null
+++ b/standins/StandIn.cpp
@@ -0,0 +1,91 @@
+#include "StandIn.h"
+
+#include <QDateTime>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QUrl>
+#include <iostream>
+
+namespace hemlockweir {
+
+static HttpServerOptions makeOptions(const std::string& listen)
+{
+    const QUrl url(QString::fromStdString("http://" + listen));
+    HttpServerOptions options { .address = QHostAddress(url.host()), .port = static_cast<quint16>(url.port()) };
+    options.limits.bodyBytes = 64 * 1024 * 1024;
+    options.maxConnectionsPerAddress = options.maxConnections;
+    return options;
+}
+
+StandIn::StandIn(const std::string& listen, Handler handler)
+    : handler_(std::move(handler))
+    , server_(makeOptions(listen), [this](std::shared_ptr<Exchange> exchange) { handle(std::move(exchange)); })
+{
+    if (const absl::Status status = server_.start(); !status.ok()) {
+        std::cerr << status.message() << '\n';
+        std::exit(1);
+    }
+}
+
+void StandIn::note(const QString& what, QJsonObject fields)
+{
+    fields["what"] = what;
+    effects_.push_back({ .at = QDateTime::currentMSecsSinceEpoch(), .fields = std::move(fields) });
+}
+
+bool StandIn::takeFault(const char* name)
+{
+    const int left = fault(name);
+    if (left <= 0)
+        return false;
+    faults_[QLatin1String(name)] = left - 1;
+    return true;
+}
+
+void StandIn::handle(std::shared_ptr<Exchange> exchange)
+{
+    if (exchange->path() == "/faults")
+        setFaults(*exchange);
+    else if (exchange->path() == "/effects")
+        sendEffects(*exchange);
+    else
+        handler_(std::move(exchange));
+}
+
+void StandIn::setFaults(Exchange& exchange)
+{
+    const QJsonObject changes = QJsonDocument::fromJson(exchange.body()).object();
+    for (auto it = changes.begin(); it != changes.end(); ++it)
+        faults_[it.key()] = it.value();
+    note("faults", faults_);
+    if (onFaults)
+        onFaults();
+    exchange.sendJson(200, faults_);
+}
+
+void StandIn::sendEffects(Exchange& exchange) const
+{
+    QJsonArray list;
+    for (const Effect& effect : effects_) {
+        QJsonObject fields = effect.fields;
+        fields["at"] = static_cast<double>(effect.at);
+        list.append(fields);
+    }
+    exchange.sendJson(200, { { "effects", list } });
+}
+
+boost::program_options::variables_map readOptions(int argc, char** argv, const boost::program_options::options_description& description)
+{
+    boost::program_options::variables_map values;
+    try {
+        boost::program_options::store(boost::program_options::parse_command_line(argc, argv, description), values);
+        boost::program_options::notify(values);
+    } catch (const boost::program_options::error& error) {
+        std::cerr << error.what() << "\n\n"
+                  << description;
+        std::exit(2);
+    }
+    return values;
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/standins/engine.cpp
@@ -0,0 +1,310 @@
+// Stand-in of a model engine: one instance that joins groups on orders and generates tokens.
+//
+// The leader of a group asks every member each 50 ms whether it is still there; a member that
+// does not answer breaks the group and every request on it.
+//
+// Faults: token_ms, prefill_ms, slow_factor, pause (bool: answers nothing), crash_on (text: a
+// prompt that holds it ends the process), leaving (bool), load_lag_ms, load_ms.
+
+#include "StandIn.h"
+
+#include "http/HttpClient.h"
+
+#include <QCoreApplication>
+#include <QCryptographicHash>
+#include <QDateTime>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QTimer>
+#include <deque>
+#include <list>
+
+using namespace hemlockweir;
+namespace options = boost::program_options;
+
+namespace {
+
+struct EngineOptions {
+    std::string id;
+    int slots = 16; // requests generated at once
+    int tokenMs = 5; // ms for each token
+    int prefillMs = 10; // ms before the first token
+    int loadMs = 100; // ms to load a model
+    int loadLagMs = 200; // ms that the reported load is old
+    bool checksFencing = true; // refuse an order with an old epoch
+};
+
+struct Run {
+    std::shared_ptr<Exchange> exchange;
+    QString requestId;
+    int attempt = 0;
+    int rank = 0;
+    int next = 0; // index of the next token
+    int maxTokens = 0;
+    qint64 nextAt = 0; // ms
+    QByteArray seed;
+};
+
+qint64 nowMs()
+{
+    return QDateTime::currentMSecsSinceEpoch();
+}
+
+class Engine {
+public:
+    Engine(const std::string& listen, EngineOptions engineOptions)
+        : options_(std::move(engineOptions))
+        , incarnation_(QString::number(nowMs()))
+        , standIn_(listen, [this](std::shared_ptr<Exchange> exchange) { handle(std::move(exchange)); })
+    {
+        QObject::connect(&stepTimer_, &QTimer::timeout, [this] { step(); });
+        QObject::connect(&memberTimer_, &QTimer::timeout, [this] { checkMembers(); });
+        stepTimer_.setTimerType(Qt::PreciseTimer);
+        stepTimer_.start(1);
+        memberTimer_.start(50);
+    }
+
+private:
+    void handle(std::shared_ptr<Exchange> exchange)
+    {
+        if (standIn_.hasFault("pause")) {
+            paused_.push_back(std::move(exchange));
+            return;
+        }
+        const QString path = exchange->path();
+        if (path == "/status")
+            exchange->sendJson(200, describe());
+        else if (path == "/orders")
+            takeOrder(*exchange);
+        else if (path == "/member")
+            exchange->sendJson(200, { { "epoch", epoch_ } });
+        else if (path == "/v1/completions" || path == "/v1/chat/completions")
+            startRun(exchange);
+        else
+            exchange->sendJson(404, {});
+    }
+
+    QJsonObject describe()
+    {
+        sampleLoad();
+        return {
+            { "id", QString::fromStdString(options_.id) },
+            { "incarnation", incarnation_ },
+            { "state", state_ },
+            { "group", group_ },
+            { "epoch", epoch_ },
+            { "model", model_ },
+            { "members", members_ },
+            { "running", reportedRunning_ },
+            { "waiting", reportedWaiting_ },
+            { "slots", options_.slots },
+            { "leaving", standIn_.hasFault("leaving") },
+        };
+    }
+
+    struct LoadSample {
+        qint64 at = 0;
+        int running = 0;
+        int waiting = 0;
+    };
+
+    void sampleLoad()
+    {
+        loads_.push_back({ .at = nowMs(), .running = static_cast<int>(running_.size()), .waiting = static_cast<int>(queue_.size()) });
+        while (loads_.size() > 1 && loads_[1].at <= nowMs() - options_.loadLagMs)
+            loads_.pop_front();
+        reportedRunning_ = loads_.front().running;
+        reportedWaiting_ = loads_.front().waiting;
+    }
+
+    void takeOrder(Exchange& exchange)
+    {
+        const QJsonObject order = QJsonDocument::fromJson(exchange.body()).object();
+        const double epoch = order["epoch"].toDouble();
+        if (options_.checksFencing && epoch < epoch_) {
+            standIn_.note("order_refused", order);
+            exchange.sendJson(409, { { "epoch", epoch_ } });
+            return;
+        }
+        standIn_.note("order", order);
+        abortRuns("regrouped");
+        const bool joins = order["type"].toString() == "join";
+        epoch_ = epoch;
+        group_ = joins ? order["group"].toString() : QString();
+        model_ = joins ? order["model"].toString() : QString();
+        members_ = joins ? order["members"].toArray() : QJsonArray();
+        addresses_ = joins ? order["member_addresses"].toArray() : QJsonArray();
+        state_ = joins ? "loading" : "idle";
+        const int loadMs = standIn_.faults().contains("load_ms") ? standIn_.fault("load_ms") : options_.loadMs;
+        if (joins) {
+            QTimer::singleShot(loadMs, [this, epoch] {
+                if (epoch_ == epoch && state_ == "loading")
+                    state_ = "ready";
+            });
+        }
+        exchange.sendJson(200, { { "epoch", epoch_ } });
+    }
+
+    bool isLeader() const { return !members_.isEmpty() && members_.at(0).toString().toStdString() == options_.id; }
+
+    void checkMembers()
+    {
+        if (!isLeader() || state_ != "ready" || standIn_.hasFault("pause"))
+            return;
+        for (qsizetype i = 1; i < addresses_.size(); ++i) {
+            const QString address = addresses_.at(i).toString();
+            if (memberCalls_.contains(address))
+                continue;
+            const double epoch = epoch_;
+            const CallOptions call { .method = "GET", .url = QUrl("http://" + address + "/member"), .headers = {}, .body = {}, .firstByteTimeout = Millis(500), .silenceTimeout = Millis(500) };
+            memberCalls_[address] = client_.start(call, { .onHead = {}, .onData = {}, .onDone = [this, address, epoch](const CallResult& result) {
+                const auto keep = memberCalls_.extract(address);
+                const double memberEpoch = QJsonDocument::fromJson(result.body).object()["epoch"].toDouble();
+                if (epoch == epoch_ && (!result.isSuccess() || memberEpoch != epoch))
+                    breakGroup(); } });
+        }
+    }
+
+    void breakGroup()
+    {
+        if (state_ != "ready")
+            return;
+        state_ = "broken";
+        standIn_.note("group_broken", { { "group", group_ }, { "epoch", epoch_ } });
+        abortRuns("group_broken");
+    }
+
+    void abortRuns(const QString& why)
+    {
+        for (std::list<Run>* runs : { &running_, &queue_ }) {
+            for (Run& run : *runs) {
+                standIn_.note("run_aborted", { { "request", run.requestId }, { "why", why } });
+                run.exchange->abort();
+            }
+            runs->clear();
+        }
+    }
+
+    void startRun(const std::shared_ptr<Exchange>& exchange)
+    {
+        const QJsonObject body = QJsonDocument::fromJson(exchange->body()).object();
+        const QString prompt = body["prompt"].toString() + QString::fromUtf8(QJsonDocument(body["messages"].toArray()).toJson(QJsonDocument::Compact));
+        const QString requestId = exchange->header("X-Request-Id");
+        const QString crashOn = standIn_.faults()["crash_on"].toString();
+        if ((!crashOn.isEmpty() && prompt.contains(crashOn)) || prompt.contains("CRASH-ENGINE"))
+            std::_Exit(66);
+        const bool isForUs = state_ == "ready" && isLeader() && QString(exchange->header("X-Group")) == group_ && exchange->header("X-Group-Epoch").toDouble() == epoch_;
+        if (!isForUs) {
+            standIn_.note("run_refused", { { "request", requestId }, { "group", QString(exchange->header("X-Group")) } });
+            exchange->sendJson(409, { { "error", "not serving this group and epoch" } });
+            return;
+        }
+        Run run {
+            .exchange = exchange,
+            .requestId = requestId,
+            .attempt = exchange->header("X-Attempt").toInt(),
+            .rank = exchange->header("X-Priority-Rank").toInt(),
+            .next = exchange->header("X-Resume-Offset").toInt(),
+            .maxTokens = body["max_tokens"].toInt(16),
+            .nextAt = 0,
+            .seed = prompt.toUtf8() + QByteArray::number(body["seed"].toDouble(), 'f', 0),
+        };
+        standIn_.note("run_started", { { "request", requestId }, { "attempt", run.attempt }, { "from", run.next }, { "group", group_ }, { "epoch", epoch_ }, { "rank", run.rank } });
+        exchange->startStream("text/event-stream");
+        // Urgent work goes before what waits already.
+        auto at = queue_.begin();
+        while (at != queue_.end() && at->rank <= run.rank)
+            ++at;
+        queue_.insert(at, std::move(run));
+    }
+
+    int tokenMs() const { return setting("token_ms", options_.tokenMs) * std::max(1, standIn_.fault("slow_factor")); }
+    int setting(const char* name, int fallback) const { return standIn_.faults().contains(QLatin1String(name)) ? standIn_.fault(name) : fallback; }
+
+    void step()
+    {
+        if (standIn_.hasFault("pause"))
+            return;
+        for (auto& exchange : std::exchange(paused_, {}))
+            handle(std::move(exchange));
+        const qint64 now = nowMs();
+        std::erase_if(queue_, [this](const Run& run) { return noteCancelled(run); });
+        while (!queue_.empty() && running_.size() < static_cast<size_t>(options_.slots)) {
+            running_.splice(running_.end(), queue_, queue_.begin());
+            running_.back().nextAt = now + setting("prefill_ms", options_.prefillMs);
+        }
+        std::erase_if(running_, [&](Run& run) { return advance(run, now); });
+    }
+
+    bool noteCancelled(const Run& run)
+    {
+        if (!run.exchange->isOver())
+            return false;
+        standIn_.note("run_cancelled", { { "request", run.requestId }, { "tokens", run.next } });
+        return true;
+    }
+
+    // Generates the tokens that are due; true when the run is over.
+    bool advance(Run& run, qint64 now)
+    {
+        while (run.nextAt <= now && run.next < run.maxTokens && !run.exchange->isOver()) {
+            // The same prompt and seed give the same token at the same place on every engine.
+            const QByteArray digest = QCryptographicHash::hash(run.seed + QByteArray::number(run.next), QCryptographicHash::Md5).toHex().left(4);
+            send(run, { { "index", run.next }, { "text", QString(" " + digest) } });
+            ++run.next;
+            run.nextAt += tokenMs();
+        }
+        if (noteCancelled(run))
+            return true;
+        if (run.next < run.maxTokens)
+            return false;
+        send(run, { { "finish_reason", "length" }, { "tokens", run.next } });
+        run.exchange->sendEvent("[DONE]");
+        run.exchange->finishStream();
+        standIn_.note("run_finished", { { "request", run.requestId }, { "attempt", run.attempt }, { "tokens", run.next }, { "group", group_ }, { "epoch", epoch_ } });
+        return true;
+    }
+
+    static void send(Run& run, QJsonObject event)
+    {
+        event["request_id"] = run.requestId;
+        event["attempt"] = run.attempt;
+        run.exchange->sendEvent(QJsonDocument(event).toJson(QJsonDocument::Compact));
+    }
+
+    EngineOptions options_;
+    QString incarnation_;
+    QString state_ = "idle";
+    QString group_;
+    QString model_;
+    double epoch_ = 0;
+    QJsonArray members_;
+    QJsonArray addresses_;
+    std::list<Run> running_;
+    std::list<Run> queue_;
+    std::vector<std::shared_ptr<Exchange>> paused_;
+    std::deque<LoadSample> loads_;
+    int reportedRunning_ = 0;
+    int reportedWaiting_ = 0;
+    HttpClient client_;
+    std::map<QString, std::shared_ptr<HttpCall>> memberCalls_;
+    QTimer stepTimer_;
+    QTimer memberTimer_;
+    StandIn standIn_;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    QCoreApplication application(argc, argv);
+    EngineOptions engine;
+    options::options_description description("Stand-in of a model engine");
+    description.add_options()("listen", options::value<std::string>()->required(), "ADDRESS:PORT")("id", options::value(&engine.id)->required(), "instance id")(
+        "slots", options::value(&engine.slots), "requests at once")("token-ms", options::value(&engine.tokenMs), "ms for each token")(
+        "prefill-ms", options::value(&engine.prefillMs), "ms before the first token")("load-ms", options::value(&engine.loadMs), "ms to load a model")(
+        "load-lag-ms", options::value(&engine.loadLagMs), "ms that the reported load is old")("fencing", options::value(&engine.checksFencing), "refuse orders with an old epoch");
+    const auto values = readOptions(argc, argv, description);
+    Engine standIn(values["listen"].as<std::string>(), engine);
+    return QCoreApplication::exec();
+}
--- /dev/null
+++ b/standins/proxy.cpp
@@ -0,0 +1,233 @@
+// The fault-injecting proxy: passes TCP connections and UDP datagrams on, and breaks them.
+//
+// Each --link NAME,LISTEN,TARGET[,udp] is one way in. Faults, set by POST /faults on --listen:
+// NAME.cut (bool: refuse and close), NAME.freeze (bool: hold every byte of all connections),
+// NAME.silence (count: connections open now go silent for good; new ones work; each change of the
+// number silences again), NAME.delay_ms, NAME.drop_answers (bool: only towards the target).
+
+#include "StandIn.h"
+
+#include <QCoreApplication>
+#include <QNetworkDatagram>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <QTimer>
+#include <QUdpSocket>
+#include <QUrl>
+#include <iostream>
+#include <set>
+
+using namespace hemlockweir;
+namespace options = boost::program_options;
+
+namespace {
+
+struct Target {
+    QHostAddress address;
+    quint16 port = 0;
+};
+
+Target parseTarget(const QString& text)
+{
+    const QUrl url("http://" + text);
+    return { .address = QHostAddress(url.host()), .port = static_cast<quint16>(url.port()) };
+}
+
+// The faults of one link, read afresh for each piece.
+struct LinkFaults {
+    bool cut = false;
+    bool freeze = false;
+    bool dropAnswers = false;
+    int silence = 0;
+    int delayMs = 0;
+};
+
+using ReadFaults = std::function<LinkFaults()>;
+
+// One TCP connection through the proxy.
+class Passage : public QObject {
+public:
+    Passage(QTcpSocket* caller, const Target& target, ReadFaults faults)
+        : caller_(caller)
+        , target_(new QTcpSocket(this))
+        , faults_(std::move(faults))
+        , silenceAtStart_(faults_().silence)
+    {
+        caller_->setParent(this);
+        for (QTcpSocket* socket : { caller_, target_ }) {
+            connect(socket, &QTcpSocket::readyRead, this, [this] { pass(); });
+            connect(socket, &QTcpSocket::disconnected, this, [this] { close(); });
+            connect(socket, &QTcpSocket::errorOccurred, this, [this] { close(); });
+        }
+        connect(target_, &QTcpSocket::connected, this, [this] { pass(); });
+        target_->connectToHost(target.address, target.port);
+    }
+
+    // Passes on what waits, unless a fault holds it.
+    void pass()
+    {
+        const LinkFaults faults = faults_();
+        if (faults.cut) {
+            close();
+            return;
+        }
+        if (faults.freeze || faults.silence != silenceAtStart_)
+            return;
+        move(caller_, target_, faults.delayMs);
+        if (!faults.dropAnswers)
+            move(target_, caller_, faults.delayMs);
+    }
+
+private:
+    void move(QTcpSocket* from, QTcpSocket* to, int delayMs)
+    {
+        if (to->state() != QAbstractSocket::ConnectedState || from->bytesAvailable() == 0)
+            return;
+        const QByteArray bytes = from->readAll();
+        if (delayMs == 0) {
+            to->write(bytes);
+            return;
+        }
+        QTimer::singleShot(delayMs, to, [to, bytes] { to->write(bytes); });
+    }
+
+    void close()
+    {
+        const LinkFaults faults = faults_();
+        const bool isHeld = !faults.cut && (faults.freeze || faults.silence != silenceAtStart_);
+        if (closing_ || isHeld)
+            return;
+        closing_ = true;
+        pass();
+        constexpr int lingerMs = 100;
+        QTimer::singleShot(faults.cut ? 0 : faults.delayMs * 2 + (caller_->bytesToWrite() > 0 ? lingerMs : 0), this, [this, faults] {
+            if (faults.cut) {
+                caller_->abort();
+                target_->abort();
+            } else {
+                caller_->disconnectFromHost();
+                target_->disconnectFromHost();
+            }
+            deleteLater();
+        });
+    }
+
+    QTcpSocket* caller_;
+    QTcpSocket* target_;
+    ReadFaults faults_;
+    int silenceAtStart_;
+    bool closing_ = false;
+};
+
+// One TCP link.
+class TcpLink : public QObject {
+public:
+    TcpLink(const Target& listen, const Target& target, ReadFaults faults)
+        : target_(target)
+        , faults_(std::move(faults))
+    {
+        connect(&server_, &QTcpServer::newConnection, this, &TcpLink::accept);
+        if (!server_.listen(listen.address, listen.port)) {
+            std::cerr << "cannot listen on port " << listen.port << '\n';
+            std::exit(1);
+        }
+    }
+
+    void applyFaults()
+    {
+        for (const QPointer<Passage>& passage : passages_) {
+            if (passage)
+                passage->pass();
+        }
+    }
+
+private:
+    void accept()
+    {
+        while (QTcpSocket* socket = server_.nextPendingConnection()) {
+            if (faults_().cut) {
+                socket->abort();
+                socket->deleteLater();
+                continue;
+            }
+            std::erase_if(passages_, [](const QPointer<Passage>& passage) { return passage.isNull(); });
+            passages_.emplace_back(new Passage(socket, target_, faults_));
+        }
+    }
+
+    QTcpServer server_;
+    Target target_;
+    ReadFaults faults_;
+    std::vector<QPointer<Passage>> passages_;
+};
+
+// One UDP link, towards the target only: nodes send from their own socket to a peer's address.
+class UdpLink : public QObject {
+public:
+    UdpLink(const Target& listen, const Target& target, ReadFaults faults)
+        : target_(target)
+        , faults_(std::move(faults))
+    {
+        connect(&socket_, &QUdpSocket::readyRead, this, &UdpLink::read);
+        if (!socket_.bind(listen.address, listen.port)) {
+            std::cerr << "cannot bind port " << listen.port << '\n';
+            std::exit(1);
+        }
+    }
+
+private:
+    void read()
+    {
+        while (socket_.hasPendingDatagrams()) {
+            const QByteArray bytes = socket_.receiveDatagram().data();
+            const LinkFaults faults = faults_();
+            if (faults.cut || faults.freeze)
+                continue;
+            if (faults.delayMs == 0)
+                socket_.writeDatagram(bytes, target_.address, target_.port);
+            else
+                QTimer::singleShot(faults.delayMs, this, [this, bytes] { socket_.writeDatagram(bytes, target_.address, target_.port); });
+        }
+    }
+
+    QUdpSocket socket_;
+    Target target_;
+    ReadFaults faults_;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    QCoreApplication application(argc, argv);
+    options::options_description description("The fault-injecting proxy");
+    description.add_options()("listen", options::value<std::string>()->required(), "ADDRESS:PORT for faults")(
+        "link", options::value<std::vector<std::string>>()->required(), "NAME,LISTEN,TARGET[,udp]");
+    const auto values = readOptions(argc, argv, description);
+    StandIn standIn(values["listen"].as<std::string>(), [](const std::shared_ptr<Exchange>& exchange) { exchange->sendJson(404, {}); });
+    std::vector<std::unique_ptr<TcpLink>> tcpLinks;
+    std::vector<std::unique_ptr<UdpLink>> udpLinks;
+    for (const std::string& link : values["link"].as<std::vector<std::string>>()) {
+        const QStringList parts = QString::fromStdString(link).split(',');
+        if (parts.size() < 3) {
+            std::cerr << "write --link NAME,LISTEN,TARGET[,udp]\n";
+            return 2;
+        }
+        auto faults = [&standIn, name = parts[0].toStdString()] {
+            return LinkFaults { .cut = standIn.hasFault((name + ".cut").c_str()),
+                .freeze = standIn.hasFault((name + ".freeze").c_str()),
+                .dropAnswers = standIn.hasFault((name + ".drop_answers").c_str()),
+                .silence = standIn.fault((name + ".silence").c_str()),
+                .delayMs = standIn.fault((name + ".delay_ms").c_str()) };
+        };
+        if (parts.size() > 3 && parts[3] == "udp")
+            udpLinks.push_back(std::make_unique<UdpLink>(parseTarget(parts[1]), parseTarget(parts[2]), faults));
+        else
+            tcpLinks.push_back(std::make_unique<TcpLink>(parseTarget(parts[1]), parseTarget(parts[2]), faults));
+    }
+    standIn.onFaults = [&] {
+        for (const auto& link : tcpLinks)
+            link->applyFaults();
+    };
+    return QCoreApplication::exec();
+}
