--- a/packages/ledger/ClaimLedger.h
+++ b/packages/ledger/ClaimLedger.h
@@ -23,7 +23,7 @@
     QByteArray contentType;
     QByteArray body;
 
-    auto operator<=>(const StoredAnswer&) const = default;
+    bool operator==(const StoredAnswer&) const = default;
 };
 
 enum class ClaimOutcome {
--- a/packages/node/CompletionFlow.cpp
+++ b/packages/node/CompletionFlow.cpp
@@ -71,7 +71,7 @@
     const uint64_t id = jobId_;
     auto post = poster();
     JobHooks hooks {
-        .onDecision = [this, id, post, scheduler = &tables_.scheduler](const Decision& decision) { post([this, id, decision] { takeDecision(id, decision); }); },
+        .onDecision = [this, id, post](const Decision& decision) { post([this, id, decision] { takeDecision(id, decision); }); },
         .onPreempt = [this, id, post] { post([this, id] { yieldSlot(id); }); },
     };
     tables_.scheduler.submit(job, hooks);
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -2,6 +2,8 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 BUILD_DIR="${BUILD_DIR:-build}"
+# Lets checkouts in different folders share compiled objects.
+export CCACHE_BASEDIR="$PWD" CCACHE_NOHASHDIR=1
 
 PACKAGES="g++ cmake ninja-build ccache clang-format clang-tidy curl qt6-base-dev qt6-httpserver-dev qt6-websockets-dev
 libcereal-dev prometheus-cpp-dev libboost-program-options-dev libgoogle-glog-dev libabsl-dev librapidcheck-dev
@@ -21,5 +23,5 @@
 
 build() {
     cmake -S . -B "$BUILD_DIR" -G Ninja "$@" >/dev/null
-    cmake --build "$BUILD_DIR"
+    cmake --build "$BUILD_DIR" -j "${BUILD_JOBS:-$(nproc)}"
 }
--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -19,7 +19,7 @@
     Service(const std::string& listen, std::string id)
         : id_(std::move(id))
         , incarnation_(QString::number(QDateTime::currentMSecsSinceEpoch()))
-        , standIn_(listen, [this](std::shared_ptr<Exchange> exchange) { handle(std::move(exchange)); })
+        , standIn_(listen, [this](std::shared_ptr<Exchange> exchange) { handle(exchange); })
     {
     }
 
--- /dev/null
+++ b/tests/support/Cluster.cpp
@@ -0,0 +1,319 @@
+#include "support/Cluster.h"
+
+#include "config/Configuration.h"
+
+#include <QDir>
+#include <QFile>
+#include <QJsonDocument>
+#include <QTemporaryDir>
+#include <csignal>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+namespace hemlockweir {
+
+QJsonObject Answer::json() const
+{
+    return QJsonDocument::fromJson(body).object();
+}
+
+QString Answer::outcome() const
+{
+    return json()["error"].toObject()["outcome"].toString();
+}
+
+Answer PendingAnswer::wait(Millis limit) const
+{
+    EXPECT_TRUE(waitUntil([this] { return *isDone; }, limit)) << "a call did not end";
+    return *answer;
+}
+
+Cluster::Cluster()
+{
+    QTemporaryDir folder;
+    folder.setAutoRemove(false);
+    folder_ = folder.path();
+}
+
+Cluster::~Cluster()
+{
+    for (auto& [name, process] : processes_) {
+        process.process->disconnect();
+        process.process->kill();
+        process.process->waitForFinished();
+    }
+    if (testing::Test::HasFailure()) {
+        for (const auto& [name, process] : processes_)
+            std::fprintf(stderr, "--- log of %s\n%s\n", name.c_str(), process.log.right(6000).constData());
+    }
+    QDir(folder_).removeRecursively();
+}
+
+// Each test process has a loopback address of its own, so that tests run side by side.
+std::string Cluster::loopbackAddress() const
+{
+    const auto pid = static_cast<unsigned>(getpid());
+    return "127." + std::to_string(1 + (pid >> 16) % 200) + "." + std::to_string((pid >> 8) % 256) + "." + std::to_string(1 + pid % 254);
+}
+
+std::string Cluster::addressOf(const std::string& name)
+{
+    std::string& address = addresses_[name];
+    if (address.empty())
+        address = loopbackAddress() + ":" + std::to_string(nextPort_++);
+    return address;
+}
+
+QString Cluster::writeFile(const std::string& name, const std::string& text)
+{
+    const QString path = folder_ + "/" + QString::fromStdString(name);
+    QFile file(path);
+    EXPECT_TRUE(file.open(QIODevice::WriteOnly));
+    file.write(QByteArray::fromStdString(text));
+    return path;
+}
+
+void Cluster::startProcess(const std::string& name, const QString& program, const QStringList& arguments)
+{
+    Process& entry = processes_[name];
+    entry.program = program;
+    entry.arguments = arguments;
+    entry.process = std::make_unique<QProcess>();
+    QProcess* process = entry.process.get();
+    process->setProcessChannelMode(QProcess::MergedChannels);
+    QObject::connect(process, &QProcess::readyRead, process, [this, name, process] { processes_[name].log += process->readAll(); });
+    process->start(QString(BIN_DIR) + "/" + program, arguments);
+    ASSERT_TRUE(process->waitForStarted());
+    const std::string url = urlOf(name) + (program == "hemlockweir" ? "/healthz" : "/effects");
+    ASSERT_TRUE(waitUntil([&] { return process->state() != QProcess::Running || call("GET", url).status == 200; }));
+    ASSERT_EQ(process->state(), QProcess::Running) << name << " ended at its start";
+}
+
+void Cluster::startStore()
+{
+    startProcess("store", "standin-store", { "--listen", QString::fromStdString(addressOf("store")) });
+}
+
+void Cluster::startEngine(const Instance& instance, const QStringList& arguments)
+{
+    Instance listed = instance;
+    listed.address = addressOf(instance.id);
+    startProcess(instance.id, "standin-engine", QStringList { "--listen", QString::fromStdString(listed.address), "--id", QString::fromStdString(instance.id) } + arguments);
+    instances_.push_back(listed);
+}
+
+void Cluster::startEngines(const EngineGroupOptions& options)
+{
+    const std::string prefix = options.prefix.empty() ? options.fabric : options.prefix;
+    for (int i = 1; i <= options.count; ++i)
+        startEngine({ .id = prefix + "-" + std::to_string(i), .domain = options.domain, .fabric = options.fabric, .pool = options.pool }, options.arguments);
+    publishInstances();
+}
+
+void Cluster::startService(const std::string& id, const std::string& domain, const std::string& pool)
+{
+    startProcess(id, "standin-service", { "--listen", QString::fromStdString(addressOf(id)), "--id", QString::fromStdString(id) });
+    instances_.push_back({ .id = id, .address = addressOf(id), .domain = domain, .fabric = domain, .pool = pool });
+    publishInstances();
+}
+
+void Cluster::startNode(const NodeOptions& options)
+{
+    std::string seeds;
+    for (const std::string& seed : options.seeds)
+        seeds += (seeds.empty() ? "\"" : ", \"") + addressOf(seed + ".peers") + "\"";
+    const std::string text = "[node]\nname = \"" + options.name + "\"\nfailure_domain = \"" + options.domain + "\"\ncallers = \"" + addressOf(options.name)
+        + "\"\npeers = \"" + addressOf(options.name + ".peers") + "\"\nseeds = [" + seeds + "]\ncluster_key = \"a key for tests only\"\n\n[platform]\nurls = [\""
+        + urlOf(options.platform) + "\"]\ninstances_url = \"" + urlOf(options.platform) + "/instances\"\n\n" + options.settings;
+    startProcess(options.name, "hemlockweir", { "--settings", writeFile(options.name + ".toml", text) });
+}
+
+void Cluster::startProxy(const std::vector<std::string>& links)
+{
+    QStringList arguments { "--listen", QString::fromStdString(addressOf("proxy")) };
+    for (const std::string& link : links)
+        arguments << "--link" << QString::fromStdString(link);
+    startProcess("proxy", "standin-proxy", arguments);
+}
+
+void Cluster::kill(const std::string& name)
+{
+    processes_.at(name).process->kill();
+    processes_.at(name).process->waitForFinished();
+}
+
+void Cluster::terminate(const std::string& name)
+{
+    processes_.at(name).process->terminate();
+}
+
+bool Cluster::waitForExit(const std::string& name)
+{
+    return waitUntil([&] { return processes_.at(name).process->state() == QProcess::NotRunning; });
+}
+
+void Cluster::pause(const std::string& name)
+{
+    ::kill(static_cast<pid_t>(processes_.at(name).process->processId()), SIGSTOP);
+}
+
+void Cluster::resume(const std::string& name)
+{
+    ::kill(static_cast<pid_t>(processes_.at(name).process->processId()), SIGCONT);
+}
+
+void Cluster::restart(const std::string& name)
+{
+    const Process& old = processes_.at(name);
+    const QString program = old.program;
+    const QStringList arguments = old.arguments;
+    startProcess(name, program, arguments);
+}
+
+void Cluster::publishInstances()
+{
+    QJsonArray rows;
+    for (const Instance& instance : instances_) {
+        rows.append(QJsonObject { { "id", QString::fromStdString(instance.id) }, { "address", QString::fromStdString(instance.address) },
+            { "domain", QString::fromStdString(instance.domain) }, { "fabric", QString::fromStdString(instance.fabric) },
+            { "pool", QString::fromStdString(instance.pool) }, { "state", instance.leaving ? "leaving" : "live" } });
+    }
+    call("PUT", urlOf("store") + "/instances", QJsonDocument(QJsonObject { { "instances", rows } }).toJson());
+}
+
+int Cluster::runCtl(const QStringList& arguments, QByteArray* output)
+{
+    QProcess process;
+    process.setProcessChannelMode(QProcess::MergedChannels);
+    process.start(QString(BIN_DIR) + "/hemlockctl", arguments);
+    EXPECT_TRUE(waitUntil([&] { return process.state() == QProcess::NotRunning; }));
+    const QByteArray text = process.readAll();
+    if (output)
+        *output = text;
+    return process.exitCode();
+}
+
+int Cluster::publish(const std::string& serviceFile)
+{
+    return runCtl({ "publish", writeFile("service.toml", serviceFile), "--platform", QString::fromStdString(urlOf("store")) });
+}
+
+PendingAnswer Cluster::start(const QByteArray& method, const std::string& url, const QByteArray& body, const std::vector<HttpHeader>& headers)
+{
+    PendingAnswer pending { .call = {}, .answer = std::make_shared<Answer>(), .isDone = std::make_shared<bool>(false), .received = std::make_shared<QByteArray>() };
+    CallHooks hooks;
+    hooks.onData = [received = pending.received](const QByteArray& piece) { *received += piece; };
+    hooks.onDone = [answer = pending.answer, isDone = pending.isDone, received = pending.received](const CallResult& result) {
+        *answer = { .end = result.end, .status = result.status, .body = *received + result.body };
+        *isDone = true;
+    };
+    pending.call = client_.start({ .method = method, .url = QUrl(QString::fromStdString(url)), .headers = headers, .body = body, .firstByteTimeout = hangLimit, .silenceTimeout = hangLimit }, hooks);
+    return pending;
+}
+
+Answer Cluster::call(const QByteArray& method, const std::string& url, const QByteArray& body, const std::vector<HttpHeader>& headers)
+{
+    return start(method, url, body, headers).wait();
+}
+
+PendingAnswer Cluster::startAsk(const std::string& node, const AskOptions& options)
+{
+    const QJsonObject body { { "model", QString::fromStdString(options.model) }, { "prompt", QString::fromStdString(options.prompt) },
+        { "max_tokens", options.maxTokens }, { "stream", options.stream } };
+    std::vector<HttpHeader> headers = options.headers;
+    headers.push_back({ "Authorization", "Bearer " + QByteArray::fromStdString(options.key) });
+    return start("POST", urlOf(node) + "/v1/completions", QJsonDocument(body).toJson(), headers);
+}
+
+Answer Cluster::ask(const std::string& node, const AskOptions& options)
+{
+    return startAsk(node, options).wait();
+}
+
+void Cluster::setFaults(const std::string& name, const QJsonObject& faults)
+{
+    ASSERT_EQ(call("POST", urlOf(name) + "/faults", QJsonDocument(faults).toJson()).status, 200);
+}
+
+std::vector<QJsonObject> Cluster::effects(const std::string& name, const QString& what)
+{
+    std::vector<QJsonObject> found;
+    const QJsonObject answer = call("GET", urlOf(name) + "/effects").json();
+    for (const QJsonValue& effect : answer["effects"].toArray()) {
+        if (effect.toObject()["what"].toString() == what)
+            found.push_back(effect.toObject());
+    }
+    return found;
+}
+
+QJsonObject Cluster::status(const std::string& node)
+{
+    return call("GET", urlOf(node) + "/operator/status").json();
+}
+
+std::vector<QJsonObject> Cluster::wholeGroups(const std::string& node)
+{
+    std::vector<QJsonObject> groups;
+    const QJsonObject answer = status(node);
+    for (const QJsonValue& group : answer["groups"].toArray()) {
+        if (group.toObject()["whole"].toBool())
+            groups.push_back(group.toObject());
+    }
+    return groups;
+}
+
+bool Cluster::waitForGroups(const std::string& node, size_t count)
+{
+    return waitUntil([&] { return wholeGroups(node).size() >= count; });
+}
+
+bool Cluster::waitForReady(const std::string& node)
+{
+    return waitUntil([&] { return call("GET", urlOf(node) + "/readyz").status == 200; });
+}
+
+QByteArray Cluster::logOf(const std::string& name)
+{
+    return processes_.at(name).log;
+}
+
+std::string makeServiceFile(int members)
+{
+    return R"([[priority]]
+name = "urgent"
+rank = 0
+first_token_ms = 310
+deadline_ms = 10000
+
+[[priority]]
+name = "standard"
+rank = 1
+first_token_ms = 2000
+deadline_ms = 20000
+
+[[priority]]
+name = "batch"
+rank = 2
+first_token_ms = 60000
+deadline_ms = 60000
+
+[[caller]]
+name = "caller"
+key_sha256 = ")"
+        + hashCallerKey("caller-key") + R"("
+default_priority = "urgent"
+
+[[model]]
+name = "m"
+pool = "models"
+members = )"
+        + std::to_string(members) + R"(
+
+[[service]]
+name = "orders"
+pool = "orders"
+path = "/orders"
+)";
+}
+
+} // namespace hemlockweir
