Refuse callers over the limits with an answer that reaches them

Cause: GuardedSocket scanned in readData(), which Qt never calls for the bytes of a buffered socket: no limit was in force at all.

Ruled out: an unbuffered socket (QTcpSocket stays buffered after setSocketDescriptor); a read buffer limit (Qt's server keeps a request in the buffer as a transaction, so a limit below the body would stall it).

Change: a slot on readyRead connected before the server's scans what is new; on a breach it takes the server's slot out of the emission, answers, shuts down writing and discards what arrives for 2 s, so that no reset eats the answer. A pipelined request that arrives while an answer is written is dropped unrun and the connection closed after that answer: two answers never mix. Unknown methods get 501, upgrades and characters that Qt's parser drops silently 400.

Not covered: refused connections linger up to 2 s each and are not counted in max_connections.

--- a/packages/config/Settings.cpp
+++ b/packages/config/Settings.cpp
@@ -59,6 +59,11 @@
     settings.clusterKey = reader.requireString("cluster_key");
     if (!settings.clusterKey.empty() && settings.clusterKey.size() < minKeyBytes)
         reader.noteError("cluster_key", "write a secret of at least 16 characters, the same on every node");
+    settings.operatorKey = reader.requireString("operator_key");
+    if (!settings.operatorKey.empty() && settings.operatorKey.size() < minKeyBytes)
+        reader.noteError("operator_key", "write a secret of at least 16 characters that operators send as Authorization: Bearer KEY");
+    if (!settings.operatorKey.empty() && settings.operatorKey == settings.clusterKey)
+        reader.noteError("operator_key", "is the same as cluster_key; write another secret, or operators could pose as nodes");
     settings.workers = static_cast<int>(reader.readInteger("workers", settings.workers, 1, 64));
     if (!settings.callers.address.empty() && settings.callers == settings.peers)
         reader.noteError("peers", "is the same address as callers; write another port");
@@ -91,6 +96,8 @@
     settings.maxConnections = static_cast<int>(reader.readInteger("max_connections", settings.maxConnections, 1, 1000000));
     settings.maxConnectionsPerAddress = static_cast<int>(reader.readInteger("max_connections_per_address", settings.maxConnectionsPerAddress, 1, 1000000));
     settings.maxWaiting = static_cast<int>(reader.readInteger("max_waiting", settings.maxWaiting, 0, 1000000));
+    settings.maxRequestsPerCaller = static_cast<int>(reader.readInteger("max_requests_per_caller", settings.maxRequestsPerCaller, 1, 1000000));
+    settings.replyBufferBytes = reader.readInteger("reply_buffer_bytes", settings.replyBufferBytes, 1024, 1024 * 1024 * 1024);
 }
 
 static void readTiming(TableReader& reader, Settings& settings)
--- a/packages/config/Settings.h
+++ b/packages/config/Settings.h
@@ -32,6 +32,7 @@
     Endpoint peers; // UDP and TCP, the other nodes
     std::vector<Endpoint> seeds; // other nodes to greet first
     std::string clusterKey; // secret that authenticates nodes to each other
+    std::string operatorKey; // secret that operators send to /operator/*
     int workers = 2; // threads that serve callers
 
     // [platform]
@@ -46,6 +47,8 @@
     int maxConnections = 4096;
     int maxConnectionsPerAddress = 1024;
     int maxWaiting = 2000; // requests waiting for a slot
+    int maxRequestsPerCaller = 1000; // requests of one caller at this node, waiting and running
+    int64_t replyBufferBytes = 1024 * 1024; // bytes that a slow reader may leave unread
 
     // [timing]
     Millis heartbeatInterval { 200 }; // ms, between nodes
--- a/packages/http/GuardedSocket.cpp
+++ b/packages/http/GuardedSocket.cpp
@@ -2,8 +2,14 @@
 
 #include "base/Log.h"
 
+#include <sys/socket.h>
+
 namespace hemlockweir {
 
+// How long a refused caller may go on sending before it is cut: closing at once would reset the
+// connection, and the caller would lose the refusal.
+static constexpr Millis lingerTimeout { 2000 };
+
 ConnectionCount::ConnectionCount(int total, int perAddress)
     : totalLimit_(total)
     , perAddressLimit_(perAddress)
@@ -36,6 +42,8 @@
 {
     timer_.setSingleShot(true);
     connect(&timer_, &QTimer::timeout, this, &GuardedSocket::checkDeadline);
+    // Connected before the server's own slot, and so called before it.
+    connect(this, &QTcpSocket::readyRead, this, &GuardedSocket::scanArrived);
 }
 
 GuardedSocket::~GuardedSocket()
@@ -50,6 +58,8 @@
         return false;
     setSocketOption(QAbstractSocket::LowDelayOption, 1);
     setSocketOption(QAbstractSocket::KeepAliveOption, 1);
+    // What a slow reader leaves unread in the kernel counts as well.
+    setSocketOption(QAbstractSocket::SendBufferSizeSocketOption, options_.replyBufferBytes);
     peer_ = peerAddress().toString();
     counted_ = connections_->acquire(peer_);
     if (!counted_) {
@@ -60,10 +70,18 @@
     return true;
 }
 
+void GuardedSocket::watchServer()
+{
+    connect(this, &QTcpSocket::readyRead, this, [this] { scannedLeft_ = bytesAvailable(); });
+}
+
 void GuardedSocket::finishReply()
 {
     --replies_;
-    restartTimer();
+    if (closesAfterReply_ && replies_ == 0)
+        disconnectFromHost();
+    else if (!refused_)
+        restartTimer();
 }
 
 void GuardedSocket::restartTimer()
@@ -73,65 +91,95 @@
 
 void GuardedSocket::checkDeadline()
 {
-    if (replies_ > 0 && !midRequest_)
-        return;
-    if (midRequest_)
-        refuse(408, "the request did not arrive whole in time");
-    else
+    if (refused_)
         abort();
+    else if (midRequest_)
+        refuse(408, "the request did not arrive whole in time");
+    else if (replies_ == 0)
+        disconnectFromHost();
 }
 
-qint64 GuardedSocket::readData(char* data, qint64 maxSize)
+void GuardedSocket::scanArrived()
 {
-    if (refused_)
-        return -1;
-    const qint64 count = QTcpSocket::readData(data, maxSize);
-    if (count <= 0)
-        return count;
-    const ScanVerdict verdict = scanner_.scan({ data, static_cast<size_t>(count) });
+    const QByteArray unread = peek(bytesAvailable());
+    const std::string_view arrived = std::string_view(unread.constData(), static_cast<size_t>(unread.size())).substr(static_cast<size_t>(std::min(scannedLeft_, static_cast<qint64>(unread.size()))));
+    scannedLeft_ = unread.size();
+    if (arrived.empty())
+        return;
+    const ScanVerdict verdict = scanner_.scan(arrived);
     const bool wasMidRequest = midRequest_;
     midRequest_ = scanner_.isMidRequest();
     // The deadline runs from a request's first byte: more bytes of it do not extend it.
     if (midRequest_ != wasMidRequest || scanner_.requestsSeen() != requestsSeen_)
         restartTimer();
     requestsSeen_ = scanner_.requestsSeen();
+    takeVerdict(verdict);
+}
+
+void GuardedSocket::takeVerdict(ScanVerdict verdict)
+{
     switch (verdict) {
     case ScanVerdict::Ok:
-        return count;
+        return;
     case ScanVerdict::Continue:
-        write("HTTP/1.1 100 Continue\r\n\r\n");
-        return count;
+        if (replies_ == 0)
+            write("HTTP/1.1 100 Continue\r\n\r\n");
+        return;
     case ScanVerdict::BadRequest:
         refuse(400, "malformed request line, header or length");
-        return -1;
+        return;
     case ScanVerdict::LengthRequired:
         refuse(411, "send Content-Length; transfer encodings are not accepted");
-        return -1;
+        return;
     case ScanVerdict::PayloadTooLarge:
         refuse(413, "the body is over the limit");
-        return -1;
+        return;
     case ScanVerdict::HeadTooLarge:
         refuse(431, "the headers are over the limit");
-        return -1;
+        return;
+    case ScanVerdict::NotImplemented:
+        refuse(501, "unknown method");
+        return;
     case ScanVerdict::VersionNotSupported:
         refuse(505, "use HTTP/1.1");
-        return -1;
+        return;
     }
-    return -1;
 }
 
 void GuardedSocket::refuse(int status, const char* reason)
 {
     refused_ = true;
-    timer_.stop();
     logInfo("request_refused", { { "peer", peer_.toStdString() }, { "status", std::to_string(status) }, { "reason", reason } });
-    const QByteArray body = QByteArray("{\"error\":{\"message\":\"") + reason + "\",\"outcome\":\"not_run\"}}";
+    // Takes the server's slot out of the emission that is under way: it sees none of these bytes.
+    disconnect(this, &QTcpSocket::readyRead, nullptr, nullptr);
+    if (replies_ > 0) {
+        // An answer is being written: a refusal in its middle would pass for a part of it.
+        QMetaObject::invokeMethod(
+            this, [this] { abort(); }, Qt::QueuedConnection);
+        return;
+    }
+    connect(this, &QTcpSocket::readyRead, this, &GuardedSocket::discardArrived);
+    connect(this, &QTcpSocket::bytesWritten, this, &GuardedSocket::endWriting);
+    const QByteArray body = QByteArray("{\"error\":{\"message\":\"") + reason + "\",\"type\":\"refused\",\"outcome\":\"not_run\"}}";
     write("HTTP/1.1 " + QByteArray::number(status) + " Refused\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: "
         + QByteArray::number(body.size()) + "\r\n\r\n" + body);
     flush();
-    // The parser is still reading from this socket further up the stack.
-    QMetaObject::invokeMethod(
-        this, [this] { disconnectFromHost(); }, Qt::QueuedConnection);
+    endWriting();
+    discardArrived();
+    timer_.start(lingerTimeout);
+}
+
+void GuardedSocket::discardArrived()
+{
+    if (isTransactionStarted())
+        commitTransaction();
+    skip(bytesAvailable());
+}
+
+void GuardedSocket::endWriting()
+{
+    if (bytesToWrite() == 0)
+        ::shutdown(static_cast<int>(socketDescriptor()), SHUT_WR);
 }
 
 } // namespace hemlockweir
--- a/packages/http/GuardedSocket.h
+++ b/packages/http/GuardedSocket.h
@@ -27,7 +27,8 @@
     std::map<QString, int> byAddress_;
 };
 
-// A TCP socket that scans what is read from it and closes on a breach of the limits.
+// A TCP socket that scans what arrives before Qt's server sees it, and refuses a breach of the
+// limits with an answer that the caller can read.
 class GuardedSocket : public QTcpSocket {
     Q_OBJECT
 public:
@@ -37,15 +38,23 @@
     // Takes over an accepted descriptor; false when it or a connection limit is refused.
     bool adopt(qintptr descriptor);
 
+    // Call once the server has connected its own slots: what they leave unread was scanned before.
+    void watchServer();
+
     // Marks that a handler is at work, during which the idle timer rests.
     void startReply() { ++replies_; }
     void finishReply();
+    bool isReplying() const { return replies_ > 0; }
 
-protected:
-    qint64 readData(char* data, qint64 maxSize) override;
+    // Closes once the reply at work is finished: answers to pipelined requests never mix.
+    void closeAfterReply() { closesAfterReply_ = true; }
 
 private:
+    void scanArrived();
+    void takeVerdict(ScanVerdict verdict);
     void refuse(int status, const char* reason);
+    void discardArrived();
+    void endWriting();
     void checkDeadline();
     void restartTimer();
 
@@ -54,11 +63,13 @@
     RequestScanner scanner_;
     QTimer timer_;
     QString peer_;
+    qint64 scannedLeft_ = 0; // bytes that were scanned and are still unread
     uint64_t requestsSeen_ = 0;
     int replies_ = 0;
     bool midRequest_ = false;
     bool refused_ = false;
     bool counted_ = false;
+    bool closesAfterReply_ = false;
 };
 
 } // namespace hemlockweir
--- a/packages/http/HttpServer.cpp
+++ b/packages/http/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpServer.h"
 
+#include "base/Log.h"
 #include "http/GuardedSocket.h"
 
 #include <QAbstractHttpServer>
@@ -100,7 +101,7 @@
         return;
     writeHead(status, contentType, headers);
     responder_->writeHeader("Content-Length", QByteArray::number(bytes.size()));
-    responder_->writeBody(bytes);
+    responder_->writeBody(method_ == "HEAD" ? QByteArray() : bytes);
     over_ = true;
     responder_.reset();
 }
@@ -121,8 +122,10 @@
     if (isOver() || !streaming_ || bytes.isEmpty())
         return;
     responder_->writeBody(QByteArray::number(bytes.size(), 16) + "\r\n" + bytes + "\r\n");
-    if (socket_ && socket_->bytesToWrite() > replyBufferBytes_)
+    if (socket_ && socket_->bytesToWrite() > replyBufferBytes_) {
+        logInfo("slow_reader_cut", { { "peer", socket_->peerAddress().toString().toStdString() }, { "unread_bytes", std::to_string(socket_->bytesToWrite()) } });
         abort();
+    }
 }
 
 void Exchange::sendEvent(const QByteArray& data)
@@ -160,6 +163,13 @@
     protected:
         bool handleRequest(const QHttpServerRequest& request, QTcpSocket* socket) override
         {
+            // A pipelined request is dropped unrun while an answer is being written; its caller
+            // sees the connection close after that answer and sends it again.
+            auto* guarded = qobject_cast<GuardedSocket*>(socket);
+            if (guarded && guarded->isReplying()) {
+                guarded->closeAfterReply();
+                return true;
+            }
             ++*inFlight_;
             auto* raw = new Exchange(request, socket, makeResponder(request, socket), options_.replyBufferBytes);
             std::shared_ptr<Exchange> exchange(raw, [inFlight = inFlight_](Exchange* done) {
@@ -191,11 +201,15 @@
         {
             auto* socket = new GuardedSocket(options_, connections_, this);
             if (!socket->adopt(descriptor)) {
-                socket->connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
+                if (socket->state() == QAbstractSocket::UnconnectedState)
+                    socket->deleteLater();
+                else
+                    socket->connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
                 return;
             }
             addPendingConnection(socket);
             Q_EMIT newConnection();
+            socket->watchServer();
         }
 
     private:
--- a/packages/http/RequestScanner.cpp
+++ b/packages/http/RequestScanner.cpp
@@ -1,6 +1,7 @@
 #include "http/RequestScanner.h"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <charconv>
 #include <optional>
@@ -77,6 +78,29 @@
     return verdict;
 }
 
+// Whether Qt's parser takes the text as a header name (a token of RFC 9110).
+static bool isToken(std::string_view text)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [&](unsigned char c) { return std::isalnum(c) || marks.find(static_cast<char>(c)) != std::string_view::npos; });
+}
+
+static bool isPrintable(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > ' ' && c < 0x7f; });
+}
+
+static bool hasControl(std::string_view text)
+{
+    return std::any_of(text.begin(), text.end(), [](unsigned char c) { return (c < ' ' && c != '\t') || c == 0x7f; });
+}
+
+static bool isKnownMethod(std::string_view method)
+{
+    constexpr std::array<std::string_view, 7> methods { "GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS" };
+    return std::find(methods.begin(), methods.end(), method) != methods.end();
+}
+
 ScanVerdict RequestScanner::checkRequestLine(std::string_view line) const
 {
     const size_t first = line.find(' ');
@@ -85,10 +109,14 @@
         return ScanVerdict::BadRequest;
     if (line.substr(0, last).find(' ', first + 1) != std::string_view::npos)
         return ScanVerdict::BadRequest;
+    const std::string_view method = line.substr(0, first);
+    const std::string_view target = line.substr(first + 1, last - first - 1);
     const std::string_view version = line.substr(last + 1);
-    if (version == "HTTP/1.1" || version == "HTTP/1.0")
-        return ScanVerdict::Ok;
-    return version.starts_with("HTTP/") ? ScanVerdict::VersionNotSupported : ScanVerdict::BadRequest;
+    if (!isToken(method) || !target.starts_with('/') || !isPrintable(target) || !version.starts_with("HTTP/"))
+        return ScanVerdict::BadRequest;
+    if (version != "HTTP/1.1" && version != "HTTP/1.0")
+        return ScanVerdict::VersionNotSupported;
+    return isKnownMethod(method) ? ScanVerdict::Ok : ScanVerdict::NotImplemented;
 }
 
 ScanVerdict RequestScanner::checkHead()
@@ -107,10 +135,13 @@
         rest.remove_prefix(end + lineEnd.size());
         const size_t colon = line.find(':');
         // A blank before the colon, or a folded line, lets two parsers disagree on the name.
-        if (colon == std::string_view::npos || colon == 0 || line.substr(0, colon).find_first_of(" \t") != std::string_view::npos)
+        if (colon == std::string_view::npos || !isToken(line.substr(0, colon)) || hasControl(line.substr(colon + 1)))
             return ScanVerdict::BadRequest;
         const std::string name = lowercase(line.substr(0, colon));
         const std::string_view value = trim(line.substr(colon + 1));
+        // Qt's server waits for another protocol after this one, which none here speaks.
+        if (name == "upgrade")
+            return ScanVerdict::BadRequest;
         if (name == "transfer-encoding")
             return ScanVerdict::LengthRequired;
         if (name == "expect")
--- a/packages/http/RequestScanner.h
+++ b/packages/http/RequestScanner.h
@@ -24,6 +24,7 @@
     LengthRequired = 411,
     PayloadTooLarge = 413,
     HeadTooLarge = 431,
+    NotImplemented = 501, // a method that no path here takes
     VersionNotSupported = 505,
 };
 
--- a/packages/node/CallerApi.cpp
+++ b/packages/node/CallerApi.cpp
@@ -7,17 +7,21 @@
 
 namespace hemlockweir {
 
-CallerApi::CallerApi(Tables& tables, Hooks hooks)
-    : tables_(tables)
+CallerApi::CallerApi(Options options, Tables& tables, Hooks hooks)
+    : options_(std::move(options))
+    , tables_(tables)
     , hooks_(std::move(hooks))
+    , requests_(options_.maxRequestsPerCaller)
 {
 }
 
 void CallerApi::handle(std::shared_ptr<Exchange> exchange)
 {
-    if (handleOperator(*exchange))
+    if (handleOpen(*exchange))
         return;
-    if (exchange->path() == "/v1/completions")
+    if (exchange->path().startsWith("/operator/"))
+        handleOperator(*exchange);
+    else if (exchange->path() == "/v1/completions")
         handleCompletion(std::move(exchange), false);
     else if (exchange->path() == "/v1/chat/completions")
         handleCompletion(std::move(exchange), true);
@@ -34,21 +38,45 @@
     return { { "object", "list" }, { "data", models } };
 }
 
-bool CallerApi::handleOperator(Exchange& exchange)
+bool CallerApi::handleOpen(Exchange& exchange)
 {
     const QString path = exchange.path();
-    if (path == "/healthz")
+    if (path != "/healthz" && path != "/readyz" && path != "/metrics" && path != "/v1/models")
+        return false;
+    if (exchange.method() != "GET" && exchange.method() != "HEAD")
+        sendError(exchange, { .status = 405, .type = "bad_request", .message = "use GET", .outcome = Outcome::NotRun });
+    else if (path == "/healthz")
         exchange.sendJson(200, { { "ok", true } });
     else if (path == "/readyz")
         exchange.sendJson(hooks_.isReady() ? 200 : 503, { { "ready", hooks_.isReady() } });
     else if (path == "/metrics")
         exchange.sendBytes(200, "text/plain; version=0.0.4", QByteArray::fromStdString(tables_.metrics.expose()));
-    else if (path == "/v1/models")
+    else
         exchange.sendJson(200, listModels());
-    else if (path == "/operator/status")
+    return true;
+}
+
+void CallerApi::handleOperator(Exchange& exchange)
+{
+    // Equal digests stand for equal keys, and comparing them tells nothing of a key by its time.
+    const std::string given = hashCallerKey(exchange.header("Authorization"));
+    if (given != hashCallerKey("Bearer " + options_.operatorKey)) {
+        sendError(exchange, { .status = 401, .type = "unauthenticated", .message = "send Authorization: Bearer OPERATOR-KEY", .outcome = Outcome::NotRun });
+        return;
+    }
+    if (exchange.path() == "/operator/status")
         exchange.sendJson(200, hooks_.status());
     else
+        sendError(exchange, { .status = 404, .type = "not_found", .message = "no such operator path", .outcome = Outcome::NotRun });
+}
+
+bool CallerApi::admitCaller(Exchange& exchange, const CallerRequest& request)
+{
+    if (!requests_.acquire(request.caller.name)) {
+        sendError(exchange, { .status = 429, .type = "too_many_requests", .message = "this caller has as many requests waiting and running here as it may", .outcome = Outcome::NotRun, .requestId = request.requestId, .retryAfter = Millis(1000) });
         return false;
+    }
+    QObject::connect(&exchange, &QObject::destroyed, [this, caller = request.caller.name] { requests_.release(caller); });
     return true;
 }
 
@@ -76,6 +104,8 @@
         sendError(*exchange, error);
         return;
     }
+    if (!admitCaller(*exchange, *read.request))
+        return;
     CompletionFlow::start(tables_, std::move(exchange), std::move(*read.request), std::move(*completion));
 }
 
@@ -92,6 +122,8 @@
         sendError(*exchange, read.error);
         return;
     }
+    if (!admitCaller(*exchange, *read.request))
+        return;
     PlainFlow::start(tables_, std::move(exchange), std::move(*read.request), *service);
 }
 
--- a/packages/node/CallerApi.h
+++ b/packages/node/CallerApi.h
@@ -1,32 +1,46 @@
 #pragma once
 
+#include "node/CallerRequest.h"
+#include "node/RequestCount.h"
 #include "node/Tables.h"
 
 // The HTTP interface to callers and operators: routes each request to its flow.
+//
+// /healthz, /readyz and /metrics are open: the platform's balancer and scraper carry no keys, and
+// what they read names no secret. /operator/* asks for the operator key.
 
 namespace hemlockweir {
 
 class CallerApi {
 public:
+    struct Options {
+        QByteArray operatorKey; // secret that /operator/* asks for
+        int maxRequestsPerCaller = 1000; // requests of one caller at this node, waiting and running
+    };
+
     // Answers for operators, which only the node can give.
     struct Hooks {
         std::function<bool()> isReady; // for /readyz
         std::function<QJsonObject()> status; // for /operator/status; called on a worker thread
     };
 
-    CallerApi(Tables& tables, Hooks hooks);
+    CallerApi(Options options, Tables& tables, Hooks hooks);
 
     // Handles one request on the worker that owns it.
     void handle(std::shared_ptr<Exchange> exchange);
 
 private:
-    bool handleOperator(Exchange& exchange);
+    bool handleOpen(Exchange& exchange);
+    void handleOperator(Exchange& exchange);
+    bool admitCaller(Exchange& exchange, const CallerRequest& request);
     void handleCompletion(std::shared_ptr<Exchange> exchange, bool isChat);
     void handlePlain(std::shared_ptr<Exchange> exchange);
     QJsonObject listModels() const;
 
+    Options options_;
     Tables& tables_;
     Hooks hooks_;
+    RequestCount requests_;
 };
 
 } // namespace hemlockweir
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -52,7 +52,8 @@
         .requestTimeout = settings.requestTimeout,
         .idleTimeout = settings.idleTimeout,
         .maxConnections = settings.maxConnections,
-        .maxConnectionsPerAddress = settings.maxConnectionsPerAddress };
+        .maxConnectionsPerAddress = settings.maxConnectionsPerAddress,
+        .replyBufferBytes = settings.replyBufferBytes };
 }
 
 Node::Node(Settings settings)
@@ -89,7 +90,7 @@
         .clock = clock_,
         .random = random_,
         .silenceTimeout = settings_.silenceTimeout }
-    , api_(tables_, { .isReady = [this] { return isReady(); }, .status = [this] { return describe(); } })
+    , api_({ .operatorKey = QByteArray::fromStdString(settings_.operatorKey), .maxRequestsPerCaller = settings_.maxRequestsPerCaller }, tables_, { .isReady = [this] { return isReady(); }, .status = [this] { return describe(); } })
     , server_(makeServerOptions(settings_), [this](std::shared_ptr<Exchange> exchange) { api_.handle(std::move(exchange)); })
 {
     connectParts();
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -123,7 +123,7 @@
     for (const std::string& seed : options.seeds)
         seeds += (seeds.empty() ? "\"" : ", \"") + addressOf(seed + ".peers") + "\"";
     const std::string text = "[node]\nname = \"" + options.name + "\"\nfailure_domain = \"" + options.domain + "\"\ncallers = \"" + addressOf(options.name)
-        + "\"\npeers = \"" + addressOf(options.name + ".peers") + "\"\nseeds = [" + seeds + "]\ncluster_key = \"a key for tests only\"\n\n[platform]\nurls = [\""
+        + "\"\npeers = \"" + addressOf(options.name + ".peers") + "\"\nseeds = [" + seeds + "]\ncluster_key = \"a key for tests only\"\noperator_key = \"" + operatorKey + "\"\n\n[platform]\nurls = [\""
         + urlOf(options.platform) + "\"]\ninstances_url = \"" + urlOf(options.platform) + "/instances\"\n\n" + options.settings;
     startProcess(options.name, "hemlockweir", { "--settings", writeFile(options.name + ".toml", text) });
 }
@@ -248,7 +248,7 @@
 
 QJsonObject Cluster::status(const std::string& node)
 {
-    return call("GET", urlOf(node) + "/operator/status").json();
+    return call("GET", urlOf(node) + "/operator/status", {}, { { "Authorization", QByteArray("Bearer ") + operatorKey } }).json();
 }
 
 std::vector<QJsonObject> Cluster::wholeGroups(const std::string& node)
@@ -277,6 +277,18 @@
     return processes_.at(name).log;
 }
 
+qint64 Cluster::peakMemory(const std::string& name)
+{
+    QFile file("/proc/" + QString::number(processes_.at(name).process->processId()) + "/status");
+    EXPECT_TRUE(file.open(QIODevice::ReadOnly));
+    constexpr qint64 bytesPerKilobyte = 1024;
+    for (const QByteArray& line : file.readAll().split('\n')) {
+        if (line.startsWith("VmHWM:"))
+            return line.mid(6).trimmed().split(' ').front().toLongLong() * bytesPerKilobyte;
+    }
+    return 0;
+}
+
 std::string makeServiceFile(int members)
 {
     return R"([[priority]]
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -23,6 +23,9 @@
 
 namespace hemlockweir {
 
+// The key that every node of a test expects from operators.
+inline constexpr char operatorKey[] = "an operator key for tests";
+
 // An HTTP answer, or how the call ended without one.
 struct Answer {
     CallEnd end = CallEnd::NotSent;
@@ -126,6 +129,9 @@
     // Standard error of a process so far.
     QByteArray logOf(const std::string& name);
 
+    // Largest resident memory of a process so far, in bytes.
+    qint64 peakMemory(const std::string& name);
+
 private:
     struct Process {
         QString program;
