--- a/standins/StandIn.cpp
+++ b/standins/StandIn.cpp
@@ -17,20 +17,33 @@
     return options;
 }
 
-StandIn::StandIn(const std::string& listen, Handler handler)
+StandIn::StandIn(const boost::program_options::variables_map& values, Handler handler)
     : handler_(std::move(handler))
-    , server_(makeOptions(listen), [this](std::shared_ptr<Exchange> exchange) { handle(std::move(exchange)); })
+    , server_(makeOptions(values["listen"].as<std::string>()), [this](std::shared_ptr<Exchange> exchange) { handle(std::move(exchange)); })
 {
     if (const absl::Status status = server_.start(); !status.ok()) {
         std::cerr << status.message() << '\n';
         std::exit(1);
     }
+    if (values.count("effects") == 0)
+        return;
+    effectsFile_.setFileName(QString::fromStdString(values["effects"].as<std::string>()));
+    if (!effectsFile_.open(QIODevice::WriteOnly | QIODevice::Append | QIODevice::Unbuffered)) {
+        std::cerr << "cannot write " << values["effects"].as<std::string>() << '\n';
+        std::exit(1);
+    }
+    note("started");
 }
 
 void StandIn::note(const QString& what, QJsonObject fields)
 {
+    const qint64 at = QDateTime::currentMSecsSinceEpoch();
     fields["what"] = what;
-    effects_.push_back({ .at = QDateTime::currentMSecsSinceEpoch(), .fields = std::move(fields) });
+    effects_.push_back({ .at = at, .fields = fields });
+    if (!effectsFile_.isOpen())
+        return;
+    fields["at"] = static_cast<double>(at);
+    effectsFile_.write(QJsonDocument(fields).toJson(QJsonDocument::Compact) + "\n");
 }
 
 bool StandIn::takeFault(const char* name)
@@ -74,6 +87,12 @@
     exchange.sendJson(200, { { "effects", list } });
 }
 
+void addStandInOptions(boost::program_options::options_description& description)
+{
+    description.add_options()("listen", boost::program_options::value<std::string>()->required(), "ADDRESS:PORT")(
+        "effects", boost::program_options::value<std::string>(), "file that the log of effects is appended to, so that it outlives the process");
+}
+
 boost::program_options::variables_map readOptions(int argc, char** argv, const boost::program_options::options_description& description)
 {
     boost::program_options::variables_map values;
--- a/standins/StandIn.h
+++ b/standins/StandIn.h
@@ -2,6 +2,7 @@
 
 #include "http/HttpServer.h"
 
+#include <QFile>
 #include <QJsonObject>
 #include <boost/program_options.hpp>
 #include <string>
@@ -21,8 +22,9 @@
 public:
     using Handler = std::function<void(std::shared_ptr<Exchange>)>;
 
-    // Starts a server that answers /faults and /effects itself and passes the rest on.
-    StandIn(const std::string& listen, Handler handler);
+    // Starts a server that answers /faults and /effects itself and passes the rest on. `values`
+    // holds the options added by addStandInOptions().
+    StandIn(const boost::program_options::variables_map& values, Handler handler);
 
     // Adds to the log of effects.
     void note(const QString& what, QJsonObject fields = {});
@@ -47,8 +49,12 @@
     HttpServer server_;
     QJsonObject faults_;
     std::vector<Effect> effects_;
+    QFile effectsFile_;
 };
 
+// Adds the options that every stand-in takes: --listen and --effects.
+void addStandInOptions(boost::program_options::options_description& description);
+
 // Reads the options of a stand-in; exits with a message when they are wrong.
 boost::program_options::variables_map readOptions(int argc, char** argv, const boost::program_options::options_description& description);
 
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -52,10 +52,10 @@
 
 class Engine {
 public:
-    Engine(const std::string& listen, EngineOptions engineOptions)
+    Engine(const boost::program_options::variables_map& values, EngineOptions engineOptions)
         : options_(std::move(engineOptions))
         , incarnation_(QString::number(nowMs()))
-        , standIn_(listen, [this](std::shared_ptr<Exchange> exchange) { handle(std::move(exchange)); })
+        , standIn_(values, [this](std::shared_ptr<Exchange> exchange) { handle(std::move(exchange)); })
     {
         QObject::connect(&stepTimer_, &QTimer::timeout, [this] { step(); });
         QObject::connect(&memberTimer_, &QTimer::timeout, [this] { checkMembers(); });
@@ -209,7 +209,7 @@
             .nextAt = 0,
             .seed = prompt.toUtf8() + QByteArray::number(body["seed"].toDouble(), 'f', 0),
         };
-        standIn_.note("run_started", { { "request", requestId }, { "attempt", run.attempt }, { "from", run.next }, { "group", group_ }, { "epoch", epoch_ }, { "rank", run.rank } });
+        standIn_.note("run_started", { { "request", requestId }, { "prompt", prompt.left(64) }, { "attempt", run.attempt }, { "from", run.next }, { "group", group_ }, { "epoch", epoch_ }, { "rank", run.rank } });
         exchange->startStream("text/event-stream");
         // Urgent work goes before what waits already.
         auto at = queue_.begin();
@@ -300,11 +300,12 @@
     QCoreApplication application(argc, argv);
     EngineOptions engine;
     options::options_description description("Stand-in of a model engine");
-    description.add_options()("listen", options::value<std::string>()->required(), "ADDRESS:PORT")("id", options::value(&engine.id)->required(), "instance id")(
+    addStandInOptions(description);
+    description.add_options()("id", options::value(&engine.id)->required(), "instance id")(
         "slots", options::value(&engine.slots), "requests at once")("token-ms", options::value(&engine.tokenMs), "ms for each token")(
         "prefill-ms", options::value(&engine.prefillMs), "ms before the first token")("load-ms", options::value(&engine.loadMs), "ms to load a model")(
         "load-lag-ms", options::value(&engine.loadLagMs), "ms that the reported load is old")("fencing", options::value(&engine.checksFencing), "refuse orders with an old epoch");
     const auto values = readOptions(argc, argv, description);
-    Engine standIn(values["listen"].as<std::string>(), engine);
+    Engine standIn(values, engine);
     return QCoreApplication::exec();
 }
--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -16,10 +16,10 @@
 
 class Service {
 public:
-    Service(const std::string& listen, std::string id)
+    Service(const boost::program_options::variables_map& values, std::string id)
         : id_(std::move(id))
         , incarnation_(QString::number(QDateTime::currentMSecsSinceEpoch()))
-        , standIn_(listen, [this](std::shared_ptr<Exchange> exchange) { handle(exchange); })
+        , standIn_(values, [this](std::shared_ptr<Exchange> exchange) { handle(exchange); })
     {
     }
 
@@ -61,8 +61,9 @@
 {
     QCoreApplication application(argc, argv);
     options::options_description description("Stand-in of a plain service");
-    description.add_options()("listen", options::value<std::string>()->required(), "ADDRESS:PORT")("id", options::value<std::string>()->required(), "instance id");
+    addStandInOptions(description);
+    description.add_options()("id", options::value<std::string>()->required(), "instance id");
     const auto values = readOptions(argc, argv, description);
-    Service service(values["listen"].as<std::string>(), values["id"].as<std::string>());
+    Service service(values, values["id"].as<std::string>());
     return QCoreApplication::exec();
 }
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -54,8 +54,8 @@
 // A step of a transaction may fail its compare without failing the steps around it.
 class Store {
 public:
-    explicit Store(const std::string& listen)
-        : standIn_(listen, [this](std::shared_ptr<Exchange> exchange) { admit(std::move(exchange)); })
+    explicit Store(const boost::program_options::variables_map& values)
+        : standIn_(values, [this](std::shared_ptr<Exchange> exchange) { admit(std::move(exchange)); })
     {
         QObject::connect(&timer_, &QTimer::timeout, [this] { expireLeases(); });
         timer_.start(50);
@@ -300,8 +300,8 @@
 {
     QCoreApplication application(argc, argv);
     boost::program_options::options_description description("Stand-in of the platform");
-    description.add_options()("listen", boost::program_options::value<std::string>()->required(), "ADDRESS:PORT");
+    addStandInOptions(description);
     const auto values = readOptions(argc, argv, description);
-    Store store(values["listen"].as<std::string>());
+    Store store(values);
     return QCoreApplication::exec();
 }
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -115,6 +115,7 @@
 
     // Stand-ins.
     void setFaults(const std::string& name, const QJsonObject& faults);
+    // What a stand-in truly did, over all its restarts; an empty `what` means everything.
     std::vector<QJsonObject> effects(const std::string& name, const QString& what);
 
     // What a node knows, and waiting for it.
@@ -136,6 +137,7 @@
 
     void startProcess(const std::string& name, const QString& program, const QStringList& arguments);
     QString writeFile(const std::string& name, const std::string& text);
+    QString effectsFileOf(const std::string& name) const;
     std::string loopbackAddress() const;
 
     QString folder_;
