Add the shared report, explain, drain and a hemlockctl of one file a command

Cause: operators had four commands without help or exit codes, no way to ask why, and no report. Figures lived in one process and died with it.

Change: CounterTable keeps figures by node incarnation and merges copies by the larger value; ReportKeeper tells changed rows to peers each second, writes its own part under /hemlockweir/report/NODE/INCARNATION by compare-and-put each 30 s and at a planned stop, and writes the part of an incarnation that has fallen silent for it. RequestLog and GroupLog (4096 events each) answer explain. parseConfiguration refuses wrong types instead of taking defaults. Publishes carry author and time; a conflict names them and the entries that differ.

Ruled out: one total per node that is added to at each flush (a write whose answer is lost counts twice); gossip of every part by every node (grows with the fleet; only own rows travel).

Failed first: Report.SaysWhatItCouldNotHearFrom (Qt's warning about a POST it can not send again stood before the JSON), Ctl.ExplainsWhyAGroupIsDown (a group whose leader died vanished without a reason), Ctl.TeachesEveryCommand.

Not covered: parts of ended incarnations are never folded, so keys grow with restarts; a killed node loses what it counted since its last message to peers (1 s by default).

--- a/packages/config/Configuration.cpp
+++ b/packages/config/Configuration.cpp
@@ -5,6 +5,7 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace hemlockweir {
@@ -71,58 +72,162 @@
         services.append(QJsonObject { { "name", text(service.name) }, { "pool", text(service.pool) },
             { "path", text(service.path) }, { "idempotent", service.idempotent } });
     }
-    const QJsonObject root { { "publication", text(configuration.publication) }, { "priorities", priorities }, { "callers", callers },
+    const QJsonObject root { { "publication", text(configuration.publication) }, { "author", text(configuration.author) },
+        { "published_at_ms", static_cast<double>(configuration.publishedAtMs) }, { "priorities", priorities }, { "callers", callers },
         { "models", models }, { "services", services } };
     return QJsonDocument(root).toJson(QJsonDocument::Compact);
 }
 
+// Reads the fields of one JSON object strictly. Unknown fields are let pass, so that nodes of two
+// versions can share a configuration; a known field of a wrong type never becomes a default.
+class FieldReader {
+public:
+    FieldReader(QJsonObject object, std::string where, absl::Status& status)
+        : object_(std::move(object))
+        , where_(std::move(where))
+        , status_(status)
+    {
+    }
+
+    std::string requireText(const char* name)
+    {
+        const QJsonValue value = object_[QLatin1String(name)];
+        if (!value.isString() || value.toString().isEmpty())
+            note(name, "is required and is a string");
+        return value.toString().toStdString();
+    }
+
+    std::string readText(const char* name)
+    {
+        const QJsonValue value = object_[QLatin1String(name)];
+        if (!value.isUndefined() && !value.isString())
+            note(name, "is a string");
+        return value.toString().toStdString();
+    }
+
+    double readNumber(const char* name, double fallback, double least, double most)
+    {
+        const QJsonValue value = object_[QLatin1String(name)];
+        if (value.isUndefined())
+            return fallback;
+        if (!value.isDouble() || !(value.toDouble() >= least && value.toDouble() <= most))
+            note(name, "is a number from " + std::to_string(least) + " to " + std::to_string(most));
+        return value.toDouble(fallback);
+    }
+
+    uint32_t readCount(const char* name, uint32_t fallback, uint32_t least, uint32_t most)
+    {
+        const double value = readNumber(name, fallback, least, most);
+        if (std::floor(value) != value)
+            note(name, "is a whole number");
+        return status_.ok() ? static_cast<uint32_t>(value) : fallback;
+    }
+
+    int64_t readTime(const char* name)
+    {
+        constexpr double mostExact = 9007199254740992.0; // 2^53
+        const double value = readNumber(name, 0, 0, mostExact);
+        return status_.ok() ? static_cast<int64_t>(value) : 0;
+    }
+
+    bool readBool(const char* name, bool fallback)
+    {
+        const QJsonValue value = object_[QLatin1String(name)];
+        if (!value.isUndefined() && !value.isBool())
+            note(name, "is true or false");
+        return value.toBool(fallback);
+    }
+
+    // One reader for each element of a required array of objects.
+    std::vector<FieldReader> readObjects(const char* name)
+    {
+        std::vector<FieldReader> readers;
+        const QJsonValue value = object_[QLatin1String(name)];
+        if (!value.isArray())
+            note(name, "is required and is an array");
+        for (const QJsonValue& element : value.toArray()) {
+            if (!element.isObject())
+                note(name, "holds objects only");
+            readers.emplace_back(element.toObject(), std::string(name) + "[" + std::to_string(readers.size()) + "].", status_);
+        }
+        return readers;
+    }
+
+private:
+    void note(const char* name, const std::string& message)
+    {
+        if (status_.ok())
+            status_ = absl::InvalidArgumentError(where_ + name + " " + message);
+    }
+
+    QJsonObject object_;
+    std::string where_;
+    absl::Status& status_;
+};
+
+static PriorityClass readPriority(FieldReader& fields)
+{
+    return { .name = fields.requireText("name"),
+        .rank = fields.readCount("rank", 0, 0, maxRank),
+        .firstTokenMs = fields.readCount("first_token_ms", 310, 1, maxFirstTokenMs),
+        .deadlineMs = fields.readCount("deadline_ms", 10000, 1, maxDeadlineMs),
+        .floorShare = fields.readNumber("floor_share", 0.0, 0.0, 1.0) };
+}
+
+static Caller readCaller(FieldReader& fields)
+{
+    return { .name = fields.requireText("name"),
+        .keySha256 = fields.requireText("key_sha256"),
+        .weight = fields.readNumber("weight", 1.0, minWeight, maxWeight),
+        .defaultPriority = fields.requireText("default_priority") };
+}
+
+static Model readModel(FieldReader& fields)
+{
+    return { .name = fields.requireText("name"),
+        .pool = fields.requireText("pool"),
+        .members = fields.readCount("members", 1, 1, maxMembers),
+        .replicas = fields.readCount("replicas", 0, 0, maxReplicas) };
+}
+
+static PlainService readService(FieldReader& fields)
+{
+    return { .name = fields.requireText("name"),
+        .pool = fields.requireText("pool"),
+        .path = fields.requireText("path"),
+        .idempotent = fields.readBool("idempotent", false) };
+}
+
+template <typename T>
+static std::vector<T> readAll(FieldReader& root, const char* name, T (*read)(FieldReader&))
+{
+    std::vector<T> items;
+    for (FieldReader& fields : root.readObjects(name))
+        items.push_back(read(fields));
+    return items;
+}
+
 absl::StatusOr<Configuration> parseConfiguration(const QByteArray& json)
 {
+    if (json.size() > maxConfigurationBytes)
+        return absl::InvalidArgumentError("configuration is larger than " + std::to_string(maxConfigurationBytes) + " bytes");
     QJsonParseError error {};
     const QJsonDocument document = QJsonDocument::fromJson(json, &error);
     if (!document.isObject())
         return absl::InvalidArgumentError("configuration is not a JSON object: " + error.errorString().toStdString());
-    const QJsonObject root = document.object();
+    absl::Status status;
+    FieldReader root(document.object(), "", status);
     Configuration configuration;
-    configuration.publication = root["publication"].toString().toStdString();
-    for (const QJsonValue& value : root["priorities"].toArray()) {
-        const QJsonObject object = value.toObject();
-        configuration.priorities.push_back({
-            .name = object["name"].toString().toStdString(),
-            .rank = static_cast<uint32_t>(object["rank"].toInt()),
-            .firstTokenMs = static_cast<uint32_t>(object["first_token_ms"].toInt()),
-            .deadlineMs = static_cast<uint32_t>(object["deadline_ms"].toInt()),
-            .floorShare = object["floor_share"].toDouble(),
-        });
-    }
-    for (const QJsonValue& value : root["callers"].toArray()) {
-        const QJsonObject object = value.toObject();
-        configuration.callers.push_back({
-            .name = object["name"].toString().toStdString(),
-            .keySha256 = object["key_sha256"].toString().toStdString(),
-            .weight = object["weight"].toDouble(1.0),
-            .defaultPriority = object["default_priority"].toString().toStdString(),
-        });
-    }
-    for (const QJsonValue& value : root["models"].toArray()) {
-        const QJsonObject object = value.toObject();
-        configuration.models.push_back({
-            .name = object["name"].toString().toStdString(),
-            .pool = object["pool"].toString().toStdString(),
-            .members = static_cast<uint32_t>(object["members"].toInt(1)),
-            .replicas = static_cast<uint32_t>(object["replicas"].toInt(1)),
-        });
-    }
-    for (const QJsonValue& value : root["services"].toArray()) {
-        const QJsonObject object = value.toObject();
-        configuration.services.push_back({
-            .name = object["name"].toString().toStdString(),
-            .pool = object["pool"].toString().toStdString(),
-            .path = object["path"].toString().toStdString(),
-            .idempotent = object["idempotent"].toBool(),
-        });
-    }
-    if (const absl::Status status = validateConfiguration(configuration); !status.ok())
+    configuration.publication = root.readText("publication");
+    configuration.author = root.readText("author");
+    configuration.publishedAtMs = root.readTime("published_at_ms");
+    configuration.priorities = readAll(root, "priorities", readPriority);
+    configuration.callers = readAll(root, "callers", readCaller);
+    configuration.models = readAll(root, "models", readModel);
+    configuration.services = readAll(root, "services", readService);
+    if (!status.ok())
+        return status;
+    if (status = validateConfiguration(configuration); !status.ok())
         return status;
     return configuration;
 }
--- a/packages/config/Configuration.h
+++ b/packages/config/Configuration.h
@@ -56,6 +56,8 @@
 // What is in force everywhere.
 struct Configuration {
     std::string publication; // unique id of the publish that wrote it
+    std::string author; // who published it, as given to hemlockctl; may be empty
+    int64_t publishedAtMs = 0; // wall time of the publish, ms since the epoch
     std::vector<PriorityClass> priorities;
     std::vector<Caller> callers;
     std::vector<Model> models;
@@ -71,6 +73,15 @@
     const PlainService* findService(const std::string& path) const;
 };
 
+// Ranges of the fields, in service files and in the published document alike.
+inline constexpr uint32_t maxRank = 9;
+inline constexpr uint32_t maxFirstTokenMs = 3600000; // ms
+inline constexpr uint32_t maxDeadlineMs = 86400000; // ms
+inline constexpr double minWeight = 0.001;
+inline constexpr double maxWeight = 1000000.0;
+inline constexpr uint32_t maxMembers = 64; // instances in one replica
+inline constexpr uint32_t maxReplicas = 10000; // in each failure domain
+
 // The platform's key of the configuration.
 inline constexpr char configurationKey[] = "/hemlockweir/configuration";
 
--- a/packages/config/Settings.h
+++ b/packages/config/Settings.h
@@ -56,6 +56,8 @@
     Millis statusFreshness { 1500 }; // ms, oldest report that still counts
     Millis leaseTtl { 5000 }; // ms, right to form groups in a failure domain
     Millis silenceTimeout { 2000 }; // ms without a token before a stream is given up
+    Millis reportShareInterval { 1000 }; // ms, between two tellings of figures to peers
+    Millis reportFlushInterval { 30000 }; // ms, between two writes of figures to the platform
     Millis shutdownTimeout { 60000 }; // ms for requests in flight at a planned stop
 };
 
--- /dev/null
+++ b/packages/ctl/Remote.cpp
@@ -0,0 +1,83 @@
+#include "ctl/Remote.h"
+
+#include <QDateTime>
+#include <QHostAddress>
+#include <QJsonDocument>
+#include <QUrlQuery>
+
+namespace hemlockweir {
+
+KvClient::Options platformOf(const CommandLine& line)
+{
+    KvClient::Options options;
+    options.endpoints.emplace_back(QString::fromStdString(line.platform));
+    return options;
+}
+
+static absl::StatusOr<KvRange> explainSilence(absl::StatusOr<KvRange> range)
+{
+    if (range.ok())
+        return range;
+    // A read changes nothing, so nothing is unknown about it.
+    return absl::UnavailableError("the platform gave no answer: " + std::string(range.status().message()));
+}
+
+absl::StatusOr<KvRange> readKey(KvClient& platform, const std::string& key)
+{
+    return explainSilence(await<KvRange>([&](const Callback<KvRange>& done) { platform.get(QByteArray::fromStdString(key), done); }));
+}
+
+absl::StatusOr<KvRange> readPrefix(KvClient& platform, const std::string& prefix)
+{
+    return explainSilence(await<KvRange>([&](const Callback<KvRange>& done) { platform.getPrefix(QByteArray::fromStdString(prefix), done); }));
+}
+
+static absl::StatusOr<QJsonObject> readAnswer(const std::string& node, const CallResult& result)
+{
+    constexpr int unauthorized = 401;
+    if (result.end != CallEnd::Answered)
+        return absl::UnavailableError("no answer from " + node + ": " + result.error.toStdString());
+    if (result.status == unauthorized)
+        return absl::PermissionDeniedError(node + " refused the operator key; set HEMLOCKWEIR_OPERATOR_KEY or --operator-key-file");
+    const QJsonDocument document = QJsonDocument::fromJson(result.body);
+    if (!result.isSuccess() || !document.isObject())
+        return absl::InternalError(node + " answered with HTTP status " + std::to_string(result.status));
+    return document.object();
+}
+
+absl::StatusOr<QJsonObject> askNode(const CommandLine& line, const std::string& node, const QString& path, const QString& queryName, const std::string& queryValue)
+{
+    QUrl url(QString::fromStdString(node));
+    url.setPath(path);
+    if (!queryName.isEmpty()) {
+        QUrlQuery query;
+        query.addQueryItem(queryName, QString::fromUtf8(QUrl::toPercentEncoding(QString::fromStdString(queryValue))));
+        url.setQuery(query);
+    }
+    HttpClient client;
+    std::shared_ptr<HttpCall> call;
+    const CallOptions options { .method = "GET", .url = url, .headers = { { "Authorization", "Bearer " + QByteArray::fromStdString(line.operatorKey) } }, .body = {} };
+    return await<QJsonObject>([&](const Callback<QJsonObject>& done) {
+        call = client.start(options, { .onHead = {}, .onData = {}, .onDone = [&node, done](const CallResult& result) { done(readAnswer(node, result)); } });
+    });
+}
+
+absl::Status checkServerUrl(const std::string& option, const std::string& text)
+{
+    const QUrl url(QString::fromStdString(text), QUrl::StrictMode);
+    if (url.isValid() && url.scheme() == "http" && !QHostAddress(url.host()).isNull())
+        return absl::OkStatus();
+    return absl::InvalidArgumentError(option + " takes http://ADDRESS:PORT with an IP number, not '" + text + "'");
+}
+
+void printJson(const CommandLine& line, const QJsonObject& object)
+{
+    line.out << QJsonDocument(object).toJson().toStdString();
+}
+
+std::string formatTime(double ms)
+{
+    return QDateTime::fromMSecsSinceEpoch(static_cast<qint64>(ms), Qt::UTC).toString(Qt::ISODate).toStdString();
+}
+
+} // namespace hemlockweir
--- a/packages/node/CallerApi.cpp
+++ b/packages/node/CallerApi.cpp
@@ -66,14 +66,43 @@
     }
     if (exchange.path() == "/operator/status")
         exchange.sendJson(200, hooks_.status());
+    else if (exchange.path() == "/operator/report")
+        exchange.sendJson(200, hooks_.report->report());
+    else if (exchange.path() == "/operator/explain")
+        explain(exchange);
     else
         sendError(exchange, { .status = 404, .type = "not_found", .message = "no such operator path", .outcome = Outcome::NotRun });
 }
 
+void CallerApi::explain(Exchange& exchange)
+{
+    const std::string request = exchange.query("request").toStdString();
+    const std::string group = exchange.query("group").toStdString();
+    const std::string instance = exchange.query("instance").toStdString();
+    if (!request.empty())
+        exchange.sendJson(200, hooks_.report->explainRequest(request));
+    else if (!group.empty())
+        exchange.sendJson(200, hooks_.report->explainGroup(group));
+    else if (!instance.empty())
+        exchange.sendJson(200, hooks_.report->explainInstance(instance));
+    else
+        sendError(exchange, { .status = 400, .type = "bad_request", .message = "name a request, a group or an instance", .outcome = Outcome::NotRun });
+}
+
+void CallerApi::refuse(Exchange& exchange, const CallerRequest& request, const ErrorReply& error)
+{
+    RequestRecord record { .caller = request.caller.name, .priority = request.priority.name, .end = RequestEnd::Refused };
+    record.requestId = request.requestId;
+    record.reason = error.type + ": " + error.message;
+    record.outcome = outcomeName(error.outcome);
+    tables_.metrics.recordRequest(record);
+    sendError(exchange, error);
+}
+
 bool CallerApi::admitCaller(Exchange& exchange, const CallerRequest& request)
 {
     if (!requests_.acquire(request.caller.name)) {
-        sendError(exchange, { .status = 429, .type = "too_many_requests", .message = "this caller has as many requests waiting and running here as it may", .outcome = Outcome::NotRun, .requestId = request.requestId, .retryAfter = Millis(1000) });
+        refuse(exchange, request, { .status = 429, .type = "too_many_requests", .message = "this caller has as many requests waiting and running here as it may", .outcome = Outcome::NotRun, .requestId = request.requestId, .retryAfter = Millis(1000) });
         return false;
     }
     QObject::connect(&exchange, &QObject::destroyed, [this, caller = request.caller.name] { requests_.release(caller); });
@@ -101,7 +130,7 @@
         error.message = "the model '" + completion->model + "' is not configured";
     }
     if (!error.message.empty()) {
-        sendError(*exchange, error);
+        refuse(*exchange, *read.request, error);
         return;
     }
     if (!admitCaller(*exchange, *read.request))
--- a/packages/node/CallerApi.h
+++ b/packages/node/CallerApi.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "node/CallerRequest.h"
+#include "node/ReportKeeper.h"
 #include "node/RequestCount.h"
 #include "node/Tables.h"
 
@@ -22,6 +23,7 @@
     struct Hooks {
         std::function<bool()> isReady; // for /readyz
         std::function<QJsonObject()> status; // for /operator/status; called on a worker thread
+        const ReportKeeper* report = nullptr; // for /operator/report and /operator/explain
     };
 
     CallerApi(Options options, Tables& tables, Hooks hooks);
@@ -32,6 +34,8 @@
 private:
     bool handleOpen(Exchange& exchange);
     void handleOperator(Exchange& exchange);
+    void explain(Exchange& exchange);
+    void refuse(Exchange& exchange, const CallerRequest& request, const ErrorReply& error);
     bool admitCaller(Exchange& exchange, const CallerRequest& request);
     void handleCompletion(std::shared_ptr<Exchange> exchange, bool isChat);
     void handlePlain(std::shared_ptr<Exchange> exchange);
--- a/packages/node/Flow.cpp
+++ b/packages/node/Flow.cpp
@@ -17,6 +17,7 @@
     handle_->flow = this;
     record_.caller = request_.caller.name;
     record_.priority = request_.priority.name;
+    record_.requestId = request_.requestId;
     exchange_->onGone = [this] {
         // The work goes on under a claim: the caller may come back for its answer.
         if (!claimed_) {
@@ -114,6 +115,8 @@
     if (ended_)
         return;
     error.requestId = request_.requestId;
+    record_.reason = error.type + ": " + error.message;
+    record_.outcome = outcomeName(error.outcome);
     if (claimed_ && error.outcome == Outcome::NotRun) {
         QMetaObject::invokeMethod(&tables_.ledger, [ledger = &tables_.ledger, claim = makeClaimRequest()] { ledger->abandon(claim); });
     }
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -90,7 +90,8 @@
         .clock = clock_,
         .random = random_,
         .silenceTimeout = settings_.silenceTimeout }
-    , api_({ .operatorKey = QByteArray::fromStdString(settings_.operatorKey), .maxRequestsPerCaller = settings_.maxRequestsPerCaller }, tables_, { .isReady = [this] { return isReady(); }, .status = [this] { return describe(); } })
+    , report_(makeReportOptions(), fleet_, platform_)
+    , api_({ .operatorKey = QByteArray::fromStdString(settings_.operatorKey), .maxRequestsPerCaller = settings_.maxRequestsPerCaller }, tables_, { .isReady = [this] { return isReady(); }, .status = [this] { return describe(); }, .report = &report_ })
     , server_(makeServerOptions(settings_), [this](std::shared_ptr<Exchange> exchange) { api_.handle(std::move(exchange)); })
 {
     connectParts();
@@ -105,6 +106,7 @@
         if (!peer.alive)
             scheduler_.dropPeer(peer.node);
     };
+    metrics_.onRequest = [this](const RequestRecord& record) { report_.record(record); };
     connect(&shareTimer_, &QTimer::timeout, this, &Node::shareTables);
     connect(&pumpTimer_, &QTimer::timeout, this, [this] { scheduler_.pump(); });
     connect(&stopTimer_, &QTimer::timeout, this, &Node::checkStopped);
@@ -119,6 +121,7 @@
         return status;
     follower_.start();
     manager_.start();
+    report_.start();
     shareTimer_.start(settings_.heartbeatInterval);
     pumpTimer_.start(pumpInterval);
     logInfo("node_started", { { "node", settings_.node }, { "incarnation", std::to_string(incarnation_) }, { "domain", settings_.domain }, { "callers", settings_.callers.toString() } });
@@ -145,7 +148,20 @@
     server_.stopListening();
     stopTimer_.stop();
     logInfo("node_stopped", { { "in_flight", std::to_string(inFlight) } });
-    onStopped_();
+    report_.stop(onStopped_);
+}
+
+ReportOptions Node::makeReportOptions()
+{
+    ReportOptions options { .own = { .node = settings_.node, .incarnation = incarnation_ }, .shareInterval = settings_.reportShareInterval, .flushInterval = settings_.reportFlushInterval };
+    options.freshness = settings_.statusFreshness;
+    options.clock = clock_;
+    options.broadcast = [this](const Counters& counters) { peers_.broadcast(counters); };
+    options.isRunning = [this](const PartId& id) {
+        const std::vector<Peer> peers = peers_.peers();
+        return std::any_of(peers.begin(), peers.end(), [&](const Peer& peer) { return peer.alive && peer.node == id.node && peer.incarnation == id.incarnation; });
+    };
+    return options;
 }
 
 Heartbeat Node::makeHeartbeat() const
@@ -189,6 +205,8 @@
         takeGroups(envelope);
     else if (envelope.kind == MessageKind::Usage)
         takeUsage(envelope);
+    else if (envelope.kind == MessageKind::Counters)
+        report_.takeCounters(envelope);
 }
 
 void Node::takeGroups(const Envelope& envelope)
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -38,6 +38,7 @@
     bool isReady() const;
     QJsonObject describe() const;
     Heartbeat makeHeartbeat() const;
+    ReportOptions makeReportOptions();
 
     Settings settings_;
     Clock clock_;
@@ -53,6 +54,7 @@
     ConfigFollower follower_;
     FleetManager manager_;
     Tables tables_;
+    ReportKeeper report_;
     CallerApi api_;
     HttpServer server_;
     QTimer shareTimer_;
--- /dev/null
+++ b/packages/node/ReportKeeper.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "fleet/FleetTable.h"
+#include "platform/KvClient.h"
+#include "report/CounterTable.h"
+#include "report/EventLog.h"
+#include "wire/Codec.h"
+
+#include <QTimer>
+
+// Keeps this node's figures of the shared report and copies of other nodes': tells changed rows
+// to peers at a slow pace and writes each part under a platform key of its own, so that figures
+// outlive the instance that counted them. Lives on the control thread; record(), report() and
+// the explain calls may come from any thread.
+
+namespace hemlockweir {
+
+struct ReportOptions {
+    PartId own;
+    Millis shareInterval { 1000 }; // ms, between two messages to peers
+    Millis flushInterval { 30000 }; // ms, between two writes to the platform
+    Millis freshness { 1500 }; // ms, oldest report of an instance that still counts
+    Clock clock; // of the fleet table
+    std::function<void(const Counters&)> broadcast; // to peers
+    std::function<bool(const PartId&)> isRunning; // whether a peer of this very incarnation is alive
+    std::function<std::vector<WasteRow>()> waste; // this incarnation's totals, by cause
+};
+
+class ReportKeeper : public QObject {
+    Q_OBJECT
+public:
+    ReportKeeper(ReportOptions options, FleetTable& fleet, KvClient& platform);
+
+    void start();
+
+    // Writes this node's figures once more; `done` follows also when the platform fails.
+    void stop(std::function<void()> done);
+
+    // Counts one finished request.
+    void record(const RequestRecord& record);
+
+    // Takes a peer's rows.
+    void takeCounters(const Envelope& envelope);
+
+    // Every part that this node holds, for `hemlockctl report`.
+    QJsonObject report() const;
+
+    // Why a request ended, a group is down, or an instance stands idle; each with its events.
+    QJsonObject explainRequest(const std::string& requestId) const;
+    QJsonObject explainGroup(const std::string& group) const;
+    QJsonObject explainInstance(const std::string& instance) const;
+
+private:
+    void share();
+    void flushAll();
+    void flush(const PartId& id, std::function<void()> done);
+    void write(const ReportPart& kept, int64_t modRevision, const std::function<void()>& done);
+    void settle(const ReportPart& written);
+    void countWaste();
+    void observeGroups();
+    std::string whyGone(const GroupSighting& group) const;
+
+    ReportOptions options_;
+    FleetTable& fleet_;
+    KvClient& platform_;
+    CounterTable table_;
+    RequestLog requests_;
+    GroupLog groups_;
+    QTimer shareTimer_;
+    QTimer flushTimer_;
+    ReportPart shared_; // own rows as last told to peers
+    std::map<PartId, ReportPart> kept_; // parts as last known to stand on the platform
+    size_t nextRepeat_ = 0;
+};
+
+// The platform's key of one part of the report.
+std::string reportKey(const PartId& id);
+
+} // namespace hemlockweir
--- a/packages/report/Metrics.cpp
+++ b/packages/report/Metrics.cpp
@@ -63,6 +63,8 @@
 
 void Metrics::recordRequest(const RequestRecord& record)
 {
+    if (onRequest)
+        onRequest(record);
     const std::string caller = families_->labelOf(record.caller);
     const prometheus::Labels labels { { "caller", caller }, { "priority", record.priority } };
     prometheus::Labels withEnd = labels;
--- a/packages/report/Metrics.h
+++ b/packages/report/Metrics.h
@@ -2,6 +2,7 @@
 
 #include "base/Clock.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -27,6 +28,9 @@
     Millis total { 0 }; // ms from arrival to the end
     uint32_t tokens = 0; // tokens sent to the caller
     uint32_t attempts = 0; // times it was sent to an endpoint
+    std::string requestId;
+    std::string reason; // why it was refused or failed; empty otherwise
+    std::string outcome; // "not_run", "run" or "unknown" as told to the caller; empty without an error
 };
 
 class Metrics {
@@ -36,6 +40,9 @@
 
     void recordRequest(const RequestRecord& record);
 
+    // Called for each recorded request, on any thread. Set it before the first.
+    std::function<void(const RequestRecord&)> onRequest;
+
     // Sets a gauge by name, such as "hemlockweir_waiting_requests".
     void setGauge(const std::string& name, const std::string& help, double value);
 
--- a/programs/hemlockctl.cpp
+++ b/programs/hemlockctl.cpp
@@ -1,138 +1,129 @@
-// The operators' command line.
+// The operators' command line: finds the command and runs it.
 
 #include "config/TomlReader.h"
-#include "ctl/Publish.h"
+#include "ctl/Command.h"
+#include "ctl/Remote.h"
 
 #include <QCoreApplication>
-#include <QJsonDocument>
+#include <algorithm>
 #include <boost/program_options.hpp>
+#include <cstdlib>
+#include <iomanip>
 #include <iostream>
 
 namespace options = boost::program_options;
 using namespace hemlockweir;
 
-static constexpr int exitFailed = 1;
-static constexpr int exitUsage = 2;
-static constexpr int exitConflict = 3;
-
-static constexpr char usage[] = "Usage: hemlockctl COMMAND [options]\n\n"
-                                "  validate FILE...           check service files\n"
-                                "  publish FILE... --platform URL [--base REVISION]\n"
-                                "                             collect service files and put them in force\n"
-                                "  show --platform URL        print the configuration in force\n"
-                                "  status --node URL          print what a node knows\n";
+static options::options_description describeOptions()
+{
+    options::options_description description("Options");
+    description.add_options()("help,h", "explain a command, with examples")("platform", options::value<std::string>()->default_value(""), "http://ADDRESS:PORT of the platform's key-value service")(
+        "node", options::value<std::vector<std::string>>()->default_value({}, ""), "http://ADDRESS:PORT of a node; may be given again")("base", options::value<int64_t>()->default_value(-1, "any"), "revision that the publish replaces")(
+        "json", options::bool_switch(), "print one JSON document")("by", options::value<std::string>()->default_value("", "$USER"), "who is at work, as others will read it")("reason", options::value<std::string>()->default_value(""), "why, as others will read it")(
+        "group", options::value<std::string>()->default_value(""), "a group")("instance", options::value<std::string>()->default_value(""), "an instance")("html", options::value<std::string>()->default_value(""), "file for the report's page")(
+        "operator-key-file", options::value<std::string>()->default_value("", "$HEMLOCKWEIR_OPERATOR_KEY"), "file that holds the operator key of the nodes");
+    return description;
+}
 
-static absl::StatusOr<Configuration> collectFiles(const std::vector<std::string>& paths)
+static void printUsage(std::ostream& out)
 {
-    std::vector<ServiceFile> files;
-    for (const std::string& path : paths) {
-        const absl::StatusOr<std::string> text = readTextFile(path);
-        if (!text.ok())
-            return text.status();
-        files.push_back({ .name = path, .text = *text });
-    }
-    return collectConfiguration(files);
+    out << "Usage: hemlockctl COMMAND [options]\n\n";
+    for (const Command& command : allCommands())
+        out << "  " << std::left << std::setw(10) << command.name << command.summary << '\n';
+    out << "\n`hemlockctl COMMAND --help` explains one with examples.\n\n"
+        << describeOptions()
+        << "\nExit codes: 0 done, 1 refused or not found, 2 wrong command line, 3 conflict with another\n"
+           "operator, 4 the platform or a node gave no answer.\n";
 }
 
-static int exitCodeOf(const absl::Status& status)
+static std::string readEnvironment(const char* name)
 {
-    if (status.ok())
-        return 0;
-    std::cerr << status.message() << '\n';
-    return absl::IsAborted(status) ? exitConflict : exitFailed;
+    const char* value = std::getenv(name);
+    return value ? value : "";
 }
 
-static int publish(const std::vector<std::string>& paths, const options::variables_map& values)
+// The key never stands on the command line, where every process could read it.
+static absl::StatusOr<std::string> readOperatorKey(const std::string& file)
 {
-    const absl::StatusOr<Configuration> configuration = collectFiles(paths);
-    if (!configuration.ok())
-        return exitCodeOf(configuration.status());
-    KvClient platform({ .endpoints = { QUrl(QString::fromStdString(values["platform"].as<std::string>())) } });
-    const PublishOptions publishOptions { .baseRevision = values["base"].as<int64_t>(), .random = makeSystemRandom() };
-    int code = exitFailed;
-    publishConfiguration(platform, *configuration, publishOptions, [&](const absl::StatusOr<int64_t>& revision) {
-        code = exitCodeOf(revision.status());
-        if (revision.ok())
-            std::cout << "published revision " << *revision << '\n';
-        QMetaObject::invokeMethod(QCoreApplication::instance(), &QCoreApplication::quit, Qt::QueuedConnection);
-    });
-    QCoreApplication::exec();
-    return code;
+    if (file.empty())
+        return readEnvironment("HEMLOCKWEIR_OPERATOR_KEY");
+    absl::StatusOr<std::string> text = readTextFile(file);
+    if (text.ok())
+        text->erase(text->find_last_not_of(" \t\r\n") + 1);
+    return text;
 }
 
-static int show(const options::variables_map& values)
+static CommandLine makeCommandLine(const options::variables_map& values)
 {
-    KvClient platform({ .endpoints = { QUrl(QString::fromStdString(values["platform"].as<std::string>())) } });
-    int code = exitFailed;
-    platform.get(configurationKey, [&](const absl::StatusOr<KvRange>& range) {
-        code = exitCodeOf(range.status());
-        if (range.ok() && range->entries.empty())
-            std::cout << "no configuration is published\n";
-        else if (range.ok())
-            std::cout << "revision " << range->entries.front().modRevision << '\n'
-                      << QJsonDocument::fromJson(range->entries.front().value).toJson().toStdString();
-        QCoreApplication::quit();
-    });
-    QCoreApplication::exec();
-    return code;
+    CommandLine line { .platform = values["platform"].as<std::string>(),
+        .nodes = values["node"].as<std::vector<std::string>>(),
+        .baseRevision = values["base"].as<int64_t>(),
+        .json = values["json"].as<bool>(),
+        .by = values["by"].as<std::string>(),
+        .reason = values["reason"].as<std::string>(),
+        .group = values["group"].as<std::string>(),
+        .instance = values["instance"].as<std::string>(),
+        .htmlFile = values["html"].as<std::string>(),
+        .out = std::cout,
+        .err = std::cerr };
+    line.arguments = values["arguments"].as<std::vector<std::string>>();
+    if (line.by.empty())
+        line.by = readEnvironment("USER");
+    return line;
 }
 
-static int status(const options::variables_map& values)
+static absl::Status checkUrls(const CommandLine& line)
 {
-    HttpClient client;
-    QUrl url(QString::fromStdString(values["node"].as<std::string>()));
-    url.setPath("/operator/status");
-    int code = exitFailed;
-    const auto call = client.start({ .method = "GET", .url = url, .headers = {}, .body = {} }, { .onHead = {}, .onData = {}, .onDone = [&](const CallResult& result) {
-        if (result.isSuccess()) {
-            std::cout << QJsonDocument::fromJson(result.body).toJson().toStdString();
-            code = 0;
-        } else {
-            std::cerr << "no answer from " << url.toString().toStdString() << ": " << result.error.toStdString() << '\n';
-        }
-        QCoreApplication::quit(); } });
-    QCoreApplication::exec();
-    return code;
+    if (!line.platform.empty()) {
+        if (absl::Status status = checkServerUrl("--platform", line.platform); !status.ok())
+            return status;
+    }
+    for (const std::string& node : line.nodes) {
+        if (absl::Status status = checkServerUrl("--node", node); !status.ok())
+            return status;
+    }
+    return absl::OkStatus();
 }
 
-static int runCommand(const std::string& command, const std::vector<std::string>& arguments, const options::variables_map& values)
+static ExitCode run(CommandLine line, const options::variables_map& values)
 {
-    if (command == "validate")
-        return exitCodeOf(collectFiles(arguments).status());
-    if (command == "publish" && values.count("platform") > 0)
-        return publish(arguments, values);
-    if (command == "show" && values.count("platform") > 0)
-        return show(values);
-    if (command == "status" && values.count("node") > 0)
-        return status(values);
-    std::cerr << usage;
-    return exitUsage;
+    if (line.arguments.empty()) {
+        printUsage(values.count("help") > 0 ? std::cout : std::cerr);
+        return values.count("help") > 0 ? ExitCode::Ok : ExitCode::Usage;
+    }
+    const std::vector<Command>& commands = allCommands();
+    const auto command = std::find_if(commands.begin(), commands.end(), [&](const Command& candidate) { return line.arguments.front() == candidate.name; });
+    if (command == commands.end())
+        return reportUsage(line, "unknown command '" + line.arguments.front() + "'; `hemlockctl --help` lists them");
+    if (values.count("help") > 0) {
+        std::cout << command->help;
+        return ExitCode::Ok;
+    }
+    line.arguments.erase(line.arguments.begin());
+    if (const absl::Status status = checkUrls(line); !status.ok())
+        return reportUsage(line, std::string(status.message()));
+    const absl::StatusOr<std::string> key = readOperatorKey(values["operator-key-file"].as<std::string>());
+    if (!key.ok())
+        return reportFailure(line, key.status());
+    line.operatorKey = *key;
+    return command->run(line);
 }
 
 int main(int argc, char** argv)
 {
-    options::options_description description("Options");
-    description.add_options()("help,h", "show this text")("platform", options::value<std::string>(), "http://ADDRESS:PORT of the platform's key-value service")(
-        "node", options::value<std::string>(), "http://ADDRESS:PORT of a node")("base", options::value<int64_t>()->default_value(-1), "revision that the publish replaces")(
-        "arguments", options::value<std::vector<std::string>>()->default_value({}, ""), "command and files");
+    options::options_description all = describeOptions();
+    all.add_options()("arguments", options::value<std::vector<std::string>>()->default_value({}, ""), "command and files");
     options::positional_options_description positional;
     positional.add("arguments", -1);
     options::variables_map values;
     try {
-        options::store(options::command_line_parser(argc, argv).options(description).positional(positional).run(), values);
+        options::store(options::command_line_parser(argc, argv).options(all).positional(positional).run(), values);
     } catch (const options::error& error) {
-        std::cerr << error.what() << "\n\n"
-                  << usage;
-        return exitUsage;
-    }
-    std::vector<std::string> arguments = values["arguments"].as<std::vector<std::string>>();
-    if (values.count("help") > 0 || arguments.empty()) {
-        std::cout << usage << '\n'
-                  << description;
-        return arguments.empty() && values.count("help") == 0 ? exitUsage : 0;
+        std::cerr << error.what() << "; `hemlockctl --help` lists the options\n";
+        return static_cast<int>(ExitCode::Usage);
     }
-    const std::string command = arguments.front();
-    arguments.erase(arguments.begin());
+    // Qt's own warnings, such as on a POST that it may not send again, stand in the answers too.
+    qInstallMessageHandler([](QtMsgType, const QMessageLogContext&, const QString&) {});
     QCoreApplication application(argc, argv);
-    return runCommand(command, arguments, values);
+    return static_cast<int>(run(makeCommandLine(values), values));
 }
--- /dev/null
+++ b/tests/ReportProcessTest.cpp
@@ -0,0 +1,137 @@
+// The shared report from real nodes: nothing lost, nothing doubled.
+
+#include "support/Cluster.h"
+
+#include <QFile>
+#include <QJsonDocument>
+#include <gtest/gtest.h>
+
+namespace hemlockweir {
+
+class Report : public testing::Test {
+protected:
+    void start(const std::string& timing)
+    {
+        cluster.startStore();
+        cluster.startEngines({ .count = 2, .domain = "a", .fabric = "a1" });
+        for (const char* name : { "n1", "n2" })
+            cluster.startNode({ .name = name, .domain = "a", .seeds = { "n1", "n2" }, .settings = "[timing]\n" + timing });
+        ASSERT_EQ(cluster.publish(makeServiceFile(2)), 0);
+        ASSERT_TRUE(cluster.waitForGroups("n1", 1));
+        ASSERT_TRUE(cluster.waitForGroups("n2", 1));
+        ASSERT_TRUE(waitUntil([this] { return cluster.status("n1")["peers"].toArray().size() == 1 && cluster.status("n2")["peers"].toArray().size() == 1; }));
+    }
+
+    QString platform() { return QString::fromStdString(cluster.urlOf("store")); }
+    QString node(const std::string& name) { return QString::fromStdString(cluster.urlOf(name)); }
+
+    QJsonObject report(const QStringList& sources, int expectedCode = 0)
+    {
+        QByteArray output;
+        EXPECT_EQ(cluster.runCtl(QStringList { "report", "--json" } + sources, &output), expectedCode) << output.constData();
+        return QJsonDocument::fromJson(output).object();
+    }
+
+    static double figure(const QJsonObject& report, const char* rows, const char* name, const char* field)
+    {
+        for (const QJsonValue& row : report[QLatin1String(rows)].toArray()) {
+            if (row.toObject()["name"].toString() == name)
+                return row.toObject()[QLatin1String(field)].toDouble();
+        }
+        return 0;
+    }
+
+    bool waitForAsked(const QStringList& sources, double asked)
+    {
+        return waitUntil([&] { return figure(report(sources), "by_caller", "caller", "asked") >= asked; });
+    }
+
+    void expectSameAsEngines(const QJsonObject& answer)
+    {
+        double runs = 0;
+        double tokens = 0;
+        for (const char* engine : { "a1-1", "a1-2" }) {
+            for (const QJsonObject& effect : cluster.effects(engine, "run_finished")) {
+                ++runs;
+                tokens += effect["tokens"].toDouble();
+            }
+        }
+        EXPECT_EQ(figure(answer, "by_caller", "caller", "whole") + figure(answer, "by_caller", "caller", "late"), runs);
+        EXPECT_EQ(figure(answer, "by_caller", "caller", "tokens"), tokens);
+    }
+
+    Cluster cluster;
+};
+
+TEST_F(Report, EqualsWhatTheEnginesRan)
+{
+    start("report_share_interval_ms = 50\nreport_flush_interval_ms = 100\n");
+    for (int i = 0; i < 3; ++i) {
+        ASSERT_EQ(cluster.ask("n1", { .maxTokens = 4 }).status, 200);
+        ASSERT_EQ(cluster.ask("n2", { .maxTokens = 2, .headers = { { "X-Priority", "batch" } } }).status, 200);
+    }
+    EXPECT_EQ(cluster.ask("n1", { .model = "nobody" }).status, 404);
+    const QStringList sources { "--platform", platform(), "--node", node("n1"), "--node", node("n2") };
+    ASSERT_TRUE(waitForAsked(sources, 7));
+    const QJsonObject answer = report(sources);
+    expectSameAsEngines(answer);
+    EXPECT_EQ(figure(answer, "by_caller", "caller", "asked"), 7);
+    EXPECT_EQ(figure(answer, "by_caller", "caller", "refused"), 1);
+    EXPECT_EQ(figure(answer, "by_priority", "batch", "asked"), 3);
+    EXPECT_EQ(answer["parts"].toArray().size(), 2);
+    // What stands on the platform alone is the same, once it is flushed.
+    EXPECT_TRUE(waitForAsked({ "--platform", platform() }, 7));
+    expectSameAsEngines(report({ "--platform", platform() }));
+}
+
+TEST_F(Report, KeepsTheFiguresOfAKilledNode)
+{
+    // No node writes its own figures in this test's time before the kill: only peers hold them.
+    start("report_share_interval_ms = 50\nreport_flush_interval_ms = 2000\n");
+    ASSERT_EQ(cluster.ask("n1", { .maxTokens = 4 }).status, 200);
+    ASSERT_TRUE(waitForAsked({ "--node", node("n2") }, 1));
+    cluster.kill("n1");
+    // The survivor writes the dead node's part; a replacement counts under a part of its own.
+    EXPECT_TRUE(waitForAsked({ "--platform", platform() }, 1));
+    cluster.restart("n1");
+    ASSERT_TRUE(cluster.waitForGroups("n1", 1));
+    ASSERT_EQ(cluster.ask("n1", { .maxTokens = 4 }).status, 200);
+    const QStringList sources { "--platform", platform(), "--node", node("n1"), "--node", node("n2") };
+    ASSERT_TRUE(waitForAsked(sources, 2));
+    expectSameAsEngines(report(sources));
+}
+
+TEST_F(Report, DoublesNothingWhenAnswersOfWritesAreLost)
+{
+    start("report_share_interval_ms = 50\nreport_flush_interval_ms = 100\n");
+    cluster.setFaults("store", { { "lose_answers", 6 } });
+    ASSERT_EQ(cluster.ask("n1", { .maxTokens = 4 }).status, 200);
+    ASSERT_EQ(cluster.ask("n2", { .maxTokens = 4 }).status, 200);
+    EXPECT_TRUE(waitForAsked({ "--platform", platform() }, 2));
+    const QStringList sources { "--platform", platform(), "--node", node("n1"), "--node", node("n2") };
+    expectSameAsEngines(report(sources));
+    EXPECT_EQ(figure(report(sources), "by_caller", "caller", "asked"), 2);
+}
+
+TEST_F(Report, SaysWhatItCouldNotHearFrom)
+{
+    start("report_share_interval_ms = 50\n");
+    ASSERT_EQ(cluster.ask("n1", { .maxTokens = 4 }).status, 200);
+    ASSERT_TRUE(waitForAsked({ "--node", node("n2") }, 1));
+    cluster.setFaults("store", { { "down", true } });
+    cluster.kill("n1");
+    const QJsonObject answer = report({ "--platform", platform(), "--node", node("n1"), "--node", node("n2") }, 4);
+    EXPECT_EQ(answer["not_heard_from"].toArray().size(), 2);
+    EXPECT_EQ(figure(answer, "by_caller", "caller", "asked"), 1);
+}
+
+TEST_F(Report, WritesItsFiguresAtAPlannedStop)
+{
+    start("report_flush_interval_ms = 3600000\n");
+    ASSERT_EQ(cluster.ask("n1", { .maxTokens = 4 }).status, 200);
+    cluster.terminate("n1");
+    ASSERT_TRUE(cluster.waitForExit("n1"));
+    expectSameAsEngines(report({ "--platform", platform() }));
+}
+
+} // namespace hemlockweir
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -188,6 +188,10 @@
 {
     QProcess process;
     process.setProcessChannelMode(QProcess::MergedChannels);
+    QProcessEnvironment environment = QProcessEnvironment::systemEnvironment();
+    environment.insert("HEMLOCKWEIR_OPERATOR_KEY", operatorKey);
+    environment.insert("USER", "test-desk");
+    process.setProcessEnvironment(environment);
     process.start(QString(BIN_DIR) + "/hemlockctl", arguments);
     EXPECT_TRUE(waitUntil([&] { return process.state() == QProcess::NotRunning; }));
     const QByteArray text = process.readAll();
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -105,6 +105,9 @@
     std::vector<Instance>& instances() { return instances_; }
     void publishInstances();
 
+    // Writes a file into the test's own folder; returns its path.
+    QString writeFile(const std::string& name, const std::string& text);
+
     // Publishes a service file with hemlockctl; returns its exit code.
     int publish(const std::string& serviceFile);
     // Runs hemlockctl; its output is in `output`.
@@ -142,7 +145,6 @@
     };
 
     void startProcess(const std::string& name, const QString& program, const QStringList& arguments);
-    QString writeFile(const std::string& name, const std::string& text);
     QString effectsFileOf(const std::string& name) const;
     std::string loopbackAddress() const;
 
