--- a/packages/fleet/DomainLease.cpp
+++ b/packages/fleet/DomainLease.cpp
@@ -2,12 +2,16 @@
 
 #include "base/Log.h"
 
+#include <QJsonDocument>
+
 namespace hemlockweir {
 
 // Orders that one holder can give: the low bits of a fencing number.
 static constexpr int orderBits = 20;
 // Part of the lease's life after which its holder stops trusting it.
 static constexpr double trustedShare = 0.8;
+// Renewals in the life of a lease.
+static constexpr int renewalsPerTtl = 4;
 
 DomainLease::DomainLease(Options options, KvClient& platform)
     : options_(std::move(options))
@@ -31,13 +35,30 @@
     return (static_cast<uint64_t>(term_) << orderBits) | ++orders_;
 }
 
-void DomainLease::keep()
+Millis DomainLease::trustedUntil(Millis askedAt) const
+{
+    return askedAt + std::chrono::duration_cast<Millis>(options_.ttl * trustedShare);
+}
+
+// Tries are spread by chance, so that nodes that lost the platform together do not come back to
+// it together.
+void DomainLease::scheduleNext(size_t rank)
+{
+    if (term_ != 0) {
+        nextTry_ = options_.clock() + Millis(options_.ttl) / renewalsPerTtl;
+        return;
+    }
+    const int64_t mean = options_.tryInterval.count() * static_cast<int64_t>(1 + rank);
+    nextTry_ = options_.clock() + Millis(mean / 2 + static_cast<int64_t>(options_.random() % static_cast<uint64_t>(mean)));
+}
+
+void DomainLease::keep(size_t rank)
 {
-    const Millis now = options_.clock();
-    if (busy_ || now < nextTry_)
+    isWanted_ = true;
+    if (isBusy_ || options_.clock() < nextTry_)
         return;
-    nextTry_ = now + Millis(options_.ttl) / 4;
-    if (lease_ != 0 && term_ != 0)
+    scheduleNext(rank);
+    if (term_ != 0)
         renew();
     else
         acquire();
@@ -45,47 +66,80 @@
 
 void DomainLease::acquire()
 {
-    busy_ = true;
-    const Millis askedAt = options_.clock();
-    platform_.get(key(), [this, askedAt](absl::StatusOr<KvRange> range) {
-        busy_ = false;
-        if (!range.ok() || !range->entries.empty())
+    isBusy_ = true;
+    platform_.get(key(), [this](absl::StatusOr<KvRange> range) {
+        isBusy_ = false;
+        if (!range.ok())
             return;
-        busy_ = true;
-        platform_.grantLease(options_.ttl, [this, askedAt](absl::StatusOr<int64_t> lease) {
-            busy_ = false;
-            if (lease.ok())
-                createKey(*lease, askedAt);
-        });
+        if (range->entries.empty())
+            grant();
+        else
+            takeEntry(range->entries.front());
+    });
+}
+
+// The answer to a write may be lost after it took effect; the value then tells that the key is
+// this node's own.
+void DomainLease::takeEntry(const KvEntry& entry)
+{
+    if (writtenLease_ == 0 || entry.value != value_)
+        return;
+    // Not trusted before a renewal shows that the lease under it still lives.
+    take(writtenLease_, entry.createRevision, Millis(0), "planner_lease_recognised");
+    if (term_ != 0)
+        renew();
+}
+
+void DomainLease::grant()
+{
+    isBusy_ = true;
+    const Millis askedAt = options_.clock();
+    platform_.grantLease(options_.ttl, [this, askedAt](absl::StatusOr<int64_t> lease) {
+        isBusy_ = false;
+        if (lease.ok() && isWanted_)
+            createKey(*lease, askedAt);
     });
 }
 
 void DomainLease::createKey(int64_t lease, Millis askedAt)
 {
-    busy_ = true;
-    const KvWrite write { .key = key(), .value = QByteArray::fromStdString(options_.node), .expectedModRevision = 0, .lease = lease };
+    isBusy_ = true;
+    const QJsonObject holder { { "node", QString::fromStdString(options_.node) },
+        { "incarnation", QString::number(options_.incarnation) },
+        { "nonce", QString::fromStdString(makeRandomId(options_.random)) } };
+    value_ = QJsonDocument(holder).toJson(QJsonDocument::Compact);
+    writtenLease_ = lease;
+    const KvWrite write { .key = key(), .value = value_, .expectedModRevision = 0, .lease = lease };
     platform_.compareAndPut(write, [this, lease, askedAt](absl::StatusOr<KvWriteResult> result) {
-        busy_ = false;
-        // After a lost answer the key may be held by nobody that knows it; its lease then lapses.
-        if (!result.ok() || !result->applied)
-            return;
-        lease_ = lease;
-        term_ = result->revision;
-        orders_ = 0;
-        heldUntil_ = askedAt + std::chrono::duration_cast<Millis>(options_.ttl * trustedShare);
-        logInfo("planner_lease_taken", { { "domain", options_.domain }, { "term", std::to_string(term_) } });
+        isBusy_ = false;
+        // Without an answer the key may or may not be this node's: it looks at once.
+        if (!result.ok())
+            nextTry_ = Millis(0);
+        else if (result->applied)
+            take(lease, result->revision, trustedUntil(askedAt), "planner_lease_taken");
     });
 }
 
+void DomainLease::take(int64_t lease, int64_t term, Millis heldUntil, const char* event)
+{
+    lease_ = lease;
+    term_ = term;
+    orders_ = 0;
+    heldUntil_ = heldUntil;
+    logInfo(event, { { "domain", options_.domain }, { "term", std::to_string(term_) } });
+    if (!isWanted_)
+        release();
+}
+
 void DomainLease::renew()
 {
-    busy_ = true;
+    isBusy_ = true;
     const Millis askedAt = options_.clock();
     platform_.renewLease(lease_, [this, askedAt](absl::StatusOr<int64_t> lease) {
-        busy_ = false;
+        isBusy_ = false;
         if (lease.ok())
-            heldUntil_ = askedAt + std::chrono::duration_cast<Millis>(options_.ttl * trustedShare);
-        else if (absl::IsNotFound(lease.status()))
+            heldUntil_ = trustedUntil(askedAt);
+        else if (absl::IsNotFound(lease.status()) && term_ != 0)
             drop();
     });
 }
@@ -95,10 +149,12 @@
     logWarning("planner_lease_lost", { { "domain", options_.domain } });
     lease_ = 0;
     term_ = 0;
+    writtenLease_ = 0;
 }
 
 void DomainLease::release()
 {
+    isWanted_ = false;
     if (term_ == 0)
         return;
     const int64_t term = term_;
--- a/packages/fleet/DomainLease.h
+++ b/packages/fleet/DomainLease.h
@@ -16,15 +16,20 @@
 public:
     struct Options {
         std::string domain;
-        std::string node; // written as the key's value
+        std::string node;
+        uint64_t incarnation = 0; // of this start of the node
         std::chrono::seconds ttl { 5 };
+        Millis tryInterval { 1000 }; // ms, mean time between two tries of the first node in rank
         Clock clock;
+        Random random;
     };
 
     DomainLease(Options options, KvClient& platform);
 
-    // Tries to take or renew the lease; call it often, it keeps its own pace.
-    void keep();
+    // Tries to take or renew the lease; call it often, it keeps its own pace. `rank` is this
+    // node's place among those that may hold the lease; a higher one tries less often, so that the
+    // platform gets few calls and yet no dead or cut-off node keeps the rest from trying.
+    void keep(size_t rank);
 
     // Stops renewing and deletes the key, so that another node need not wait.
     void release();
@@ -37,19 +42,27 @@
 
 private:
     QByteArray key() const;
+    void scheduleNext(size_t rank);
     void acquire();
+    void takeEntry(const KvEntry& entry);
+    void grant();
     void createKey(int64_t lease, Millis askedAt);
+    void take(int64_t lease, int64_t term, Millis heldUntil, const char* event);
     void renew();
     void drop();
+    Millis trustedUntil(Millis askedAt) const;
 
     Options options_;
     KvClient& platform_;
+    QByteArray value_; // of the latest write of the key; unlike any other node's or time's
+    int64_t writtenLease_ = 0; // under which value_ was written; 0: none was
     int64_t lease_ = 0;
     int64_t term_ = 0; // revision at which the key was created; 0 while not held
     uint64_t orders_ = 0;
     Millis heldUntil_ { 0 };
     Millis nextTry_ { 0 };
-    bool busy_ = false;
+    bool isBusy_ = false;
+    bool isWanted_ = true;
 };
 
 } // namespace hemlockweir
--- a/packages/fleet/FleetManager.cpp
+++ b/packages/fleet/FleetManager.cpp
@@ -65,10 +65,15 @@
 
 void FleetManager::pollInstances()
 {
+    std::set<std::string> observed;
     for (const InstanceView& view : table_.instances()) {
-        if (!polls_.contains(view.instance.id) && options_.shouldObserve(view.instance))
+        if (!options_.shouldObserve(view.instance))
+            continue;
+        observed.insert(view.instance.id);
+        if (!polls_.contains(view.instance.id))
             pollInstance(view.instance);
     }
+    table_.setObserved(observed);
 }
 
 void FleetManager::pollInstance(const Instance& instance)
@@ -106,7 +111,7 @@
 {
     DomainPlan& plan = plans_[domain];
     if (!plan.lease) {
-        DomainLease::Options lease { .domain = domain, .node = options_.node, .ttl = options_.leaseTtl, .clock = options_.clock };
+        DomainLease::Options lease { .domain = domain, .node = options_.node, .incarnation = options_.incarnation, .ttl = options_.leaseTtl, .clock = options_.clock, .random = options_.random };
         plan.lease = std::make_unique<DomainLease>(lease, platform_);
         plan.planner = std::make_unique<GroupPlanner>([raw = plan.lease.get()] { return raw->nextEpoch(); });
     }
@@ -116,7 +121,7 @@
 void FleetManager::planDomain(const std::string& domain)
 {
     DomainPlan& plan = planFor(domain);
-    plan.lease->keep();
+    plan.lease->keep(options_.rankFor(domain));
     const bool isHeld = plan.lease->isHeld();
     if (isHeld && !plan.wasHeld)
         plan.planner->reset();
--- a/packages/fleet/FleetManager.h
+++ b/packages/fleet/FleetManager.h
@@ -13,6 +13,7 @@
 
 struct FleetManagerOptions {
     std::string node;
+    uint64_t incarnation = 0; // of this start of the node
     std::string domain; // this node's failure domain
     QUrl instancesUrl;
     Millis statusInterval { 300 }; // ms, between two looks at an instance
@@ -20,8 +21,10 @@
     Millis listInterval { 1000 }; // ms, between two reads of the instance list
     std::chrono::seconds leaseTtl { 5 };
     Clock clock;
+    Random random;
     std::function<std::vector<Model>()> models; // in force now
     std::function<std::vector<std::string>()> domainsToPlan; // this node's, and those without a node
+    std::function<size_t(const std::string& domain)> rankFor; // this node's place among those that may plan it
     std::function<bool(const Instance&)> shouldObserve; // whether this node polls the instance
 };
 
--- a/packages/fleet/FleetTable.cpp
+++ b/packages/fleet/FleetTable.cpp
@@ -1,10 +1,14 @@
 #include "fleet/FleetTable.h"
 
 #include <algorithm>
-#include <set>
 
 namespace hemlockweir {
 
+// How long a peer's word on draining instances counts. Peers repeat it every heartbeat.
+static constexpr Millis drainingMemory { 5000 };
+// How long a suspicion is kept; reports are far newer by then.
+static constexpr Millis suspicionMemory { 60000 };
+
 static std::string suspicionKey(const std::string& group, uint64_t epoch)
 {
     return group + '#' + std::to_string(epoch);
@@ -21,42 +25,69 @@
     std::set<std::string> listed;
     for (const Instance& instance : instances) {
         listed.insert(instance.id);
-        instances_[instance.id].instance = instance;
+        instances_[instance.id].view.instance = instance;
     }
     std::erase_if(instances_, [&](const auto& entry) { return !listed.contains(entry.first); });
+    const Millis now = options_.clock();
+    remote_.prune(now);
+    std::erase_if(suspectedAt_, [&](const auto& entry) { return now - entry.second > suspicionMemory; });
+}
+
+void FleetTable::setObserved(const std::set<std::string>& ids)
+{
+    std::lock_guard lock(mutex_);
+    for (auto& [id, entry] : instances_) {
+        const bool isObserved = ids.contains(id);
+        if (isObserved && !entry.isObserved)
+            entry.observedSince = options_.clock();
+        entry.isObserved = isObserved;
+    }
 }
 
 void FleetTable::setStatus(const std::string& id, const InstanceStatus& status, Millis seenAt)
 {
     std::lock_guard lock(mutex_);
     const auto found = instances_.find(id);
-    if (found == instances_.end() || found->second.seenAt > seenAt)
+    if (found == instances_.end() || found->second.view.seenAt > seenAt)
         return;
-    found->second.status = status;
-    found->second.seenAt = seenAt;
+    found->second.view.status = status;
+    found->second.view.seenAt = seenAt;
 }
 
 void FleetTable::dropStatus(const std::string& id)
 {
     std::lock_guard lock(mutex_);
     const auto found = instances_.find(id);
-    if (found != instances_.end())
-        found->second.status.reset();
+    if (found == instances_.end())
+        return;
+    found->second.view.status.reset();
+    found->second.failedAt = options_.clock();
 }
 
-void FleetTable::setRemoteReplica(const std::string& observer, const Replica& replica)
+void FleetTable::setRemoteGroup(const RemoteGroup& row)
 {
     std::lock_guard lock(mutex_);
-    RemoteReplica& known = remote_[replica.group];
-    if (known.replica.epoch > replica.epoch)
-        return;
-    known = { .observer = observer, .replica = replica };
+    remote_.take(row);
+}
+
+void FleetTable::setDraining(const std::set<std::string>& ids)
+{
+    std::lock_guard lock(mutex_);
+    draining_ = ids;
+}
+
+std::set<std::string> FleetTable::ownDraining() const
+{
+    std::lock_guard lock(mutex_);
+    return draining_;
 }
 
-void FleetTable::dropRemoteReplica(const std::string& group)
+void FleetTable::setRemoteDraining(const std::string& observer, const std::vector<std::string>& ids, Millis saidAt)
 {
     std::lock_guard lock(mutex_);
-    remote_.erase(group);
+    RemoteDraining& known = remoteDraining_[observer];
+    if (saidAt >= known.saidAt)
+        known = { .ids = { ids.begin(), ids.end() }, .saidAt = saidAt };
 }
 
 void FleetTable::suspectGroup(const std::string& group, uint64_t epoch)
@@ -65,38 +96,54 @@
     suspectedAt_[suspicionKey(group, epoch)] = options_.clock();
 }
 
+bool FleetTable::isDraining(const std::string& id) const
+{
+    const Millis now = options_.clock();
+    return draining_.contains(id) || std::any_of(remoteDraining_.begin(), remoteDraining_.end(), [&](const auto& entry) {
+        return now - entry.second.saidAt <= drainingMemory && entry.second.ids.contains(id);
+    });
+}
+
+bool FleetTable::isSuspect(const std::string& group, uint64_t epoch, Millis reportedAt) const
+{
+    const auto found = suspectedAt_.find(suspicionKey(group, epoch));
+    return found != suspectedAt_.end() && reportedAt <= found->second;
+}
+
+// Why a member keeps its group from being whole; empty if it does not.
+std::string FleetTable::checkMember(const std::string& id, const InstanceStatus& claim, Millis now) const
+{
+    const auto found = instances_.find(id);
+    if (found == instances_.end())
+        return "member " + id + " is not listed";
+    const InstanceView& member = found->second.view;
+    if (!member.status || now - member.seenAt > options_.freshness)
+        return "member " + id + " does not report";
+    if (!member.status->isInGroupOf(claim))
+        return "member " + id + " reports another group or epoch";
+    if (member.status->state != EngineState::Ready)
+        return "member " + id + " is " + stateName(member.status->state);
+    if (member.isLeaving() || isDraining(id))
+        return "member " + id + " is leaving";
+    return {};
+}
+
 GroupCondition FleetTable::checkGroup(const InstanceView& leader, Millis now) const
 {
     const InstanceStatus& claim = *leader.status;
-    GroupCondition condition { .group = claim.group, .epoch = claim.epoch, .model = claim.model, .domain = leader.instance.domain, .members = claim.members, .whole = false, .reason = {}, .replica = {} };
+    GroupCondition condition { .group = claim.group, .epoch = claim.epoch, .model = claim.model, .domain = leader.instance.domain, .members = claim.members, .whole = false, .reason = {}, .replica = {}, .observer = {} };
+    if (std::set(claim.members.begin(), claim.members.end()).size() != claim.members.size()) {
+        condition.reason = "a member is named twice";
+        return condition;
+    }
     Millis oldest = leader.seenAt;
     for (const std::string& id : claim.members) {
-        const auto found = instances_.find(id);
-        if (found == instances_.end()) {
-            condition.reason = "member " + id + " is not listed";
-            return condition;
-        }
-        const InstanceView& member = found->second;
-        if (!member.status || now - member.seenAt > options_.freshness) {
-            condition.reason = "member " + id + " does not report";
-            return condition;
-        }
-        if (member.status->group != claim.group || member.status->epoch != claim.epoch || member.status->members != claim.members) {
-            condition.reason = "member " + id + " reports another group or epoch";
+        condition.reason = checkMember(id, claim, now);
+        if (!condition.reason.empty())
             return condition;
-        }
-        if (member.status->state != EngineState::Ready) {
-            condition.reason = "member " + id + " is " + stateName(member.status->state);
-            return condition;
-        }
-        if (member.status->leaving || member.instance.leaving) {
-            condition.reason = "member " + id + " is leaving";
-            return condition;
-        }
-        oldest = std::min(oldest, member.seenAt);
+        oldest = std::min(oldest, instances_.at(id).view.seenAt);
     }
-    const auto suspicion = suspectedAt_.find(suspicionKey(claim.group, claim.epoch));
-    if (suspicion != suspectedAt_.end() && oldest <= suspicion->second) {
+    if (isSuspect(claim.group, claim.epoch, oldest)) {
         condition.reason = "a request on it failed after the last report";
         return condition;
     }
@@ -108,7 +155,8 @@
 std::vector<GroupCondition> FleetTable::checkGroups(Millis now) const
 {
     std::vector<GroupCondition> conditions;
-    for (const auto& [id, view] : instances_) {
+    for (const auto& [id, entry] : instances_) {
+        const InstanceView& view = entry.view;
         const bool leads = view.status && !view.status->members.empty() && view.status->members.front() == id;
         if (leads)
             conditions.push_back(checkGroup(view, now));
@@ -116,36 +164,83 @@
     return conditions;
 }
 
-std::vector<Replica> FleetTable::findReplicas(const std::string& model) const
+// Whether this node's own knowledge of a member speaks against what a peer says of its group.
+bool FleetTable::contradicts(const Entry& entry, const RemoteGroup& group, Millis now) const
+{
+    const InstanceView& view = entry.view;
+    if (view.isLeaving() || isDraining(view.instance.id) || entry.failedAt >= group.reportedAt)
+        return true;
+    if (view.status && now - view.seenAt <= options_.freshness) {
+        const InstanceStatus& status = *view.status;
+        return status.state != EngineState::Ready || status.group != group.group || status.epoch != group.epoch || status.members != group.members;
+    }
+    return entry.isObserved && now - entry.observedSince > options_.freshness;
+}
+
+std::optional<GroupCondition> FleetTable::checkRemote(const RemoteGroup& group, Millis now) const
+{
+    if (group.members.empty() || isSuspect(group.group, group.epoch, group.reportedAt))
+        return std::nullopt;
+    for (const std::string& id : group.members) {
+        const auto found = instances_.find(id);
+        if (found == instances_.end() || contradicts(found->second, group, now))
+            return std::nullopt;
+    }
+    const Instance& leader = instances_.at(group.members.front()).view.instance;
+    return GroupCondition { .group = group.group,
+        .epoch = group.epoch,
+        .model = group.model,
+        .domain = group.domain,
+        .members = group.members,
+        .whole = true,
+        .reason = {},
+        .replica = { .group = group.group, .epoch = group.epoch, .model = group.model, .domain = group.domain, .leader = leader.address, .slots = group.slots, .running = group.running, .waiting = group.waiting, .reportedAt = group.reportedAt },
+        .observer = group.observer };
+}
+
+std::vector<GroupCondition> FleetTable::checkRemotes(Millis now) const
+{
+    std::vector<GroupCondition> conditions;
+    for (const RemoteGroup& group : remote_.current(now, options_.freshness)) {
+        if (std::optional<GroupCondition> condition = checkRemote(group, now))
+            conditions.push_back(*std::move(condition));
+    }
+    return conditions;
+}
+
+// Every whole group once. Where this node sees the group itself, a peer's row was held against
+// that view and says the same or was left out.
+std::vector<Replica> FleetTable::wholeReplicas() const
 {
-    std::lock_guard lock(mutex_);
     const Millis now = options_.clock();
-    std::vector<Replica> replicas;
+    std::map<std::string, Replica> replicas;
     for (const GroupCondition& condition : checkGroups(now)) {
-        if (condition.whole && condition.model == model)
-            replicas.push_back(condition.replica);
-    }
-    for (const auto& [group, remote] : remote_) {
-        const Replica& replica = remote.replica;
-        const bool isKnown = std::any_of(replicas.begin(), replicas.end(), [&](const Replica& other) { return other.group == replica.group; });
-        const auto suspicion = suspectedAt_.find(suspicionKey(group, replica.epoch));
-        const bool isSuspect = suspicion != suspectedAt_.end() && replica.reportedAt <= suspicion->second;
-        if (!isKnown && !isSuspect && replica.model == model && now - replica.reportedAt <= options_.freshness)
-            replicas.push_back(replica);
+        if (condition.whole)
+            replicas.try_emplace(condition.group, condition.replica);
     }
+    for (const GroupCondition& condition : checkRemotes(now))
+        replicas.try_emplace(condition.group, condition.replica);
+    std::vector<Replica> all;
+    for (auto& [group, replica] : replicas)
+        all.push_back(std::move(replica));
+    return all;
+}
+
+std::vector<Replica> FleetTable::findReplicas(const std::string& model) const
+{
+    std::lock_guard lock(mutex_);
+    std::vector<Replica> replicas = wholeReplicas();
+    std::erase_if(replicas, [&](const Replica& replica) { return replica.model != model; });
     return replicas;
 }
 
 std::optional<Replica> FleetTable::findReplica(const std::string& group, uint64_t epoch) const
 {
     std::lock_guard lock(mutex_);
-    for (const GroupCondition& condition : checkGroups(options_.clock())) {
-        if (condition.whole && condition.group == group && condition.epoch == epoch)
-            return condition.replica;
+    for (const Replica& replica : wholeReplicas()) {
+        if (replica.group == group && replica.epoch == epoch)
+            return replica;
     }
-    const auto remote = remote_.find(group);
-    if (remote != remote_.end() && remote->second.replica.epoch == epoch && options_.clock() - remote->second.replica.reportedAt <= options_.freshness)
-        return remote->second.replica;
     return std::nullopt;
 }
 
@@ -154,9 +249,10 @@
     std::lock_guard lock(mutex_);
     const Millis now = options_.clock();
     std::vector<Instance> found;
-    for (const auto& [id, view] : instances_) {
+    for (const auto& [id, entry] : instances_) {
+        const InstanceView& view = entry.view;
         const bool isFresh = view.status && now - view.seenAt <= options_.freshness;
-        if (view.instance.pool == pool && isFresh && !view.instance.leaving && !view.status->leaving)
+        if (view.instance.pool == pool && isFresh && !view.isLeaving() && !isDraining(id))
             found.push_back(view.instance);
     }
     return found;
@@ -166,8 +262,10 @@
 {
     std::lock_guard lock(mutex_);
     std::vector<InstanceView> all;
-    for (const auto& [id, view] : instances_)
-        all.push_back(view);
+    for (const auto& [id, entry] : instances_) {
+        all.push_back(entry.view);
+        all.back().draining = isDraining(id);
+    }
     return all;
 }
 
@@ -177,4 +275,16 @@
     return checkGroups(options_.clock());
 }
 
+std::vector<GroupCondition> FleetTable::remoteGroups() const
+{
+    std::lock_guard lock(mutex_);
+    const Millis now = options_.clock();
+    std::set<std::string> own;
+    for (const GroupCondition& condition : checkGroups(now))
+        own.insert(condition.group);
+    std::vector<GroupCondition> remotes = checkRemotes(now);
+    std::erase_if(remotes, [&](const GroupCondition& condition) { return own.contains(condition.group); });
+    return remotes;
+}
+
 } // namespace hemlockweir
--- a/packages/fleet/FleetTable.h
+++ b/packages/fleet/FleetTable.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "fleet/Instance.h"
+#include "fleet/RemoteGroups.h"
 
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 
 // The table of instances and groups that the whole node shares. Thread-safe; its lock is a leaf
 // (the scheduler's lock may be held when it is taken).
@@ -36,6 +38,7 @@
     bool whole = false;
     std::string reason; // empty when whole
     Replica replica; // meaningful when whole
+    std::string observer; // the node that told of it; empty: this node
 };
 
 // One instance with its latest report, if any.
@@ -43,6 +46,10 @@
     Instance instance;
     std::optional<InstanceStatus> status;
     Millis seenAt { 0 }; // when the status was taken
+    bool draining = false; // an operator drains it
+
+    // Whether the instance is to get no new work, by whichever source says so first.
+    bool isLeaving() const { return instance.leaving || draining || (status && status->leaving); }
 };
 
 // What is known of the fleet.
@@ -64,9 +71,18 @@
     // Forgets an instance's report at once, after it failed.
     void dropStatus(const std::string& id);
 
-    // Takes a whole group that another node observes. `replica.reportedAt` is in this node's time.
-    void setRemoteReplica(const std::string& observer, const Replica& replica);
-    void dropRemoteReplica(const std::string& group);
+    // Says which instances this node polls. Of these it trusts its own view over any peer's.
+    void setObserved(const std::set<std::string>& ids);
+
+    // Takes what another node says of a group.
+    void setRemoteGroup(const RemoteGroup& row);
+
+    // Replaces the instances that operators drain, as this node read them from the platform.
+    void setDraining(const std::set<std::string>& ids);
+    std::set<std::string> ownDraining() const;
+
+    // Replaces the instances that operators drain, as a peer read them.
+    void setRemoteDraining(const std::string& observer, const std::vector<std::string>& ids, Millis saidAt);
 
     // Marks a group as failed until a member report newer than now arrives.
     void suspectGroup(const std::string& group, uint64_t epoch);
@@ -82,21 +98,38 @@
 
     // Everything, for planning and reports.
     std::vector<InstanceView> instances() const;
-    std::vector<GroupCondition> groups() const;
+    std::vector<GroupCondition> groups() const; // that this node observes
+    std::vector<GroupCondition> remoteGroups() const; // that only peers observe, servable ones
 
 private:
+    // An instance, and what this node's own polls of it came to.
+    struct Entry {
+        InstanceView view;
+        Millis observedSince { 0 };
+        Millis failedAt { 0 }; // the last time it could not be reached
+        bool isObserved = false;
+    };
+    struct RemoteDraining {
+        std::set<std::string> ids;
+        Millis saidAt { 0 };
+    };
+
+    bool isDraining(const std::string& id) const;
+    bool isSuspect(const std::string& group, uint64_t epoch, Millis reportedAt) const;
+    std::string checkMember(const std::string& id, const InstanceStatus& claim, Millis now) const;
+    bool contradicts(const Entry& entry, const RemoteGroup& group, Millis now) const;
+    std::optional<GroupCondition> checkRemote(const RemoteGroup& group, Millis now) const;
+    std::vector<Replica> wholeReplicas() const;
     GroupCondition checkGroup(const InstanceView& leader, Millis now) const;
     std::vector<GroupCondition> checkGroups(Millis now) const;
-
-    struct RemoteReplica {
-        std::string observer;
-        Replica replica;
-    };
+    std::vector<GroupCondition> checkRemotes(Millis now) const;
 
     Options options_;
     mutable std::mutex mutex_;
-    std::map<std::string, InstanceView> instances_; // by id
-    std::map<std::string, RemoteReplica> remote_; // by group
+    std::map<std::string, Entry> instances_; // by id
+    RemoteGroups remote_;
+    std::set<std::string> draining_;
+    std::map<std::string, RemoteDraining> remoteDraining_; // by observer
     std::map<std::string, Millis> suspectedAt_; // by group and epoch
 };
 
--- /dev/null
+++ b/packages/fleet/GroupExchange.cpp
@@ -0,0 +1,89 @@
+#include "fleet/GroupExchange.h"
+
+namespace hemlockweir {
+
+// Rows with four members of usual names stay under targetDatagramBytes.
+static constexpr size_t rowsPerDatagram = 6;
+
+GroupExchange::GroupExchange(Options options, FleetTable& table)
+    : options_(std::move(options))
+    , table_(table)
+{
+}
+
+GroupRow GroupExchange::makeRow(const GroupCondition& group, Millis now) const
+{
+    const Replica& replica = group.replica;
+    const Millis age = group.whole ? now - replica.reportedAt : Millis(0);
+    return { .group = group.group,
+        .epoch = group.epoch,
+        .model = group.model,
+        .domain = group.domain,
+        .members = group.members,
+        .whole = group.whole,
+        .running = replica.running,
+        .waiting = replica.waiting,
+        .slots = replica.slots,
+        .ageMs = static_cast<uint32_t>(age.count()) };
+}
+
+void GroupExchange::flush(Groups& message) const
+{
+    // Stamped as late as possible: what passes between the stamp and the sending is not seen.
+    message.sentAtMs = static_cast<uint64_t>(options_.clock().count());
+    options_.broadcast(message);
+    message.rows.clear();
+}
+
+void GroupExchange::share()
+{
+    const Millis now = options_.clock();
+    Groups message;
+    for (const std::string& instance : table_.ownDraining()) {
+        if (message.draining.size() < maxRowsPerMessage)
+            message.draining.push_back(instance);
+    }
+    for (const GroupCondition& group : table_.groups()) {
+        if (!options_.shouldShare(group))
+            continue;
+        message.rows.push_back(makeRow(group, now));
+        message.rows.back().ageMs += static_cast<uint32_t>((options_.clock() - now).count());
+        if (message.rows.size() == rowsPerDatagram)
+            flush(message);
+    }
+    if (!message.rows.empty() || !message.draining.empty())
+        flush(message);
+}
+
+void GroupExchange::take(const Envelope& envelope)
+{
+    if (envelope.kind != MessageKind::Groups)
+        return;
+    const absl::StatusOr<Groups> groups = decodeBody<Groups>(envelope.body);
+    if (!groups.ok())
+        return;
+    const std::string& observer = envelope.sender.node;
+    PeerDelay& peer = delays_[observer];
+    if (peer.incarnation != envelope.sender.incarnation)
+        peer = { .incarnation = envelope.sender.incarnation, .delay = {} };
+    const Millis now = options_.clock();
+    const std::optional<Millis> delay = peer.delay.measure(Millis(groups->sentAtMs), now);
+    if (!delay)
+        return;
+    table_.setRemoteDraining(observer, groups->draining, now - *delay);
+    for (const GroupRow& row : groups->rows) {
+        table_.setRemoteGroup({ .observer = observer,
+            .group = row.group,
+            .epoch = row.epoch,
+            .model = row.model,
+            .domain = row.domain,
+            .members = row.members,
+            .whole = row.whole,
+            .slots = row.slots,
+            .running = row.running,
+            .waiting = row.waiting,
+            .reportedAt = now - *delay - Millis(row.ageMs) });
+    }
+}
+
+} // namespace hemlockweir
--- a/packages/fleet/Instance.cpp
+++ b/packages/fleet/Instance.cpp
@@ -25,6 +25,11 @@
     return "broken";
 }
 
+bool InstanceStatus::isInGroupOf(const InstanceStatus& other) const
+{
+    return group == other.group && epoch == other.epoch && model == other.model && members == other.members;
+}
+
 static EngineState parseState(const std::string& name)
 {
     for (const EngineState state : { EngineState::Idle, EngineState::Loading, EngineState::Ready }) {
@@ -72,6 +77,7 @@
         .waiting = static_cast<uint32_t>(object["waiting"].toInt()),
         .slots = static_cast<uint32_t>(object["slots"].toInt()),
         .leaving = object["leaving"].toBool(),
+        .stepMs = object["step_ms"].toDouble(),
     };
     for (const QJsonValue& member : object["members"].toArray())
         status.members.push_back(member.toString().toStdString());
@@ -95,6 +101,7 @@
         { "waiting", static_cast<int>(status.waiting) },
         { "slots", static_cast<int>(status.slots) },
         { "leaving", status.leaving },
+        { "step_ms", status.stepMs },
     };
 }
 
--- a/packages/fleet/Instance.h
+++ b/packages/fleet/Instance.h
@@ -46,6 +46,10 @@
     uint32_t waiting = 0;
     uint32_t slots = 0;
     bool leaving = false;
+    double stepMs = 0; // ms, measured time of one token in this member; 0: not known
+
+    // Whether both report the same group, epoch, model and member list.
+    bool isInGroupOf(const InstanceStatus& other) const;
 
     auto operator<=>(const InstanceStatus&) const = default;
 };
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -1,6 +1,7 @@
 #include "node/Node.h"
 
 #include "base/Log.h"
+#include "fleet/Rendezvous.h"
 
 #include <QJsonArray>
 #include <QUrl>
@@ -71,16 +72,23 @@
     , peers_(makePeerOptions(settings_, incarnation_, clock_))
     , follower_({}, config_, platform_)
     , manager_({ .node = settings_.node,
+                   .incarnation = incarnation_,
                    .domain = settings_.domain,
                    .instancesUrl = QUrl(QString::fromStdString(settings_.instancesUrl)),
                    .statusInterval = settings_.statusInterval,
                    .statusFreshness = settings_.statusFreshness,
                    .leaseTtl = std::chrono::duration_cast<std::chrono::seconds>(settings_.leaseTtl),
                    .clock = clock_,
+                   .random = random_,
                    .models = [this] { return config_.snapshot().configuration->models; },
                    .domainsToPlan = [this] { return domainsToPlan(); },
+                   .rankFor = [this](const std::string& domain) { return rankFor(domain); },
                    .shouldObserve = [this](const Instance& instance) { return shouldObserve(instance); } },
           fleet_, platform_)
+    , groupExchange_({ .clock = clock_,
+                         .broadcast = [this](const Groups& message) { peers_.broadcast(message); },
+                         .shouldShare = [this](const GroupCondition& group) { return shouldShare(group); } },
+          fleet_)
     , tables_ { .config = config_,
         .fleet = fleet_,
         .scheduler = scheduler_,
@@ -174,6 +182,19 @@
     return { domains.begin(), domains.end() };
 }
 
+// A domain is planned by a node of its own, or by any node when it has none alive.
+size_t Node::rankFor(const std::string& domain) const
+{
+    std::vector<std::string> candidates = livingNodesIn(domain);
+    if (candidates.empty()) {
+        for (const Peer& peer : peers_.peers()) {
+            if (peer.alive && !peer.heartbeat.leaving)
+                candidates.push_back(peer.node);
+        }
+    }
+    return rendezvousRank("planner of " + domain, settings_.node, candidates);
+}
+
 bool Node::shouldObserve(const Instance& instance) const
 {
     const ConfigSnapshot config = config_.snapshot();
@@ -182,35 +203,30 @@
     return !isEngine || instance.domain == settings_.domain || !hasNodeIn(instance.domain);
 }
 
-void Node::takeMessage(const Envelope& envelope)
+std::vector<std::string> Node::livingNodesIn(const std::string& domain) const
 {
-    if (envelope.kind == MessageKind::Groups)
-        takeGroups(envelope);
-    else if (envelope.kind == MessageKind::Usage)
-        takeUsage(envelope);
+    std::vector<std::string> nodes;
+    if (settings_.domain == domain)
+        nodes.push_back(settings_.node);
+    for (const Peer& peer : peers_.peers()) {
+        if (peer.alive && !peer.heartbeat.leaving && peer.heartbeat.domain == domain)
+            nodes.push_back(peer.node);
+    }
+    return nodes;
 }
 
-void Node::takeGroups(const Envelope& envelope)
+bool Node::shouldShare(const GroupCondition& group) const
 {
-    const absl::StatusOr<Groups> groups = decodeBody<Groups>(envelope.body);
-    if (!groups.ok())
-        return;
-    for (const GroupRow& row : groups->rows) {
-        if (!row.whole) {
-            fleet_.dropRemoteReplica(row.group);
-            continue;
-        }
-        fleet_.setRemoteReplica(envelope.sender.node,
-            { .group = row.group,
-                .epoch = row.epoch,
-                .model = row.model,
-                .domain = row.domain,
-                .leader = row.leader,
-                .slots = row.slots,
-                .running = row.running,
-                .waiting = row.waiting,
-                .reportedAt = clock_() - Millis(row.ageMs) });
-    }
+    // Two tell of each group, so that the death of one leaves no gap.
+    constexpr size_t sharersPerGroup = 2;
+    return rendezvousRank(group.group, settings_.node, livingNodesIn(settings_.domain)) < sharersPerGroup;
+}
+
+void Node::takeMessage(const Envelope& envelope)
+{
+    groupExchange_.take(envelope);
+    if (envelope.kind == MessageKind::Usage)
+        takeUsage(envelope);
 }
 
 void Node::takeUsage(const Envelope& envelope)
@@ -227,38 +243,11 @@
 void Node::shareTables()
 {
     peers_.setHeartbeat(makeHeartbeat());
-    shareGroups();
+    groupExchange_.share();
     shareUsage();
     metrics_.setGauge("hemlockweir_waiting_requests", "Requests waiting for a slot", static_cast<double>(scheduler_.waitingCount()));
 }
 
-void Node::shareGroups()
-{
-    constexpr size_t rowsPerDatagram = 8;
-    Groups message;
-    for (const GroupCondition& group : fleet_.groups()) {
-        const Replica& replica = group.replica;
-        const Millis age = group.whole ? clock_() - replica.reportedAt : Millis(0);
-        message.rows.push_back({ .group = group.group,
-            .epoch = group.epoch,
-            .model = group.model,
-            .domain = group.domain,
-            .leader = replica.leader,
-            .members = static_cast<uint32_t>(group.members.size()),
-            .whole = group.whole,
-            .running = replica.running,
-            .waiting = replica.waiting,
-            .slots = replica.slots,
-            .ageMs = static_cast<uint32_t>(age.count()) });
-        if (message.rows.size() == rowsPerDatagram) {
-            peers_.broadcast(message);
-            message.rows.clear();
-        }
-    }
-    if (!message.rows.empty())
-        peers_.broadcast(message);
-}
-
 void Node::shareUsage()
 {
     Usage usage;
@@ -274,17 +263,23 @@
     return !tables_.isStopping && config_.snapshot().revision > 0;
 }
 
+static QJsonObject describeGroup(const GroupCondition& group)
+{
+    QJsonArray members;
+    for (const std::string& member : group.members)
+        members.append(QString::fromStdString(member));
+    return { { "group", QString::fromStdString(group.group) }, { "epoch", static_cast<double>(group.epoch) },
+        { "model", QString::fromStdString(group.model) }, { "domain", QString::fromStdString(group.domain) }, { "members", members },
+        { "whole", group.whole }, { "reason", QString::fromStdString(group.reason) }, { "observer", QString::fromStdString(group.observer) } };
+}
+
 QJsonObject Node::describe() const
 {
     QJsonArray groups;
-    for (const GroupCondition& group : fleet_.groups()) {
-        QJsonArray members;
-        for (const std::string& member : group.members)
-            members.append(QString::fromStdString(member));
-        groups.append(QJsonObject { { "group", QString::fromStdString(group.group) }, { "epoch", static_cast<double>(group.epoch) },
-            { "model", QString::fromStdString(group.model) }, { "domain", QString::fromStdString(group.domain) }, { "members", members },
-            { "whole", group.whole }, { "reason", QString::fromStdString(group.reason) } });
-    }
+    for (const GroupCondition& group : fleet_.groups())
+        groups.append(describeGroup(group));
+    for (const GroupCondition& group : fleet_.remoteGroups())
+        groups.append(describeGroup(group));
     QJsonArray peers;
     for (const Peer& peer : peers_.peers()) {
         peers.append(QJsonObject { { "node", QString::fromStdString(peer.node) }, { "domain", QString::fromStdString(peer.heartbeat.domain) },
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -2,6 +2,7 @@
 
 #include "config/Settings.h"
 #include "fleet/FleetManager.h"
+#include "fleet/GroupExchange.h"
 #include "membership/PeerLink.h"
 #include "node/CallerApi.h"
 #include "rollout/ConfigFollower.h"
@@ -26,15 +27,16 @@
 private:
     void connectParts();
     void takeMessage(const Envelope& envelope);
-    void takeGroups(const Envelope& envelope);
     void takeUsage(const Envelope& envelope);
     void shareTables();
-    void shareGroups();
     void shareUsage();
     void checkStopped();
     bool hasNodeIn(const std::string& domain) const;
     std::vector<std::string> domainsToPlan() const;
+    size_t rankFor(const std::string& domain) const;
     bool shouldObserve(const Instance& instance) const;
+    std::vector<std::string> livingNodesIn(const std::string& domain) const;
+    bool shouldShare(const GroupCondition& group) const;
     bool isReady() const;
     QJsonObject describe() const;
     Heartbeat makeHeartbeat() const;
@@ -52,6 +54,7 @@
     PeerLink peers_;
     ConfigFollower follower_;
     FleetManager manager_;
+    GroupExchange groupExchange_;
     Tables tables_;
     CallerApi api_;
     HttpServer server_;
--- a/packages/wire/Bounded.h
+++ b/packages/wire/Bounded.h
@@ -54,4 +54,41 @@
     }
 }
 
+// A list of strings with a limit on each of them as well.
+struct BoundedNames {
+    std::vector<std::string>& names;
+    uint32_t limit;
+    uint32_t lengthLimit; // bytes of one name
+};
+
+inline BoundedNames boundedNames(std::vector<std::string>& names, uint32_t limit, uint32_t lengthLimit)
+{
+    return { names, limit, lengthLimit };
+}
+
+template <class Archive>
+void save(Archive& archive, const BoundedNames& field)
+{
+    if (field.names.size() > field.limit)
+        throw std::length_error("a list is longer than its message allows");
+    archive(static_cast<uint32_t>(field.names.size()));
+    for (std::string& name : field.names)
+        archive(bounded(name, field.lengthLimit));
+}
+
+template <class Archive>
+void load(Archive& archive, BoundedNames& field)
+{
+    uint32_t size = 0;
+    archive(size);
+    if (size > field.limit)
+        throw std::length_error("a list is longer than its message allows");
+    field.names.clear();
+    for (uint32_t i = 0; i < size; ++i) {
+        std::string name;
+        archive(bounded(name, field.lengthLimit));
+        field.names.push_back(std::move(name));
+    }
+}
+
 } // namespace hemlockweir
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -76,32 +76,33 @@
     uint64_t epoch = 0;
     std::string model;
     std::string domain;
-    std::string leader; // ADDRESS:PORT of the member that takes requests
-    uint32_t members = 0;
+    std::vector<std::string> members; // instance ids, leader first; receivers know the addresses
     bool whole = false; // every member agreed on this group and epoch
     uint32_t running = 0; // requests in the engine
     uint32_t waiting = 0; // requests queued in the engine
     uint32_t slots = 0; // requests the engine runs at once
-    uint32_t ageMs = 0; // ms, age of the oldest member report behind this row
+    uint32_t ageMs = 0; // ms, age of the oldest member report behind this row when it was sent
 
     template <class Archive>
     void serialize(Archive& archive)
     {
         archive(bounded(group, maxNameLength), epoch, bounded(model, maxNameLength), bounded(domain, maxNameLength),
-            bounded(leader, maxEndpointLength), members, whole, running, waiting, slots, ageMs);
+            boundedNames(members, maxGroupMembers, maxNameLength), whole, running, waiting, slots, ageMs);
     }
     auto operator<=>(const GroupRow&) const = default;
 };
 
-// Groups that the sender observes.
+// Groups that the sender observes, and the instances that it knows operators drain.
 struct Groups {
     static constexpr MessageKind kind = MessageKind::Groups;
+    uint64_t sentAtMs = 0; // ms, the sender's monotonic clock
     std::vector<GroupRow> rows;
+    std::vector<std::string> draining; // instance ids
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(bounded(rows, maxRowsPerMessage));
+        archive(bounded(rows, maxRowsPerMessage), boundedNames(draining, maxRowsPerMessage, maxNameLength), sentAtMs);
     }
     auto operator<=>(const Groups&) const = default;
 };
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -1,10 +1,12 @@
 // Stand-in of a model engine: one instance that joins groups on orders and generates tokens.
 //
 // The leader of a group asks every member each 50 ms whether it is still there; a member that
-// does not answer breaks the group and every request on it.
+// does not answer breaks the group and every request on it. With --checks-members 0 it never
+// notices, and so serves whatever it is sent for its own group and epoch.
 //
 // Faults: token_ms, prefill_ms, slow_factor, pause (bool: answers nothing), crash_on (text: a
-// prompt that holds it ends the process), leaving (bool), load_lag_ms, load_ms.
+// prompt that holds it ends the process), leaving (bool), refuse (bool: answers 503 to
+// every request), load_lag_ms, load_ms.
 
 #include "StandIn.h"
 
@@ -32,6 +34,7 @@
     int loadMs = 100; // ms to load a model
     int loadLagMs = 200; // ms that the reported load is old
     bool checksFencing = true; // refuse an order with an old epoch
+    bool checksMembers = true; // the leader notices a missing member
 };
 
 struct Run {
@@ -77,7 +80,7 @@
         else if (path == "/orders")
             takeOrder(*exchange);
         else if (path == "/member")
-            exchange->sendJson(200, { { "epoch", epoch_ } });
+            exchange->sendJson(200, { { "epoch", epoch_ }, { "step_ms", ownStepMs() } });
         else if (path == "/v1/completions" || path == "/v1/chat/completions")
             startRun(exchange);
         else
@@ -99,6 +102,7 @@
             { "waiting", reportedWaiting_ },
             { "slots", options_.slots },
             { "leaving", standIn_.hasFault("leaving") },
+            { "step_ms", ownStepMs() },
         };
     }
 
@@ -149,7 +153,7 @@
 
     void checkMembers()
     {
-        if (!isLeader() || state_ != "ready" || standIn_.hasFault("pause"))
+        if (!options_.checksMembers || !isLeader() || state_ != "ready" || standIn_.hasFault("pause"))
             return;
         for (qsizetype i = 1; i < addresses_.size(); ++i) {
             const QString address = addresses_.at(i).toString();
@@ -159,7 +163,9 @@
             const CallOptions call { .method = "GET", .url = QUrl("http://" + address + "/member"), .headers = {}, .body = {}, .firstByteTimeout = Millis(500), .silenceTimeout = Millis(500) };
             memberCalls_[address] = client_.start(call, { .onHead = {}, .onData = {}, .onDone = [this, address, epoch](const CallResult& result) {
                 const auto keep = memberCalls_.extract(address);
-                const double memberEpoch = QJsonDocument::fromJson(result.body).object()["epoch"].toDouble();
+                const QJsonObject member = QJsonDocument::fromJson(result.body).object();
+                const double memberEpoch = member["epoch"].toDouble();
+                memberStepMs_[address] = member["step_ms"].toInt();
                 if (epoch == epoch_ && (!result.isSuccess() || memberEpoch != epoch))
                     breakGroup(); } });
         }
@@ -194,6 +200,11 @@
         if ((!crashOn.isEmpty() && prompt.contains(crashOn)) || prompt.contains("CRASH-ENGINE"))
             std::_Exit(66);
         const bool isForUs = state_ == "ready" && isLeader() && QString(exchange->header("X-Group")) == group_ && exchange->header("X-Group-Epoch").toDouble() == epoch_;
+        if (standIn_.hasFault("refuse")) {
+            standIn_.note("run_refused", { { "request", requestId }, { "group", group_ } });
+            exchange->sendJson(503, { { "error", "refusing work" } });
+            return;
+        }
         if (!isForUs) {
             standIn_.note("run_refused", { { "request", requestId }, { "group", QString(exchange->header("X-Group")) } });
             exchange->sendJson(409, { { "error", "not serving this group and epoch" } });
@@ -218,7 +229,17 @@
         queue_.insert(at, std::move(run));
     }
 
-    int tokenMs() const { return setting("token_ms", options_.tokenMs) * std::max(1, standIn_.fault("slow_factor")); }
+    // Every step waits for the slowest member.
+    int tokenMs() const
+    {
+        int slowest = ownStepMs();
+        for (const QJsonValue& address : addresses_) {
+            const auto found = memberStepMs_.find(address.toString());
+            slowest = std::max(slowest, found == memberStepMs_.end() ? 0 : found->second);
+        }
+        return slowest;
+    }
+    int ownStepMs() const { return setting("token_ms", options_.tokenMs) * std::max(1, standIn_.fault("slow_factor")); }
     int setting(const char* name, int fallback) const { return standIn_.faults().contains(QLatin1String(name)) ? standIn_.fault(name) : fallback; }
 
     void step()
@@ -288,6 +309,7 @@
     int reportedWaiting_ = 0;
     HttpClient client_;
     std::map<QString, std::shared_ptr<HttpCall>> memberCalls_;
+    std::map<QString, int> memberStepMs_; // ms, by address
     QTimer stepTimer_;
     QTimer memberTimer_;
     StandIn standIn_;
@@ -303,7 +325,8 @@
     description.add_options()("listen", options::value<std::string>()->required(), "ADDRESS:PORT")("id", options::value(&engine.id)->required(), "instance id")(
         "slots", options::value(&engine.slots), "requests at once")("token-ms", options::value(&engine.tokenMs), "ms for each token")(
         "prefill-ms", options::value(&engine.prefillMs), "ms before the first token")("load-ms", options::value(&engine.loadMs), "ms to load a model")(
-        "load-lag-ms", options::value(&engine.loadLagMs), "ms that the reported load is old")("fencing", options::value(&engine.checksFencing), "refuse orders with an old epoch");
+        "load-lag-ms", options::value(&engine.loadLagMs), "ms that the reported load is old")("fencing", options::value(&engine.checksFencing), "refuse orders with an old epoch")(
+        "checks-members", options::value(&engine.checksMembers), "as a leader, notice a missing member");
     const auto values = readOptions(argc, argv, description);
     Engine standIn(values["listen"].as<std::string>(), engine);
     return QCoreApplication::exec();
