--- a/packages/fleet/DomainLease.cpp
+++ b/packages/fleet/DomainLease.cpp
@@ -126,6 +126,7 @@
     term_ = term;
     orders_ = 0;
     heldUntil_ = heldUntil;
+    scheduleNext(0);
     logInfo(event, { { "domain", options_.domain }, { "term", std::to_string(term_) } });
     if (!isWanted_)
         release();
--- a/packages/fleet/FleetManager.cpp
+++ b/packages/fleet/FleetManager.cpp
@@ -125,6 +125,8 @@
     const bool isHeld = plan.lease->isHeld();
     if (isHeld && !plan.wasHeld)
         plan.planner->reset();
+    if (!isHeld && plan.wasHeld)
+        logWarning("planner_lease_untrusted", { { "domain", domain } });
     plan.wasHeld = isHeld;
     if (!isHeld)
         return;
--- a/packages/fleet/FleetTable.cpp
+++ b/packages/fleet/FleetTable.cpp
@@ -221,6 +221,7 @@
     for (const GroupCondition& condition : checkRemotes(now))
         replicas.try_emplace(condition.group, condition.replica);
     std::vector<Replica> all;
+    all.reserve(replicas.size());
     for (auto& [group, replica] : replicas)
         all.push_back(std::move(replica));
     return all;
--- a/tests/GroupsProcessTest.cpp
+++ b/tests/GroupsProcessTest.cpp
@@ -123,6 +123,9 @@
     cluster.resume(planner);
     ASSERT_TRUE(waitUntil([&] { return cluster.wholeGroups(planner).size() == 2; }));
 
+    // With the platform down nobody may repair, and only the members' reports keep requests off.
+    cluster.setFaults("store", { { "down", true } });
+    ASSERT_TRUE(waitUntil([&] { return cluster.logOf(other).contains("planner_lease_untrusted"); }));
     const QJsonObject current = cluster.wholeGroups(other).front();
     const std::string victim = memberOf(current, 1);
     const std::vector<QJsonObject> orders = cluster.effects(memberOf(lost, 0), "order");
@@ -134,6 +137,7 @@
         ASSERT_TRUE(waitForBroken(current["epoch"].toDouble()));
         expectNoStart(memberOf(current, 0), current["epoch"].toDouble());
     }
+    cluster.setFaults("store", { { "down", false } });
     EXPECT_TRUE(waitUntil([&] { return isEveryInstanceInOneWholeGroup(2); }));
 }
 
