Check each piece of an answer, rotate the leases of claims, and send every call once

Cause: a chunk was taken by the caller's own request id, which two callers may share; an engine that cannot resume was spliced into the answer; a finish was taken whatever its token count; a preempted request that was refused later was reported as not run; an oversized event hung the request. GET and calls without a body were repeated by Qt (4 arrivals for half a head) and reported as not sent although they were; the silence timeout did not run between head and first data. A claim made late in its lease's life was dropped before its retention, a claim that could not be confirmed stayed although nobody ran it, and an answer too large to keep was replayed empty.

Ruled out: POSTs with a body were sent once in every case tried (close, reset, half a head, cut body and chunks, 307), and 20 calls to one peer ran at once, so the HTTP client stays.

Change: a run id of the node's own towards engines; index, attempt and token count are checked; no resume means an error event. All calls carry a sequential body device, also an empty one. BatchWriter does the group commit with one call in flight; leases rotate each hour; abandoned claims are deleted by compare in the background or taken over by this node.

Before: HttpClientTest 4 of 22 red (GET 2 to 4 arrivals and NotSent; DELETE NotSent). With each check of the flow taken out in turn, WholeAnswerProcessTest was red (crossed pieces, identity by attempt only, token count, resume from 0, gap, no resume); ClaimLedgerTest red without rotation, without knowing its own token, and with claims treated as done.

--- a/packages/http/HttpClient.cpp
+++ b/packages/http/HttpClient.cpp
@@ -59,9 +59,13 @@
     cancel();
 }
 
+// Qt writes the head in one go with the first bytes of the body, so an unread body was not sent.
+// An empty body is never read: then only a refused connection is certain.
 bool HttpCall::mayHaveBeenSent() const
 {
-    return sequentialBody_->wasRead() || headSeen_;
+    if (headSeen_ || sequentialBody_->wasRead())
+        return true;
+    return options_.body.isEmpty() && !(reply_ && reply_->error() == QNetworkReply::ConnectionRefusedError);
 }
 
 void HttpCall::attach(QNetworkReply* reply)
@@ -74,6 +78,7 @@
         if (headSeen_ || !reply_)
             return;
         headSeen_ = true;
+        restartSilenceTimer();
         if (hooks_.onHead)
             hooks_.onHead(reply_->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt());
     });
@@ -81,14 +86,19 @@
     connect(reply, &QNetworkReply::finished, this, &HttpCall::finish);
 }
 
-void HttpCall::readData()
+void HttpCall::restartSilenceTimer()
 {
-    if (done_ || !reply_)
-        return;
     if (options_.silenceTimeout.count() > 0)
         timer_.start(options_.silenceTimeout);
     else
         timer_.stop();
+}
+
+void HttpCall::readData()
+{
+    if (done_ || !reply_)
+        return;
+    restartSilenceTimer();
     const QByteArray piece = reply_->readAll();
     const int status = reply_->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
     if (hooks_.onData && status == 200)
@@ -131,6 +141,7 @@
     CallResult result;
     result.status = reply_->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
     result.end = classifyEnd(*reply_, timedOut_, mayHaveBeenSent(), result.status);
+    result.contentType = reply_->header(QNetworkRequest::ContentTypeHeader).toByteArray();
     result.body = received_;
     result.error = timedOut_ ? QStringLiteral("timeout") : reply_->errorString();
     reply_->deleteLater();
@@ -207,11 +218,8 @@
                 raw->callsByHost.erase(host);
         }
     };
-    if (call->options_.body.isEmpty() && call->options_.method == "GET") {
-        call->attach(manager.network.get(request));
-        return call;
-    }
-    if (!request.hasRawHeader("Content-Type"))
+    // Even a GET has a body device, an empty one: without it Qt repeats the request.
+    if (!request.hasRawHeader("Content-Type") && !call->options_.body.isEmpty())
         request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
     request.setHeader(QNetworkRequest::ContentLengthHeader, call->options_.body.size());
     call->attach(manager.network.sendCustomRequest(request, call->options_.method, call->sequentialBody_.get()));
--- a/packages/http/HttpClient.h
+++ b/packages/http/HttpClient.h
@@ -18,7 +18,7 @@
 //   client.start({ .url = url, .body = body }, { .onDone = [](const CallResult& result) { ... } });
 //
 // Every call opens a connection of its own and sends its body once: a kept connection that has
-// gone silent can then harm only the call on it, and Qt can not repeat a POST by itself.
+// gone silent can then harm only the call on it, and Qt can not repeat a request by itself.
 
 class QNetworkAccessManager;
 class QNetworkReply;
@@ -48,6 +48,7 @@
 struct CallResult {
     CallEnd end = CallEnd::NotSent;
     int status = 0; // HTTP status, 0 if no head arrived
+    QByteArray contentType; // as the answer's head says
     QByteArray body; // empty when onData took the pieces
     QString error; // text for logs
 
@@ -79,6 +80,7 @@
 
     HttpCall(CallOptions options, CallHooks hooks);
     void attach(QNetworkReply* reply);
+    void restartSilenceTimer();
     void readData();
     void finish();
     void noteTimeout();
--- a/packages/ledger/ClaimLedger.cpp
+++ b/packages/ledger/ClaimLedger.cpp
@@ -4,6 +4,7 @@
 
 #include <QCryptographicHash>
 #include <QJsonDocument>
+#include <algorithm>
 
 namespace hemlockweir {
 
@@ -12,17 +13,31 @@
     return QCryptographicHash::hash(bytes, QCryptographicHash::Sha256).toHex();
 }
 
-ClaimLedger::ClaimLedger(Options options, KvClient& platform)
-    : options_(std::move(options))
-    , platform_(platform)
+static QByteArray keyOf(const ClaimRequest& request)
 {
-    timer_.setSingleShot(true);
-    connect(&timer_, &QTimer::timeout, this, &ClaimLedger::flush);
+    return "/hemlockweir/claims/" + hashOf(QByteArray::fromStdString(request.caller) + '\n' + request.idempotencyKey);
 }
 
-QByteArray ClaimLedger::keyOf(const ClaimRequest& request) const
+static QByteArray tokenIn(const KvEntry& entry)
+{
+    return QJsonDocument::fromJson(entry.value).object()["token"].toString().toLatin1();
+}
+
+ClaimStore makeClaimStore(KvClient& platform)
+{
+    return {
+        .writeEach = [&platform](const std::vector<KvWrite>& writes, Callback<std::vector<KvWriteResult>> done) { platform.compareAndPutEach(writes, std::move(done)); },
+        .get = [&platform](const QByteArray& key, Callback<KvRange> done) { platform.get(key, std::move(done)); },
+        .compareAndDelete = [&platform](const QByteArray& key, int64_t modRevision, Callback<KvWriteResult> done) { platform.compareAndDelete(key, modRevision, std::move(done)); },
+        .grantLease = [&platform](std::chrono::seconds ttl, Callback<int64_t> done) { platform.grantLease(ttl, std::move(done)); },
+    };
+}
+
+ClaimLedger::ClaimLedger(Options options, ClaimStore store)
+    : options_(std::move(options))
+    , store_(std::move(store))
+    , writer_({ .writeEach = store_.writeEach })
 {
-    return "/hemlockweir/claims/" + hashOf(QByteArray::fromStdString(request.caller) + '\n' + request.idempotencyKey);
 }
 
 QByteArray ClaimLedger::valueOf(const Pending& pending) const
@@ -36,102 +51,128 @@
     return QJsonDocument(value).toJson(QJsonDocument::Compact);
 }
 
+// Runs a step once a lease stands that outlives the retention of a claim made now.
+void ClaimLedger::withLease(std::function<void(bool)> step)
+{
+    const Millis now = options_.clock();
+    if (lease_ != 0 && now < leaseGrantedAt_ + options_.leaseRotation) {
+        step(true);
+        return;
+    }
+    waitingForLease_.push_back(std::move(step));
+    if (waitingForLease_.size() > 1)
+        return;
+    store_.grantLease(options_.retention + options_.leaseRotation, [this, now](const absl::StatusOr<int64_t>& lease) { takeLease(lease, now); });
+}
+
+void ClaimLedger::takeLease(const absl::StatusOr<int64_t>& lease, Millis askedAt)
+{
+    lease_ = lease.ok() ? *lease : 0;
+    leaseGrantedAt_ = askedAt;
+    for (const auto& step : std::exchange(waitingForLease_, {}))
+        step(lease.ok());
+}
+
 void ClaimLedger::claim(const ClaimRequest& request, std::function<void(const ClaimResult&)> done)
 {
-    queue_.push_back({ .request = request,
+    const Pending pending { .request = request,
+        .key = keyOf(request),
         .token = QByteArray::fromStdString(makeRandomId(options_.random)),
         .triesLeft = options_.tries,
-        .done = std::move(done) });
-    if (queue_.size() >= options_.maxBatch)
-        flush();
-    else if (!timer_.isActive())
-        timer_.start(options_.batchInterval);
+        .done = std::move(done) };
+    withLease([this, pending](bool ok) {
+        if (ok)
+            writeClaim(pending);
+        else
+            giveUp(pending);
+    });
 }
 
-void ClaimLedger::ensureLease()
+void ClaimLedger::writeClaim(const Pending& pending)
 {
-    if (lease_ != 0)
-        return;
-    platform_.grantLease(options_.retention, [this](absl::StatusOr<int64_t> lease) {
-        if (lease.ok()) {
-            lease_ = *lease;
-            flush();
-            return;
-        }
-        for (const Pending& pending : std::exchange(queue_, {}))
-            pending.done({ .outcome = ClaimOutcome::Unavailable, .answer = {} });
-    });
+    const KvWrite write { .key = pending.key, .value = valueOf(pending), .expectedModRevision = pending.expectedModRevision, .lease = lease_ };
+    writer_.write(write, [this, pending](const absl::StatusOr<KvWriteResult>& result) { takeWrite(pending, result); });
 }
 
-void ClaimLedger::flush()
+void ClaimLedger::takeWrite(Pending pending, const absl::StatusOr<KvWriteResult>& result)
 {
-    if (queue_.empty())
-        return;
-    if (lease_ == 0) {
-        ensureLease();
+    if (result.ok()) {
+        if (result->applied)
+            grant(pending, result->revision);
+        else
+            settle(std::move(pending), result->current);
         return;
     }
-    writeBatch(std::exchange(queue_, {}));
-}
-
-void ClaimLedger::writeBatch(std::vector<Pending> batch)
-{
-    std::vector<KvWrite> writes;
-    for (Pending& pending : batch) {
-        --pending.triesLeft;
-        writes.push_back({ .key = keyOf(pending.request), .value = valueOf(pending), .expectedModRevision = 0, .lease = lease_ });
+    pending.maybeWritten = pending.maybeWritten || !absl::IsUnavailable(result.status());
+    if (--pending.triesLeft > 0) {
+        writeClaim(pending);
+        return;
     }
-    platform_.compareAndPutEach(writes, [this, batch](const absl::StatusOr<std::vector<KvWriteResult>>& results) mutable {
-        std::vector<Pending> again;
-        for (size_t i = 0; i < batch.size(); ++i) {
-            if (results.ok())
-                settle(batch[i], (*results)[i]);
-            else if (batch[i].triesLeft > 0)
-                again.push_back(batch[i]);
-            else
-                batch[i].done({ .outcome = ClaimOutcome::Unavailable, .answer = {} });
-        }
-        if (!again.empty())
-            writeBatch(std::move(again));
-    });
+    // The lease may be what the platform refuses: the next claim takes a new one.
+    lease_ = 0;
+    giveUp(pending);
 }
 
-void ClaimLedger::settle(Pending& pending, const KvWriteResult& result)
+// Decides by the claim that stood in the way.
+void ClaimLedger::settle(Pending pending, const KvEntry& current)
 {
-    const QByteArray key = keyOf(pending.request);
-    if (result.applied) {
-        held_[key] = { .token = pending.token, .modRevision = result.revision };
-        pending.done({ .outcome = ClaimOutcome::Granted, .answer = {} });
-        return;
-    }
-    const QJsonObject value = QJsonDocument::fromJson(result.current.value).object();
+    const QJsonObject value = QJsonDocument::fromJson(current.value).object();
+    const QByteArray token = tokenIn(current);
     // An earlier try of this very claim took effect although its answer was lost.
-    if (value["token"].toString().toLatin1() == pending.token) {
-        held_[key] = { .token = pending.token, .modRevision = result.current.modRevision };
-        pending.done({ .outcome = ClaimOutcome::Granted, .answer = {} });
+    if (token == pending.token) {
+        grant(pending, current.modRevision);
         return;
     }
-    if (value["request"].toString().toLatin1() != pending.request.requestHash.toHex()) {
-        pending.done({ .outcome = ClaimOutcome::Mismatch, .answer = {} });
+    const auto abandoned = abandoned_.find(pending.key);
+    const bool isOurs = abandoned != abandoned_.end() && abandoned->second.token == token;
+    // A claim that is gone again, or that this node gave up, can be written over.
+    if (current.value.isEmpty() || isOurs) {
+        pending.expectedModRevision = current.value.isEmpty() ? 0 : current.modRevision;
+        if (--pending.triesLeft > 0)
+            writeClaim(pending);
+        else
+            giveUp(pending);
         return;
     }
-    if (value["state"].toString() != "done") {
+    const QString state = value["state"].toString();
+    if (value["request"].toString().toLatin1() != pending.request.requestHash.toHex())
+        pending.done({ .outcome = ClaimOutcome::Mismatch, .answer = {} });
+    else if (state == "claimed")
         pending.done({ .outcome = ClaimOutcome::Running, .answer = {} });
-        return;
+    else if (!value.contains("body"))
+        pending.done({ .outcome = ClaimOutcome::NotKept, .answer = {} });
+    else
+        pending.done({ .outcome = ClaimOutcome::Finished,
+            .answer = {
+                .status = value["status"].toInt(),
+                .contentType = value["content_type"].toString().toUtf8(),
+                .body = QByteArray::fromBase64(value["body"].toString().toLatin1()),
+            } });
+}
+
+void ClaimLedger::grant(const Pending& pending, int64_t modRevision)
+{
+    abandoned_.erase(pending.key);
+    held_[pending.key] = { .token = pending.token, .modRevision = modRevision };
+    pending.done({ .outcome = ClaimOutcome::Granted, .answer = {} });
+}
+
+// Answers that no claim is held. What may have been written nevertheless is deleted.
+void ClaimLedger::giveUp(const Pending& pending)
+{
+    if (pending.maybeWritten) {
+        abandoned_[pending.key] = { .token = pending.token, .modRevision = 0 };
+        deleteAbandoned(pending.key, pending.token, 1);
     }
-    pending.done({ .outcome = ClaimOutcome::Finished,
-        .answer = {
-            .status = value["status"].toInt(),
-            .contentType = value["content_type"].toString().toUtf8(),
-            .body = QByteArray::fromBase64(value["body"].toString().toLatin1()),
-        } });
+    pending.done({ .outcome = ClaimOutcome::Unavailable, .answer = {} });
 }
 
 void ClaimLedger::complete(const ClaimRequest& request, const StoredAnswer& answer, std::function<void(bool)> done)
 {
     const auto held = held_.extract(keyOf(request));
     if (held.empty()) {
-        done(false);
+        if (done)
+            done(false);
         return;
     }
     QJsonObject value {
@@ -144,15 +185,86 @@
     };
     if (answer.body.size() <= options_.maxAnswerBytes)
         value["body"] = QString::fromLatin1(answer.body.toBase64());
-    const KvWrite write { .key = held.key(), .value = QJsonDocument(value).toJson(QJsonDocument::Compact), .expectedModRevision = held.mapped().modRevision, .lease = lease_ };
-    platform_.compareAndPut(write, [done](const absl::StatusOr<KvWriteResult>& result) { done(result.ok() && result->applied); });
+    const KvWrite write { .key = held.key(), .value = QJsonDocument(value).toJson(QJsonDocument::Compact), .expectedModRevision = held.mapped().modRevision };
+    writeCompletion(write, 1, done);
+}
+
+void ClaimLedger::writeCompletion(const KvWrite& write, int tries, const std::function<void(bool)>& done)
+{
+    withLease([this, write, tries, done](bool hasLease) {
+        auto take = [this, write, tries, done](const absl::StatusOr<KvWriteResult>& result) {
+            if (done)
+                done(result.ok() && result->applied);
+            if (!result.ok() && tries < options_.backgroundTries)
+                QTimer::singleShot(delayAfter(tries), this, [this, write, tries] { writeCompletion(write, tries + 1, {}); });
+        };
+        if (!hasLease) {
+            take(absl::UnavailableError("no lease"));
+            return;
+        }
+        KvWrite leased = write;
+        leased.lease = lease_;
+        writer_.write(leased, take);
+    });
 }
 
 void ClaimLedger::abandon(const ClaimRequest& request)
 {
     const auto held = held_.extract(keyOf(request));
-    if (!held.empty())
-        platform_.compareAndDelete(held.key(), held.mapped().modRevision, [](const absl::StatusOr<KvWriteResult>&) {});
+    if (held.empty())
+        return;
+    abandoned_[held.key()] = held.mapped();
+    deleteAbandoned(held.key(), held.mapped().token, 1);
+}
+
+Millis ClaimLedger::delayAfter(int tries) const
+{
+    constexpr int mostDoublings = 6;
+    return options_.retryDelay * (1 << std::min(tries - 1, mostDoublings));
+}
+
+void ClaimLedger::deleteAbandoned(const QByteArray& key, const QByteArray& token, int tries)
+{
+    const auto found = abandoned_.find(key);
+    if (found == abandoned_.end() || found->second.token != token)
+        return;
+    auto take = [this, key, token, tries](const absl::Status& status) {
+        const auto entry = abandoned_.find(key);
+        if (entry == abandoned_.end() || entry->second.token != token)
+            return;
+        if (status.ok())
+            abandoned_.erase(entry);
+        else
+            retryAbandoned(key, token, tries);
+    };
+    if (found->second.modRevision != 0) {
+        store_.compareAndDelete(key, found->second.modRevision, [take](const absl::StatusOr<KvWriteResult>& result) { take(result.status()); });
+        return;
+    }
+    store_.get(key, [this, key, token, tries, take](const absl::StatusOr<KvRange>& range) {
+        if (!range.ok()) {
+            take(range.status());
+            return;
+        }
+        const auto entry = abandoned_.find(key);
+        const bool isOurs = !range->entries.empty() && tokenIn(range->entries.front()) == token;
+        if (!isOurs || entry == abandoned_.end() || entry->second.token != token) {
+            take(absl::OkStatus());
+            return;
+        }
+        entry->second.modRevision = range->entries.front().modRevision;
+        deleteAbandoned(key, token, tries);
+    });
+}
+
+void ClaimLedger::retryAbandoned(const QByteArray& key, const QByteArray& token, int tries)
+{
+    if (tries >= options_.backgroundTries) {
+        logWarning("claim_left", { { "key", key.toStdString() }, { "reason", "the platform did not answer; the claim stays until its lease lapses" } });
+        abandoned_.erase(key);
+        return;
+    }
+    QTimer::singleShot(delayAfter(tries), this, [this, key, token, tries] { deleteAbandoned(key, token, tries + 1); });
 }
 
 } // namespace hemlockweir
--- a/packages/node/CompletionFlow.cpp
+++ b/packages/node/CompletionFlow.cpp
@@ -4,11 +4,12 @@
 
 #include <QJsonArray>
 #include <QJsonDocument>
+#include <algorithm>
 
 namespace hemlockweir {
 
-// Times that one request is sent to endpoints, when sending it again does no harm.
-static constexpr uint32_t maxAttempts = 4;
+// Attempts of one request that may fail before it is given up, when sending it again does no harm.
+static constexpr uint32_t maxFailures = 4;
 
 absl::StatusOr<CompletionRequest> parseCompletionRequest(const QByteArray& body, bool isChat)
 {
@@ -44,6 +45,7 @@
     : Flow(tables, std::move(exchange), std::move(request))
     , completion_(std::move(completion))
     , seed_(completion_.body.contains("seed") ? static_cast<uint64_t>(completion_.body["seed"].toDouble()) : tables.random() >> 32)
+    , runId_(makeRandomId(tables.random))
 {
 }
 
@@ -66,7 +68,7 @@
         .rank = request().priority.rank,
         .deadline = arrivedAt_ + request().deadline,
         .cost = static_cast<double>(completion_.maxTokens - received_),
-        .avoidGroups = failedGroups_,
+        .avoidGroups = groupsToAvoid(),
     };
     const uint64_t id = jobId_;
     auto post = poster();
@@ -109,15 +111,30 @@
 {
     if (jobId != jobId_ || hasEnded() || isClaimed())
         return;
+    mayHaveRun_ = mayHaveRun_ || call_;
     call_.reset();
     freeSlot();
     schedule();
 }
 
+// Groups that failed this request, while another group could take it: a group whose connection
+// went silent is healthy and may be the only one.
+std::vector<std::string> CompletionFlow::groupsToAvoid() const
+{
+    for (const Replica& replica : tables_.fleet.findReplicas(completion_.model)) {
+        if (std::find(failedGroups_.begin(), failedGroups_.end(), replica.group) == failedGroups_.end())
+            return failedGroups_;
+    }
+    return {};
+}
+
 void CompletionFlow::attempt(const Replica& replica)
 {
     replica_ = replica;
     ++attempt_;
+    attemptOver_ = false;
+    hasToken_ = false;
+    finishReason_.clear();
     record_.attempts = attempt_;
     QJsonObject body = completion_.body;
     body["stream"] = true;
@@ -128,6 +145,7 @@
         .url = QUrl(QStringLiteral("http://") + QString::fromStdString(replica.leader) + path),
         .headers = {
             { "X-Request-Id", QByteArray::fromStdString(request().requestId) },
+            { "X-Run-Id", QByteArray::fromStdString(runId_) },
             { "X-Attempt", QByteArray::number(attempt_) },
             { "X-Group", QByteArray::fromStdString(replica.group) },
             { "X-Group-Epoch", QByteArray::number(static_cast<qulonglong>(replica.epoch)) },
@@ -140,45 +158,95 @@
     };
     events_ = std::make_unique<EventStream>([this](const QByteArray& data) { takeEvent(data); });
     CallHooks hooks;
-    hooks.onData = [this](const QByteArray& bytes) {
-        if (!events_->feed(bytes) && call_)
-            call_->cancel();
-    };
+    hooks.onData = [this](const QByteArray& bytes) { takeBytes(bytes); };
     hooks.onDone = [this](const CallResult& result) { takeCallEnd(result); };
     call_ = client().start(options, hooks);
 }
 
+void CompletionFlow::takeBytes(const QByteArray& bytes)
+{
+    if (!events_->feed(bytes))
+        breakAttempt("an event of the stream is over the limit");
+}
+
 void CompletionFlow::takeEvent(const QByteArray& data)
 {
+    if (attemptOver_)
+        return;
     const QJsonObject event = QJsonDocument::fromJson(data).object();
     // A piece of another request or attempt is never passed on.
-    const bool isOurs = event["request_id"].toString().toStdString() == request().requestId && event["attempt"].toInt() == static_cast<int>(attempt_);
+    const bool isOurs = event["run_id"].toString().toStdString() == runId_ && event["attempt"].toInt() == static_cast<int>(attempt_);
     if (!isOurs)
         return;
-    if (event.contains("finish_reason"))
-        finishReason_ = event["finish_reason"].toString();
-    else if (event["index"].toInt(-1) == static_cast<int>(received_))
+    if (event.contains("finish_reason")) {
+        takeFinish(event);
+        return;
+    }
+    const int index = event["index"].toInt(-1);
+    if (index == static_cast<int>(received_)) {
         takeToken(event);
+    } else if (index > static_cast<int>(received_)) {
+        breakAttempt("a token is missing");
+    } else if (!hasToken_) {
+        // What was sent already must not be followed by the tokens of another generation.
+        cannotResume_ = true;
+        breakAttempt("the engine began anew instead of resuming");
+    }
 }
 
 void CompletionFlow::takeToken(const QJsonObject& event)
 {
     if (received_ == 0)
         record_.firstToken = tables_.clock() - arrivedAt_;
+    hasToken_ = true;
     ++received_;
     record_.tokens = received_;
     sendToken(event["text"].toString());
 }
 
+void CompletionFlow::takeFinish(const QJsonObject& event)
+{
+    if (event["tokens"].toInt(-1) == static_cast<int>(received_))
+        finishReason_ = event["finish_reason"].toString();
+    else
+        breakAttempt("the engine counts other tokens than arrived");
+}
+
+// Gives the current attempt up. Its end is handled later: the call is still on the stack.
+void CompletionFlow::breakAttempt(const char* why)
+{
+    attemptOver_ = true;
+    call_->cancel();
+    poster()([this, attempt = attempt_, why] {
+        if (attempt == attempt_ && !hasEnded())
+            takeCallEnd({ .end = CallEnd::Broken, .error = QString::fromLatin1(why) });
+    });
+}
+
+// An engine that answers 409 or 503 in place of a stream says that it did not take the request.
+static bool saysNotRun(const CallResult& result)
+{
+    return result.end == CallEnd::Answered && (result.status == 409 || result.status == 503);
+}
+
 void CompletionFlow::takeCallEnd(const CallResult& result)
 {
-    mayHaveRun_ = mayHaveRun_ || result.end != CallEnd::NotSent;
+    attemptOver_ = true;
+    mayHaveRun_ = mayHaveRun_ || (result.end != CallEnd::NotSent && !saysNotRun(result));
     freeSlot();
-    if (result.isSuccess() && !finishReason_.isEmpty()) {
+    const bool isRefusal = result.end == CallEnd::Answered && result.status >= 400 && result.status < 500 && result.status != 409 && result.status != 429;
+    if (result.isSuccess() && !finishReason_.isEmpty())
         sendFinish();
-        return;
-    }
-    retryOrFail(result);
+    else if (isRefusal)
+        passRefusal(result);
+    else
+        retryOrFail(result);
+}
+
+// The engine finds fault with the request itself: another group would as well.
+void CompletionFlow::passRefusal(const CallResult& result)
+{
+    fail({ .status = result.status, .type = "refused_by_endpoint", .message = "the engine refused the request: " + result.body.left(200).toStdString(), .outcome = Outcome::Unknown });
 }
 
 void CompletionFlow::retryOrFail(const CallResult& result)
@@ -186,12 +254,9 @@
     logWarning("attempt_failed", { { "request", request().requestId }, { "group", replica_->group }, { "epoch", std::to_string(replica_->epoch) }, { "attempt", std::to_string(attempt_) }, { "http", std::to_string(result.status) }, { "error", result.error.toStdString() } });
     tables_.fleet.suspectGroup(replica_->group, replica_->epoch);
     failedGroups_.push_back(replica_->group);
-    // An engine that answers 409 or 503 says that it did not run the request.
-    const bool wasRefused = result.end == CallEnd::Answered && (result.status == 409 || result.status == 503) && received_ == 0;
-    const bool mayRepeat = !isClaimed() || result.end == CallEnd::NotSent || wasRefused;
-    if (wasRefused && attempt_ == 1)
-        mayHaveRun_ = false;
-    if (mayRepeat && attempt_ < maxAttempts) {
+    ++failures_;
+    const bool mayRepeat = !isClaimed() || result.end == CallEnd::NotSent || saysNotRun(result);
+    if (mayRepeat && !cannotResume_ && failures_ < maxFailures) {
         schedule();
         return;
     }
--- a/packages/node/CompletionFlow.h
+++ b/packages/node/CompletionFlow.h
@@ -38,10 +38,15 @@
 
     // One attempt on one group.
     void attempt(const Replica& replica);
+    void takeBytes(const QByteArray& bytes);
     void takeEvent(const QByteArray& data);
     void takeToken(const QJsonObject& event);
+    void takeFinish(const QJsonObject& event);
+    void breakAttempt(const char* why);
     void takeCallEnd(const CallResult& result);
     void retryOrFail(const CallResult& result);
+    void passRefusal(const CallResult& result);
+    std::vector<std::string> groupsToAvoid() const;
 
     // Towards the caller.
     void sendToken(const QString& text);
@@ -50,13 +55,18 @@
     QJsonObject makeWhole() const;
 
     CompletionRequest completion_;
-    uint64_t seed_;
+    uint64_t seed_; // the same in every attempt, so that a resumed answer goes on as it began
+    std::string runId_; // names this request towards engines; callers' ids may collide
     uint64_t jobId_ = 0; // 0: no job queued or running
     bool holdsSlot_ = false;
     std::optional<Replica> replica_;
     std::shared_ptr<HttpCall> call_;
     std::unique_ptr<EventStream> events_;
     uint32_t attempt_ = 0;
+    uint32_t failures_ = 0; // attempts that failed
+    bool attemptOver_ = false; // nothing more is taken from the current attempt
+    bool hasToken_ = false; // the current attempt has given a token
+    bool cannotResume_ = false; // an engine began anew instead of resuming
     uint32_t received_ = 0; // tokens received in order, over all attempts
     QString text_;
     QString finishReason_;
--- a/packages/node/Flow.cpp
+++ b/packages/node/Flow.cpp
@@ -3,6 +3,7 @@
 #include "base/Log.h"
 
 #include <QCryptographicHash>
+#include <QJsonDocument>
 #include <QThreadStorage>
 
 namespace hemlockweir {
@@ -86,8 +87,11 @@
             { { "X-Request-Id", QByteArray::fromStdString(request_.requestId) }, { "Idempotent-Replay", "true" } });
         end(RequestEnd::Whole);
         return;
+    case ClaimOutcome::NotKept:
+        fail({ .status = 409, .type = "answer_not_kept", .message = "the request with this Idempotency-Key ran; its answer was too large to keep", .outcome = Outcome::Ran });
+        return;
     case ClaimOutcome::Running:
-        fail({ .status = 409, .type = "in_progress_or_unknown", .message = "a request with this Idempotency-Key was started before; it is running or its outcome is unknown, and it will not be run again", .outcome = Outcome::Unknown });
+        fail({ .status = 409, .type = "in_progress_or_unknown", .message = "a request with this Idempotency-Key was started before; it is running or its outcome is unknown, and it will not be run again", .outcome = Outcome::Unknown, .retryAfter = Millis(1000) });
         return;
     case ClaimOutcome::Mismatch:
         fail({ .status = 422, .type = "idempotency_key_reused", .message = "this Idempotency-Key was used for another request", .outcome = Outcome::NotRun });
@@ -109,14 +113,26 @@
     });
 }
 
+// Gives the claim back if nothing ran; else the error is the answer that a later send gets.
+void Flow::settleClaim(const ErrorReply& error)
+{
+    if (!claimed_)
+        return;
+    auto step = [ledger = &tables_.ledger, claim = makeClaimRequest(), error] {
+        if (error.outcome == Outcome::NotRun)
+            ledger->abandon(claim);
+        else
+            ledger->complete(claim, { .status = error.status, .contentType = "application/json", .body = QJsonDocument(formatError(error)).toJson(QJsonDocument::Compact) }, {});
+    };
+    QMetaObject::invokeMethod(&tables_.ledger, step);
+}
+
 void Flow::fail(ErrorReply error)
 {
     if (ended_)
         return;
     error.requestId = request_.requestId;
-    if (claimed_ && error.outcome == Outcome::NotRun) {
-        QMetaObject::invokeMethod(&tables_.ledger, [ledger = &tables_.ledger, claim = makeClaimRequest()] { ledger->abandon(claim); });
-    }
+    settleClaim(error);
     logInfo("request_failed", { { "request", request_.requestId }, { "caller", request_.caller.name }, { "type", error.type }, { "outcome", outcomeName(error.outcome) } });
     sendError(*exchange_, error);
     end(error.outcome == Outcome::NotRun ? RequestEnd::Refused : RequestEnd::Failed);
--- a/packages/node/Flow.h
+++ b/packages/node/Flow.h
@@ -50,6 +50,7 @@
 
 private:
     void takeClaim(const ClaimResult& result, const std::function<void()>& granted);
+    void settleClaim(const ErrorReply& error);
 
     // The flow's address, cleared when it is destroyed.
     struct Handle {
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -67,7 +67,7 @@
           .random = random_,
           .findReplicas = [this](const std::string& model) { return fleet_.findReplicas(model); } })
     , platform_(makePlatformOptions(settings_))
-    , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .random = random_ }, platform_)
+    , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .clock = clock_, .random = random_ }, makeClaimStore(platform_))
     , peers_(makePeerOptions(settings_, incarnation_, clock_))
     , follower_({}, config_, platform_)
     , manager_({ .node = settings_.node,
--- a/packages/node/PlainFlow.cpp
+++ b/packages/node/PlainFlow.cpp
@@ -51,12 +51,13 @@
             { "Content-Type", exchange().header("Content-Type").isEmpty() ? QByteArray("application/octet-stream") : exchange().header("Content-Type") },
             { "X-Request-Id", QByteArray::fromStdString(request().requestId) },
             { "X-Caller", QByteArray::fromStdString(request().caller.name) },
-            { "Idempotency-Key", request().idempotencyKey },
         },
         .body = exchange().body(),
         .firstByteTimeout = request().deadline,
         .silenceTimeout = tables_.silenceTimeout,
     };
+    if (!request().idempotencyKey.isEmpty())
+        options.headers.push_back({ "Idempotency-Key", request().idempotencyKey });
     call_ = client().start(options, { .onHead = {}, .onData = {}, .onDone = [this](const CallResult& result) { takeCallEnd(result); } });
 }
 
@@ -65,7 +66,8 @@
     mayHaveRun_ = mayHaveRun_ || result.end != CallEnd::NotSent;
     if (result.end == CallEnd::Answered) {
         record_.firstToken = tables_.clock() - arrivedAt_;
-        const StoredAnswer answer { .status = result.status, .contentType = "application/json", .body = result.body };
+        const QByteArray contentType = result.contentType.isEmpty() ? QByteArray("application/octet-stream") : result.contentType;
+        const StoredAnswer answer { .status = result.status, .contentType = contentType, .body = result.body };
         storeAnswer(answer, [this, answer] {
             exchange().sendBytes(answer.status, answer.contentType, answer.body, { { "X-Request-Id", QByteArray::fromStdString(request().requestId) } });
             end(RequestEnd::Whole);
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -4,7 +4,10 @@
 // does not answer breaks the group and every request on it.
 //
 // Faults: token_ms, prefill_ms, slow_factor, pause (bool: answers nothing), crash_on (text: a
-// prompt that holds it ends the process), leaving (bool), load_lag_ms, load_ms.
+// prompt that holds it ends the process), leaving (bool), load_lag_ms, load_ms, crossed_chunks
+// (bool: pieces of another request, an old attempt and a duplicated index between the tokens),
+// lose_tokens (count: tokens that are generated and not sent), cannot_resume (bool: begins anew).
+// A request that waits or prefills gets a comment line each 200 ms as a sign of life.
 
 #include "StandIn.h"
 
@@ -16,6 +19,7 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QTimer>
+#include <algorithm>
 #include <deque>
 #include <list>
 
@@ -36,12 +40,14 @@
 
 struct Run {
     std::shared_ptr<Exchange> exchange;
-    QString requestId;
+    QString requestId; // the caller's, for the log
+    QString runId; // echoed in each event
     int attempt = 0;
     int rank = 0;
     int next = 0; // index of the next token
     int maxTokens = 0;
     qint64 nextAt = 0; // ms
+    qint64 aliveAt = 0; // ms of the last sign of life
     QByteArray seed;
 };
 
@@ -202,11 +208,13 @@
         Run run {
             .exchange = exchange,
             .requestId = requestId,
+            .runId = exchange->header("X-Run-Id"),
             .attempt = exchange->header("X-Attempt").toInt(),
             .rank = exchange->header("X-Priority-Rank").toInt(),
-            .next = exchange->header("X-Resume-Offset").toInt(),
+            .next = standIn_.hasFault("cannot_resume") ? 0 : exchange->header("X-Resume-Offset").toInt(),
             .maxTokens = body["max_tokens"].toInt(16),
             .nextAt = 0,
+            .aliveAt = nowMs(),
             .seed = prompt.toUtf8() + QByteArray::number(body["seed"].toDouble(), 'f', 0),
         };
         standIn_.note("run_started", { { "request", requestId }, { "attempt", run.attempt }, { "from", run.next }, { "group", group_ }, { "epoch", epoch_ }, { "rank", run.rank } });
@@ -234,6 +242,17 @@
             running_.back().nextAt = now + setting("prefill_ms", options_.prefillMs);
         }
         std::erase_if(running_, [&](Run& run) { return advance(run, now); });
+        for (std::list<Run>* runs : { &running_, &queue_ })
+            std::for_each(runs->begin(), runs->end(), [now](Run& run) { showLife(run, now); });
+    }
+
+    static void showLife(Run& run, qint64 now)
+    {
+        constexpr qint64 intervalMs = 200;
+        if (now - run.aliveAt < intervalMs)
+            return;
+        run.aliveAt = now;
+        run.exchange->sendChunk(": alive\n\n");
     }
 
     bool noteCancelled(const Run& run)
@@ -250,7 +269,10 @@
         while (run.nextAt <= now && run.next < run.maxTokens && !run.exchange->isOver()) {
             // The same prompt and seed give the same token at the same place on every engine.
             const QByteArray digest = QCryptographicHash::hash(run.seed + QByteArray::number(run.next), QCryptographicHash::Md5).toHex().left(4);
-            send(run, { { "index", run.next }, { "text", QString(" " + digest) } });
+            if (standIn_.hasFault("crossed_chunks"))
+                sendCrossedChunks(run);
+            if (!standIn_.takeFault("lose_tokens"))
+                send(run, { { "index", run.next }, { "text", QString(" " + digest) } });
             ++run.next;
             run.nextAt += tokenMs();
         }
@@ -265,9 +287,30 @@
         return true;
     }
 
+    // Pieces that a lost or mixed-up connection could bring: of every other run, of an earlier
+    // attempt, and the former token once more.
+    void sendCrossedChunks(Run& run)
+    {
+        std::vector<std::pair<QString, int>> senders { { "another", run.attempt }, { run.runId, run.attempt - 1 } };
+        for (const Run& other : running_) {
+            if (other.runId != run.runId)
+                senders.emplace_back(other.runId, other.attempt);
+        }
+        Run crossed = run;
+        for (const auto& [runId, attempt] : senders) {
+            crossed.runId = runId;
+            crossed.attempt = attempt;
+            send(crossed, { { "index", run.next }, { "text", " WRONG" } });
+            send(crossed, { { "finish_reason", "stop" }, { "tokens", run.next } });
+        }
+        if (run.next > 0)
+            send(run, { { "index", run.next - 1 }, { "text", " WRONG" } });
+    }
+
     static void send(Run& run, QJsonObject event)
     {
-        event["request_id"] = run.requestId;
+        run.aliveAt = nowMs();
+        event["run_id"] = run.runId;
         event["attempt"] = run.attempt;
         run.exchange->sendEvent(QJsonDocument(event).toJson(QJsonDocument::Compact));
     }
--- /dev/null
+++ b/tests/ClaimLedgerTest.cpp
@@ -0,0 +1,242 @@
+// The claim ledger against a small store in memory whose answers can be lost.
+
+#include "ledger/ClaimLedger.h"
+#include "support/Wait.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace hemlockweir {
+
+namespace {
+
+    enum class Fault {
+        None,
+        LostAnswer, // the write takes effect, the answer is lost
+        Down, // nothing leaves the process
+    };
+
+    // A store whose calls end at once. A lease lapses by the test's clock.
+    struct FakeStore {
+        struct Entry {
+            KvEntry entry;
+            Millis until { 0 };
+        };
+
+        std::map<QByteArray, Entry> entries;
+        std::map<int64_t, Millis> leases;
+        std::function<Fault()> nextFault = [] { return Fault::None; };
+        Millis now { 0 };
+        int64_t revision = 1;
+        int writeCalls = 0;
+        int grants = 0;
+
+        KvWriteResult apply(const KvWrite& write)
+        {
+            const auto found = entries.find(write.key);
+            const int64_t current = found == entries.end() ? 0 : found->second.entry.modRevision;
+            if (current != write.expectedModRevision)
+                return { .applied = false, .revision = revision, .current = found == entries.end() ? KvEntry {} : found->second.entry };
+            ++revision;
+            entries[write.key] = { .entry = { .key = write.key, .value = write.value, .createRevision = revision, .modRevision = revision }, .until = leases.at(write.lease) };
+            return { .applied = true, .revision = revision, .current = {} };
+        }
+
+        void lapse()
+        {
+            std::erase_if(entries, [this](const auto& row) { return row.second.until <= now; });
+        }
+
+        ClaimStore calls()
+        {
+            return {
+                .writeEach = [this](const std::vector<KvWrite>& writes, const Callback<std::vector<KvWriteResult>>& done) {
+                    ++writeCalls;
+                    const Fault fault = nextFault();
+                    if (fault == Fault::Down) {
+                        done(absl::UnavailableError("down"));
+                        return;
+                    }
+                    std::vector<KvWriteResult> results;
+                    results.reserve(writes.size());
+                    for (const KvWrite& write : writes)
+                        results.push_back(apply(write));
+                    if (fault == Fault::LostAnswer)
+                        done(absl::UnknownError("lost"));
+                    else
+                        done(results); },
+                .get = [this](const QByteArray& key, const Callback<KvRange>& done) {
+                    if (nextFault() != Fault::None) {
+                        done(absl::UnavailableError("down"));
+                        return;
+                    }
+                    KvRange range;
+                    if (entries.contains(key))
+                        range.entries.push_back(entries[key].entry);
+                    done(range); },
+                .compareAndDelete = [this](const QByteArray& key, int64_t modRevision, const Callback<KvWriteResult>& done) {
+                    const Fault fault = nextFault();
+                    const bool applies = fault != Fault::Down && entries.contains(key) && entries[key].entry.modRevision == modRevision;
+                    if (applies)
+                        entries.erase(key);
+                    if (fault == Fault::None)
+                        done(KvWriteResult { .applied = applies, .revision = revision, .current = {} });
+                    else
+                        done(absl::UnknownError("lost")); },
+                .grantLease = [this](std::chrono::seconds ttl, const Callback<int64_t>& done) {
+                    if (nextFault() == Fault::Down) {
+                        done(absl::UnavailableError("down"));
+                        return;
+                    }
+                    leases[++grants] = now + ttl;
+                    done(grants); },
+            };
+        }
+    };
+
+    ClaimLedger::Options makeOptions(FakeStore& store, uint64_t seed)
+    {
+        return { .owner = "n", .retryDelay = Millis(1), .clock = [&store] { return store.now; }, .random = makeSeededRandom(seed) };
+    }
+
+    ClaimRequest makeRequest(const QByteArray& key, const QByteArray& hash = "hash")
+    {
+        return { .caller = "caller", .idempotencyKey = key, .requestHash = hash };
+    }
+
+    ClaimResult claim(ClaimLedger& ledger, const ClaimRequest& request)
+    {
+        std::optional<ClaimResult> result;
+        ledger.claim(request, [&](const ClaimResult& taken) { result = taken; });
+        EXPECT_TRUE(waitUntil([&] { return result.has_value(); }));
+        return result.value_or(ClaimResult {});
+    }
+
+    // Faults for the next calls, then none.
+    std::function<Fault()> inTurn(std::vector<Fault> faults)
+    {
+        return [faults, next = size_t { 0 }]() mutable { return next < faults.size() ? faults[next++] : Fault::None; };
+    }
+
+} // namespace
+
+class ClaimLedgerTest : public testing::Test {
+protected:
+    FakeStore store;
+    ClaimLedger first { makeOptions(store, 1), store.calls() };
+    ClaimLedger second { makeOptions(store, 2), store.calls() };
+};
+
+TEST_F(ClaimLedgerTest, GrantsAKeyOnceAndGivesItsAnswerLater)
+{
+    const StoredAnswer answer { .status = 200, .contentType = "application/json", .body = "{}" };
+    EXPECT_EQ(claim(first, makeRequest("k")).outcome, ClaimOutcome::Granted);
+    EXPECT_EQ(claim(second, makeRequest("k")).outcome, ClaimOutcome::Running);
+    EXPECT_EQ(claim(second, makeRequest("k", "other")).outcome, ClaimOutcome::Mismatch);
+    bool kept = false;
+    first.complete(makeRequest("k"), answer, [&](bool ok) { kept = ok; });
+    ASSERT_TRUE(waitUntil([&] { return kept; }));
+    EXPECT_EQ(claim(second, makeRequest("k")).outcome, ClaimOutcome::Finished);
+    EXPECT_EQ(claim(second, makeRequest("k")).answer, answer);
+    EXPECT_EQ(first.heldCount(), 0U);
+}
+
+TEST_F(ClaimLedgerTest, KnowsItsOwnClaimAgainAfterALostAnswer)
+{
+    EXPECT_EQ(claim(first, makeRequest("warm-up")).outcome, ClaimOutcome::Granted);
+    store.nextFault = inTurn({ Fault::LostAnswer });
+    EXPECT_EQ(claim(first, makeRequest("k")).outcome, ClaimOutcome::Granted);
+}
+
+TEST_F(ClaimLedgerTest, DeletesAClaimThatItCouldNotConfirm)
+{
+    EXPECT_EQ(claim(first, makeRequest("warm-up")).outcome, ClaimOutcome::Granted);
+    store.nextFault = inTurn({ Fault::LostAnswer, Fault::Down, Fault::Down, Fault::Down });
+    EXPECT_EQ(claim(first, makeRequest("k")).outcome, ClaimOutcome::Unavailable);
+    ASSERT_TRUE(waitUntil([&] { return first.abandonedCount() == 0; }));
+    EXPECT_EQ(claim(second, makeRequest("k")).outcome, ClaimOutcome::Granted);
+}
+
+TEST_F(ClaimLedgerTest, TakesItsOwnAbandonedClaimOver)
+{
+    ClaimLedger::Options options = makeOptions(store, 3);
+    options.retryDelay = 10 * hangLimit; // the deletion in the background fails and is not tried again
+    ClaimLedger ledger(options, store.calls());
+    EXPECT_EQ(claim(ledger, makeRequest("warm-up")).outcome, ClaimOutcome::Granted);
+    store.nextFault = inTurn({ Fault::LostAnswer, Fault::Down, Fault::Down, Fault::Down });
+    EXPECT_EQ(claim(ledger, makeRequest("k")).outcome, ClaimOutcome::Unavailable);
+    EXPECT_EQ(ledger.abandonedCount(), 1U);
+    EXPECT_EQ(claim(ledger, makeRequest("k")).outcome, ClaimOutcome::Granted);
+    EXPECT_EQ(claim(second, makeRequest("k")).outcome, ClaimOutcome::Running);
+}
+
+TEST_F(ClaimLedgerTest, GivesBackWhatDidNotRun)
+{
+    EXPECT_EQ(claim(first, makeRequest("k")).outcome, ClaimOutcome::Granted);
+    store.nextFault = inTurn({ Fault::Down, Fault::Down });
+    first.abandon(makeRequest("k"));
+    ASSERT_TRUE(waitUntil([&] { return first.abandonedCount() == 0; }));
+    EXPECT_EQ(claim(second, makeRequest("k")).outcome, ClaimOutcome::Granted);
+}
+
+TEST_F(ClaimLedgerTest, KeepsEveryClaimForItsRetention)
+{
+    EXPECT_EQ(claim(first, makeRequest("early")).outcome, ClaimOutcome::Granted);
+    store.now += std::chrono::hours(23);
+    EXPECT_EQ(claim(first, makeRequest("late")).outcome, ClaimOutcome::Granted);
+    store.now += std::chrono::hours(24) - Millis(1);
+    store.lapse();
+    EXPECT_EQ(claim(second, makeRequest("late")).outcome, ClaimOutcome::Running);
+    EXPECT_EQ(store.grants, 3);
+}
+
+TEST_F(ClaimLedgerTest, SaysThatALargeAnswerIsNotKept)
+{
+    EXPECT_EQ(claim(first, makeRequest("k")).outcome, ClaimOutcome::Granted);
+    bool kept = false;
+    first.complete(makeRequest("k"), { .status = 200, .contentType = {}, .body = QByteArray(100000, 'x') }, [&](bool ok) { kept = ok; });
+    ASSERT_TRUE(waitUntil([&] { return kept; }));
+    EXPECT_EQ(claim(second, makeRequest("k")).outcome, ClaimOutcome::NotKept);
+}
+
+TEST_F(ClaimLedgerTest, SharesOneCallAmongClaimsThatArriveTogether)
+{
+    constexpr int count = 20;
+    int granted = 0;
+    for (int i = 0; i < count; ++i)
+        first.claim(makeRequest(QByteArray::number(i)), [&](const ClaimResult& result) { granted += result.outcome == ClaimOutcome::Granted ? 1 : 0; });
+    // A key that is asked for twice is granted once.
+    first.claim(makeRequest("0"), [&](const ClaimResult& result) { granted += result.outcome == ClaimOutcome::Running ? 1 : 0; });
+    ASSERT_TRUE(waitUntil([&] { return granted == count + 1; }));
+    EXPECT_EQ(store.writeCalls, 2);
+}
+
+// Whatever answers are lost, a key that was granted and not given back is never granted again.
+TEST(ClaimLedgerProperty, GrantsNoKeyTwice)
+{
+    EXPECT_TRUE(rc::check("no key is granted twice", [] {
+        FakeStore store;
+        const Random random = makeSeededRandom(*rc::gen::arbitrary<uint64_t>());
+        store.nextFault = [random] { return random() % 3 == 0 ? Fault::LostAnswer : random() % 3 == 0 ? Fault::Down
+                                                                                                      : Fault::None; };
+        ClaimLedger first(makeOptions(store, 1), store.calls());
+        ClaimLedger second(makeOptions(store, 2), store.calls());
+        std::map<QByteArray, int> granted;
+        const auto steps = *rc::gen::container<std::vector<std::pair<int, bool>>>(rc::gen::pair(rc::gen::inRange(0, 3), rc::gen::arbitrary<bool>()));
+        for (const auto& [key, useFirst] : steps) {
+            const ClaimRequest request = makeRequest(QByteArray::number(key));
+            ClaimLedger& ledger = useFirst ? first : second;
+            if (claim(ledger, request).outcome != ClaimOutcome::Granted)
+                continue;
+            ++granted[request.idempotencyKey];
+            if (random() % 2 == 0) {
+                --granted[request.idempotencyKey];
+                ledger.abandon(request);
+            }
+        }
+        for (const auto& [key, count] : granted)
+            RC_ASSERT(count <= 1);
+    }));
+}
+
+} // namespace hemlockweir
