--- a/packages/config/Configuration.cpp
+++ b/packages/config/Configuration.cpp
@@ -71,11 +71,28 @@
         services.append(QJsonObject { { "name", text(service.name) }, { "pool", text(service.pool) },
             { "path", text(service.path) }, { "idempotent", service.idempotent } });
     }
-    const QJsonObject root { { "publication", text(configuration.publication) }, { "priorities", priorities }, { "callers", callers },
+    QJsonArray former;
+    for (const std::string& publication : configuration.formerPublications)
+        former.append(text(publication));
+    const QJsonObject root { { "publication", text(configuration.publication) }, { "former_publications", former }, { "priorities", priorities }, { "callers", callers },
         { "models", models }, { "services", services } };
     return QJsonDocument(root).toJson(QJsonDocument::Compact);
 }
 
+static absl::Status requireArrays(const QJsonObject& root)
+{
+    for (const char* key : { "priorities", "callers", "models", "services" }) {
+        const QJsonValue value = root[QLatin1String(key)];
+        if (!value.isArray())
+            return absl::InvalidArgumentError(std::string("configuration without an array \"") + key + "\"");
+        for (const QJsonValue& item : value.toArray()) {
+            if (!item.isObject())
+                return absl::InvalidArgumentError(std::string("\"") + key + "\" holds something that is not an object");
+        }
+    }
+    return absl::OkStatus();
+}
+
 absl::StatusOr<Configuration> parseConfiguration(const QByteArray& json)
 {
     QJsonParseError error {};
@@ -83,8 +100,14 @@
     if (!document.isObject())
         return absl::InvalidArgumentError("configuration is not a JSON object: " + error.errorString().toStdString());
     const QJsonObject root = document.object();
+    if (const absl::Status status = requireArrays(root); !status.ok())
+        return status;
     Configuration configuration;
     configuration.publication = root["publication"].toString().toStdString();
+    for (const QJsonValue& value : root["former_publications"].toArray()) {
+        if (configuration.formerPublications.size() < maxFormerPublications)
+            configuration.formerPublications.push_back(value.toString().toStdString());
+    }
     for (const QJsonValue& value : root["priorities"].toArray()) {
         const QJsonObject object = value.toObject();
         configuration.priorities.push_back({
--- a/packages/config/Configuration.h
+++ b/packages/config/Configuration.h
@@ -56,6 +56,7 @@
 // What is in force everywhere.
 struct Configuration {
     std::string publication; // unique id of the publish that wrote it
+    std::vector<std::string> formerPublications; // ids of the publishes before it, newest first
     std::vector<PriorityClass> priorities;
     std::vector<Caller> callers;
     std::vector<Model> models;
@@ -77,6 +78,9 @@
 // The largest configuration that the platform's service holds.
 inline constexpr qsizetype maxConfigurationBytes = 1000 * 1000;
 
+// Former publications that a configuration names.
+inline constexpr size_t maxFormerPublications = 32;
+
 // Writes a configuration as JSON.
 QByteArray formatConfiguration(const Configuration& configuration);
 
--- a/packages/config/Settings.cpp
+++ b/packages/config/Settings.cpp
@@ -49,6 +49,7 @@
     settings.region = reader.readString("region", "default");
     settings.callers = readEndpoint(reader, "callers");
     settings.peers = readEndpoint(reader, "peers");
+    settings.advertisedPeers = reader.readString("advertised_peers", "").empty() ? settings.peers : readEndpoint(reader, "advertised_peers");
     for (const std::string& seed : reader.readStrings("seeds")) {
         const absl::StatusOr<Endpoint> endpoint = parseEndpoint(seed);
         if (endpoint.ok())
--- a/packages/config/Settings.h
+++ b/packages/config/Settings.h
@@ -30,6 +30,7 @@
     std::string region; // region of the failure domain
     Endpoint callers; // TCP, requests of callers and operators
     Endpoint peers; // UDP and TCP, the other nodes
+    Endpoint advertisedPeers; // where the other nodes reach `peers`; default: the same
     std::vector<Endpoint> seeds; // other nodes to greet first
     std::string clusterKey; // secret that authenticates nodes to each other
     int workers = 2; // threads that serve callers
--- /dev/null
+++ b/packages/membership/NodeTable.cpp
@@ -0,0 +1,220 @@
+#include "membership/NodeTable.h"
+
+#include "membership/Rendezvous.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace hemlockweir {
+
+// How often the record of a changed node is repeated, beyond what its spread needs.
+static constexpr int spareNews = 3;
+
+static int log2Of(size_t count)
+{
+    return static_cast<int>(std::bit_width(count));
+}
+
+uint64_t makeBeatId(const std::string& node, uint64_t incarnation)
+{
+    return stableHash(node + "/" + std::to_string(incarnation));
+}
+
+NodeTable::NodeTable(Options options)
+    : options_(std::move(options))
+{
+}
+
+void NodeTable::setOwn(const Heartbeat& heartbeat)
+{
+    own_ = heartbeat;
+}
+
+std::optional<Peer> NodeTable::takeRecord(const NodeRecord& record, Millis now, bool direct)
+{
+    if (record.node == options_.node)
+        return std::nullopt;
+    const auto [it, isNew] = peers_.try_emplace(record.node);
+    Peer& peer = it->second;
+    if (isNew)
+        return replace(peer, record, now, direct);
+    if (peer.incarnation != record.incarnation) {
+        const bool isBelieved = direct || !peer.alive || (!peer.confirmed && record.incarnation > peer.incarnation);
+        return isBelieved ? replace(peer, record, now, direct) : std::nullopt;
+    }
+    peer.confirmed = peer.confirmed || direct;
+    bool isNews = false;
+    if (record.beat > peer.recordBeat) {
+        isNews = peer.heartbeat.leaving != record.heartbeat.leaving;
+        if (peer.heartbeat != record.heartbeat)
+            peer.newsLeft = log2Of(peers_.size()) + spareNews;
+        peer.heartbeat = record.heartbeat;
+        peer.recordBeat = record.beat;
+    }
+    if (record.beat > peer.beat) {
+        peer.beat = record.beat;
+        peer.heardAt = now;
+        isNews = isNews || !peer.alive;
+        peer.alive = true;
+    }
+    return isNews ? std::optional<Peer>(peer) : std::nullopt;
+}
+
+std::optional<Peer> NodeTable::replace(Peer& peer, const NodeRecord& record, Millis now, bool direct)
+{
+    peer = { .node = record.node,
+        .incarnation = record.incarnation,
+        .id = makeBeatId(record.node, record.incarnation),
+        .heartbeat = record.heartbeat,
+        .heardAt = now,
+        .alive = true,
+        .confirmed = direct,
+        .beat = record.beat,
+        .recordBeat = record.beat,
+        .newsLeft = log2Of(peers_.size()) + spareNews };
+    return peer;
+}
+
+bool NodeTable::takeBeat(const BeatRow& row, Millis now)
+{
+    for (auto& [name, peer] : peers_) {
+        if (peer.id != row.id)
+            continue;
+        // A peer that was given up comes back by its record, so that its return is told.
+        if (row.beat > peer.beat && peer.alive) {
+            peer.beat = row.beat;
+            peer.heardAt = now;
+        }
+        return peer.alive || row.beat <= peer.beat;
+    }
+    return false;
+}
+
+Millis NodeTable::aliveTimeout() const
+{
+    constexpr size_t smallTable = 8;
+    constexpr int ticksPerDoubling = 4;
+    if (peers_.size() <= smallTable)
+        return options_.aliveTimeout;
+    return std::max(options_.aliveTimeout, options_.heartbeatInterval * ticksPerDoubling * (log2Of(peers_.size()) + 1));
+}
+
+std::vector<Peer> NodeTable::noteSilent(Millis now, std::vector<std::string>& forgotten)
+{
+    const Millis timeout = aliveTimeout();
+    std::vector<Peer> fallen;
+    for (auto it = peers_.begin(); it != peers_.end();) {
+        Peer& peer = it->second;
+        if (peer.alive && now - peer.heardAt > timeout) {
+            peer.alive = false;
+            fallen.push_back(peer);
+        }
+        if (now - peer.heardAt > options_.forgetTimeout) {
+            forgotten.push_back(it->first);
+            it = peers_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    return fallen;
+}
+
+std::vector<Peer> NodeTable::all() const
+{
+    std::vector<Peer> found;
+    found.reserve(peers_.size());
+    for (const auto& [name, peer] : peers_)
+        found.push_back(peer);
+    return found;
+}
+
+const Peer* NodeTable::find(const std::string& node) const
+{
+    const auto found = peers_.find(node);
+    return found == peers_.end() ? nullptr : &found->second;
+}
+
+const Peer* NodeTable::findById(uint64_t id) const
+{
+    for (const auto& [name, peer] : peers_) {
+        if (peer.id == id)
+            return &peer;
+    }
+    return nullptr;
+}
+
+std::vector<std::string> NodeTable::firstOf(const std::string& domain, size_t count) const
+{
+    std::vector<std::string> staying;
+    std::vector<std::string> leaving;
+    if (domain == own_.domain)
+        (own_.leaving ? leaving : staying).push_back(options_.node);
+    for (const auto& [name, peer] : peers_) {
+        if (peer.alive && peer.heartbeat.domain == domain)
+            (peer.heartbeat.leaving ? leaving : staying).push_back(name);
+    }
+    std::vector<std::string> first = pickByRendezvous(staying, "relay", count);
+    for (const std::string& name : pickByRendezvous(leaving, "relay", count - first.size()))
+        first.push_back(name);
+    return first;
+}
+
+std::set<std::string> NodeTable::otherDomains() const
+{
+    std::set<std::string> domains;
+    for (const auto& [name, peer] : peers_) {
+        if (peer.alive && peer.heartbeat.domain != own_.domain)
+            domains.insert(peer.heartbeat.domain);
+    }
+    return domains;
+}
+
+bool NodeTable::isRelay() const
+{
+    const std::vector<std::string> relays = firstOf(own_.domain, options_.relays);
+    return std::find(relays.begin(), relays.end(), options_.node) != relays.end();
+}
+
+std::vector<Peer> NodeTable::near() const
+{
+    std::vector<Peer> found;
+    for (const auto& [name, peer] : peers_) {
+        if (peer.alive && peer.heartbeat.domain == own_.domain)
+            found.push_back(peer);
+    }
+    return found;
+}
+
+std::vector<Peer> NodeTable::farRelays() const
+{
+    std::vector<Peer> found;
+    for (const std::string& domain : otherDomains()) {
+        for (const std::string& name : firstOf(domain, options_.relays))
+            found.push_back(peers_.at(name));
+    }
+    return found;
+}
+
+std::vector<BeatRow> NodeTable::beats(bool toNear) const
+{
+    std::vector<std::string> names;
+    if (toNear) {
+        for (const Peer& peer : near())
+            names.push_back(peer.node);
+    } else {
+        names = firstOf(own_.domain, options_.delegates);
+    }
+    for (const std::string& domain : otherDomains()) {
+        for (const std::string& name : firstOf(domain, options_.delegates))
+            names.push_back(name);
+    }
+    std::vector<BeatRow> rows;
+    for (const std::string& name : names) {
+        const Peer* peer = find(name);
+        if (peer)
+            rows.push_back({ .id = peer->id, .beat = peer->beat });
+    }
+    return rows;
+}
+
+} // namespace hemlockweir
--- a/packages/membership/PeerLink.cpp
+++ b/packages/membership/PeerLink.cpp
@@ -1,20 +1,24 @@
 #include "membership/PeerLink.h"
 
 #include "base/Log.h"
+#include "membership/Rendezvous.h"
 
 #include <QNetworkDatagram>
 #include <QUrl>
+#include <algorithm>
+#include <set>
 
 namespace hemlockweir {
 
-// Introductions are sent once in so many heartbeats.
-static constexpr uint64_t heartbeatsPerIntroduction = 5;
+// Ticks between two greetings of a seed or a silent peer, while others are alive.
+static constexpr uint32_t ticksPerGreeting = 5;
+static constexpr uint64_t headerBytes = 28; // IPv4 and UDP
 
 PeerLink::PeerLink(PeerLinkOptions options)
     : options_(std::move(options))
+    , senders_({ .challengeInterval = options_.heartbeatInterval / 2 })
+    , table_({ .node = options_.node, .heartbeatInterval = options_.heartbeatInterval, .aliveTimeout = options_.aliveTimeout, .forgetTimeout = options_.forgetTimeout })
 {
-    for (const std::string& seed : options_.seeds)
-        greetings_[seed] = seed;
     connect(&socket_, &QUdpSocket::readyRead, this, &PeerLink::readDatagrams);
     connect(&timer_, &QTimer::timeout, this, &PeerLink::tick);
 }
@@ -33,15 +37,33 @@
 void PeerLink::setHeartbeat(const Heartbeat& heartbeat)
 {
     heartbeat_ = heartbeat;
+    std::lock_guard lock(mutex_);
+    table_.setOwn(heartbeat);
 }
 
 std::vector<Peer> PeerLink::peers() const
 {
     std::lock_guard lock(mutex_);
-    std::vector<Peer> all;
-    for (const auto& [name, peer] : peers_)
-        all.push_back(peer);
-    return all;
+    return table_.all();
+}
+
+bool PeerLink::isFirstFor(std::string_view role, size_t count) const
+{
+    std::vector<std::string> able;
+    std::vector<std::string> all;
+    std::lock_guard lock(mutex_);
+    auto add = [&](const std::string& name, const Heartbeat& heartbeat) {
+        if (heartbeat.leaving)
+            return;
+        all.push_back(name);
+        if (!heartbeat.platformDown)
+            able.push_back(name);
+    };
+    for (const Peer& peer : table_.near())
+        add(peer.node, peer.heartbeat);
+    add(options_.node, heartbeat_);
+    const std::vector<std::string> first = pickByRendezvous(able.empty() ? all : able, role, count);
+    return std::find(first.begin(), first.end(), options_.node) != first.end();
 }
 
 Sender PeerLink::nextSender()
@@ -52,43 +74,136 @@
 void PeerLink::send(const QByteArray& bytes, const std::string& endpoint)
 {
     const QUrl url(QString::fromStdString("udp://" + endpoint));
-    socket_.writeDatagram(bytes, QHostAddress(url.host()), static_cast<quint16>(url.port()));
+    socket_.writeDatagram(bytes, QHostAddress(url.host()), static_cast<quint16>(url.port(0)));
+    ++traffic_.datagramsSent;
+    traffic_.bytesSent += static_cast<uint64_t>(bytes.size()) + headerBytes;
+}
+
+void PeerLink::sendToAll(const QByteArray& bytes, const std::vector<Peer>& targets)
+{
+    for (const Peer& peer : targets)
+        send(bytes, peer.heartbeat.peers);
+}
+
+void PeerLink::sendToSome(const QByteArray& bytes, std::vector<Peer> targets, int bytesPerSecond)
+{
+    constexpr int64_t msPerSecond = 1000;
+    const int64_t budget = bytesPerSecond * options_.heartbeatInterval.count() / msPerSecond;
+    const auto affordable = static_cast<size_t>(std::max<int64_t>(1, budget / (bytes.size() + static_cast<int64_t>(headerBytes))));
+    for (size_t i = 0; i < std::min(affordable, targets.size()); ++i) {
+        std::swap(targets[i], targets[i + options_.random() % (targets.size() - i)]);
+        send(bytes, targets[i].heartbeat.peers);
+    }
+}
+
+void PeerLink::broadcastBytes(const QByteArray& bytes, MessageKind kind)
+{
+    std::vector<Peer> near;
+    std::vector<Peer> far;
+    {
+        std::lock_guard lock(mutex_);
+        near = table_.near();
+        if (isRelayed(kind) && table_.isRelay())
+            far = table_.farRelays();
+    }
+    sendToAll(bytes, near);
+    sendToAll(bytes, far);
 }
 
 void PeerLink::tick()
 {
-    const QByteArray heartbeat = sealMessage(heartbeat_, nextSender(), options_.clusterKey);
-    for (const auto& [name, endpoint] : greetings_)
-        send(heartbeat, endpoint);
-    if (++ticks_ % heartbeatsPerIntroduction == 0) {
-        Nodes nodes;
-        for (const Peer& peer : peers()) {
-            if (peer.alive && nodes.rows.size() < maxRowsPerMessage)
-                nodes.rows.push_back({ .node = peer.node, .peers = peer.heartbeat.peers });
-        }
-        broadcast(nodes);
+    ++beat_;
+    std::vector<Peer> near;
+    std::vector<Peer> far;
+    {
+        std::lock_guard lock(mutex_);
+        near = table_.near();
+        if (table_.isRelay())
+            far = table_.farRelays();
     }
+    if (!near.empty())
+        sendToSome(makeDigest(true), near, options_.nearBytesPerSecond);
+    if (!far.empty())
+        sendToSome(makeDigest(false), far, options_.farBytesPerSecond);
+    greet();
     noteSilentPeers();
 }
 
+NodeRecord PeerLink::ownRecord() const
+{
+    return { .node = options_.node, .incarnation = options_.incarnation, .beat = beat_, .heartbeat = heartbeat_ };
+}
+
+QByteArray PeerLink::makeDigest(bool toNear)
+{
+    Digest digest { .records = { ownRecord() }, .beats = {} };
+    {
+        std::lock_guard lock(mutex_);
+        digest.beats = table_.beats(toNear);
+        addNews(digest, toNear);
+    }
+    while (digest.beats.size() > maxBeatsPerDigest) {
+        digest.beats[options_.random() % digest.beats.size()] = digest.beats.back();
+        digest.beats.pop_back();
+    }
+    return sealMessage(digest, nextSender(), options_.clusterKey);
+}
+
+void PeerLink::addNews(Digest& digest, bool toNear)
+{
+    constexpr size_t mostNews = 3;
+    std::vector<Peer*> known;
+    for (const BeatRow& row : digest.beats) {
+        for (auto& [name, peer] : table_.peers()) {
+            if (peer.id == row.id)
+                known.push_back(&peer);
+        }
+    }
+    auto add = [&](const Peer& peer) {
+        digest.records.push_back({ .node = peer.node, .incarnation = peer.incarnation, .beat = peer.recordBeat, .heartbeat = peer.heartbeat });
+    };
+    for (Peer* peer : known) {
+        if (peer->newsLeft == 0 || digest.records.size() > mostNews)
+            continue;
+        add(*peer);
+        if (toNear)
+            --peer->newsLeft;
+    }
+    // One more record in turn repairs what was lost.
+    if (!known.empty())
+        add(*known[++repairAt_ % known.size()]);
+}
+
+// Greets one seed or silent peer, or all of them while nobody is known to be alive.
+void PeerLink::greet()
+{
+    std::set<std::string> living;
+    std::set<std::string> silent(options_.seeds.begin(), options_.seeds.end());
+    for (const Peer& peer : peers())
+        (peer.alive ? living : silent).insert(peer.heartbeat.peers);
+    silent.erase(heartbeat_.peers);
+    for (const std::string& endpoint : living)
+        silent.erase(endpoint);
+    if (silent.empty() || (!living.empty() && beat_ % ticksPerGreeting != 0))
+        return;
+    Digest greeting { .records = { ownRecord() }, .beats = {} };
+    std::vector<std::string> targets(silent.begin(), silent.end());
+    if (!living.empty())
+        targets = { targets[options_.random() % targets.size()] };
+    for (const std::string& endpoint : targets)
+        sendTo(greeting, endpoint);
+}
+
 void PeerLink::noteSilentPeers()
 {
-    const Millis now = options_.clock();
     std::vector<Peer> fallen;
+    std::vector<std::string> forgotten;
     {
         std::lock_guard lock(mutex_);
-        for (auto it = peers_.begin(); it != peers_.end();) {
-            Peer& peer = it->second;
-            if (peer.alive && now - peer.heardAt > options_.aliveTimeout) {
-                peer.alive = false;
-                fallen.push_back(peer);
-            }
-            const bool forgotten = now - peer.heardAt > options_.forgetTimeout;
-            if (forgotten)
-                greetings_.erase(peer.node);
-            it = forgotten ? peers_.erase(it) : std::next(it);
-        }
+        fallen = table_.noteSilent(options_.clock(), forgotten);
     }
+    for (const std::string& node : forgotten)
+        senders_.forget(node);
     for (const Peer& peer : fallen) {
         logWarning("peer_silent", { { "peer", peer.node } });
         if (onPeerChanged)
@@ -96,12 +211,21 @@
     }
 }
 
+void PeerLink::tellChanged(const Peer& peer)
+{
+    logInfo("peer_alive", { { "peer", peer.node }, { "incarnation", std::to_string(peer.incarnation) }, { "domain", peer.heartbeat.domain } });
+    if (onPeerChanged)
+        onPeerChanged(peer);
+}
+
 void PeerLink::readDatagrams()
 {
     while (socket_.hasPendingDatagrams()) {
         const QNetworkDatagram datagram = socket_.receiveDatagram(maxDatagramBytes + 1);
+        ++traffic_.datagramsReceived;
+        traffic_.bytesReceived += static_cast<uint64_t>(datagram.data().size()) + headerBytes;
         if (datagram.data().size() > maxDatagramBytes)
-            ++refused_;
+            ++traffic_.refused;
         else
             receive(datagram.data());
     }
@@ -110,71 +234,136 @@
 void PeerLink::receive(const QByteArray& bytes)
 {
     const absl::StatusOr<Envelope> envelope = openEnvelope(bytes, options_.clusterKey);
-    if (!envelope.ok() || envelope->sender.node == options_.node || !acceptSender(envelope->sender)) {
-        ++refused_;
+    if (!envelope.ok() || envelope->sender.node == options_.node) {
+        ++traffic_.refused;
         return;
     }
-    if (envelope->kind == MessageKind::Heartbeat)
-        takeHeartbeat(*envelope);
-    else if (envelope->kind == MessageKind::Nodes)
-        takeNodes(*envelope);
-    if (onMessage)
-        onMessage(*envelope);
+    // These two are how a start is confirmed, so they come before it is.
+    if (envelope->kind == MessageKind::Challenge)
+        takeChallenge(*envelope);
+    else if (envelope->kind == MessageKind::ChallengeAnswer)
+        takeChallengeAnswer(*envelope);
+    else if (admit(*envelope))
+        handle(*envelope, bytes);
 }
 
-bool PeerLink::acceptSender(const Sender& sender)
+bool PeerLink::admit(const Envelope& envelope)
 {
-    // A datagram may overtake another by a little; only a copy of a long past one is refused.
-    constexpr uint64_t reorderWindow = 64;
-    Sender& last = lastSender_[sender.node];
-    if (sender.incarnation < last.incarnation)
-        return false;
-    if (sender.incarnation == last.incarnation && sender.sequence + reorderWindow < last.sequence)
-        return false;
-    if (sender.incarnation > last.incarnation || sender.sequence > last.sequence)
-        last = sender;
-    return true;
+    const SenderVerdict verdict = senders_.check(envelope.sender);
+    if (verdict == SenderVerdict::Challenge)
+        challenge(envelope);
+    else if (verdict == SenderVerdict::Refuse)
+        ++traffic_.refused;
+    return verdict == SenderVerdict::Accept;
 }
 
-void PeerLink::takeHeartbeat(const Envelope& envelope)
+// Only a digest says where its sender can be reached.
+void PeerLink::challenge(const Envelope& envelope)
 {
-    const absl::StatusOr<Heartbeat> heartbeat = decodeBody<Heartbeat>(envelope.body);
-    if (!heartbeat.ok()) {
-        ++refused_;
+    const absl::StatusOr<Digest> digest = envelope.kind == MessageKind::Digest ? decodeBody<Digest>(envelope.body) : Digest();
+    if (!digest.ok() || digest->records.empty()) {
+        ++traffic_.refused;
         return;
     }
-    Peer changed;
-    bool isNews = false;
+    if (const auto nonce = senders_.challenge(envelope.sender, options_.clock(), options_.random))
+        sendTo(Challenge { .nonce = *nonce, .replyTo = heartbeat_.peers }, digest->records.front().heartbeat.peers);
+}
+
+void PeerLink::takeChallenge(const Envelope& envelope)
+{
+    const absl::StatusOr<Challenge> challenge = decodeBody<Challenge>(envelope.body);
+    if (challenge.ok())
+        sendTo(ChallengeAnswer { .nonce = challenge->nonce }, challenge->replyTo);
+    else
+        ++traffic_.refused;
+}
+
+void PeerLink::takeChallengeAnswer(const Envelope& envelope)
+{
+    const absl::StatusOr<ChallengeAnswer> answer = decodeBody<ChallengeAnswer>(envelope.body);
+    if (!answer.ok() || !senders_.confirm(envelope.sender, answer->nonce, options_.clock()))
+        ++traffic_.refused;
+}
+
+void PeerLink::handle(const Envelope& envelope, const QByteArray& bytes)
+{
+    if (envelope.kind == MessageKind::Digest)
+        takeDigest(envelope);
+    else if (envelope.kind == MessageKind::Wanted)
+        takeWanted(envelope);
+    relay(envelope, bytes);
+    if (onMessage)
+        onMessage(envelope);
+}
+
+// Each copy of a message is seen once, by its sequence, so relays can not make it go round.
+void PeerLink::relay(const Envelope& envelope, const QByteArray& bytes)
+{
+    if (!isRelayed(envelope.kind))
+        return;
+    std::vector<Peer> targets;
     {
         std::lock_guard lock(mutex_);
-        Peer& peer = peers_[envelope.sender.node];
-        isNews = !peer.alive || peer.incarnation != envelope.sender.incarnation || peer.heartbeat.leaving != heartbeat->leaving;
-        peer = { .node = envelope.sender.node,
-            .incarnation = envelope.sender.incarnation,
-            .heartbeat = *heartbeat,
-            .heardAt = options_.clock(),
-            .alive = true };
-        changed = peer;
-    }
-    greetings_[changed.node] = heartbeat->peers;
-    if (!isNews)
+        const Peer* sender = table_.find(envelope.sender.node);
+        if (!sender || !table_.isRelay())
+            return;
+        targets = sender->heartbeat.domain == heartbeat_.domain ? table_.farRelays() : table_.near();
+    }
+    traffic_.relayed += targets.size();
+    sendToAll(bytes, targets);
+}
+
+void PeerLink::takeDigest(const Envelope& envelope)
+{
+    const absl::StatusOr<Digest> digest = decodeBody<Digest>(envelope.body);
+    if (!digest.ok() || digest->records.empty()) {
+        ++traffic_.refused;
         return;
-    logInfo("peer_alive", { { "peer", changed.node }, { "incarnation", std::to_string(changed.incarnation) }, { "domain", heartbeat->domain } });
-    if (onPeerChanged)
-        onPeerChanged(changed);
+    }
+    const Millis now = options_.clock();
+    std::vector<Peer> changed;
+    Wanted wanted;
+    {
+        std::lock_guard lock(mutex_);
+        for (const NodeRecord& record : digest->records) {
+            const bool isDirect = record.node == envelope.sender.node && record.incarnation == envelope.sender.incarnation;
+            if (const auto peer = table_.takeRecord(record, now, isDirect))
+                changed.push_back(*peer);
+        }
+        const uint64_t ownId = makeBeatId(options_.node, options_.incarnation);
+        for (const BeatRow& row : digest->beats) {
+            if (row.id != ownId && !table_.takeBeat(row, now) && wanted.ids.size() < maxRecordsPerDigest)
+                wanted.ids.push_back(row.id);
+        }
+    }
+    if (!wanted.ids.empty())
+        sendTo(wanted, digest->records.front().heartbeat.peers);
+    for (const Peer& peer : changed)
+        tellChanged(peer);
 }
 
-void PeerLink::takeNodes(const Envelope& envelope)
+void PeerLink::takeWanted(const Envelope& envelope)
 {
-    const absl::StatusOr<Nodes> nodes = decodeBody<Nodes>(envelope.body);
-    if (!nodes.ok()) {
-        ++refused_;
+    constexpr size_t recordsPerDatagram = 8;
+    const absl::StatusOr<Wanted> wanted = decodeBody<Wanted>(envelope.body);
+    if (!wanted.ok()) {
+        ++traffic_.refused;
         return;
     }
-    for (const NodeRow& row : nodes->rows) {
-        if (row.node != options_.node)
-            greetings_.try_emplace(row.node, row.peers);
+    Digest digest { .records = { ownRecord() }, .beats = {} };
+    std::string endpoint;
+    {
+        std::lock_guard lock(mutex_);
+        if (const Peer* sender = table_.find(envelope.sender.node))
+            endpoint = sender->heartbeat.peers;
+        for (const uint64_t id : wanted->ids) {
+            const Peer* peer = table_.findById(id);
+            if (peer && digest.records.size() < recordsPerDatagram)
+                digest.records.push_back({ .node = peer->node, .incarnation = peer->incarnation, .beat = peer->beat, .heartbeat = peer->heartbeat });
+        }
     }
+    if (!endpoint.empty())
+        sendTo(digest, endpoint);
 }
 
 } // namespace hemlockweir
--- a/packages/membership/PeerLink.h
+++ b/packages/membership/PeerLink.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "base/Clock.h"
+#include "membership/NodeTable.h"
+#include "membership/SenderCheck.h"
 #include "wire/Codec.h"
 
 #include <QHostAddress>
@@ -8,38 +10,46 @@
 #include <QTimer>
 #include <QUdpSocket>
 #include <functional>
-#include <map>
 #include <mutex>
 
 // Who the other nodes are, and datagrams between them. Lives on the control thread; the node
 // table can be read from any thread.
 //
-// A node greets its seeds, learns the rest from them, and counts a peer as alive while it hears
-// from it. Nothing here needs the platform.
+// At every tick a node raises its beat and sends a digest of what it knows to a few random nodes
+// of its failure domain, as many as a budget of bytes allows; so news reaches every node by way of
+// others, also where a direct path is cut. Two relays of each failure domain do the same with the
+// relays of the others. Seeds and silent peers are greeted now and then, which heals partitions.
+// Nothing here needs the platform.
 
 namespace hemlockweir {
 
 // What a link needs to know.
 struct PeerLinkOptions {
     std::string node;
-    uint64_t incarnation = 0;
+    uint64_t incarnation = 0; // differs at each start of the node
     QHostAddress address;
     quint16 port = 0; // UDP
     std::vector<std::string> seeds; // ADDRESS:PORT
     QByteArray clusterKey;
     Millis heartbeatInterval { 200 };
-    Millis aliveTimeout { 1500 }; // ms of silence after which a peer counts as gone
+    Millis aliveTimeout { 1500 }; // ms of silence after which a peer counts as gone; longer in large domains
     Millis forgetTimeout { 3600000 }; // ms of silence after which a peer is no longer greeted
+    int nearBytesPerSecond = 3500; // budget of digests within the failure domain
+    int farBytesPerSecond = 2500; // budget of a relay's digests to other failure domains
     Clock clock;
+    Random random;
 };
 
-// One peer, as last heard.
-struct Peer {
-    std::string node;
-    uint64_t incarnation = 0;
-    Heartbeat heartbeat;
-    Millis heardAt { 0 };
-    bool alive = false;
+// Datagrams and bytes so far, with their UDP and IP headers.
+struct PeerTraffic {
+    uint64_t datagramsSent = 0;
+    uint64_t bytesSent = 0;
+    uint64_t datagramsReceived = 0;
+    uint64_t bytesReceived = 0;
+    uint64_t refused = 0; // foreign, truncated, forged or old
+    uint64_t relayed = 0; // messages passed on for others
+
+    auto operator<=>(const PeerTraffic&) const = default;
 };
 
 // Sends and receives the messages between nodes.
@@ -51,54 +61,75 @@
     // Binds the socket and starts the heartbeat.
     absl::Status start();
 
-    // What the next heartbeats say.
+    // What the next heartbeats say. Needed before start().
     void setHeartbeat(const Heartbeat& heartbeat);
 
-    // Sends a message to every peer that is alive.
+    // Sends a message to every living peer: to those of the same failure domain at once, and by
+    // the relays to the other failure domains if isRelayed() says so for its kind.
     template <typename Message>
     void broadcast(const Message& message)
     {
-        const QByteArray bytes = sealMessage(message, nextSender(), options_.clusterKey);
-        for (const Peer& peer : peers()) {
-            if (peer.alive)
-                send(bytes, peer.heartbeat.peers);
-        }
+        broadcastBytes(sealMessage(message, nextSender(), options_.clusterKey), Message::kind);
     }
 
     // All peers heard of within the forget timeout. Thread-safe.
     std::vector<Peer> peers() const;
 
+    // The nodes of this failure domain, this one included, that are first in line for a role;
+    // those that can not reach the platform only if no other is left. Thread-safe.
+    bool isFirstFor(std::string_view role, size_t count) const;
+
     // Called for each authenticated message that is not older than one seen before.
     std::function<void(const Envelope&)> onMessage;
 
     // Called when a peer appears, restarts or falls silent.
     std::function<void(const Peer&)> onPeerChanged;
 
-    // Datagrams refused since the start: foreign, truncated, forged or old.
-    uint64_t refusedCount() const { return refused_; }
+    PeerTraffic traffic() const { return traffic_; }
+    uint64_t refusedCount() const { return traffic_.refused; }
 
 private:
     Sender nextSender();
     void send(const QByteArray& bytes, const std::string& endpoint);
-    void readDatagrams();
-    void receive(const QByteArray& bytes);
-    bool acceptSender(const Sender& sender);
-    void takeHeartbeat(const Envelope& envelope);
-    void takeNodes(const Envelope& envelope);
+    void broadcastBytes(const QByteArray& bytes, MessageKind kind);
+    void sendToAll(const QByteArray& bytes, const std::vector<Peer>& targets);
+    void sendToSome(const QByteArray& bytes, std::vector<Peer> targets, int bytesPerSecond);
+    template <typename Message>
+    void sendTo(const Message& message, const std::string& endpoint)
+    {
+        send(sealMessage(message, nextSender(), options_.clusterKey), endpoint);
+    }
+
     void tick();
+    QByteArray makeDigest(bool toNear);
+    NodeRecord ownRecord() const;
+    void addNews(Digest& digest, bool toNear);
+    void greet();
     void noteSilentPeers();
+    void tellChanged(const Peer& peer);
+
+    void readDatagrams();
+    void receive(const QByteArray& bytes);
+    bool admit(const Envelope& envelope);
+    void challenge(const Envelope& envelope);
+    void handle(const Envelope& envelope, const QByteArray& bytes);
+    void relay(const Envelope& envelope, const QByteArray& bytes);
+    void takeDigest(const Envelope& envelope);
+    void takeWanted(const Envelope& envelope);
+    void takeChallenge(const Envelope& envelope);
+    void takeChallengeAnswer(const Envelope& envelope);
 
     PeerLinkOptions options_;
     QUdpSocket socket_;
     QTimer timer_;
     Heartbeat heartbeat_;
     uint64_t sequence_ = 0;
-    uint64_t ticks_ = 0;
-    uint64_t refused_ = 0;
-    std::map<std::string, Sender> lastSender_; // by node
-    std::map<std::string, std::string> greetings_; // endpoints to greet, by node or by themselves
-    mutable std::mutex mutex_; // guards peers_; a leaf
-    std::map<std::string, Peer> peers_;
+    uint32_t beat_ = 0;
+    size_t repairAt_ = 0; // whose record goes out next though it is no news
+    PeerTraffic traffic_;
+    SenderCheck senders_;
+    mutable std::mutex mutex_; // guards table_; a leaf
+    NodeTable table_;
 };
 
 } // namespace hemlockweir
--- /dev/null
+++ b/packages/membership/SenderCheck.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "wire/Codec.h"
+
+#include <bitset>
+#include <map>
+#include <optional>
+
+// Decides which authenticated datagrams are new. Pure: time and randomness are given.
+//
+// A tag shows that a datagram was made by a node, not when. So a start of a node that was not
+// heard before first has to answer a fresh challenge, and its datagrams count from that answer on.
+// No order between incarnations is needed: a node may be replaced on an instance whose clock is behind.
+
+namespace hemlockweir {
+
+// What to do with a datagram.
+enum class SenderVerdict {
+    Accept,
+    Refuse, // a copy, or too old
+    Challenge, // its sender's start is not confirmed
+};
+
+// Accepts every sequence number once, if it is not far behind the highest.
+class ReplayWindow {
+public:
+    // All numbers up to `floor` count as seen.
+    explicit ReplayWindow(uint64_t floor = 0)
+        : highest_(floor)
+    {
+        seen_.set();
+    }
+
+    bool accept(uint64_t sequence);
+
+private:
+    static constexpr size_t width = 256;
+
+    uint64_t highest_;
+    std::bitset<width> seen_; // bit i: highest_ - i was seen
+};
+
+class SenderCheck {
+public:
+    struct Options {
+        Millis challengeInterval { 150 }; // ms, at least, between two challenges to one node
+        Millis challengeTimeout { 5000 }; // ms that an answer may take
+        size_t maxSenders = 2000; // nodes remembered
+    };
+
+    explicit SenderCheck(Options options);
+
+    // Judges a datagram; an accepted one counts as seen.
+    SenderVerdict check(const Sender& sender);
+
+    // Returns a nonce to challenge the sender with; none when that happened just now.
+    std::optional<uint64_t> challenge(const Sender& sender, Millis now, const Random& random);
+
+    // Takes an answer; true when it confirms this start of the sender.
+    bool confirm(const Sender& sender, uint64_t nonce, Millis now);
+
+    // Forgets nodes that are not in use any more.
+    void forget(const std::string& node);
+
+private:
+    struct State {
+        uint64_t incarnation = 0; // confirmed; 0: none yet
+        ReplayWindow window;
+        uint64_t challenged = 0; // incarnation
+        uint64_t nonce = 0; // 0: none pending
+        Millis challengedAt { 0 };
+    };
+
+    Options options_;
+    std::map<std::string, State> senders_; // by node
+};
+
+} // namespace hemlockweir
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -13,7 +13,8 @@
 static constexpr Millis pumpInterval { 5 };
 static constexpr Millis stopCheckInterval { 20 };
 
-// Wall time in milliseconds: grows over restarts without any disk.
+// Wall time in milliseconds, which operators can read. Peers take it as a name of this start only,
+// so a clock that is behind does no harm.
 static uint64_t makeIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -28,7 +29,7 @@
     return options;
 }
 
-static PeerLinkOptions makePeerOptions(const Settings& settings, uint64_t incarnation, const Clock& clock)
+static PeerLinkOptions makePeerOptions(const Settings& settings, uint64_t incarnation, const Clock& clock, const Random& random)
 {
     PeerLinkOptions options { .node = settings.node,
         .incarnation = incarnation,
@@ -37,7 +38,8 @@
         .seeds = {},
         .clusterKey = QByteArray::fromStdString(settings.clusterKey),
         .heartbeatInterval = settings.heartbeatInterval,
-        .clock = clock };
+        .clock = clock,
+        .random = random };
     for (const Endpoint& seed : settings.seeds)
         options.seeds.push_back(seed.toString());
     return options;
@@ -68,8 +70,9 @@
           .findReplicas = [this](const std::string& model) { return fleet_.findReplicas(model); } })
     , platform_(makePlatformOptions(settings_))
     , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .random = random_ }, platform_)
-    , peers_(makePeerOptions(settings_, incarnation_, clock_))
-    , follower_({}, config_, platform_)
+    , peers_(makePeerOptions(settings_, incarnation_, clock_, random_))
+    , configServer_(makeConfigServerOptions())
+    , follower_(makeFollowerOptions(), config_, platform_)
     , manager_({ .node = settings_.node,
                    .domain = settings_.domain,
                    .instancesUrl = QUrl(QString::fromStdString(settings_.instancesUrl)),
@@ -114,6 +117,8 @@
     peers_.setHeartbeat(makeHeartbeat());
     if (const absl::Status status = peers_.start(); !status.ok())
         return status;
+    if (const absl::Status status = configServer_.start(); !status.ok())
+        return status;
     if (const absl::Status status = server_.start(); !status.ok())
         return status;
     follower_.start();
@@ -152,9 +157,56 @@
     return { .domain = settings_.domain,
         .region = settings_.region,
         .callers = settings_.callers.toString(),
-        .peers = settings_.peers.toString(),
+        .peers = settings_.advertisedPeers.toString(),
         .configRevision = config_.snapshot().revision,
-        .leaving = tables_.isStopping };
+        .leaving = tables_.isStopping,
+        .platformDown = follower_.isPlatformDown() };
+}
+
+ConfigServer::Options Node::makeConfigServerOptions()
+{
+    return { .node = settings_.node,
+        .incarnation = incarnation_,
+        .address = QHostAddress(QString::fromStdString(settings_.peers.address)),
+        .port = settings_.peers.port,
+        .clusterKey = QByteArray::fromStdString(settings_.clusterKey),
+        .read = [this] {
+            const ConfigSnapshot snapshot = config_.snapshot();
+            return PublishedDocument { .json = snapshot.document, .revision = snapshot.revision };
+        } };
+}
+
+ConfigFollower::Options Node::makeFollowerOptions()
+{
+    constexpr size_t watchersPerDomain = 2;
+    return { .fetch = { .node = settings_.node, .incarnation = incarnation_, .clusterKey = QByteArray::fromStdString(settings_.clusterKey) },
+        .clock = clock_,
+        .random = random_,
+        .isWatcher = [this] { return peers_.isFirstFor("configuration watcher", watchersPerDomain); },
+        .sources = [this] { return findConfigSources(); } };
+}
+
+std::vector<ConfigSource> Node::findConfigSources() const
+{
+    std::vector<ConfigSource> sources;
+    for (const Peer& peer : peers_.peers()) {
+        if (peer.alive)
+            sources.push_back({ .endpoint = peer.heartbeat.peers, .revision = peer.heartbeat.configRevision, .isNear = peer.heartbeat.domain == settings_.domain });
+    }
+    return sources;
+}
+
+void Node::exposeTraffic()
+{
+    const PeerTraffic traffic = peers_.traffic();
+    metrics_.setGauge("hemlockweir_peer_bytes_sent_total", "Bytes of datagrams sent to peers, with headers", static_cast<double>(traffic.bytesSent));
+    metrics_.setGauge("hemlockweir_peer_bytes_received_total", "Bytes of datagrams received from peers, with headers", static_cast<double>(traffic.bytesReceived));
+    metrics_.setGauge("hemlockweir_peer_datagrams_sent_total", "Datagrams sent to peers", static_cast<double>(traffic.datagramsSent));
+    metrics_.setGauge("hemlockweir_peer_datagrams_refused_total", "Datagrams refused: foreign, truncated, forged or old", static_cast<double>(traffic.refused));
+    metrics_.setGauge("hemlockweir_peer_datagrams_relayed_total", "Datagrams passed on for other nodes", static_cast<double>(traffic.relayed));
+    metrics_.setGauge("hemlockweir_configuration_bytes_sent_total", "Bytes of configurations sent to peers", static_cast<double>(configServer_.bytesSent()));
+    metrics_.setGauge("hemlockweir_platform_calls_total", "Calls to the platform's key-value service", static_cast<double>(platform_.callsMade()));
+    metrics_.setGauge("hemlockweir_configuration_watching", "1 while this node watches the platform for the configuration", follower_.isWatching() ? 1 : 0);
 }
 
 bool Node::hasNodeIn(const std::string& domain) const
@@ -229,6 +281,7 @@
     peers_.setHeartbeat(makeHeartbeat());
     shareGroups();
     shareUsage();
+    exposeTraffic();
     metrics_.setGauge("hemlockweir_waiting_requests", "Requests waiting for a slot", static_cast<double>(scheduler_.waitingCount()));
 }
 
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -4,6 +4,7 @@
 #include "fleet/FleetManager.h"
 #include "membership/PeerLink.h"
 #include "node/CallerApi.h"
+#include "rollout/ConfigExchange.h"
 #include "rollout/ConfigFollower.h"
 
 // One entry node: the control thread's parts, the shared tables and the server, put together.
@@ -38,6 +39,10 @@
     bool isReady() const;
     QJsonObject describe() const;
     Heartbeat makeHeartbeat() const;
+    ConfigServer::Options makeConfigServerOptions();
+    ConfigFollower::Options makeFollowerOptions();
+    std::vector<ConfigSource> findConfigSources() const;
+    void exposeTraffic();
 
     Settings settings_;
     Clock clock_;
@@ -50,6 +55,7 @@
     KvClient platform_;
     ClaimLedger ledger_;
     PeerLink peers_;
+    ConfigServer configServer_;
     ConfigFollower follower_;
     FleetManager manager_;
     Tables tables_;
--- a/packages/platform/KvClient.cpp
+++ b/packages/platform/KvClient.cpp
@@ -130,6 +130,13 @@
     });
 }
 
+void KvClient::getRevision(const QByteArray& key, Callback<KvRange> done)
+{
+    post("/v3/kv/range", { { "key", encode(key) }, { "keys_only", true } }, [done](absl::StatusOr<QJsonObject> answer) {
+        done(answer.ok() ? absl::StatusOr<KvRange>(readRange(*answer)) : answer.status());
+    });
+}
+
 void KvClient::compareAndPut(const KvWrite& write, Callback<KvWriteResult> done)
 {
     post("/v3/kv/txn", makePutTxn(write), [done](absl::StatusOr<QJsonObject> answer) {
--- a/packages/platform/KvClient.h
+++ b/packages/platform/KvClient.h
@@ -61,6 +61,9 @@
     void get(const QByteArray& key, Callback<KvRange> done);
     void getPrefix(const QByteArray& prefix, Callback<KvRange> done);
 
+    // Reads one key without its value, however large that is.
+    void getRevision(const QByteArray& key, Callback<KvRange> done);
+
     // Writes one key if its revision is still the expected one.
     void compareAndPut(const KvWrite& write, Callback<KvWriteResult> done);
 
--- /dev/null
+++ b/packages/rollout/ConfigExchange.cpp
@@ -0,0 +1,173 @@
+#include "rollout/ConfigExchange.h"
+
+#include "wire/Frame.h"
+
+#include <QUrl>
+#include <QtEndian>
+
+namespace hemlockweir {
+
+static constexpr qsizetype maxRequestBytes = 1024;
+static constexpr qsizetype maxAnswerBytes = maxPackedDocumentBytes + 1024;
+
+std::string packDocument(const QByteArray& json)
+{
+    return qCompress(json).toStdString();
+}
+
+absl::StatusOr<QByteArray> unpackDocument(const std::string& packed)
+{
+    // The length that qUncompress() takes memory for stands in the first four bytes.
+    if (packed.size() <= sizeof(quint32) || qFromBigEndian<quint32>(packed.data()) > maxDocumentBytes)
+        return absl::InvalidArgumentError("a document of no allowed size");
+    QByteArray json = qUncompress(reinterpret_cast<const uchar*>(packed.data()), static_cast<qsizetype>(packed.size()));
+    if (json.isEmpty() || json.size() > maxDocumentBytes)
+        return absl::InvalidArgumentError("not a compressed document");
+    return json;
+}
+
+ConfigServer::ConfigServer(Options options)
+    : options_(std::move(options))
+{
+    connect(&server_, &QTcpServer::newConnection, this, &ConfigServer::accept);
+}
+
+absl::Status ConfigServer::start()
+{
+    if (server_.listen(options_.address, options_.port))
+        return absl::OkStatus();
+    return absl::UnavailableError("cannot listen on TCP " + options_.address.toString().toStdString() + ":" + std::to_string(options_.port) + ": "
+        + server_.errorString().toStdString());
+}
+
+void ConfigServer::accept()
+{
+    while (QTcpSocket* socket = server_.nextPendingConnection()) {
+        if (open_ >= options_.maxConnections) {
+            socket->abort();
+            socket->deleteLater();
+            continue;
+        }
+        ++open_;
+        connect(socket, &QObject::destroyed, this, [this] { --open_; });
+        connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
+        connect(socket, &QTcpSocket::readyRead, this, [this, socket, received = QByteArray()]() mutable { readRequest(socket, received); });
+        QTimer::singleShot(options_.connectionTimeout, socket, [socket] {
+            socket->abort();
+            socket->deleteLater();
+        });
+    }
+}
+
+void ConfigServer::readRequest(QTcpSocket* socket, QByteArray& received)
+{
+    received += socket->read(maxRequestBytes);
+    const auto frame = takeFrame(received, maxRequestBytes);
+    if (frame.ok() && !*frame)
+        return;
+    const auto envelope = frame.ok() ? openEnvelope(**frame, options_.clusterKey) : frame.status();
+    if (!envelope.ok() || envelope->kind != MessageKind::ConfigRequest) {
+        socket->abort();
+        return;
+    }
+    const auto request = decodeBody<ConfigRequest>(envelope->body);
+    if (!request.ok()) {
+        socket->abort();
+        return;
+    }
+    const QByteArray answer = makeFrame(makeAnswer(*request));
+    bytesSent_ += static_cast<uint64_t>(answer.size());
+    socket->write(answer);
+    socket->disconnectFromHost();
+}
+
+QByteArray ConfigServer::makeAnswer(const ConfigRequest& request)
+{
+    const PublishedDocument document = options_.read();
+    ConfigDocument answer { .revision = document.revision, .packed = {} };
+    if (document.revision > request.heldRevision) {
+        answer.packed = packedFor(document);
+        ++served_;
+    }
+    return sealMessage(answer, { .node = options_.node, .incarnation = options_.incarnation, .sequence = ++sequence_ }, options_.clusterKey);
+}
+
+std::string ConfigServer::packedFor(const PublishedDocument& document)
+{
+    if (packedRevision_ != document.revision) {
+        packed_ = packDocument(document.json);
+        packedRevision_ = document.revision;
+    }
+    return packed_;
+}
+
+ConfigFetch::ConfigFetch(Options options)
+    : options_(std::move(options))
+{
+    timer_.setSingleShot(true);
+    connect(&timer_, &QTimer::timeout, this, [this] { finish(absl::UnavailableError("no answer in time")); });
+}
+
+void ConfigFetch::start(const std::string& endpoint, int64_t heldRevision, std::function<void(const absl::StatusOr<PublishedDocument>&)> done)
+{
+    done_ = std::move(done);
+    received_.clear();
+    socket_ = std::make_unique<QTcpSocket>();
+    connect(socket_.get(), &QTcpSocket::readyRead, this, &ConfigFetch::readAnswer);
+    connect(socket_.get(), &QTcpSocket::errorOccurred, this, [this] {
+        readAnswer();
+        finish(absl::UnavailableError(socket_ ? socket_->errorString().toStdString() : "closed"));
+    });
+    const Sender sender { .node = options_.node, .incarnation = options_.incarnation, .sequence = ++sequence_ };
+    const QByteArray request = makeFrame(sealMessage(ConfigRequest { .heldRevision = heldRevision }, sender, options_.clusterKey));
+    connect(socket_.get(), &QTcpSocket::connected, this, [this, request] { socket_->write(request); });
+    const QUrl url(QString::fromStdString("tcp://" + endpoint));
+    socket_->connectToHost(url.host(), static_cast<quint16>(url.port(0)));
+    timer_.start(options_.timeout);
+}
+
+void ConfigFetch::readAnswer()
+{
+    if (!socket_)
+        return;
+    const QByteArray bytes = socket_->readAll();
+    bytesReceived_ += static_cast<uint64_t>(bytes.size());
+    received_ += bytes;
+    const auto frame = takeFrame(received_, maxAnswerBytes);
+    if (!frame.ok())
+        finish(frame.status());
+    else if (*frame)
+        finish(openAnswer(**frame));
+}
+
+absl::StatusOr<PublishedDocument> ConfigFetch::openAnswer(const QByteArray& bytes) const
+{
+    const auto envelope = openEnvelope(bytes, options_.clusterKey);
+    if (!envelope.ok())
+        return envelope.status();
+    if (envelope->kind != MessageKind::ConfigDocument)
+        return absl::InvalidArgumentError("another message than asked for");
+    const auto answer = decodeBody<ConfigDocument>(envelope->body);
+    if (!answer.ok())
+        return answer.status();
+    if (answer->packed.empty())
+        return absl::NotFoundError("the peer holds nothing newer");
+    absl::StatusOr<QByteArray> json = unpackDocument(answer->packed);
+    if (!json.ok())
+        return json.status();
+    return PublishedDocument { .json = std::move(*json), .revision = answer->revision };
+}
+
+void ConfigFetch::finish(const absl::StatusOr<PublishedDocument>& result)
+{
+    if (!socket_)
+        return;
+    timer_.stop();
+    socket_->disconnect(this);
+    // This may run inside one of the socket's own signals.
+    socket_.release()->deleteLater();
+    const auto done = std::exchange(done_, nullptr);
+    done(result);
+}
+
+} // namespace hemlockweir
--- a/packages/rollout/ConfigTable.cpp
+++ b/packages/rollout/ConfigTable.cpp
@@ -3,7 +3,7 @@
 namespace hemlockweir {
 
 ConfigTable::ConfigTable()
-    : snapshot_ { .configuration = std::make_shared<const Configuration>(), .revision = 0 }
+    : snapshot_ { .configuration = std::make_shared<const Configuration>(), .revision = 0, .document = {} }
 {
 }
 
@@ -13,12 +13,12 @@
     return snapshot_;
 }
 
-bool ConfigTable::adopt(const Configuration& configuration, int64_t revision)
+bool ConfigTable::adopt(const Configuration& configuration, int64_t revision, const QByteArray& document)
 {
     std::lock_guard lock(mutex_);
     if (revision <= snapshot_.revision)
         return false;
-    snapshot_ = { .configuration = std::make_shared<const Configuration>(configuration), .revision = revision };
+    snapshot_ = { .configuration = std::make_shared<const Configuration>(configuration), .revision = revision, .document = document };
     return true;
 }
 
--- a/packages/wire/Bounded.h
+++ b/packages/wire/Bounded.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <algorithm>
 #include <cereal/cereal.hpp>
 #include <cereal/types/string.hpp>
 #include <cstdint>
 #include <stdexcept>
 #include <string>
+#include <type_traits>
 #include <vector>
 
 // Length checks for what comes from the network: cereal sizes a container by the length it reads,
@@ -35,8 +37,26 @@
     if (field.value.size() > field.limit)
         throw std::length_error("a field is longer than its message allows");
     archive(static_cast<uint32_t>(field.value.size()));
-    for (auto& element : field.value)
-        archive(element);
+    if constexpr (std::is_same_v<std::remove_const_t<Container>, std::string>) {
+        archive(cereal::binary_data(field.value.data(), field.value.size()));
+    } else {
+        for (auto& element : field.value)
+            archive(element);
+    }
+}
+
+// Reads text in pieces, so that a length beyond what was sent costs one piece at most.
+template <class Archive>
+void loadText(Archive& archive, std::string& text, uint32_t size)
+{
+    constexpr uint32_t pieceBytes = 64 * 1024;
+    while (size > 0) {
+        const uint32_t piece = std::min(size, pieceBytes);
+        const size_t at = text.size();
+        text.resize(at + piece);
+        archive(cereal::binary_data(text.data() + at, piece));
+        size -= piece;
+    }
 }
 
 template <class Archive, typename Container>
@@ -47,10 +67,14 @@
     if (size > field.limit)
         throw std::length_error("a field is longer than its message allows");
     field.value.clear();
-    for (uint32_t i = 0; i < size; ++i) {
-        typename Container::value_type element {};
-        archive(element);
-        field.value.push_back(std::move(element));
+    if constexpr (std::is_same_v<Container, std::string>) {
+        loadText(archive, field.value, size);
+    } else {
+        for (uint32_t i = 0; i < size; ++i) {
+            typename Container::value_type element {};
+            archive(element);
+            field.value.push_back(std::move(element));
+        }
     }
 }
 
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -23,9 +23,22 @@
     Usage = 4,
     Suspects = 5,
     Counters = 6,
+    ConfigRequest = 16,
+    ConfigDocument = 17,
+    Digest = 18,
+    Challenge = 19,
+    ChallengeAnswer = 20,
+    Wanted = 21,
 };
 
-// Says that a node runs, and what it has. Sent every heartbeat interval.
+// Whether relays pass a message on to the other failure domains. Those that concern two nodes or
+// that relays make themselves are not.
+constexpr bool isRelayed(MessageKind kind)
+{
+    return kind != MessageKind::Heartbeat && kind != MessageKind::Nodes && kind < MessageKind::ConfigRequest;
+}
+
+// Says that a node runs, and what it has.
 struct Heartbeat {
     static constexpr MessageKind kind = MessageKind::Heartbeat;
     std::string domain;
@@ -34,42 +47,17 @@
     std::string peers; // ADDRESS:PORT for nodes
     int64_t configRevision = 0; // newest configuration held
     bool leaving = false; // in a planned stop
+    bool platformDown = false; // the platform can not be reached from here
 
     template <class Archive>
     void serialize(Archive& archive)
     {
         archive(bounded(domain, maxNameLength), bounded(region, maxNameLength), bounded(callers, maxEndpointLength),
-            bounded(peers, maxEndpointLength), configRevision, leaving);
+            bounded(peers, maxEndpointLength), configRevision, leaving, platformDown);
     }
     auto operator<=>(const Heartbeat&) const = default;
 };
 
-// One node as another has heard of it.
-struct NodeRow {
-    std::string node;
-    std::string peers; // ADDRESS:PORT
-
-    template <class Archive>
-    void serialize(Archive& archive)
-    {
-        archive(bounded(node, maxNameLength), bounded(peers, maxEndpointLength));
-    }
-    auto operator<=>(const NodeRow&) const = default;
-};
-
-// Introduces nodes to each other, so that the platform is not needed for it.
-struct Nodes {
-    static constexpr MessageKind kind = MessageKind::Nodes;
-    std::vector<NodeRow> rows;
-
-    template <class Archive>
-    void serialize(Archive& archive)
-    {
-        archive(bounded(rows, maxRowsPerMessage));
-    }
-    auto operator<=>(const Nodes&) const = default;
-};
-
 // One group as its observer sees it.
 struct GroupRow {
     std::string group;
--- /dev/null
+++ b/packages/wire/RolloutMessages.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "wire/Messages.h"
+
+// The messages that carry a configuration from node to node, over TCP.
+
+namespace hemlockweir {
+
+inline constexpr uint32_t maxPackedDocumentBytes = 1024 * 1024; // compressed
+inline constexpr qsizetype maxDocumentBytes = 1024 * 1024; // as JSON
+
+// Asks for the configuration if it is newer than the one held.
+struct ConfigRequest {
+    static constexpr MessageKind kind = MessageKind::ConfigRequest;
+    int64_t heldRevision = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(heldRevision);
+    }
+    auto operator<=>(const ConfigRequest&) const = default;
+};
+
+// A configuration with its revision; an empty document says that nothing newer is held.
+struct ConfigDocument {
+    static constexpr MessageKind kind = MessageKind::ConfigDocument;
+    int64_t revision = 0;
+    std::string packed; // the JSON document, compressed by packDocument()
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(revision, bounded(packed, maxPackedDocumentBytes));
+    }
+    auto operator<=>(const ConfigDocument&) const = default;
+};
+
+} // namespace hemlockweir
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -133,13 +133,20 @@
             { "lease", QString::number(entry.lease) } };
     }
 
+    QJsonObject describeKey(const QByteArray& key, const Entry& entry) const
+    {
+        QJsonObject object = describe(key, entry);
+        object.remove("value");
+        return object;
+    }
+
     QJsonObject range(const QJsonObject& body) const
     {
         const QByteArray key = decode(body["key"]);
         const QByteArray end = decode(body["range_end"]);
         QJsonArray found;
         for (auto it = entries_.lower_bound(key); it != entries_.end() && (end.isEmpty() ? it->first == key : it->first < end); ++it)
-            found.append(describe(it->first, it->second));
+            found.append(body["keys_only"].toBool() ? describeKey(it->first, it->second) : describe(it->first, it->second));
         return { { "header", header() }, { "kvs", found }, { "count", QString::number(found.size()) } };
     }
 
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -35,7 +35,7 @@
 
 RC_GTEST_PROP(Codec, RefusesEveryChangedByte, ())
 {
-    QByteArray bytes = sealMessage(Nodes { .rows = { { .node = "n2", .peers = "10.0.0.2:81" } } }, sender, key);
+    QByteArray bytes = sealMessage(Usage { .groups = { { .group = "g1", .inFlight = 3 } } }, sender, key);
     const auto at = *rc::gen::inRange<int>(0, static_cast<int>(bytes.size()));
     const auto flip = *rc::gen::inRange<int>(1, 256);
     bytes[at] = static_cast<char>(bytes[at] ^ flip);
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -122,8 +122,9 @@
     std::string seeds;
     for (const std::string& seed : options.seeds)
         seeds += (seeds.empty() ? "\"" : ", \"") + addressOf(seed + ".peers") + "\"";
+    const std::string advertised = options.advertised.empty() ? "" : "\"\nadvertised_peers = \"" + addressOf(options.advertised);
     const std::string text = "[node]\nname = \"" + options.name + "\"\nfailure_domain = \"" + options.domain + "\"\ncallers = \"" + addressOf(options.name)
-        + "\"\npeers = \"" + addressOf(options.name + ".peers") + "\"\nseeds = [" + seeds + "]\ncluster_key = \"a key for tests only\"\n\n[platform]\nurls = [\""
+        + "\"\npeers = \"" + addressOf(options.name + ".peers") + advertised + "\"\nseeds = [" + seeds + "]\ncluster_key = \"a key for tests only\"\n\n[platform]\nurls = [\""
         + urlOf(options.platform) + "\"]\ninstances_url = \"" + urlOf(options.platform) + "/instances\"\n\n" + options.settings;
     startProcess(options.name, "hemlockweir", { "--settings", writeFile(options.name + ".toml", text) });
 }
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -58,6 +58,7 @@
     std::string name = "n1";
     std::string domain = "a";
     std::vector<std::string> seeds; // names of nodes
+    std::string advertised; // name of the proxy link that peers reach it by; default: directly
     std::string platform = "store"; // name whose address the node uses for the platform
     std::string settings; // more TOML: sections [limits] and [timing]
 };
@@ -123,6 +124,9 @@
     bool waitForGroups(const std::string& node, size_t count);
     bool waitForReady(const std::string& node);
 
+    // Writes a file that lives as long as the cluster; returns its path.
+    QString writeFile(const std::string& name, const std::string& text);
+
     // Standard error of a process so far.
     QByteArray logOf(const std::string& name);
 
@@ -135,7 +139,6 @@
     };
 
     void startProcess(const std::string& name, const QString& program, const QStringList& arguments);
-    QString writeFile(const std::string& name, const std::string& text);
     std::string loopbackAddress() const;
 
     QString folder_;
