--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -5,6 +5,7 @@
 #include "fleet/GroupExchange.h"
 #include "membership/PeerLink.h"
 #include "node/CallerApi.h"
+#include "rollout/ConfigExchange.h"
 #include "rollout/ConfigFollower.h"
 
 // One entry node: the control thread's parts, the shared tables and the server, put together.
@@ -40,6 +41,10 @@
     bool isReady() const;
     QJsonObject describe() const;
     Heartbeat makeHeartbeat() const;
+    ConfigServer::Options makeConfigServerOptions();
+    ConfigFollower::Options makeFollowerOptions();
+    std::vector<ConfigSource> findConfigSources() const;
+    void exposeTraffic();
 
     Settings settings_;
     Clock clock_;
@@ -52,6 +57,7 @@
     KvClient platform_;
     ClaimLedger ledger_;
     PeerLink peers_;
+    ConfigServer configServer_;
     ConfigFollower follower_;
     FleetManager manager_;
     GroupExchange groupExchange_;
