--- a/packages/config/Configuration.cpp
+++ b/packages/config/Configuration.cpp
@@ -72,8 +72,12 @@
         services.append(QJsonObject { { "name", text(service.name) }, { "pool", text(service.pool) },
             { "path", text(service.path) }, { "idempotent", service.idempotent } });
     }
-    const QJsonObject root { { "publication", text(configuration.publication) }, { "author", text(configuration.author) },
-        { "published_at_ms", static_cast<double>(configuration.publishedAtMs) }, { "priorities", priorities }, { "callers", callers },
+    QJsonArray former;
+    for (const std::string& publication : configuration.formerPublications)
+        former.append(text(publication));
+    const QJsonObject root { { "publication", text(configuration.publication) }, { "former_publications", former },
+        { "author", text(configuration.author) }, { "published_at_ms", static_cast<double>(configuration.publishedAtMs) },
+        { "priorities", priorities }, { "callers", callers },
         { "models", models }, { "services", services } };
     return QJsonDocument(root).toJson(QJsonDocument::Compact);
 }
@@ -138,6 +142,22 @@
         return value.toBool(fallback);
     }
 
+    // The strings of an array that may be absent; at most so many.
+    std::vector<std::string> readTexts(const char* name, size_t most)
+    {
+        std::vector<std::string> texts;
+        const QJsonValue value = object_[QLatin1String(name)];
+        if (!value.isUndefined() && !value.isArray())
+            note(name, "is an array");
+        for (const QJsonValue& element : value.toArray()) {
+            if (!element.isString())
+                note(name, "holds strings only");
+            if (texts.size() < most)
+                texts.push_back(element.toString().toStdString());
+        }
+        return texts;
+    }
+
     // One reader for each element of a required array of objects.
     std::vector<FieldReader> readObjects(const char* name)
     {
@@ -219,6 +239,7 @@
     FieldReader root(document.object(), "", status);
     Configuration configuration;
     configuration.publication = root.readText("publication");
+    configuration.formerPublications = root.readTexts("former_publications", maxFormerPublications);
     configuration.author = root.readText("author");
     configuration.publishedAtMs = root.readTime("published_at_ms");
     configuration.priorities = readAll(root, "priorities", readPriority);
@@ -245,6 +266,37 @@
     return absl::OkStatus();
 }
 
+bool pathsOverlap(const std::string& a, const std::string& b)
+{
+    return a == b || a.starts_with(b + "/") || b.starts_with(a + "/");
+}
+
+std::string describePathMistake(const std::string& path)
+{
+    const bool isClean = path.size() > 1 && path.starts_with('/') && !path.ends_with('/')
+        && path.find("//") == std::string::npos && path.find_first_of(" \t?#%") == std::string::npos;
+    if (!isClean)
+        return "write a path such as \"/orders\": it starts with / and ends without, and holds no blank, ?, # or %";
+    for (const char* own : { "/v1", "/operator", "/healthz", "/readyz", "/metrics" }) {
+        if (pathsOverlap(path, own))
+            return std::string("overlaps ") + own + ", which the node answers itself; write another path";
+    }
+    return {};
+}
+
+static absl::Status validateServices(const std::vector<PlainService>& services)
+{
+    for (auto service = services.begin(); service != services.end(); ++service) {
+        if (const std::string mistake = describePathMistake(service->path); !mistake.empty())
+            return absl::InvalidArgumentError("service '" + service->name + "': path: " + mistake);
+        for (auto other = services.begin(); other != service; ++other) {
+            if (pathsOverlap(service->path, other->path))
+                return absl::InvalidArgumentError("service '" + service->name + "': path overlaps that of service '" + other->name + "'");
+        }
+    }
+    return absl::OkStatus();
+}
+
 absl::Status validateConfiguration(const Configuration& configuration)
 {
     for (const absl::Status& status : { requireUniqueNames(configuration.priorities, "priority"), requireUniqueNames(configuration.callers, "caller"),
@@ -267,7 +319,7 @@
         if (model.members == 0)
             return absl::InvalidArgumentError("model '" + model.name + "' needs at least 1 member");
     }
-    return absl::OkStatus();
+    return validateServices(configuration.services);
 }
 
 std::string hashCallerKey(const QByteArray& key)
--- a/packages/config/Configuration.h
+++ b/packages/config/Configuration.h
@@ -58,6 +58,7 @@
     std::string publication; // unique id of the publish that wrote it
     std::string author; // who published it, as given to hemlockctl; may be empty
     int64_t publishedAtMs = 0; // wall time of the publish, ms since the epoch
+    std::vector<std::string> formerPublications; // ids of the publishes before it, newest first
     std::vector<PriorityClass> priorities;
     std::vector<Caller> callers;
     std::vector<Model> models;
@@ -88,6 +89,9 @@
 // The largest configuration that the platform's service holds.
 inline constexpr qsizetype maxConfigurationBytes = 1000 * 1000;
 
+// Former publications that a configuration names.
+inline constexpr size_t maxFormerPublications = 32;
+
 // Writes a configuration as JSON.
 QByteArray formatConfiguration(const Configuration& configuration);
 
@@ -97,6 +101,13 @@
 // Checks what single fields can not show: duplicate names, unknown references, shares over one.
 absl::Status validateConfiguration(const Configuration& configuration);
 
+// Says what is wrong with the path of a service: not a path, or one that the node answers itself.
+// Empty when nothing is.
+std::string describePathMistake(const std::string& path);
+
+// Whether requests under one path would reach the other.
+bool pathsOverlap(const std::string& a, const std::string& b);
+
 // Returns the SHA-256 of a caller's key as lower-case hexadecimal digits.
 std::string hashCallerKey(const QByteArray& key);
 
--- a/packages/config/ServiceFile.cpp
+++ b/packages/config/ServiceFile.cpp
@@ -2,15 +2,17 @@
 
 #include "config/TomlReader.h"
 
+#include <algorithm>
+
 namespace hemlockweir {
 
 static PriorityClass readPriority(TableReader& reader)
 {
     return {
         .name = reader.requireString("name"),
-        .rank = static_cast<uint32_t>(reader.readInteger("rank", 0, 0, 9)),
-        .firstTokenMs = static_cast<uint32_t>(reader.readInteger("first_token_ms", 310, 1, 3600000)),
-        .deadlineMs = static_cast<uint32_t>(reader.readInteger("deadline_ms", 10000, 1, 86400000)),
+        .rank = static_cast<uint32_t>(reader.readInteger("rank", 0, 0, maxRank)),
+        .firstTokenMs = static_cast<uint32_t>(reader.readInteger("first_token_ms", 310, 1, maxFirstTokenMs)),
+        .deadlineMs = static_cast<uint32_t>(reader.readInteger("deadline_ms", 10000, 1, maxDeadlineMs)),
         .floorShare = reader.readNumber("floor_share", 0.0, 0.0, 1.0),
     };
 }
@@ -20,7 +22,7 @@
     Caller caller {
         .name = reader.requireString("name"),
         .keySha256 = reader.requireString("key_sha256"),
-        .weight = reader.readNumber("weight", 1.0, 0.001, 1000000.0),
+        .weight = reader.readNumber("weight", 1.0, minWeight, maxWeight),
         .defaultPriority = reader.requireString("default_priority"),
     };
     constexpr size_t sha256Digits = 64;
@@ -35,8 +37,8 @@
     return {
         .name = reader.requireString("name"),
         .pool = reader.requireString("pool"),
-        .members = static_cast<uint32_t>(reader.readInteger("members", 1, 1, 64)),
-        .replicas = static_cast<uint32_t>(reader.readInteger("replicas", 0, 0, 10000)),
+        .members = static_cast<uint32_t>(reader.readInteger("members", 1, 1, maxMembers)),
+        .replicas = static_cast<uint32_t>(reader.readInteger("replicas", 0, 0, maxReplicas)),
     };
 }
 
@@ -48,42 +50,151 @@
         .path = reader.requireString("path"),
         .idempotent = reader.readBool("idempotent", false),
     };
-    if (!service.path.empty() && !service.path.starts_with('/'))
-        reader.noteError("path", "write a path that starts with /");
+    if (const std::string mistake = describePathMistake(service.path); !service.path.empty() && !mistake.empty())
+        reader.noteError("path", mistake);
     return service;
 }
 
+namespace {
+
+    // An entry and the place that defines it.
+    template <typename T>
+    struct Definition {
+        T item;
+        std::string place; // FILE:LINE
+    };
+
+    // The entries of every file, in the order read.
+    struct Definitions {
+        std::vector<Definition<PriorityClass>> priorities;
+        std::vector<Definition<Caller>> callers;
+        std::vector<Definition<Model>> models;
+        std::vector<Definition<PlainService>> services;
+    };
+
+    using Errors = std::vector<std::string>;
+
+} // namespace
+
 // Reads every table of one kind with `readItem` and appends what it returns.
-template <typename T, typename ReadItem>
-static void readAll(TableReader& root, std::string_view kind, const std::string& file, std::vector<std::string>& errors,
-    std::vector<T>& items, ReadItem readItem)
+template <typename T>
+static void readAll(TableReader& root, std::string_view kind, const std::string& file, Errors& errors, std::vector<Definition<T>>& items, T (*readItem)(TableReader&))
 {
     for (const toml::table* table : root.readTables(kind)) {
         TableReader reader(*table, file, std::string(kind), errors);
-        items.push_back(readItem(reader));
+        items.push_back({ .item = readItem(reader), .place = reader.place() });
         reader.rejectUnknownKeys();
     }
 }
 
-absl::StatusOr<Configuration> collectConfiguration(const std::vector<ServiceFile>& files)
+static void readFile(const ServiceFile& file, Definitions& all, Errors& errors)
+{
+    const absl::StatusOr<toml::table> table = parseToml(file.text, file.name);
+    if (!table.ok()) {
+        errors.emplace_back(table.status().message());
+        return;
+    }
+    TableReader root(*table, file.name, "", errors);
+    readAll(root, "priority", file.name, errors, all.priorities, readPriority);
+    readAll(root, "caller", file.name, errors, all.callers, readCaller);
+    readAll(root, "model", file.name, errors, all.models, readModel);
+    readAll(root, "service", file.name, errors, all.services, readService);
+    root.rejectUnknownKeys();
+}
+
+// Notes each pair of entries of which one must go; `clash` says what they share, or nothing.
+template <typename T>
+static void rejectPairs(const std::vector<Definition<T>>& items, Errors& errors, std::string (*clash)(const T&, const T&))
+{
+    for (auto later = items.begin(); later != items.end(); ++later) {
+        for (auto earlier = items.begin(); earlier != later; ++earlier) {
+            const std::string what = clash(earlier->item, later->item);
+            if (!what.empty())
+                errors.push_back(later->place + ": " + what + ", defined in " + earlier->place + " and " + later->place + "; keep one");
+        }
+    }
+}
+
+template <typename T>
+static std::string clashOfNames(const T& a, const T& b)
+{
+    return !a.name.empty() && a.name == b.name ? "the name '" + a.name + "' is used twice" : "";
+}
+
+static std::string clashOfKeys(const Caller& a, const Caller& b)
 {
-    Configuration configuration;
-    std::vector<std::string> errors;
-    for (const ServiceFile& file : files) {
-        const absl::StatusOr<toml::table> table = parseToml(file.text, file.name);
-        if (!table.ok()) {
-            errors.emplace_back(table.status().message());
-            continue;
+    return !a.keySha256.empty() && a.keySha256 == b.keySha256 && a.name != b.name ? "callers '" + a.name + "' and '" + b.name + "' have the same key" : "";
+}
+
+static std::string clashOfPaths(const PlainService& a, const PlainService& b)
+{
+    return !a.path.empty() && a.name != b.name && pathsOverlap(a.path, b.path) ? "the paths " + a.path + " and " + b.path + " overlap" : "";
+}
+
+static void checkPriorities(const Definitions& all, Errors& errors)
+{
+    double floors = 0;
+    std::string places;
+    for (const auto& [priority, place] : all.priorities) {
+        floors += priority.floorShare;
+        if (priority.floorShare > 0)
+            places.append(places.empty() ? "" : ", ").append(place);
+    }
+    if (floors > 1.0)
+        errors.push_back(places + ": floor_share adds up to " + std::to_string(floors) + "; write shares that add up to 1 at most");
+}
+
+static void checkCallers(const Definitions& all, Errors& errors)
+{
+    std::string known;
+    for (const auto& [priority, place] : all.priorities)
+        known.append(known.empty() ? "" : ", ").append(priority.name);
+    for (const auto& [caller, place] : all.callers) {
+        const bool isKnown = std::any_of(all.priorities.begin(), all.priorities.end(), [&, name = caller.defaultPriority](const auto& definition) { return definition.item.name == name; });
+        if (!isKnown && !caller.defaultPriority.empty())
+            errors.push_back(place + ": caller.default_priority: '" + caller.defaultPriority + "' is no priority of these files; write one of: " + known);
+    }
+}
+
+// Engines are ordered into groups, which plain services do not understand.
+static void checkPools(const Definitions& all, Errors& errors)
+{
+    for (const auto& [service, place] : all.services) {
+        for (const auto& [model, modelPlace] : all.models) {
+            if (!service.pool.empty() && service.pool == model.pool)
+                errors.push_back(place + ": service.pool: '" + service.pool + "' is the pool of model '" + model.name + "' in " + modelPlace + "; write a pool of its own");
         }
-        TableReader root(*table, file.name, "", errors);
-        readAll(root, "priority", file.name, errors, configuration.priorities, readPriority);
-        readAll(root, "caller", file.name, errors, configuration.callers, readCaller);
-        readAll(root, "model", file.name, errors, configuration.models, readModel);
-        readAll(root, "service", file.name, errors, configuration.services, readService);
-        root.rejectUnknownKeys();
     }
+}
+
+template <typename T>
+static std::vector<T> itemsOf(const std::vector<Definition<T>>& definitions)
+{
+    std::vector<T> items;
+    items.reserve(definitions.size());
+    for (const Definition<T>& definition : definitions)
+        items.push_back(definition.item);
+    return items;
+}
+
+absl::StatusOr<Configuration> collectConfiguration(const std::vector<ServiceFile>& files)
+{
+    Definitions all;
+    Errors errors;
+    for (const ServiceFile& file : files)
+        readFile(file, all, errors);
+    rejectPairs(all.priorities, errors, clashOfNames<PriorityClass>);
+    rejectPairs(all.callers, errors, clashOfNames<Caller>);
+    rejectPairs(all.callers, errors, clashOfKeys);
+    rejectPairs(all.models, errors, clashOfNames<Model>);
+    rejectPairs(all.services, errors, clashOfNames<PlainService>);
+    rejectPairs(all.services, errors, clashOfPaths);
+    checkPriorities(all, errors);
+    checkCallers(all, errors);
+    checkPools(all, errors);
     if (const absl::Status status = joinErrors(errors); !status.ok())
         return status;
+    Configuration configuration { .priorities = itemsOf(all.priorities), .callers = itemsOf(all.callers), .models = itemsOf(all.models), .services = itemsOf(all.services) };
     if (const absl::Status status = validateConfiguration(configuration); !status.ok())
         return status;
     return configuration;
--- a/packages/config/Settings.cpp
+++ b/packages/config/Settings.cpp
@@ -4,6 +4,7 @@
 
 #include <QHostAddress>
 #include <QUrl>
+#include <set>
 
 namespace hemlockweir {
 
@@ -41,6 +42,15 @@
         reader.noteError(key, "write http://ADDRESS:PORT with an IP number");
 }
 
+static void rejectDoubles(TableReader& reader, std::string_view key, const std::vector<std::string>& values)
+{
+    std::set<std::string> seen;
+    for (const std::string& value : values) {
+        if (!seen.insert(value).second)
+            reader.noteError(key, "'" + value + "' is listed twice; keep one");
+    }
+}
+
 static void readNode(TableReader& reader, Settings& settings)
 {
     constexpr size_t minKeyBytes = 16;
@@ -49,7 +59,10 @@
     settings.region = reader.readString("region", "default");
     settings.callers = readEndpoint(reader, "callers");
     settings.peers = readEndpoint(reader, "peers");
-    for (const std::string& seed : reader.readStrings("seeds")) {
+    settings.advertisedPeers = reader.readString("advertised_peers", "").empty() ? settings.peers : readEndpoint(reader, "advertised_peers");
+    const std::vector<std::string> seeds = reader.readStrings("seeds");
+    rejectDoubles(reader, "seeds", seeds);
+    for (const std::string& seed : seeds) {
         const absl::StatusOr<Endpoint> endpoint = parseEndpoint(seed);
         if (endpoint.ok())
             settings.seeds.push_back(*endpoint);
@@ -74,6 +87,7 @@
     settings.platformUrls = reader.readStrings("urls");
     if (settings.platformUrls.empty())
         reader.noteError("urls", "write at least one, such as [\"http://10.0.0.2:2379\"]");
+    rejectDoubles(reader, "urls", settings.platformUrls);
     for (const std::string& url : settings.platformUrls)
         checkUrl(reader, "urls", url);
     settings.instancesUrl = reader.requireString("instances_url");
@@ -95,6 +109,9 @@
     settings.idleTimeout = readMillis(reader, "idle_timeout_ms", settings.idleTimeout, 10);
     settings.maxConnections = static_cast<int>(reader.readInteger("max_connections", settings.maxConnections, 1, 1000000));
     settings.maxConnectionsPerAddress = static_cast<int>(reader.readInteger("max_connections_per_address", settings.maxConnectionsPerAddress, 1, 1000000));
+    const int defaultPerAddress = Settings().maxConnectionsPerAddress;
+    if (settings.maxConnectionsPerAddress > settings.maxConnections && settings.maxConnectionsPerAddress != defaultPerAddress)
+        reader.noteError("max_connections_per_address", "is above max_connections and never reached; write at most " + std::to_string(settings.maxConnections));
     settings.maxWaiting = static_cast<int>(reader.readInteger("max_waiting", settings.maxWaiting, 0, 1000000));
     settings.maxRequestsPerCaller = static_cast<int>(reader.readInteger("max_requests_per_caller", settings.maxRequestsPerCaller, 1, 1000000));
     settings.replyBufferBytes = reader.readInteger("reply_buffer_bytes", settings.replyBufferBytes, 1024, 1024 * 1024 * 1024);
@@ -110,6 +127,10 @@
     settings.reportShareInterval = readMillis(reader, "report_share_interval_ms", settings.reportShareInterval, 10);
     settings.reportFlushInterval = readMillis(reader, "report_flush_interval_ms", settings.reportFlushInterval, 10);
     settings.shutdownTimeout = readMillis(reader, "shutdown_timeout_ms", settings.shutdownTimeout, 0);
+    if (settings.reportFlushInterval < settings.reportShareInterval)
+        reader.noteError("report_flush_interval_ms", "write at least report_share_interval_ms");
+    if (settings.leaseTtl < 2 * settings.heartbeatInterval)
+        reader.noteError("lease_ttl_ms", "write at least twice heartbeat_interval_ms, or the lease lapses between two renewals");
     if (settings.statusFreshness < 2 * settings.statusInterval)
         reader.noteError("status_freshness_ms", "write at least twice status_interval_ms, or no group is ever served");
 }
--- a/packages/config/TomlReader.cpp
+++ b/packages/config/TomlReader.cpp
@@ -1,5 +1,6 @@
 #include "config/TomlReader.h"
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -39,6 +40,28 @@
     return table_.get(key);
 }
 
+std::string TableReader::place() const
+{
+    return file_ + ":" + std::to_string(table_.source().begin.line);
+}
+
+// The known key that shares the longest start with an unknown one: mostly one of another unit.
+std::string TableReader::suggestKey(std::string_view unknown) const
+{
+    constexpr size_t leastShared = 4;
+    std::string best;
+    size_t bestShared = leastShared - 1;
+    for (const std::string& name : known_) {
+        const auto end = std::mismatch(name.begin(), name.end(), unknown.begin(), unknown.end()).first;
+        const auto shared = static_cast<size_t>(end - name.begin());
+        if (shared > bestShared) {
+            best = name;
+            bestShared = shared;
+        }
+    }
+    return best;
+}
+
 void TableReader::noteError(std::string_view key, const std::string& message)
 {
     const toml::node* node = table_.get(key);
@@ -154,7 +177,10 @@
         std::string names;
         for (const std::string& name : known_)
             names += (names.empty() ? "" : ", ") + name;
-        noteError(key.str(), "unknown key; known here: " + names);
+        const std::string suggestion = suggestKey(key.str());
+        std::string message = suggestion.empty() ? "unknown key" : "unknown key; write " + suggestion;
+        message.append("; known here: ").append(names);
+        noteError(key.str(), message);
     }
 }
 
--- a/packages/config/TomlReader.h
+++ b/packages/config/TomlReader.h
@@ -33,6 +33,9 @@
     std::vector<const toml::table*> readTables(std::string_view key);
     const toml::table* readTable(std::string_view key);
 
+    // Where the table stands, as FILE:LINE.
+    std::string place() const;
+
     // Notes an error at a key's line, or at the table's when it is absent.
     void noteError(std::string_view key, const std::string& message);
 
@@ -41,6 +44,7 @@
 
 private:
     const toml::node* find(std::string_view key);
+    std::string suggestKey(std::string_view unknown) const;
 
     const toml::table& table_;
     std::string file_;
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -2,8 +2,10 @@
 
 #include "config/Settings.h"
 #include "fleet/FleetManager.h"
+#include "fleet/GroupExchange.h"
 #include "membership/PeerLink.h"
 #include "node/CallerApi.h"
+#include "rollout/ConfigExchange.h"
 #include "rollout/ConfigFollower.h"
 
 // One entry node: the control thread's parts, the shared tables and the server, put together.
@@ -26,19 +28,24 @@
 private:
     void connectParts();
     void takeMessage(const Envelope& envelope);
-    void takeGroups(const Envelope& envelope);
     void takeUsage(const Envelope& envelope);
     void shareTables();
-    void shareGroups();
     void shareUsage();
     void checkStopped();
     bool hasNodeIn(const std::string& domain) const;
     std::vector<std::string> domainsToPlan() const;
+    size_t rankFor(const std::string& domain) const;
     bool shouldObserve(const Instance& instance) const;
+    std::vector<std::string> livingNodesIn(const std::string& domain) const;
+    bool shouldShare(const GroupCondition& group) const;
     bool isReady() const;
     QJsonObject describe() const;
     Heartbeat makeHeartbeat() const;
     ReportOptions makeReportOptions();
+    ConfigServer::Options makeConfigServerOptions();
+    ConfigFollower::Options makeFollowerOptions();
+    std::vector<ConfigSource> findConfigSources() const;
+    void exposeTraffic();
 
     Settings settings_;
     Clock clock_;
@@ -51,8 +58,10 @@
     KvClient platform_;
     ClaimLedger ledger_;
     PeerLink peers_;
+    ConfigServer configServer_;
     ConfigFollower follower_;
     FleetManager manager_;
+    GroupExchange groupExchange_;
     Tables tables_;
     ReportKeeper report_;
     CallerApi api_;
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -23,9 +23,22 @@
     Usage = 4,
     Suspects = 5,
     Counters = 6,
+    ConfigRequest = 16,
+    ConfigDocument = 17,
+    Digest = 18,
+    Challenge = 19,
+    ChallengeAnswer = 20,
+    Wanted = 21,
 };
 
-// Says that a node runs, and what it has. Sent every heartbeat interval.
+// Whether relays pass a message on to the other failure domains. Those that concern two nodes or
+// that relays make themselves are not, and figures of the report reach the platform instead.
+constexpr bool isRelayed(MessageKind kind)
+{
+    return kind != MessageKind::Heartbeat && kind != MessageKind::Nodes && kind != MessageKind::Counters && kind < MessageKind::ConfigRequest;
+}
+
+// Says that a node runs, and what it has.
 struct Heartbeat {
     static constexpr MessageKind kind = MessageKind::Heartbeat;
     std::string domain;
@@ -34,74 +47,50 @@
     std::string peers; // ADDRESS:PORT for nodes
     int64_t configRevision = 0; // newest configuration held
     bool leaving = false; // in a planned stop
+    bool platformDown = false; // the platform can not be reached from here
 
     template <class Archive>
     void serialize(Archive& archive)
     {
         archive(bounded(domain, maxNameLength), bounded(region, maxNameLength), bounded(callers, maxEndpointLength),
-            bounded(peers, maxEndpointLength), configRevision, leaving);
+            bounded(peers, maxEndpointLength), configRevision, leaving, platformDown);
     }
     auto operator<=>(const Heartbeat&) const = default;
 };
 
-// One node as another has heard of it.
-struct NodeRow {
-    std::string node;
-    std::string peers; // ADDRESS:PORT
-
-    template <class Archive>
-    void serialize(Archive& archive)
-    {
-        archive(bounded(node, maxNameLength), bounded(peers, maxEndpointLength));
-    }
-    auto operator<=>(const NodeRow&) const = default;
-};
-
-// Introduces nodes to each other, so that the platform is not needed for it.
-struct Nodes {
-    static constexpr MessageKind kind = MessageKind::Nodes;
-    std::vector<NodeRow> rows;
-
-    template <class Archive>
-    void serialize(Archive& archive)
-    {
-        archive(bounded(rows, maxRowsPerMessage));
-    }
-    auto operator<=>(const Nodes&) const = default;
-};
-
 // One group as its observer sees it.
 struct GroupRow {
     std::string group;
     uint64_t epoch = 0;
     std::string model;
     std::string domain;
-    std::string leader; // ADDRESS:PORT of the member that takes requests
-    uint32_t members = 0;
+    std::vector<std::string> members; // instance ids, leader first; receivers know the addresses
     bool whole = false; // every member agreed on this group and epoch
     uint32_t running = 0; // requests in the engine
     uint32_t waiting = 0; // requests queued in the engine
     uint32_t slots = 0; // requests the engine runs at once
-    uint32_t ageMs = 0; // ms, age of the oldest member report behind this row
+    uint32_t ageMs = 0; // ms, age of the oldest member report behind this row when it was sent
 
     template <class Archive>
     void serialize(Archive& archive)
     {
         archive(bounded(group, maxNameLength), epoch, bounded(model, maxNameLength), bounded(domain, maxNameLength),
-            bounded(leader, maxEndpointLength), members, whole, running, waiting, slots, ageMs);
+            boundedNames(members, maxGroupMembers, maxNameLength), whole, running, waiting, slots, ageMs);
     }
     auto operator<=>(const GroupRow&) const = default;
 };
 
-// Groups that the sender observes.
+// Groups that the sender observes, and the instances that it knows operators drain.
 struct Groups {
     static constexpr MessageKind kind = MessageKind::Groups;
+    uint64_t sentAtMs = 0; // ms, the sender's monotonic clock
     std::vector<GroupRow> rows;
+    std::vector<std::string> draining; // instance ids
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(bounded(rows, maxRowsPerMessage));
+        archive(bounded(rows, maxRowsPerMessage), boundedNames(draining, maxRowsPerMessage, maxNameLength), sentAtMs);
     }
     auto operator<=>(const Groups&) const = default;
 };
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -61,6 +61,7 @@
     std::string name = "n1";
     std::string domain = "a";
     std::vector<std::string> seeds; // names of nodes
+    std::string advertised; // name of the proxy link that peers reach it by; default: directly
     std::string platform = "store"; // name whose address the node uses for the platform
     std::string settings; // more TOML: sections [limits] and [timing]
 };
