Join the messages of service files with absl

Cause: the linter refused two chained concatenations in checkCallers and checkPools. Change: absl::StrCat.

--- a/packages/config/ServiceFile.cpp
+++ b/packages/config/ServiceFile.cpp
@@ -2,6 +2,7 @@
 
 #include "config/TomlReader.h"
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 
 namespace hemlockweir {
@@ -152,7 +153,7 @@
     for (const auto& [caller, place] : all.callers) {
         const bool isKnown = std::any_of(all.priorities.begin(), all.priorities.end(), [&, name = caller.defaultPriority](const auto& definition) { return definition.item.name == name; });
         if (!isKnown && !caller.defaultPriority.empty())
-            errors.push_back(place + ": caller.default_priority: '" + caller.defaultPriority + "' is no priority of these files; write one of: " + known);
+            errors.push_back(absl::StrCat(place, ": caller.default_priority: '", caller.defaultPriority, "' is no priority of these files; write one of: ", known));
     }
 }
 
@@ -162,7 +163,7 @@
     for (const auto& [service, place] : all.services) {
         for (const auto& [model, modelPlace] : all.models) {
             if (!service.pool.empty() && service.pool == model.pool)
-                errors.push_back(place + ": service.pool: '" + service.pool + "' is the pool of model '" + model.name + "' in " + modelPlace + "; write a pool of its own");
+                errors.push_back(absl::StrCat(place, ": service.pool: '", service.pool, "' is the pool of model '", model.name, "' in ", modelPlace, "; write a pool of its own"));
         }
     }
 }
