--- a/packages/config/Settings.cpp
+++ b/packages/config/Settings.cpp
@@ -93,6 +93,13 @@
     settings.maxWaiting = static_cast<int>(reader.readInteger("max_waiting", settings.maxWaiting, 0, 1000000));
 }
 
+static void readSchedule(TableReader& reader, Settings& settings)
+{
+    settings.schedulePolicy = reader.readString("policy", settings.schedulePolicy);
+    if (settings.schedulePolicy != "full" && settings.schedulePolicy != "round_robin" && settings.schedulePolicy != "least_in_flight")
+        reader.noteError("policy", "write \"full\", \"round_robin\" or \"least_in_flight\"");
+}
+
 static void readTiming(TableReader& reader, Settings& settings)
 {
     settings.heartbeatInterval = readMillis(reader, "heartbeat_interval_ms", settings.heartbeatInterval, 10);
@@ -123,6 +130,7 @@
     readSection("node", readNode);
     readSection("platform", readPlatform);
     readSection("limits", readLimits);
+    readSection("schedule", readSchedule);
     readSection("timing", readTiming);
     root.rejectUnknownKeys();
     if (const absl::Status status = joinErrors(errors); !status.ok())
--- a/packages/config/Settings.h
+++ b/packages/config/Settings.h
@@ -47,6 +47,9 @@
     int maxConnectionsPerAddress = 1024;
     int maxWaiting = 2000; // requests waiting for a slot
 
+    // [schedule]
+    std::string schedulePolicy = "full"; // "full"; "round_robin" and "least_in_flight" only to compare with
+
     // [timing]
     Millis heartbeatInterval { 200 }; // ms, between nodes
     Millis statusInterval { 300 }; // ms, between two looks at an instance
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -61,7 +61,8 @@
     , random_(makeSystemRandom())
     , incarnation_(makeIncarnation())
     , fleet_({ .freshness = settings_.statusFreshness, .clock = clock_ })
-    , scheduler_({ .maxWaiting = static_cast<size_t>(settings_.maxWaiting),
+    , scheduler_({ .policy = parseSchedulePolicy(settings_.schedulePolicy),
+          .maxWaiting = static_cast<size_t>(settings_.maxWaiting),
           .domain = settings_.domain,
           .clock = clock_,
           .random = random_,
--- a/packages/schedule/Scheduler.cpp
+++ b/packages/schedule/Scheduler.cpp
@@ -4,6 +4,15 @@
 
 namespace hemlockweir {
 
+SchedulePolicy parseSchedulePolicy(const std::string& name)
+{
+    if (name == "round_robin")
+        return SchedulePolicy::RoundRobin;
+    if (name == "least_in_flight")
+        return SchedulePolicy::LeastInFlight;
+    return SchedulePolicy::Full;
+}
+
 Scheduler::Scheduler(SchedulerOptions options)
     : options_(std::move(options))
 {
@@ -106,8 +115,29 @@
     return std::max(known, replica.running + replica.waiting);
 }
 
+std::optional<Replica> Scheduler::chooseBaseline(const Job& job, const std::vector<Replica>& replicas) const
+{
+    std::vector<Replica> usable;
+    std::copy_if(replicas.begin(), replicas.end(), std::back_inserter(usable), [&](const Replica& replica) {
+        return std::find(job.avoidGroups.begin(), job.avoidGroups.end(), replica.group) == job.avoidGroups.end();
+    });
+    if (usable.empty())
+        return std::nullopt;
+    if (options_.policy == SchedulePolicy::RoundRobin)
+        return usable[nextTurn_++ % usable.size()];
+    return *std::min_element(usable.begin(), usable.end(), [this](const Replica& a, const Replica& b) {
+        const auto inFlight = [this](const Replica& replica) {
+            const auto own = inFlight_.find(replica.group);
+            return own == inFlight_.end() ? 0U : own->second;
+        };
+        return inFlight(a) < inFlight(b);
+    });
+}
+
 std::optional<Replica> Scheduler::chooseReplica(const Job& job) const
 {
+    if (options_.policy != SchedulePolicy::Full)
+        return chooseBaseline(job, options_.findReplicas(job.model));
     std::optional<Replica> best;
     double bestScore = 0;
     for (const Replica& replica : options_.findReplicas(job.model)) {
--- a/packages/schedule/Scheduler.h
+++ b/packages/schedule/Scheduler.h
@@ -14,7 +14,18 @@
 
 namespace hemlockweir {
 
+// How replicas are chosen and jobs admitted.
+enum class SchedulePolicy {
+    Full, // everything below
+    RoundRobin, // baseline: each job goes at once to the next replica
+    LeastInFlight, // baseline: each job goes at once to the replica with the fewest of this node's jobs
+};
+
+// Returns the policy of a settings file's name; Full for an unknown one.
+SchedulePolicy parseSchedulePolicy(const std::string& name);
+
 struct SchedulerOptions {
+    SchedulePolicy policy = SchedulePolicy::Full;
     size_t maxWaiting = 2000; // jobs, all models and priorities together
     std::string domain; // this node's failure domain, preferred in ties
     Clock clock;
@@ -99,6 +110,7 @@
 
     std::vector<Verdict> decide();
     std::optional<Replica> chooseReplica(const Job& job) const;
+    std::optional<Replica> chooseBaseline(const Job& job, const std::vector<Replica>& replicas) const;
     double loadOf(const Replica& replica) const;
     double nextTag(const Job& job);
 
@@ -110,6 +122,7 @@
     std::map<std::string, std::map<std::string, uint32_t>> peerUse_; // by node, by group
     std::map<std::string, double> tagByCaller_;
     double virtualTime_ = 0;
+    mutable size_t nextTurn_ = 0; // of RoundRobin
 };
 
 } // namespace hemlockweir
