--- a/bench/Deployment.cpp
+++ b/bench/Deployment.cpp
@@ -143,6 +143,7 @@
 std::vector<std::string> Deployment::nodeAddresses()
 {
     std::vector<std::string> addresses;
+    addresses.reserve(static_cast<size_t>(options_.nodes));
     for (int i = 0; i < options_.nodes; ++i)
         addresses.push_back(addressOf("n" + std::to_string(i + 1)));
     return addresses;
