Schedule by priority, caller and replica in parts with bounded cost

Cause: decide() sorted all waiting jobs and scanned all groups on each pump; a load report of the past filled replicas that were free; nothing was shared between callers or nodes. Change: the scheduler is cut into FairQueue (least lately used caller first, peers' use counted), ReplicaChooser (own share of each group's slots by agreement on the nodes heard, expected time to first token, at most 16 replicas looked at), RetryBudget and admission by expected wait. Usage tells fading tokens by model, rank and caller; UsageShare carries it.

--- a/packages/node/CompletionFlow.cpp
+++ b/packages/node/CompletionFlow.cpp
@@ -64,9 +64,12 @@
         .caller = request().caller.name,
         .weight = request().caller.weight,
         .rank = request().priority.rank,
+        .floorShare = request().priority.floorShare,
         .deadline = arrivedAt_ + request().deadline,
+        .target = arrivedAt_ + Millis(request().priority.firstTokenMs),
         .cost = static_cast<double>(completion_.maxTokens - received_),
         .avoidGroups = failedGroups_,
+        .preemptions = preemptions_,
     };
     const uint64_t id = jobId_;
     auto post = poster();
@@ -111,6 +114,7 @@
         return;
     call_.reset();
     freeSlot();
+    ++preemptions_;
     schedule();
 }
 
@@ -165,6 +169,7 @@
 {
     if (received_ == 0)
         record_.firstToken = tables_.clock() - arrivedAt_;
+    tables_.scheduler.noteFirstToken(jobId_);
     ++received_;
     record_.tokens = received_;
     sendToken(event["text"].toString());
--- a/packages/node/CompletionFlow.h
+++ b/packages/node/CompletionFlow.h
@@ -53,6 +53,7 @@
     uint64_t seed_;
     uint64_t jobId_ = 0; // 0: no job queued or running
     bool holdsSlot_ = false;
+    uint32_t preemptions_ = 0; // times that the slot was given back to more urgent work
     std::optional<Replica> replica_;
     std::shared_ptr<HttpCall> call_;
     std::unique_ptr<EventStream> events_;
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -63,6 +63,7 @@
     , fleet_({ .freshness = settings_.statusFreshness, .clock = clock_ })
     , scheduler_({ .policy = parseSchedulePolicy(settings_.schedulePolicy),
           .maxWaiting = static_cast<size_t>(settings_.maxWaiting),
+          .node = settings_.node,
           .domain = settings_.domain,
           .clock = clock_,
           .random = random_,
@@ -70,6 +71,7 @@
     , platform_(makePlatformOptions(settings_))
     , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .random = random_ }, platform_)
     , peers_(makePeerOptions(settings_, incarnation_, clock_))
+    , usage_(scheduler_, peers_, metrics_)
     , follower_({}, config_, platform_)
     , manager_({ .node = settings_.node,
                    .domain = settings_.domain,
@@ -188,7 +190,7 @@
     if (envelope.kind == MessageKind::Groups)
         takeGroups(envelope);
     else if (envelope.kind == MessageKind::Usage)
-        takeUsage(envelope);
+        usage_.take(envelope);
 }
 
 void Node::takeGroups(const Envelope& envelope)
@@ -214,23 +216,11 @@
     }
 }
 
-void Node::takeUsage(const Envelope& envelope)
-{
-    const absl::StatusOr<Usage> usage = decodeBody<Usage>(envelope.body);
-    if (!usage.ok())
-        return;
-    std::map<std::string, uint32_t> inFlight;
-    for (const GroupUse& row : usage->groups)
-        inFlight[row.group] = row.inFlight;
-    scheduler_.setPeerUse(envelope.sender.node, inFlight);
-}
-
 void Node::shareTables()
 {
     peers_.setHeartbeat(makeHeartbeat());
     shareGroups();
-    shareUsage();
-    metrics_.setGauge("hemlockweir_waiting_requests", "Requests waiting for a slot", static_cast<double>(scheduler_.waitingCount()));
+    usage_.share();
 }
 
 void Node::shareGroups()
@@ -260,16 +250,6 @@
         peers_.broadcast(message);
 }
 
-void Node::shareUsage()
-{
-    Usage usage;
-    for (const auto& [group, inFlight] : scheduler_.inFlightByGroup()) {
-        if (usage.groups.size() < maxRowsPerMessage)
-            usage.groups.push_back({ .group = group, .inFlight = inFlight });
-    }
-    peers_.broadcast(usage);
-}
-
 bool Node::isReady() const
 {
     return !tables_.isStopping && config_.snapshot().revision > 0;
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -4,6 +4,7 @@
 #include "fleet/FleetManager.h"
 #include "membership/PeerLink.h"
 #include "node/CallerApi.h"
+#include "node/UsageShare.h"
 #include "rollout/ConfigFollower.h"
 
 // One entry node: the control thread's parts, the shared tables and the server, put together.
@@ -27,10 +28,8 @@
     void connectParts();
     void takeMessage(const Envelope& envelope);
     void takeGroups(const Envelope& envelope);
-    void takeUsage(const Envelope& envelope);
     void shareTables();
     void shareGroups();
-    void shareUsage();
     void checkStopped();
     bool hasNodeIn(const std::string& domain) const;
     std::vector<std::string> domainsToPlan() const;
@@ -50,6 +49,7 @@
     KvClient platform_;
     ClaimLedger ledger_;
     PeerLink peers_;
+    UsageShare usage_;
     ConfigFollower follower_;
     FleetManager manager_;
     Tables tables_;
--- /dev/null
+++ b/packages/node/UsageShare.cpp
@@ -0,0 +1,67 @@
+#include "node/UsageShare.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hemlockweir {
+
+// Callers told of in one message; with the groups it stays near one datagram's target.
+static constexpr size_t maxCallerRows = 32;
+
+Usage makeUsage(const NodeUse& use)
+{
+    Usage usage;
+    for (const auto& [group, inFlight] : use.inFlightByGroup)
+        usage.groups.push_back({ .group = group, .inFlight = inFlight });
+    std::sort(usage.groups.begin(), usage.groups.end(), [](const GroupUse& a, const GroupUse& b) { return a.inFlight > b.inFlight; });
+    usage.groups.resize(std::min<size_t>(usage.groups.size(), maxRowsPerMessage));
+    for (const CallerTokensRow& row : use.callers)
+        usage.callers.push_back({ .model = row.model, .rank = row.rank, .caller = row.caller, .tokens = static_cast<float>(row.tokens) });
+    std::sort(usage.callers.begin(), usage.callers.end(), [](const CallerUse& a, const CallerUse& b) { return a.tokens > b.tokens; });
+    usage.callers.resize(std::min(usage.callers.size(), maxCallerRows));
+    return usage;
+}
+
+NodeUse readUsage(const Usage& usage)
+{
+    NodeUse use;
+    for (const GroupUse& row : usage.groups)
+        use.inFlightByGroup[row.group] = row.inFlight;
+    for (const CallerUse& row : usage.callers) {
+        if (std::isfinite(row.tokens) && row.tokens > 0)
+            use.callers.push_back({ .model = row.model, .rank = row.rank, .caller = row.caller, .tokens = row.tokens });
+    }
+    return use;
+}
+
+UsageShare::UsageShare(Scheduler& scheduler, PeerLink& peers, Metrics& metrics)
+    : scheduler_(scheduler)
+    , peers_(peers)
+    , metrics_(metrics)
+{
+}
+
+void UsageShare::share()
+{
+    peers_.broadcast(makeUsage(scheduler_.use()));
+    setGauges();
+}
+
+void UsageShare::setGauges()
+{
+    metrics_.setGauge("hemlockweir_waiting_requests", "Requests waiting for a slot", static_cast<double>(scheduler_.waitingCount()));
+    for (const RankLoad& load : scheduler_.loads()) {
+        const std::string rank = std::to_string(load.rank);
+        metrics_.setGauge("hemlockweir_waiting_requests_rank_" + rank, "Requests of this rank waiting for a slot", static_cast<double>(load.waiting));
+        metrics_.setGauge("hemlockweir_running_requests_rank_" + rank, "Requests of this rank that hold a slot", static_cast<double>(load.running));
+    }
+}
+
+void UsageShare::take(const Envelope& envelope)
+{
+    const absl::StatusOr<Usage> usage = decodeBody<Usage>(envelope.body);
+    if (usage.ok())
+        scheduler_.setPeerUse(envelope.sender.node, readUsage(*usage));
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/schedule/ReplicaChooser.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "schedule/Decayed.h"
+#include "schedule/Job.h"
+
+#include <set>
+#include <unordered_map>
+
+// Where a granted job goes. Knows the replicas of one model, what is in flight on each from this
+// node and the others, how each served lately, and which part of its slots is this node's own.
+// Not thread-safe: the scheduler guards it.
+
+namespace hemlockweir {
+
+struct ReplicaChooserOptions {
+    std::string domain; // this node's failure domain
+    Random random;
+};
+
+// The nodes that share the slots: those heard from lately, this one among them.
+struct SlotSharers {
+    size_t count = 1;
+    size_t own = 0; // this node's place in the order of names
+};
+
+// Slots of a group that are this node's own. All nodes that hear each other agree, and together
+// the shares are exactly the slots.
+uint32_t ownSlots(const std::string& group, uint32_t slots, const SlotSharers& sharers);
+
+// What a replica has to offer to a job.
+struct Candidate {
+    const Replica* replica = nullptr; // null: none
+    double firstTokenMs = 0; // ms, expected from the grant
+};
+
+class ReplicaChooser {
+public:
+    explicit ReplicaChooser(ReplicaChooserOptions options);
+
+    // Inputs.
+    void setReplicas(std::vector<Replica> replicas, const SlotSharers& sharers);
+    void addPeerUse(const std::string& group, int difference);
+
+    // Chooses among replicas with a slot to give. The most urgent job may queue briefly in the
+    // engine, which serves it first.
+    Candidate choose(const Job& job, Millis now);
+
+    // What becomes of a granted job.
+    void noteGranted(const std::string& group);
+    void noteFirstToken(const std::string& group, Millis took, Millis now);
+    void noteFinished(const std::string& group, Millis held, Millis generated, double tokens, Millis now);
+
+    // Slots that this node may fill, and how long one is held.
+    double capacity() const { return capacity_; }
+    double holdMs() const { return holdMs_.valueOr(0); }
+    double firstTokenMs() const { return firstTokenMs_.valueOr(0); }
+    size_t size() const { return replicas_.size(); }
+
+private:
+    struct Load {
+        uint32_t own = 0; // jobs of this node
+        int peers = 0; // jobs of the other nodes, as last heard
+        uint32_t share = 0; // slots that are this node's own
+        double foreign = 0; // reported jobs that no node counts as its own
+        double known = 0; // own and peers, smoothed over the lag of reports
+        Millis reportedAt { 0 };
+        Average firstTokenMs; // ms
+        Average tokenMs; // ms
+        Millis sampledAt { 0 };
+    };
+
+    void correctReport(const Replica& replica, Load& load);
+    void updateCapacity();
+    std::vector<size_t> pickSample();
+    bool hasSlot(const Job& job, const Replica& replica, const Load& load) const;
+    double scoreOf(const Job& job, const Replica& replica, const Load& load, Millis now) const;
+
+    ReplicaChooserOptions options_;
+    std::vector<Replica> replicas_;
+    std::vector<size_t> local_; // indices of the replicas in this node's domain
+    std::unordered_map<std::string, size_t> indexOf_; // by group
+    std::unordered_map<std::string, Load> loads_; // by group
+    std::vector<std::string> freed_; // groups that lately got a free slot
+    double capacity_ = 0;
+    Average holdMs_;
+    Average firstTokenMs_;
+    Average tokenMs_;
+};
+
+} // namespace hemlockweir
--- a/packages/schedule/Scheduler.cpp
+++ b/packages/schedule/Scheduler.cpp
@@ -4,6 +4,20 @@
 
 namespace hemlockweir {
 
+// The replicas of a model are read again after this time, or longer in large fleets.
+static constexpr Millis refreshInterval { 20 };
+static constexpr size_t replicasPerRefreshMs = 10;
+
+// Share of the slots kept free for the most urgent work while there is some.
+static constexpr double headroomShare = 0.15;
+
+// Most of the queue that one priority, and one caller at one priority, may fill.
+static constexpr size_t ranksPerQueue = 2;
+static constexpr size_t callersPerQueue = 4;
+
+static constexpr Millis leastRetryAfter { 100 };
+static constexpr Millis mostRetryAfter { 30000 };
+
 SchedulePolicy parseSchedulePolicy(const std::string& name)
 {
     if (name == "round_robin")
@@ -18,158 +32,374 @@
 {
 }
 
-double Scheduler::nextTag(const Job& job)
+void Scheduler::Calls::run() const
 {
-    double& last = tagByCaller_[job.caller];
-    last = std::max(last, virtualTime_) + job.cost / job.weight;
-    return last;
+    for (const Verdict& verdict : verdicts)
+        verdict.hook(verdict.decision);
+    for (const auto& hook : preempted)
+        hook();
+}
+
+Scheduler::Pool& Scheduler::poolOf(const std::string& model)
+{
+    const auto found = pools_.find(model);
+    if (found != pools_.end())
+        return found->second;
+    Pool& pool = pools_.emplace(model, Pool { .chooser = ReplicaChooser({ .domain = options_.domain, .random = options_.random }), .ranks = {} }).first->second;
+    for (const auto& [node, use] : peers_) {
+        for (const auto& [group, count] : use.inFlightByGroup)
+            pool.chooser.addPeerUse(group, static_cast<int>(count));
+    }
+    return pool;
+}
+
+SlotSharers Scheduler::sharers() const
+{
+    const auto before = static_cast<size_t>(std::distance(peers_.begin(), peers_.lower_bound(options_.node)));
+    return { .count = peers_.size() + 1, .own = before };
+}
+
+void Scheduler::refresh(const std::string& model, Pool& pool, Millis now)
+{
+    const Millis interval = std::max(refreshInterval, Millis(pool.chooser.size() / replicasPerRefreshMs));
+    if (pool.refreshedAt.count() >= 0 && now - pool.refreshedAt < interval && pool.chooser.size() > 0)
+        return;
+    pool.refreshedAt = now;
+    pool.chooser.setReplicas(options_.findReplicas(model), sharers());
 }
 
 void Scheduler::submit(const Job& job, JobHooks hooks)
 {
+    Calls calls;
     {
         std::lock_guard lock(mutex_);
-        if (waiting_.size() < options_.maxWaiting) {
-            waiting_.push_back({ .job = job, .hooks = std::move(hooks), .tag = nextTag(job) });
-            hooks = {};
+        const Millis now = options_.clock();
+        Pool& pool = poolOf(job.model);
+        refresh(job.model, pool, now);
+        pool.ranks[job.rank].floorShare = job.floorShare;
+        if (const std::optional<Refusal> refusal = refusalOf(job, pool, now)) {
+            calls.verdicts.push_back({ hooks.onDecision, makeRefusal(*refusal, job, pool, now) });
+        } else {
+            pool.ranks[job.rank].queue.push(job.id, job.caller, job.weight);
+            expiries_.emplace(job.deadline, job.id);
+            waiting_[job.id] = { .job = job, .hooks = std::move(hooks) };
+            grantAll(job.model, pool, now, calls);
         }
     }
-    if (hooks.onDecision)
-        hooks.onDecision({ .refusal = Refusal::QueueFull, .replica = {}, .retryAfter = Millis(1000) });
-    else
-        pump();
+    calls.run();
 }
 
-void Scheduler::cancel(uint64_t jobId)
+bool Scheduler::isFull(const Job& job, const Pool& pool) const
 {
-    std::lock_guard lock(mutex_);
-    waiting_.remove_if([&](const Waiting& waiting) { return waiting.job.id == jobId; });
+    if (waiting_.size() >= options_.maxWaiting)
+        return true;
+    const FairQueue& queue = pool.ranks.at(job.rank).queue;
+    return queue.size() * ranksPerQueue >= std::max(options_.maxWaiting, ranksPerQueue)
+        || queue.sizeOf(job.caller) * callersPerQueue >= std::max(options_.maxWaiting, callersPerQueue);
 }
 
-void Scheduler::finish(uint64_t jobId)
+std::optional<Refusal> Scheduler::refusalOf(const Job& job, Pool& pool, Millis now)
 {
-    {
-        std::lock_guard lock(mutex_);
-        const auto found = running_.find(jobId);
-        if (found == running_.end())
-            return;
-        const auto use = inFlight_.find(found->second.group);
-        if (--use->second == 0)
-            inFlight_.erase(use);
-        running_.erase(found);
+    if (waiting_.size() >= options_.maxWaiting)
+        return Refusal::QueueFull;
+    if (options_.policy != SchedulePolicy::Full)
+        return std::nullopt;
+    if (isFull(job, pool))
+        return Refusal::QueueFull;
+    if (!job.avoidGroups.empty())
+        return retries_.take(job.caller) ? std::nullopt : std::optional(Refusal::RetryBudget);
+    retries_.earn(job.caller);
+    // Work that was begun is not given up for a lack of time.
+    if (job.preemptions > 0 || pool.chooser.size() == 0)
+        return std::nullopt;
+    const double firstTokenAt = static_cast<double>(now.count()) + expectedWaitMs(job, pool, now) + pool.chooser.firstTokenMs();
+    if (firstTokenAt > static_cast<double>(job.dueAt().count()))
+        return Refusal::DeadlineUnreachable;
+    return std::nullopt;
+}
+
+double Scheduler::expectedWaitMs(const Job& job, const Pool& pool, Millis now) const
+{
+    const double holdMs = pool.chooser.holdMs();
+    const Rank& rank = pool.ranks.at(job.rank);
+    if (holdMs <= 0 || (rank.queue.size() == 0 && mayTake(pool, job.rank, now)))
+        return 0;
+    const double slotsPerMs = pool.chooser.capacity() / holdMs;
+    double urgentPerMs = 0;
+    double ahead = rank.queue.aheadOf(job.caller, job.weight);
+    for (const auto& [other, load] : pool.ranks) {
+        if (other >= job.rank)
+            break;
+        urgentPerMs += load.granted.ratePerMs(now);
+        ahead += static_cast<double>(load.queue.size());
     }
-    pump();
+    const double left = slotsPerMs * (1 - reservedFor(pool, job.rank)) - urgentPerMs;
+    const double leastPerMs = std::max(rank.floorShare, 0.01) * slotsPerMs;
+    return (ahead + 1) / std::max(left, leastPerMs);
 }
 
-void Scheduler::pump()
+Decision Scheduler::makeRefusal(Refusal refusal, const Job& job, const Pool& pool, Millis now) const
 {
-    std::vector<Verdict> verdicts;
-    {
-        std::lock_guard lock(mutex_);
-        verdicts = decide();
+    const Millis wait(static_cast<int64_t>(expectedWaitMs(job, pool, now)));
+    return { .refusal = refusal, .replica = {}, .retryAfter = std::clamp(wait, leastRetryAfter, mostRetryAfter) };
+}
+
+double Scheduler::runningIn(const Pool& pool)
+{
+    double running = 0;
+    for (const auto& [rank, load] : pool.ranks)
+        running += load.running;
+    return running;
+}
+
+double Scheduler::reservedFor(const Pool& pool, uint32_t besides)
+{
+    double reserved = 0;
+    for (const auto& [rank, load] : pool.ranks) {
+        if (rank > besides && (load.running > 0 || load.queue.size() > 0))
+            reserved += load.floorShare;
     }
-    for (const Verdict& verdict : verdicts)
-        verdict.hook(verdict.decision);
+    return reserved;
 }
 
-std::vector<Scheduler::Verdict> Scheduler::decide()
+double Scheduler::headroom(const Pool& pool, Millis now)
 {
-    waiting_.sort([](const Waiting& a, const Waiting& b) {
-        return std::pair(a.job.rank, a.tag) < std::pair(b.job.rank, b.tag);
-    });
-    std::vector<Verdict> verdicts;
-    const Millis now = options_.clock();
-    for (auto it = waiting_.begin(); it != waiting_.end();) {
-        if (now > it->job.deadline) {
-            const bool none = options_.findReplicas(it->job.model).empty();
-            const Decision decision { .refusal = none ? Refusal::NoReplica : Refusal::DeadlineUnreachable, .replica = {}, .retryAfter = Millis(1000) };
-            verdicts.push_back({ it->hooks.onDecision, decision });
-            it = waiting_.erase(it);
-            continue;
-        }
-        const std::optional<Replica> replica = chooseReplica(it->job);
-        if (!replica) {
-            ++it;
+    constexpr double fewJobs = 0.1;
+    const auto urgent = pool.ranks.find(0);
+    const bool isNeeded = urgent != pool.ranks.end() && (urgent->second.running > 0 || urgent->second.granted.at(now) > fewJobs);
+    return isNeeded ? std::max(1.0, headroomShare * pool.chooser.capacity()) : 0;
+}
+
+bool Scheduler::isBelowFloor(const Pool& pool, uint32_t rank)
+{
+    const Rank& load = pool.ranks.at(rank);
+    return load.running < load.floorShare * pool.chooser.capacity();
+}
+
+bool Scheduler::mayTake(const Pool& pool, uint32_t rank, Millis now)
+{
+    const double capacity = pool.chooser.capacity();
+    if (isBelowFloor(pool, rank))
+        return true;
+    if (rank == 0)
+        return pool.ranks.at(0).running < std::max(1.0, capacity * (1 - reservedFor(pool, 0)));
+    const double open = capacity - headroom(pool, now);
+    // A node with hardly a slot of its own still serves when nothing else runs.
+    return runningIn(pool) < std::max(1.0, open);
+}
+
+Scheduler::Waiting Scheduler::takeWaiting(uint64_t jobId)
+{
+    Waiting waiting = std::move(waiting_.extract(jobId).mapped());
+    poolOf(waiting.job.model).ranks[waiting.job.rank].queue.remove(jobId, waiting.job.caller);
+    return waiting;
+}
+
+void Scheduler::refuse(uint64_t jobId, Refusal refusal, Millis now, Calls& calls)
+{
+    const Waiting waiting = takeWaiting(jobId);
+    calls.verdicts.push_back({ waiting.hooks.onDecision, makeRefusal(refusal, waiting.job, poolOf(waiting.job.model), now) });
+}
+
+void Scheduler::refuseExpired(Millis now, Calls& calls)
+{
+    while (!expiries_.empty() && expiries_.begin()->first < now) {
+        const uint64_t jobId = expiries_.begin()->second;
+        expiries_.erase(expiries_.begin());
+        const auto waiting = waiting_.find(jobId);
+        if (waiting == waiting_.end())
             continue;
-        }
-        virtualTime_ = std::max(virtualTime_, it->tag - it->job.cost / it->job.weight);
-        ++inFlight_[replica->group];
-        verdicts.push_back({ it->hooks.onDecision, { .refusal = Refusal::None, .replica = *replica } });
-        running_[it->job.id] = { .job = it->job, .hooks = it->hooks, .group = replica->group };
-        it = waiting_.erase(it);
+        const bool hasReplica = poolOf(waiting->second.job.model).chooser.size() > 0;
+        refuse(jobId, hasReplica ? Refusal::DeadlineUnreachable : Refusal::NoReplica, now, calls);
     }
-    return verdicts;
 }
 
-double Scheduler::loadOf(const Replica& replica) const
+void Scheduler::grant(Pool& pool, uint64_t jobId, const Replica& replica, Millis now, Calls& calls)
+{
+    const Waiting waiting = takeWaiting(jobId);
+    Rank& rank = pool.ranks[waiting.job.rank];
+    ++rank.running;
+    rank.granted.add(1, now);
+    rank.queue.charge(waiting.job.caller, waiting.job.cost, now);
+    pool.chooser.noteGranted(replica.group);
+    ++inFlight_[replica.group];
+    running_[jobId] = { .job = waiting.job, .hooks = waiting.hooks, .group = replica.group, .grantedAt = now };
+    calls.verdicts.push_back({ waiting.hooks.onDecision, { .refusal = Refusal::None, .replica = replica } });
+}
+
+// While others behind it can still be on time, a job that can not is refused in their favour.
+bool Scheduler::refuseStale(Pool& pool, Rank& rank, const Job& job, Millis now, Calls& calls)
 {
-    uint32_t known = 0;
-    if (const auto own = inFlight_.find(replica.group); own != inFlight_.end())
-        known += own->second;
-    for (const auto& [node, use] : peerUse_) {
-        if (const auto peer = use.find(replica.group); peer != use.end())
-            known += peer->second;
+    const Millis latestGrant = job.dueAt() - Millis(static_cast<int64_t>(pool.chooser.firstTokenMs()));
+    const bool isStale = now > latestGrant && job.avoidGroups.empty() && job.preemptions == 0;
+    if (!isStale || static_cast<double>(rank.queue.size()) <= pool.chooser.capacity())
+        return false;
+    refuse(job.id, Refusal::DeadlineUnreachable, now, calls);
+    return true;
+}
+
+bool Scheduler::grantFrom(Pool& pool, uint32_t rankNumber, Millis now, Calls& calls)
+{
+    Rank& rank = pool.ranks[rankNumber];
+    while (const std::optional<uint64_t> next = rank.queue.front(now)) {
+        const Job job = waiting_.at(*next).job;
+        if (refuseStale(pool, rank, job, now, calls))
+            continue;
+        const Candidate candidate = pool.chooser.choose(job, now);
+        if (!candidate.replica)
+            return false;
+        grant(pool, *next, *candidate.replica, now, calls);
+        return true;
     }
-    // The report lags and the nodes' own counts do not, but the report knows of work that no
-    // living node owns.
-    return std::max(known, replica.running + replica.waiting);
+    return false;
 }
 
-std::optional<Replica> Scheduler::chooseBaseline(const Job& job, const std::vector<Replica>& replicas) const
+bool Scheduler::grantNext(Pool& pool, Millis now, Calls& calls)
 {
-    std::vector<Replica> usable;
-    std::copy_if(replicas.begin(), replicas.end(), std::back_inserter(usable), [&](const Replica& replica) {
-        return std::find(job.avoidGroups.begin(), job.avoidGroups.end(), replica.group) == job.avoidGroups.end();
-    });
-    if (usable.empty())
-        return std::nullopt;
-    if (options_.policy == SchedulePolicy::RoundRobin)
-        return usable[nextTurn_++ % usable.size()];
-    return *std::min_element(usable.begin(), usable.end(), [this](const Replica& a, const Replica& b) {
-        const auto inFlight = [this](const Replica& replica) {
-            const auto own = inFlight_.find(replica.group);
-            return own == inFlight_.end() ? 0U : own->second;
-        };
-        return inFlight(a) < inFlight(b);
-    });
+    // Floors first: they are small, and more urgent work has the rest.
+    for (auto& [number, rank] : pool.ranks) {
+        if (number > 0 && rank.queue.size() > 0 && isBelowFloor(pool, number) && grantFrom(pool, number, now, calls))
+            return true;
+    }
+    for (auto& [number, rank] : pool.ranks) {
+        if (rank.queue.size() > 0 && mayTake(pool, number, now) && grantFrom(pool, number, now, calls))
+            return true;
+    }
+    return false;
 }
 
-std::optional<Replica> Scheduler::chooseReplica(const Job& job) const
+void Scheduler::grantBaseline(const std::string& model, Pool& pool, Millis now, Calls& calls)
 {
-    if (options_.policy != SchedulePolicy::Full)
-        return chooseBaseline(job, options_.findReplicas(job.model));
-    std::optional<Replica> best;
-    double bestScore = 0;
-    for (const Replica& replica : options_.findReplicas(job.model)) {
-        const bool isAvoided = std::find(job.avoidGroups.begin(), job.avoidGroups.end(), replica.group) != job.avoidGroups.end();
-        const double load = loadOf(replica);
-        if (isAvoided || load >= replica.slots)
+    std::vector<uint64_t> jobs;
+    for (const auto& [id, waiting] : waiting_) {
+        if (waiting.job.model == model)
+            jobs.push_back(id);
+    }
+    if (jobs.empty())
+        return;
+    const std::vector<Replica> replicas = options_.findReplicas(model);
+    const auto inFlight = [this](const Replica& replica) {
+        const auto found = inFlight_.find(replica.group);
+        return found == inFlight_.end() ? 0U : found->second;
+    };
+    for (const uint64_t id : jobs) {
+        std::vector<Replica> usable = replicas;
+        const std::vector<std::string>& avoided = waiting_.at(id).job.avoidGroups;
+        std::erase_if(usable, [&](const Replica& replica) { return std::find(avoided.begin(), avoided.end(), replica.group) != avoided.end(); });
+        if (usable.empty())
             continue;
-        const double score = load / replica.slots + (replica.domain == options_.domain ? 0.0 : 0.1);
-        if (!best || score < bestScore) {
-            best = replica;
-            bestScore = score;
+        const bool takesTurns = options_.policy == SchedulePolicy::RoundRobin;
+        const Replica chosen = takesTurns ? usable[nextTurn_++ % usable.size()]
+                                          : *std::min_element(usable.begin(), usable.end(), [&](const Replica& a, const Replica& b) { return inFlight(a) < inFlight(b); });
+        grant(pool, id, chosen, now, calls);
+    }
+}
+
+void Scheduler::grantAll(const std::string& model, Pool& pool, Millis now, Calls& calls)
+{
+    if (options_.policy != SchedulePolicy::Full) {
+        grantBaseline(model, pool, now, calls);
+        return;
+    }
+    while (grantNext(pool, now, calls)) { }
+}
+
+void Scheduler::cancel(uint64_t jobId)
+{
+    std::lock_guard lock(mutex_);
+    if (waiting_.contains(jobId))
+        takeWaiting(jobId);
+}
+
+void Scheduler::noteFirstToken(uint64_t jobId)
+{
+    std::lock_guard lock(mutex_);
+    const auto found = running_.find(jobId);
+    if (found == running_.end() || found->second.firstTokenAt.count() > 0)
+        return;
+    Running& running = found->second;
+    running.firstTokenAt = options_.clock();
+    poolOf(running.job.model).chooser.noteFirstToken(running.group, running.firstTokenAt - running.grantedAt, running.firstTokenAt);
+}
+
+void Scheduler::finish(uint64_t jobId)
+{
+    Calls calls;
+    {
+        std::lock_guard lock(mutex_);
+        const auto found = running_.find(jobId);
+        if (found == running_.end())
+            return;
+        const Running running = std::move(running_.extract(found).mapped());
+        const Millis now = options_.clock();
+        if (const auto use = inFlight_.find(running.group); --use->second == 0)
+            inFlight_.erase(use);
+        Pool& pool = poolOf(running.job.model);
+        --pool.ranks[running.job.rank].running;
+        const Millis generated = running.firstTokenAt.count() > 0 && !running.isPreempted ? now - running.firstTokenAt : Millis(0);
+        pool.chooser.noteFinished(running.group, now - running.grantedAt, generated, running.job.cost, now);
+        grantAll(running.job.model, pool, now, calls);
+    }
+    calls.run();
+}
+
+void Scheduler::pump()
+{
+    Calls calls;
+    {
+        std::lock_guard lock(mutex_);
+        const Millis now = options_.clock();
+        refuseExpired(now, calls);
+        for (auto& [model, pool] : pools_) {
+            refresh(model, pool, now);
+            grantAll(model, pool, now, calls);
         }
     }
-    return best;
+    calls.run();
 }
 
-void Scheduler::setPeerUse(const std::string& node, const std::map<std::string, uint32_t>& inFlightByGroup)
+void Scheduler::setPeerUse(const std::string& node, const NodeUse& use)
 {
     std::lock_guard lock(mutex_);
-    peerUse_[node] = inFlightByGroup;
+    const NodeUse before = std::exchange(peers_[node], use);
+    for (auto& [model, pool] : pools_) {
+        for (const auto& [group, count] : before.inFlightByGroup)
+            pool.chooser.addPeerUse(group, -static_cast<int>(count));
+        for (const auto& [group, count] : use.inFlightByGroup)
+            pool.chooser.addPeerUse(group, static_cast<int>(count));
+        std::map<uint32_t, std::map<std::string, double>> tokens;
+        for (const CallerTokensRow& row : use.callers) {
+            if (row.model == model)
+                tokens[row.rank][row.caller] = row.tokens;
+        }
+        for (auto& [number, rank] : pool.ranks)
+            rank.queue.setPeerTokens(node, tokens[number]);
+    }
 }
 
 void Scheduler::dropPeer(const std::string& node)
 {
+    setPeerUse(node, {});
     std::lock_guard lock(mutex_);
-    peerUse_.erase(node);
+    peers_.erase(node);
+    for (auto& [model, pool] : pools_) {
+        for (auto& [number, rank] : pool.ranks)
+            rank.queue.dropPeer(node);
+    }
 }
 
-std::map<std::string, uint32_t> Scheduler::inFlightByGroup() const
+NodeUse Scheduler::use() const
 {
     std::lock_guard lock(mutex_);
-    return inFlight_;
+    NodeUse use { .inFlightByGroup = inFlight_, .callers = {} };
+    const Millis now = options_.clock();
+    for (const auto& [model, pool] : pools_) {
+        for (const auto& [number, rank] : pool.ranks) {
+            for (const CallerTokens& row : rank.queue.tokensByCaller(now))
+                use.callers.push_back({ .model = model, .rank = number, .caller = row.caller, .tokens = row.tokens });
+        }
+    }
+    return use;
 }
 
 size_t Scheduler::waitingCount() const
@@ -178,4 +408,22 @@
     return waiting_.size();
 }
 
+std::vector<RankLoad> Scheduler::loads() const
+{
+    std::lock_guard lock(mutex_);
+    std::map<uint32_t, RankLoad> byRank;
+    for (const auto& [model, pool] : pools_) {
+        for (const auto& [number, rank] : pool.ranks) {
+            RankLoad& load = byRank[number];
+            load.rank = number;
+            load.waiting += rank.queue.size();
+            load.running += rank.running;
+        }
+    }
+    std::vector<RankLoad> loads;
+    for (const auto& [number, load] : byRank)
+        loads.push_back(load);
+    return loads;
+}
+
 } // namespace hemlockweir
--- a/packages/schedule/Scheduler.h
+++ b/packages/schedule/Scheduler.h
@@ -1,16 +1,23 @@
 #pragma once
 
-#include "fleet/FleetTable.h"
+#include "schedule/FairQueue.h"
+#include "schedule/Job.h"
+#include "schedule/ReplicaChooser.h"
+#include "schedule/RetryBudget.h"
 
-#include <functional>
-#include <list>
+#include <mutex>
 
-// Decides which waiting request runs next and on which replica. Thread-safe. Lock order: the
-// scheduler's lock, then the fleet table's. Hooks are called without the lock.
+// Decides which waiting request runs next and on which replica, and which is refused. Thread-safe.
+// Lock order: the scheduler's lock, then the fleet table's. Hooks are called without the lock.
 //
 //   scheduler.submit(job, { .onDecision = [](const Decision& decision) { ... } });
 //   ...
+//   scheduler.noteFirstToken(job.id);
 //   scheduler.finish(job.id);
+//
+// Nodes have no coordinator. Each owns its part of every group's slots, and may also use slots
+// that nobody was heard to use; what the others have in flight arrives by setPeerUse(). A node
+// that hears nobody takes every slot for its own.
 
 namespace hemlockweir {
 
@@ -27,102 +34,145 @@
 struct SchedulerOptions {
     SchedulePolicy policy = SchedulePolicy::Full;
     size_t maxWaiting = 2000; // jobs, all models and priorities together
+    std::string node; // this node's name
     std::string domain; // this node's failure domain, preferred in ties
     Clock clock;
     Random random;
     std::function<std::vector<Replica>(const std::string& model)> findReplicas;
 };
 
-// One request that wants a slot on a replica.
-struct Job {
-    uint64_t id = 0;
+// Tokens granted lately to one caller for one model and priority.
+struct CallerTokensRow {
     std::string model;
+    uint32_t rank = 0;
     std::string caller;
-    double weight = 1.0; // of the caller in fair sharing
-    uint32_t rank = 0; // of the priority class; 0 is the most urgent
-    Millis deadline { 0 }; // latest useful start, in the clock's time
-    double cost = 1.0; // expected work, in tokens
-    std::vector<std::string> avoidGroups; // groups that failed this job before
-};
+    double tokens = 0;
 
-// Why a job was refused. Each is certain: the job did not run.
-enum class Refusal {
-    None,
-    QueueFull,
-    DeadlineUnreachable,
-    NoReplica,
-    ShuttingDown,
+    auto operator<=>(const CallerTokensRow&) const = default;
 };
 
-// The outcome for one job: a replica, or a refusal.
-struct Decision {
-    Refusal refusal = Refusal::None;
-    Replica replica; // meaningful without a refusal
-    Millis retryAfter { 0 }; // hint for the caller of a refused job
+// What one node uses, as nodes tell each other.
+struct NodeUse {
+    std::map<std::string, uint32_t> inFlightByGroup;
+    std::vector<CallerTokensRow> callers;
 
-    bool isGranted() const { return refusal == Refusal::None; }
+    bool operator==(const NodeUse&) const = default;
 };
 
-struct JobHooks {
-    std::function<void(const Decision&)> onDecision; // once
-    std::function<void()> onPreempt; // the slot is wanted back; finish the job and submit it again
+// Jobs of one priority, for metrics.
+struct RankLoad {
+    uint32_t rank = 0;
+    size_t waiting = 0;
+    size_t running = 0;
+
+    auto operator<=>(const RankLoad&) const = default;
 };
 
 class Scheduler {
 public:
     explicit Scheduler(SchedulerOptions options);
 
-    // Queues a job; onDecision may be called before this returns.
+    // Queues a job, or refuses it at once when it can not start in time; onDecision may be called
+    // before this returns.
     void submit(const Job& job, JobHooks hooks);
 
     // Withdraws a job that has no decision yet; its hooks are not called.
     void cancel(uint64_t jobId);
 
+    // Says that a granted job has its first token.
+    void noteFirstToken(uint64_t jobId);
+
     // Frees the slot of a granted job.
     void finish(uint64_t jobId);
 
     // Grants and refuses what time and new reports allow. Call at least every 10 ms.
     void pump();
 
-    // Takes what a peer has in flight on a group, and forgets a peer.
-    void setPeerUse(const std::string& node, const std::map<std::string, uint32_t>& inFlightByGroup);
+    // Takes what a peer uses, and forgets a peer.
+    void setPeerUse(const std::string& node, const NodeUse& use);
     void dropPeer(const std::string& node);
 
-    // This node's requests in flight by group, and its jobs waiting.
-    std::map<std::string, uint32_t> inFlightByGroup() const;
+    // This node's own use, and its jobs.
+    NodeUse use() const;
     size_t waitingCount() const;
+    std::vector<RankLoad> loads() const;
 
 private:
     struct Waiting {
         Job job;
         JobHooks hooks;
-        double tag = 0; // virtual finish time in fair queueing
     };
     struct Running {
         Job job;
         JobHooks hooks;
         std::string group;
+        Millis grantedAt { 0 };
+        Millis firstTokenAt { 0 }; // 0: none yet
+        bool isPreempted = false;
     };
     struct Verdict {
         std::function<void(const Decision&)> hook;
         Decision decision;
     };
+    // What is to be called once the lock is free.
+    struct Calls {
+        std::vector<Verdict> verdicts;
+        std::vector<std::function<void()>> preempted;
+
+        void run() const;
+    };
+    // The jobs of one model and priority.
+    struct Rank {
+        FairQueue queue;
+        uint32_t running = 0;
+        double floorShare = 0;
+        DecayedSum granted { Millis(1000) }; // jobs
+    };
+    // The jobs and replicas of one model.
+    struct Pool {
+        ReplicaChooser chooser;
+        std::map<uint32_t, Rank> ranks;
+        Millis refreshedAt { -1 };
+    };
 
-    std::vector<Verdict> decide();
-    std::optional<Replica> chooseReplica(const Job& job) const;
-    std::optional<Replica> chooseBaseline(const Job& job, const std::vector<Replica>& replicas) const;
-    double loadOf(const Replica& replica) const;
-    double nextTag(const Job& job);
+    Pool& poolOf(const std::string& model);
+    void refresh(const std::string& model, Pool& pool, Millis now);
+    SlotSharers sharers() const;
+
+    // Admission.
+    std::optional<Refusal> refusalOf(const Job& job, Pool& pool, Millis now);
+    double expectedWaitMs(const Job& job, const Pool& pool, Millis now) const;
+    bool isFull(const Job& job, const Pool& pool) const;
+    Decision makeRefusal(Refusal refusal, const Job& job, const Pool& pool, Millis now) const;
+
+    // Grants.
+    void refuseExpired(Millis now, Calls& calls);
+    void grantAll(const std::string& model, Pool& pool, Millis now, Calls& calls);
+    bool grantNext(Pool& pool, Millis now, Calls& calls);
+    bool grantFrom(Pool& pool, uint32_t rank, Millis now, Calls& calls);
+    void grantBaseline(const std::string& model, Pool& pool, Millis now, Calls& calls);
+    void grant(Pool& pool, uint64_t jobId, const Replica& replica, Millis now, Calls& calls);
+    void refuse(uint64_t jobId, Refusal refusal, Millis now, Calls& calls);
+    Waiting takeWaiting(uint64_t jobId);
+    bool refuseStale(Pool& pool, Rank& rank, const Job& job, Millis now, Calls& calls);
+
+    // Shares of the slots.
+    static double runningIn(const Pool& pool);
+    static double reservedFor(const Pool& pool, uint32_t besides);
+    static double headroom(const Pool& pool, Millis now);
+    static bool mayTake(const Pool& pool, uint32_t rank, Millis now);
+    static bool isBelowFloor(const Pool& pool, uint32_t rank);
 
     SchedulerOptions options_;
     mutable std::mutex mutex_;
-    std::list<Waiting> waiting_;
+    std::map<std::string, Pool> pools_; // by model
+    std::map<uint64_t, Waiting> waiting_; // by job
+    std::multimap<Millis, uint64_t> expiries_; // jobs by deadline; may hold jobs that are gone
     std::map<uint64_t, Running> running_; // by job
     std::map<std::string, uint32_t> inFlight_; // by group
-    std::map<std::string, std::map<std::string, uint32_t>> peerUse_; // by node, by group
-    std::map<std::string, double> tagByCaller_;
-    double virtualTime_ = 0;
-    mutable size_t nextTurn_ = 0; // of RoundRobin
+    std::map<std::string, NodeUse> peers_; // by node
+    RetryBudget retries_;
+    size_t nextTurn_ = 0; // of RoundRobin
 };
 
 } // namespace hemlockweir
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -119,21 +119,23 @@
     auto operator<=>(const GroupUse&) const = default;
 };
 
-// What one caller uses at the sender.
+// Tokens that the sender lately granted to one caller for one model and priority.
 struct CallerUse {
+    std::string model;
+    uint32_t rank = 0; // of the priority
     std::string caller;
-    uint32_t inFlight = 0; // requests running
-    uint32_t waiting = 0; // requests queued
+    float tokens = 0; // fading sum
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(bounded(caller, maxNameLength), inFlight, waiting);
+        archive(bounded(model, maxNameLength), rank, bounded(caller, maxNameLength), tokens);
     }
     auto operator<=>(const CallerUse&) const = default;
 };
 
-// The sender's use of groups and by callers. Rows that are missing are zero.
+// The sender's use of groups and by callers. Rows that are missing are zero: a sender that has more
+// than fit leaves out the smallest.
 struct Usage {
     static constexpr MessageKind kind = MessageKind::Usage;
     std::vector<GroupUse> groups;
