Lend only slots that stay unused, and admit by what the fair queue says

Cause: (1) a gap in a peer's use, heard 200 ms late, was taken by every other node, so engines queued; (2) admission counted every active caller as ahead of a small one, took the urgent queue to be ahead of a priority that is below its floor, and mixed the first-token times of priorities. Change: peers' use falls slowly (1 s); jobs ahead are those that the fair queue would serve first; the wait is the lesser of the floor's and of what urgent work leaves; first-token time is the mean and two deviations by priority; a stale job goes when others wait behind it.

--- a/packages/node/CompletionFlow.cpp
+++ b/packages/node/CompletionFlow.cpp
@@ -4,6 +4,7 @@
 
 #include <QJsonArray>
 #include <QJsonDocument>
+#include <utility>
 
 namespace hemlockweir {
 
@@ -94,6 +95,8 @@
     ErrorReply error { .status = 503, .type = "overloaded", .message = "no slot became free before the deadline", .outcome = outcome, .retryAfter = decision.retryAfter };
     if (decision.refusal == Refusal::QueueFull)
         error.message = "too many requests are waiting";
+    else if (decision.refusal == Refusal::RetryBudget)
+        error.message = "too many retries after failures of endpoints";
     else if (decision.refusal == Refusal::NoReplica)
         error.message = "no whole group serves this model now";
     fail(error);
@@ -122,6 +125,7 @@
 {
     replica_ = replica;
     ++attempt_;
+    attemptHasToken_ = false;
     record_.attempts = attempt_;
     QJsonObject body = completion_.body;
     body["stream"] = true;
@@ -169,7 +173,8 @@
 {
     if (received_ == 0)
         record_.firstToken = tables_.clock() - arrivedAt_;
-    tables_.scheduler.noteFirstToken(jobId_);
+    if (!std::exchange(attemptHasToken_, true))
+        tables_.scheduler.noteFirstToken(jobId_);
     ++received_;
     record_.tokens = received_;
     sendToken(event["text"].toString());
--- a/packages/node/CompletionFlow.h
+++ b/packages/node/CompletionFlow.h
@@ -58,6 +58,7 @@
     std::shared_ptr<HttpCall> call_;
     std::unique_ptr<EventStream> events_;
     uint32_t attempt_ = 0;
+    bool attemptHasToken_ = false; // the present attempt
     uint32_t received_ = 0; // tokens received in order, over all attempts
     QString text_;
     QString finishReason_;
--- a/packages/schedule/Decayed.h
+++ b/packages/schedule/Decayed.h
@@ -2,6 +2,7 @@
 
 #include "base/Clock.h"
 
+#include <algorithm>
 #include <cmath>
 
 // Numbers that forget: sums and averages whose past loses weight with time.
@@ -33,21 +34,55 @@
     double value_ = 0;
 };
 
-// An exponentially weighted average of samples.
+// A level that follows a rise at once and a fall slowly, so that a gap of a moment does not show.
+class SlowFall {
+public:
+    explicit SlowFall(Millis timeConstant)
+        : timeConstant_(timeConstant)
+    {
+    }
+
+    void set(double value, Millis now)
+    {
+        value_ = std::max(value, at(now));
+        low_ = value;
+        updatedAt_ = now;
+    }
+
+    double at(Millis now) const { return low_ + (value_ - low_) * std::exp(-static_cast<double>((now - updatedAt_).count()) / static_cast<double>(timeConstant_.count())); }
+
+private:
+    Millis timeConstant_;
+    Millis updatedAt_ { 0 };
+    double value_ = 0;
+    double low_ = 0;
+};
+
+// An exponentially weighted average of samples, and of how far they lie from it.
 class Average {
 public:
     void add(double sample)
     {
         constexpr double newWeight = 0.1;
-        value_ = isKnown_ ? value_ + newWeight * (sample - value_) : sample;
+        const double difference = isKnown_ ? sample - value_ : 0;
+        value_ = isKnown_ ? value_ + newWeight * difference : sample;
+        deviation_ += newWeight * (std::abs(difference) - deviation_);
         isKnown_ = true;
     }
 
     bool isKnown() const { return isKnown_; }
     double valueOr(double fallback) const { return isKnown_ ? value_ : fallback; }
 
+    // What few samples exceed.
+    double upperOr(double fallback) const
+    {
+        constexpr double deviations = 2;
+        return isKnown_ ? value_ + deviations * deviation_ : fallback;
+    }
+
 private:
     double value_ = 0;
+    double deviation_ = 0;
     bool isKnown_ = false;
 };
 
--- a/packages/schedule/FairQueue.cpp
+++ b/packages/schedule/FairQueue.cpp
@@ -52,15 +52,20 @@
     return best ? std::optional(best->jobs.front()) : std::nullopt;
 }
 
-double FairQueue::aheadOf(const std::string& caller, double weight) const
+double FairQueue::aheadOf(const std::string& caller, double weight, double cost, Millis now) const
 {
-    double turns = 0;
+    const auto own = lines_.find(caller);
+    const double ownJobs = own == lines_.end() ? 0 : static_cast<double>(own->second.jobs.size());
+    const double ownUsed = own == lines_.end() ? 0 : usedAnywhere(caller, own->second, now);
+    const double usedAtTurn = ownUsed + ownJobs * cost / weight;
+    double ahead = ownJobs;
     for (const auto& [name, line] : lines_) {
-        if (name != caller && !line.jobs.empty())
-            turns += line.weight;
+        if (name == caller || line.jobs.empty())
+            continue;
+        const double turns = (usedAtTurn - usedAnywhere(name, line, now)) * line.weight / std::max(cost, 1.0) + 1;
+        ahead += std::clamp(turns, 0.0, static_cast<double>(line.jobs.size()));
     }
-    const auto own = static_cast<double>(sizeOf(caller));
-    return std::min(static_cast<double>(size_), own + (own + 1) * turns / weight);
+    return ahead;
 }
 
 void FairQueue::charge(const std::string& caller, double tokens, Millis now)
--- a/packages/schedule/FairQueue.h
+++ b/packages/schedule/FairQueue.h
@@ -32,8 +32,8 @@
     // The job that is next in turn.
     std::optional<uint64_t> front(Millis now) const;
 
-    // Jobs that go before a new one of this caller, under fair turns.
-    double aheadOf(const std::string& caller, double weight) const;
+    // Jobs that go before a new one of this caller, if each costs `cost` tokens.
+    double aheadOf(const std::string& caller, double weight, double cost, Millis now) const;
 
     // Use.
     void charge(const std::string& caller, double tokens, Millis now);
--- a/packages/schedule/ReplicaChooser.cpp
+++ b/packages/schedule/ReplicaChooser.cpp
@@ -38,7 +38,7 @@
 {
 }
 
-void ReplicaChooser::setReplicas(std::vector<Replica> replicas, const SlotSharers& sharers)
+void ReplicaChooser::setReplicas(std::vector<Replica> replicas, const SlotSharers& sharers, Millis now)
 {
     replicas_ = std::move(replicas);
     local_.clear();
@@ -53,7 +53,7 @@
         correctReport(replica, load);
     }
     std::erase_if(loads_, [this](const auto& entry) { return entry.second.own == 0 && entry.second.peers == 0 && !indexOf_.contains(entry.first); });
-    updateCapacity();
+    updateCapacity(now);
 }
 
 // A report is older than the nodes' own counts, so it only tells of work that no node counts.
@@ -70,18 +70,20 @@
     load.foreign = std::max(0.0, load.foreign + reportWeight * (surplus - load.foreign));
 }
 
-void ReplicaChooser::updateCapacity()
+void ReplicaChooser::updateCapacity(Millis now)
 {
     capacity_ = 0;
     for (const Replica& replica : replicas_) {
         const Load& load = loads_[replica.group];
-        capacity_ += std::max<double>(load.share, replica.slots - load.peers - load.foreign);
+        capacity_ += std::max<double>(load.share, replica.slots - load.peersLately.at(now) - load.foreign);
     }
 }
 
-void ReplicaChooser::addPeerUse(const std::string& group, int difference)
+void ReplicaChooser::addPeerUse(const std::string& group, int difference, Millis now)
 {
-    loads_[group].peers += difference;
+    Load& load = loads_[group];
+    load.peers += difference;
+    load.peersLately.set(std::max(0, load.peers), now);
 }
 
 std::vector<size_t> ReplicaChooser::pickSample()
@@ -104,15 +106,15 @@
     return sample;
 }
 
-bool ReplicaChooser::hasSlot(const Job& job, const Replica& replica, const Load& load) const
+bool ReplicaChooser::hasSlot(const Job& job, const Replica& replica, const Load& load, Millis now) const
 {
     if (std::find(job.avoidGroups.begin(), job.avoidGroups.end(), replica.group) != job.avoidGroups.end())
         return false;
-    const double all = load.own + std::max(0, load.peers) + load.foreign;
-    if (load.own < load.share || all < replica.slots)
+    const double all = load.own + load.peersLately.at(now) + load.foreign;
+    if (load.own < load.share || all + 1 <= replica.slots)
         return true;
     const uint32_t queued = std::max(1U, replica.slots / 4);
-    return job.rank == 0 && load.own < load.share + queued && all < replica.slots + queued;
+    return job.rank == 0 && load.own < load.share + queued && all + 1 <= replica.slots + queued;
 }
 
 double ReplicaChooser::scoreOf(const Job& job, const Replica& replica, const Load& load, Millis now) const
@@ -133,7 +135,7 @@
     for (const size_t index : pickSample()) {
         const Replica& replica = replicas_[index];
         const Load& load = loads_[replica.group];
-        if (!hasSlot(job, replica, load))
+        if (!hasSlot(job, replica, load, now))
             continue;
         const double jitter = jitterMs * static_cast<double>(options_.random() % 1024) / 1024;
         const double score = scoreOf(job, replica, load, now) + jitter;
--- a/packages/schedule/ReplicaChooser.h
+++ b/packages/schedule/ReplicaChooser.h
@@ -38,8 +38,8 @@
     explicit ReplicaChooser(ReplicaChooserOptions options);
 
     // Inputs.
-    void setReplicas(std::vector<Replica> replicas, const SlotSharers& sharers);
-    void addPeerUse(const std::string& group, int difference);
+    void setReplicas(std::vector<Replica> replicas, const SlotSharers& sharers, Millis now);
+    void addPeerUse(const std::string& group, int difference, Millis now);
 
     // Chooses among replicas with a slot to give. The most urgent job may queue briefly in the
     // engine, which serves it first.
@@ -53,7 +53,7 @@
     // Slots that this node may fill, and how long one is held.
     double capacity() const { return capacity_; }
     double holdMs() const { return holdMs_.valueOr(0); }
-    double firstTokenMs() const { return firstTokenMs_.valueOr(0); }
+    double firstTokenMs() const { return firstTokenMs_.upperOr(0); }
     size_t size() const { return replicas_.size(); }
 
 private:
@@ -61,6 +61,7 @@
         uint32_t own = 0; // jobs of this node
         int peers = 0; // jobs of the other nodes, as last heard
         uint32_t share = 0; // slots that are this node's own
+        SlowFall peersLately { Millis(1000) }; // the same, not falling at once: slots are lent that stay unused
         double foreign = 0; // reported jobs that no node counts as its own
         double known = 0; // own and peers, smoothed over the lag of reports
         Millis reportedAt { 0 };
@@ -70,9 +71,9 @@
     };
 
     void correctReport(const Replica& replica, Load& load);
-    void updateCapacity();
+    void updateCapacity(Millis now);
     std::vector<size_t> pickSample();
-    bool hasSlot(const Job& job, const Replica& replica, const Load& load) const;
+    bool hasSlot(const Job& job, const Replica& replica, const Load& load, Millis now) const;
     double scoreOf(const Job& job, const Replica& replica, const Load& load, Millis now) const;
 
     ReplicaChooserOptions options_;
--- a/packages/schedule/Scheduler.cpp
+++ b/packages/schedule/Scheduler.cpp
@@ -46,9 +46,10 @@
     if (found != pools_.end())
         return found->second;
     Pool& pool = pools_.emplace(model, Pool { .chooser = ReplicaChooser({ .domain = options_.domain, .random = options_.random }), .ranks = {} }).first->second;
+    const Millis now = options_.clock();
     for (const auto& [node, use] : peers_) {
         for (const auto& [group, count] : use.inFlightByGroup)
-            pool.chooser.addPeerUse(group, static_cast<int>(count));
+            pool.chooser.addPeerUse(group, static_cast<int>(count), now);
     }
     return pool;
 }
@@ -65,7 +66,7 @@
     if (pool.refreshedAt.count() >= 0 && now - pool.refreshedAt < interval && pool.chooser.size() > 0)
         return;
     pool.refreshedAt = now;
-    pool.chooser.setReplicas(options_.findReplicas(model), sharers());
+    pool.chooser.setReplicas(options_.findReplicas(model), sharers(), now);
 }
 
 void Scheduler::submit(const Job& job, JobHooks hooks)
@@ -112,7 +113,7 @@
     // Work that was begun is not given up for a lack of time.
     if (job.preemptions > 0 || pool.chooser.size() == 0)
         return std::nullopt;
-    const double firstTokenAt = static_cast<double>(now.count()) + expectedWaitMs(job, pool, now) + pool.chooser.firstTokenMs();
+    const double firstTokenAt = static_cast<double>(now.count()) + expectedWaitMs(job, pool, now) + pool.ranks[job.rank].firstTokenMs.upperOr(pool.chooser.firstTokenMs());
     if (firstTokenAt > static_cast<double>(job.dueAt().count()))
         return Refusal::DeadlineUnreachable;
     return std::nullopt;
@@ -125,17 +126,20 @@
     if (holdMs <= 0 || (rank.queue.size() == 0 && mayTake(pool, job.rank, now)))
         return 0;
     const double slotsPerMs = pool.chooser.capacity() / holdMs;
-    double urgentPerMs = 0;
-    double ahead = rank.queue.aheadOf(job.caller, job.weight);
+    double leftPerMs = slotsPerMs * (1 - reservedFor(pool, job.rank));
+    double urgentAhead = 0;
     for (const auto& [other, load] : pool.ranks) {
         if (other >= job.rank)
             break;
-        urgentPerMs += load.granted.ratePerMs(now);
-        ahead += static_cast<double>(load.queue.size());
+        leftPerMs -= load.granted.ratePerMs(now);
+        urgentAhead += static_cast<double>(load.queue.size());
     }
-    const double left = slotsPerMs * (1 - reservedFor(pool, job.rank)) - urgentPerMs;
-    const double leastPerMs = std::max(rank.floorShare, 0.01) * slotsPerMs;
-    return (ahead + 1) / std::max(left, leastPerMs);
+    const double turns = rank.queue.aheadOf(job.caller, job.weight, job.cost, now) + 1;
+    // What more urgent work leaves, or the floor, whichever is sooner.
+    constexpr double leastShare = 0.01;
+    const double afterUrgent = (turns + urgentAhead) / std::max(leftPerMs, leastShare * slotsPerMs);
+    const double byFloor = turns / (std::max(rank.floorShare, leastShare) * slotsPerMs);
+    return std::min(afterUrgent, byFloor);
 }
 
 Decision Scheduler::makeRefusal(Refusal refusal, const Job& job, const Pool& pool, Millis now) const
@@ -230,9 +234,9 @@
 // While others behind it can still be on time, a job that can not is refused in their favour.
 bool Scheduler::refuseStale(Pool& pool, Rank& rank, const Job& job, Millis now, Calls& calls)
 {
-    const Millis latestGrant = job.dueAt() - Millis(static_cast<int64_t>(pool.chooser.firstTokenMs()));
+    const Millis latestGrant = job.dueAt() - Millis(static_cast<int64_t>(rank.firstTokenMs.upperOr(pool.chooser.firstTokenMs())));
     const bool isStale = now > latestGrant && job.avoidGroups.empty() && job.preemptions == 0;
-    if (!isStale || static_cast<double>(rank.queue.size()) <= pool.chooser.capacity())
+    if (!isStale || static_cast<double>(rank.queue.size()) <= pool.chooser.capacity() / 4)
         return false;
     refuse(job.id, Refusal::DeadlineUnreachable, now, calls);
     return true;
@@ -319,7 +323,10 @@
         return;
     Running& running = found->second;
     running.firstTokenAt = options_.clock();
-    poolOf(running.job.model).chooser.noteFirstToken(running.group, running.firstTokenAt - running.grantedAt, running.firstTokenAt);
+    const Millis took = running.firstTokenAt - running.grantedAt;
+    Pool& pool = poolOf(running.job.model);
+    pool.ranks[running.job.rank].firstTokenMs.add(static_cast<double>(took.count()));
+    pool.chooser.noteFirstToken(running.group, took, running.firstTokenAt);
 }
 
 void Scheduler::finish(uint64_t jobId)
@@ -361,12 +368,13 @@
 void Scheduler::setPeerUse(const std::string& node, const NodeUse& use)
 {
     std::lock_guard lock(mutex_);
+    const Millis now = options_.clock();
     const NodeUse before = std::exchange(peers_[node], use);
     for (auto& [model, pool] : pools_) {
         for (const auto& [group, count] : before.inFlightByGroup)
-            pool.chooser.addPeerUse(group, -static_cast<int>(count));
+            pool.chooser.addPeerUse(group, -static_cast<int>(count), now);
         for (const auto& [group, count] : use.inFlightByGroup)
-            pool.chooser.addPeerUse(group, static_cast<int>(count));
+            pool.chooser.addPeerUse(group, static_cast<int>(count), now);
         std::map<uint32_t, std::map<std::string, double>> tokens;
         for (const CallerTokensRow& row : use.callers) {
             if (row.model == model)
@@ -421,6 +429,7 @@
         }
     }
     std::vector<RankLoad> loads;
+    loads.reserve(byRank.size());
     for (const auto& [number, load] : byRank)
         loads.push_back(load);
     return loads;
--- a/packages/schedule/Scheduler.h
+++ b/packages/schedule/Scheduler.h
@@ -127,6 +127,7 @@
         uint32_t running = 0;
         double floorShare = 0;
         DecayedSum granted { Millis(1000) }; // jobs
+        Average firstTokenMs; // ms, from grant to first token
     };
     // The jobs and replicas of one model.
     struct Pool {
