--- a/packages/node/CompletionFlow.cpp
+++ b/packages/node/CompletionFlow.cpp
@@ -6,6 +6,7 @@
 #include <QJsonDocument>
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace hemlockweir {
 
@@ -77,9 +78,12 @@
         .caller = request().caller.name,
         .weight = request().caller.weight,
         .rank = request().priority.rank,
+        .floorShare = request().priority.floorShare,
         .deadline = arrivedAt_ + request().deadline,
+        .target = arrivedAt_ + Millis(request().priority.firstTokenMs),
         .cost = static_cast<double>(completion_.maxTokens - received_),
         .avoidGroups = groupsToAvoid(),
+        .preemptions = preemptions_,
     };
     const uint64_t id = jobId_;
     auto post = poster();
@@ -104,6 +108,8 @@
     ErrorReply error { .status = 503, .type = "overloaded", .message = "no slot became free before the deadline", .outcome = outcome, .retryAfter = decision.retryAfter };
     if (decision.refusal == Refusal::QueueFull)
         error.message = "too many requests are waiting";
+    else if (decision.refusal == Refusal::RetryBudget)
+        error.message = "too many retries after failures of endpoints";
     else if (decision.refusal == Refusal::NoReplica)
         error.message = "no whole group serves this model now";
     fail(error);
@@ -125,6 +131,7 @@
     mayHaveRun_ = mayHaveRun_ || call_;
     call_.reset();
     freeSlot();
+    ++preemptions_;
     schedule();
 }
 
@@ -209,7 +216,8 @@
 {
     if (received_ == 0)
         record_.firstToken = tables_.clock() - arrivedAt_;
-    hasToken_ = true;
+    if (!std::exchange(hasToken_, true))
+        tables_.scheduler.noteFirstToken(jobId_);
     ++received_;
     record_.tokens = received_;
     sendToken(event["text"].toString());
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -65,7 +65,9 @@
     , random_(makeSystemRandom())
     , incarnation_(makeIncarnation())
     , fleet_({ .freshness = settings_.statusFreshness, .clock = clock_ })
-    , scheduler_({ .maxWaiting = static_cast<size_t>(settings_.maxWaiting),
+    , scheduler_({ .policy = parseSchedulePolicy(settings_.schedulePolicy),
+          .maxWaiting = static_cast<size_t>(settings_.maxWaiting),
+          .node = settings_.node,
           .domain = settings_.domain,
           .clock = clock_,
           .random = random_,
@@ -73,6 +75,7 @@
     , platform_(makePlatformOptions(settings_))
     , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .clock = clock_, .random = random_ }, makeClaimStore(platform_))
     , peers_(makePeerOptions(settings_, incarnation_, clock_, random_))
+    , usage_(scheduler_, peers_, metrics_)
     , configServer_(makeConfigServerOptions())
     , follower_(makeFollowerOptions(), config_, platform_)
     , manager_({ .node = settings_.node,
@@ -279,37 +282,15 @@
 {
     groupExchange_.take(envelope);
     if (envelope.kind == MessageKind::Usage)
-        takeUsage(envelope);
-}
-
-void Node::takeUsage(const Envelope& envelope)
-{
-    const absl::StatusOr<Usage> usage = decodeBody<Usage>(envelope.body);
-    if (!usage.ok())
-        return;
-    std::map<std::string, uint32_t> inFlight;
-    for (const GroupUse& row : usage->groups)
-        inFlight[row.group] = row.inFlight;
-    scheduler_.setPeerUse(envelope.sender.node, inFlight);
+        usage_.take(envelope);
 }
 
 void Node::shareTables()
 {
     peers_.setHeartbeat(makeHeartbeat());
     groupExchange_.share();
-    shareUsage();
+    usage_.share();
     exposeTraffic();
-    metrics_.setGauge("hemlockweir_waiting_requests", "Requests waiting for a slot", static_cast<double>(scheduler_.waitingCount()));
-}
-
-void Node::shareUsage()
-{
-    Usage usage;
-    for (const auto& [group, inFlight] : scheduler_.inFlightByGroup()) {
-        if (usage.groups.size() < maxRowsPerMessage)
-            usage.groups.push_back({ .group = group, .inFlight = inFlight });
-    }
-    peers_.broadcast(usage);
 }
 
 bool Node::isReady() const
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -5,6 +5,7 @@
 #include "fleet/GroupExchange.h"
 #include "membership/PeerLink.h"
 #include "node/CallerApi.h"
+#include "node/UsageShare.h"
 #include "rollout/ConfigExchange.h"
 #include "rollout/ConfigFollower.h"
 
@@ -28,9 +29,7 @@
 private:
     void connectParts();
     void takeMessage(const Envelope& envelope);
-    void takeUsage(const Envelope& envelope);
     void shareTables();
-    void shareUsage();
     void checkStopped();
     bool hasNodeIn(const std::string& domain) const;
     std::vector<std::string> domainsToPlan() const;
@@ -57,6 +56,7 @@
     KvClient platform_;
     ClaimLedger ledger_;
     PeerLink peers_;
+    UsageShare usage_;
     ConfigServer configServer_;
     ConfigFollower follower_;
     FleetManager manager_;
