--- a/packages/fleet/FleetManager.cpp
+++ b/packages/fleet/FleetManager.cpp
@@ -9,6 +9,8 @@
 namespace hemlockweir {
 
 static constexpr size_t maxRecentOrders = 200;
+// Two read the drains of a domain besides its planner, so that the death of one leaves no gap.
+static constexpr size_t drainReadersPerDomain = 2;
 
 static QUrl urlOf(const std::string& address, const char* path)
 {
@@ -19,6 +21,7 @@
     : options_(std::move(options))
     , table_(table)
     , platform_(platform)
+    , drains_({ .interval = options_.listInterval, .shouldRead = [this] { return isPlanning(options_.domain) || options_.rankFor(options_.domain) < drainReadersPerDomain; } }, table, platform)
 {
     connect(&listTimer_, &QTimer::timeout, this, &FleetManager::readInstances);
     connect(&pollTimer_, &QTimer::timeout, this, [this] {
@@ -31,6 +34,7 @@
 {
     listTimer_.start(options_.listInterval);
     pollTimer_.start(options_.statusInterval);
+    drains_.start();
     readInstances();
 }
 
@@ -107,13 +111,22 @@
         planDomain(domain);
 }
 
+PlannerOptions FleetManager::makePlannerOptions(DomainLease& lease) const
+{
+    return { .nextEpoch = [&lease] { return lease.nextEpoch(); },
+        .demand = options_.demand,
+        .maxLoadingGroups = options_.maxLoadingGroups,
+        .drainSettle = 2 * options_.statusFreshness,
+        .drainTimeout = options_.drainTimeout };
+}
+
 FleetManager::DomainPlan& FleetManager::planFor(const std::string& domain)
 {
     DomainPlan& plan = plans_[domain];
     if (!plan.lease) {
         DomainLease::Options lease { .domain = domain, .node = options_.node, .incarnation = options_.incarnation, .ttl = options_.leaseTtl, .clock = options_.clock, .random = options_.random };
         plan.lease = std::make_unique<DomainLease>(lease, platform_);
-        plan.planner = std::make_unique<GroupPlanner>([raw = plan.lease.get()] { return raw->nextEpoch(); });
+        plan.planner = std::make_unique<GroupPlanner>(makePlannerOptions(*plan.lease));
     }
     return plan;
 }
--- a/packages/fleet/FleetManager.h
+++ b/packages/fleet/FleetManager.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/DomainLease.h"
+#include "fleet/DrainList.h"
 #include "fleet/GroupPlanner.h"
 
 #include <deque>
@@ -20,9 +21,12 @@
     Millis statusFreshness { 1500 }; // ms
     Millis listInterval { 1000 }; // ms, between two reads of the instance list
     std::chrono::seconds leaseTtl { 5 };
+    size_t maxLoadingGroups = 4; // groups of a failure domain that load at once
+    Millis drainTimeout { 60000 }; // ms for the requests of a leaving group
     Clock clock;
     Random random;
     std::function<std::vector<Model>()> models; // in force now
+    std::function<double(const Model&)> demand; // see PlannerOptions
     std::function<std::vector<std::string>()> domainsToPlan; // this node's, and those without a node
     std::function<size_t(const std::string& domain)> rankFor; // this node's place among those that may plan it
     std::function<bool(const Instance&)> shouldObserve; // whether this node polls the instance
@@ -57,12 +61,14 @@
     void pollInstance(const Instance& instance);
     void planDomains();
     void planDomain(const std::string& domain);
+    PlannerOptions makePlannerOptions(DomainLease& lease) const;
     DomainPlan& planFor(const std::string& domain);
     void giveOrder(const Order& order);
 
     FleetManagerOptions options_;
     FleetTable& table_;
     KvClient& platform_;
+    DrainList drains_;
     HttpClient client_;
     QTimer listTimer_;
     QTimer pollTimer_;
--- a/packages/fleet/GroupPlanner.cpp
+++ b/packages/fleet/GroupPlanner.cpp
@@ -1,139 +1,243 @@
 #include "fleet/GroupPlanner.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace hemlockweir {
 
-namespace {
+GroupPlanner::GroupPlanner(PlannerOptions options)
+    : options_(std::move(options))
+    , stragglers_(options_.stragglers)
+{
+}
 
-    // Finds instances by id within one plan.
-    using ViewsById = std::map<std::string, const InstanceView*>;
+void GroupPlanner::reset()
+{
+    pending_.clear();
+    drainingSince_.clear();
+}
 
-    bool isFresh(const InstanceView& view, const PlanInput& input)
-    {
-        return view.status && input.now - view.seenAt <= input.freshness;
-    }
+bool GroupPlanner::isPending(const std::string& instance) const
+{
+    return std::any_of(pending_.begin(), pending_.end(), [&](const Pending& pending) {
+        return std::find(pending.instances.begin(), pending.instances.end(), instance) != pending.instances.end();
+    });
+}
+
+bool GroupPlanner::isStraggler(const InstanceView& view, const Step& step) const
+{
+    return stragglers_.isStraggler(view.instance.id, step.input.now);
+}
 
-    bool isUsable(const InstanceView& view, const PlanInput& input)
-    {
-        return isFresh(view, input) && !view.instance.leaving && !view.status->leaving;
+void GroupPlanner::settlePending(const Step& step)
+{
+    pending_.remove_if([&](const Pending& pending) {
+        const bool isShown = std::all_of(pending.instances.begin(), pending.instances.end(), [&](const std::string& id) {
+            const auto found = step.view.byId.find(id);
+            return found != step.view.byId.end() && found->second->status && found->second->status->epoch >= pending.epoch;
+        });
+        return isShown || step.input.now - pending.orderedAt > options_.orderTimeout;
+    });
+}
+
+void GroupPlanner::count(Step& step) const
+{
+    for (const AgreedGroup& group : step.view.groups) {
+        step.replicas[group.claim().model] += group.isLeaving ? 0 : 1;
+        step.loading += group.isLoading;
+    }
+    for (const Pending& pending : pending_) {
+        if (pending.kind != OrderKind::Join)
+            continue;
+        ++step.replicas[pending.model];
+        ++step.loading;
     }
+}
 
-    ViewsById indexDomain(const PlanInput& input)
-    {
-        ViewsById views;
-        for (const InstanceView& view : input.instances) {
-            if (view.instance.domain == input.domain)
-                views[view.instance.id] = &view;
-        }
-        return views;
+// Sound instances come before stragglers, and idle ones before the survivors of broken groups,
+// whose missing member may come back. Survivors of one group stand together, the largest group
+// first, so that as few broken groups as possible are taken apart.
+void GroupPlanner::collectFree(Step& step) const
+{
+    std::map<std::string, int> survivors; // by group
+    for (const InstanceView* view : step.view.loose)
+        ++survivors[view->status->group];
+    for (const InstanceView* view : step.view.loose) {
+        if (!view->isLeaving() && !isPending(view->instance.id))
+            step.free[view->instance.fabric].push_back(view);
     }
+    auto preference = [&](const InstanceView* view) {
+        const InstanceStatus& status = *view->status;
+        return std::tuple(isStraggler(*view, step), !status.group.empty(), -survivors[status.group], status.group, view->instance.id);
+    };
+    for (auto& [fabric, views] : step.free)
+        std::sort(views.begin(), views.end(), [&](const auto* a, const auto* b) { return preference(a) < preference(b); });
+}
 
-    // Whether every member reports the group that this member reports.
-    bool isAgreed(const InstanceStatus& claim, const ViewsById& views, const PlanInput& input)
-    {
-        return std::all_of(claim.members.begin(), claim.members.end(), [&](const std::string& id) {
-            const auto found = views.find(id);
-            if (found == views.end() || !isUsable(*found->second, input))
-                return false;
-            const InstanceStatus& status = *found->second->status;
-            return status.group == claim.group && status.epoch == claim.epoch && status.state != EngineState::Broken;
-        });
+void GroupPlanner::join(Step& step, const std::string& model, const Members& members)
+{
+    Order order { .kind = OrderKind::Join, .instance = {}, .address = {}, .group = {}, .epoch = options_.nextEpoch(), .model = model, .members = {}, .memberAddresses = {} };
+    order.group = step.input.domain + "-" + std::to_string(order.epoch);
+    for (const InstanceView* member : members) {
+        order.members.push_back(member->instance.id);
+        order.memberAddresses.push_back(member->instance.address);
     }
+    for (const InstanceView* member : members) {
+        order.instance = member->instance.id;
+        order.address = member->instance.address;
+        step.orders.push_back(order);
+    }
+    pending_.push_back({ .kind = OrderKind::Join, .instances = order.members, .model = model, .epoch = order.epoch, .orderedAt = step.input.now });
+    ++step.replicas[model];
+    ++step.loading;
+}
 
-} // namespace
+void GroupPlanner::release(Step& step, const InstanceView& view)
+{
+    const Instance& instance = view.instance;
+    const uint64_t epoch = options_.nextEpoch();
+    step.orders.push_back({ .kind = OrderKind::Release, .instance = instance.id, .address = instance.address, .group = view.status->group, .epoch = epoch, .model = {}, .members = {}, .memberAddresses = {} });
+    pending_.push_back({ .kind = OrderKind::Release, .instances = { instance.id }, .model = {}, .epoch = epoch, .orderedAt = step.input.now });
+}
 
-GroupPlanner::GroupPlanner(std::function<uint64_t()> nextEpoch)
-    : nextEpoch_(std::move(nextEpoch))
+// No node gives new work to a leaving group; it is released once its requests have ended.
+void GroupPlanner::drainLeaving(Step& step)
 {
+    std::map<std::string, Millis> drainingSince;
+    for (const AgreedGroup& group : step.view.groups) {
+        if (!group.isLeaving)
+            continue;
+        const auto known = drainingSince_.find(group.claim().group);
+        const Millis since = known == drainingSince_.end() ? step.input.now : known->second;
+        drainingSince[group.claim().group] = since;
+        const Millis elapsed = step.input.now - since;
+        const bool isDrained = elapsed >= options_.drainSettle && !group.hasRequests;
+        if (!isDrained && elapsed < options_.drainTimeout)
+            continue;
+        for (const InstanceView* member : group.members) {
+            if (!isPending(member->instance.id))
+                release(step, *member);
+        }
+    }
+    drainingSince_ = std::move(drainingSince);
 }
 
-void GroupPlanner::reset()
+// Models short of their wanted replicas come first, the one that lacks the largest part before
+// the others; what is left goes to models without a wanted number, by demand.
+const Model* GroupPlanner::chooseModel(const Step& step, const std::set<std::string>& excluded) const
 {
-    pending_.clear();
+    const Model* best = nullptr;
+    std::pair<int, double> bestKey;
+    for (const Model& model : step.input.models) {
+        const auto found = step.replicas.find(model.name);
+        const uint32_t replicas = found == step.replicas.end() ? 0 : found->second;
+        const bool isSatisfied = model.replicas > 0 && replicas >= model.replicas;
+        const double demand = options_.demand ? options_.demand(model) : 1.0;
+        if (isSatisfied || excluded.contains(model.name) || demand <= 0)
+            continue;
+        const std::pair<int, double> key = model.replicas > 0 ? std::pair(0, static_cast<double>(replicas) / model.replicas) : std::pair(1, (replicas + 1) / demand);
+        if (!best || key < bestKey) {
+            best = &model;
+            bestKey = key;
+        }
+    }
+    return best;
 }
 
-bool GroupPlanner::isPending(const std::string& instance) const
+// Takes the members from the fabric domain with the fewest free instances that are enough: what
+// is left over there could serve least.
+GroupPlanner::Members GroupPlanner::takeMembers(Step& step, const Model& model) const
 {
-    return std::any_of(pending_.begin(), pending_.end(), [&](const auto& entry) {
-        const auto& members = entry.second.order.members;
-        return std::find(members.begin(), members.end(), instance) != members.end();
-    });
+    auto inPool = [&](const InstanceView* view) { return view->instance.pool == model.pool; };
+    Members* best = nullptr;
+    int64_t fewest = 0;
+    for (auto& [fabric, views] : step.free) {
+        const int64_t count = std::count_if(views.begin(), views.end(), inPool);
+        if (count < model.members || (best && fewest <= count))
+            continue;
+        best = &views;
+        fewest = count;
+    }
+    Members members;
+    if (!best)
+        return members;
+    for (const InstanceView* view : *best) {
+        if (inPool(view) && members.size() < model.members)
+            members.push_back(view);
+    }
+    std::erase_if(*best, [&](const InstanceView* view) { return std::find(members.begin(), members.end(), view) != members.end(); });
+    return members;
 }
 
-void GroupPlanner::settlePending(const PlanInput& input)
+void GroupPlanner::formGroups(Step& step)
 {
-    const ViewsById views = indexDomain(input);
-    std::erase_if(pending_, [&](const auto& entry) {
-        const Order& order = entry.second.order;
-        const bool timedOut = input.now - entry.second.orderedAt > input.joinTimeout;
-        const bool joined = std::all_of(order.members.begin(), order.members.end(), [&](const std::string& id) {
-            const auto found = views.find(id);
-            return found != views.end() && found->second->status && found->second->status->epoch == order.epoch;
-        });
-        return timedOut || joined;
+    std::set<std::string> excluded; // models that no fabric domain has room for
+    while (step.loading < options_.maxLoadingGroups) {
+        const Model* model = chooseModel(step, excluded);
+        if (!model)
+            return;
+        const Members members = takeMembers(step, *model);
+        if (members.empty())
+            excluded.insert(model->name);
+        else
+            join(step, model->name, members);
+    }
+}
+
+bool GroupPlanner::replaceMember(Step& step, const AgreedGroup& group, const InstanceView& straggler)
+{
+    Members& spares = step.free[straggler.instance.fabric];
+    const auto spare = std::find_if(spares.begin(), spares.end(), [&](const InstanceView* view) {
+        return view->instance.pool == straggler.instance.pool && view->status->state == EngineState::Idle && !isStraggler(*view, step);
     });
+    if (spare == spares.end())
+        return false;
+    Members members = group.members;
+    std::replace(members.begin(), members.end(), &straggler, *spare);
+    spares.erase(spare);
+    join(step, group.claim().model, members);
+    release(step, straggler);
+    return true;
 }
 
-std::vector<Order> GroupPlanner::releaseBroken(const PlanInput& input)
+// One at a time: a swap ends the group's requests, which go on elsewhere.
+void GroupPlanner::replaceStraggler(Step& step)
 {
-    const ViewsById views = indexDomain(input);
-    std::vector<Order> orders;
-    for (const auto& [id, view] : views) {
-        if (!isFresh(*view, input) || view->status->group.empty() || isPending(id) || isAgreed(*view->status, views, input))
+    if (!pending_.empty() || step.loading > 0)
+        return;
+    for (const AgreedGroup& group : step.view.groups) {
+        if (group.isLeaving)
             continue;
-        orders.push_back({ .kind = OrderKind::Release, .instance = id, .address = view->instance.address, .group = view->status->group, .epoch = nextEpoch_(), .model = {}, .members = {}, .memberAddresses = {} });
+        for (const InstanceView* member : group.members) {
+            if (isStraggler(*member, step) && replaceMember(step, group, *member))
+                return;
+        }
     }
-    return orders;
 }
 
-std::vector<Order> GroupPlanner::formGroups(const PlanInput& input, const Model& model)
+// Survivors that may become whole again by themselves are left alone while nobody needs them.
+void GroupPlanner::releaseHopeless(Step& step)
 {
-    std::map<std::string, std::vector<const InstanceView*>> idleByFabric;
-    uint32_t replicas = 0;
-    for (const InstanceView& view : input.instances) {
-        const Instance& instance = view.instance;
-        if (instance.domain != input.domain || instance.pool != model.pool || !isUsable(view, input))
+    for (const InstanceView* view : step.view.loose) {
+        if (view->status->group.empty() || isPending(view->instance.id))
             continue;
-        const bool leads = !view.status->members.empty() && view.status->members.front() == instance.id;
-        replicas += leads && view.status->model == model.name;
-        if (view.status->state == EngineState::Idle && !isPending(instance.id))
-            idleByFabric[instance.fabric].push_back(&view);
+        if (view->isLeaving() || isHopeless(*view, step.view, step.input.now, step.input.freshness))
+            release(step, *view);
     }
-    for (const auto& [group, pending] : pending_)
-        replicas += pending.order.model == model.name;
-
-    std::vector<Order> orders;
-    for (auto& [fabric, idle] : idleByFabric) {
-        while (idle.size() >= model.members && (model.replicas == 0 || replicas < model.replicas)) {
-            Order order { .kind = OrderKind::Join, .instance = {}, .address = {}, .group = {}, .epoch = nextEpoch_(), .model = model.name, .members = {}, .memberAddresses = {} };
-            order.group = input.domain + "-" + std::to_string(order.epoch);
-            for (uint32_t i = 0; i < model.members; ++i) {
-                order.members.push_back(idle.back()->instance.id);
-                order.memberAddresses.push_back(idle.back()->instance.address);
-                idle.pop_back();
-            }
-            for (uint32_t i = 0; i < model.members; ++i) {
-                order.instance = order.members[i];
-                order.address = order.memberAddresses[i];
-                orders.push_back(order);
-            }
-            pending_[order.group] = { .order = order, .orderedAt = input.now };
-            ++replicas;
-        }
-    }
-    return orders;
 }
 
 std::vector<Order> GroupPlanner::plan(const PlanInput& input)
 {
-    settlePending(input);
-    std::vector<Order> orders = releaseBroken(input);
-    for (const Model& model : input.models) {
-        const std::vector<Order> formed = formGroups(input, model);
-        orders.insert(orders.end(), formed.begin(), formed.end());
-    }
-    return orders;
+    Step step { .input = input, .view = makeDomainView(input.domain, input.instances, input.now, input.freshness) };
+    stragglers_.observe(input.domain, input.instances, input.now);
+    settlePending(step);
+    count(step);
+    collectFree(step);
+    drainLeaving(step);
+    formGroups(step);
+    replaceStraggler(step);
+    releaseHopeless(step);
+    return step.orders;
 }
 
 } // namespace hemlockweir
--- a/packages/fleet/GroupPlanner.h
+++ b/packages/fleet/GroupPlanner.h
@@ -1,9 +1,15 @@
 #pragma once
 
 #include "config/Configuration.h"
-#include "fleet/FleetTable.h"
+#include "fleet/DomainView.h"
+#include "fleet/StragglerFinder.h"
+
+#include <list>
 
 // Decides which instances form groups. Pure: it sees a table and returns orders.
+//
+//   GroupPlanner planner({ .nextEpoch = ... });
+//   for (const Order& order : planner.plan(input)) ...
 
 namespace hemlockweir {
 
@@ -27,6 +33,16 @@
     auto operator<=>(const Order&) const = default;
 };
 
+struct PlannerOptions {
+    std::function<uint64_t()> nextEpoch; // a fencing number above all earlier ones
+    std::function<double(const Model&)> demand; // share of the instances left over; unset: equal
+    size_t maxLoadingGroups = 4; // groups that load from the weight store at once
+    Millis orderTimeout { 3000 }; // ms until an order that does not show is given up
+    Millis drainSettle { 3000 }; // ms until every node has stopped giving work to a leaving group
+    Millis drainTimeout { 60000 }; // ms for the requests of a leaving group
+    StragglerOptions stragglers;
+};
+
 // What a plan is made from.
 struct PlanInput {
     std::string domain; // failure domain to plan for
@@ -34,15 +50,13 @@
     std::vector<InstanceView> instances; // of every domain; others are ignored
     Millis now { 0 };
     Millis freshness { 1500 }; // ms, oldest report that still counts
-    Millis joinTimeout { 10000 }; // ms that a new group may take to become whole
 };
 
 // Plans for one failure domain, one step at a time. It remembers the orders that it gave and
 // have not shown yet, so that it does not give them twice.
 class GroupPlanner {
 public:
-    // `nextEpoch` returns a fencing number above all earlier ones.
-    explicit GroupPlanner(std::function<uint64_t()> nextEpoch);
+    explicit GroupPlanner(PlannerOptions options);
 
     // Returns the orders to give now.
     std::vector<Order> plan(const PlanInput& input);
@@ -51,18 +65,45 @@
     void reset();
 
 private:
-    struct PendingGroup {
-        Order order; // of the leader
+    // Orders given together, until every instance shows them.
+    struct Pending {
+        OrderKind kind = OrderKind::Join;
+        std::vector<std::string> instances;
+        std::string model;
+        uint64_t epoch = 0;
         Millis orderedAt { 0 };
     };
+    using Members = std::vector<const InstanceView*>;
+
+    // What one call of plan() works on.
+    struct Step {
+        const PlanInput& input;
+        DomainView view;
+        std::map<std::string, Members> free; // usable instances by fabric domain, best first
+        std::map<std::string, uint32_t> replicas; // groups by model, present or ordered
+        size_t loading = 0; // groups
+        std::vector<Order> orders;
+    };
 
     bool isPending(const std::string& instance) const;
-    void settlePending(const PlanInput& input);
-    std::vector<Order> releaseBroken(const PlanInput& input);
-    std::vector<Order> formGroups(const PlanInput& input, const Model& model);
+    bool isStraggler(const InstanceView& view, const Step& step) const;
+    void settlePending(const Step& step);
+    void count(Step& step) const;
+    void collectFree(Step& step) const;
+    void drainLeaving(Step& step);
+    void formGroups(Step& step);
+    void replaceStraggler(Step& step);
+    bool replaceMember(Step& step, const AgreedGroup& group, const InstanceView& straggler);
+    void releaseHopeless(Step& step);
+    const Model* chooseModel(const Step& step, const std::set<std::string>& excluded) const;
+    Members takeMembers(Step& step, const Model& model) const;
+    void join(Step& step, const std::string& model, const Members& members);
+    void release(Step& step, const InstanceView& view);
 
-    std::function<uint64_t()> nextEpoch_;
-    std::map<std::string, PendingGroup> pending_; // by group
+    PlannerOptions options_;
+    StragglerFinder stragglers_;
+    std::list<Pending> pending_;
+    std::map<std::string, Millis> drainingSince_; // by group
 };
 
 } // namespace hemlockweir
