--- a/tests/GroupPlannerTest.cpp
+++ b/tests/GroupPlannerTest.cpp
@@ -210,6 +210,43 @@
     EXPECT_EQ(pool.epoch, epoch) << "a swap is not undone or repeated";
 }
 
+TEST(GroupPlanner, PrefersSoundInstancesToAnIdleStraggler)
+{
+    Pool pool;
+    pool.models.front().replicas = 1;
+    pool.add("f", 5);
+    for (auto& [id, view] : pool.views) {
+        view.status->stepMs = id == "f-0" ? 50 : 5;
+        view.status->leaving = true;
+    }
+    pool.run(40);
+    for (auto& [id, view] : pool.views)
+        view.status->leaving = false;
+    const std::vector<Order> orders = pool.plan();
+    ASSERT_EQ(orders.size(), 2U);
+    for (const Order& order : orders)
+        EXPECT_NE(order.instance, "f-0");
+}
+
+TEST(GroupPlanner, ReleasesAMemberThatReturnsToAGroupThatIsNoMore)
+{
+    Pool pool;
+    pool.models.front().replicas = 1;
+    pool.add("f", 3);
+    pool.views["f-2"].status = InstanceStatus { .id = "f-2", .state = EngineState::Ready, .group = "old", .epoch = 0, .model = "m", .members = { "f-1", "f-2" } };
+    pool.run(4);
+    EXPECT_EQ(pool.views["f-2"].status->state, EngineState::Idle);
+}
+
+TEST(GroupPlanner, DoesNotRepeatOrdersThatHaveNotShownYet)
+{
+    Pool pool;
+    pool.add("f", 2);
+    EXPECT_EQ(pool.plan().size(), 2U);
+    EXPECT_TRUE(pool.plan().empty());
+    EXPECT_EQ(pool.plan(Millis(3300)).size(), 2U);
+}
+
 // Instances die, return, leave, and lose orders at random; then all are sound again.
 RC_GTEST_PROP(GroupPlanner, KeepsItsPromisesAndConverges, ())
 {
