Keep broadcasts and relays within a budget of bytes, and measure it

Cause: with 32 nodes in one domain each node sent 164 datagrams and 17.9 KB a second, since Usage went to every peer at every heartbeat, whatever their number (bench/capacity/nodes, 10 s).

Change: beyond 8 peers the next round of shared tables waits until the bytes of the last one fit 3,000 bytes a second; relays leave out load figures beyond the same budget (never other kinds); a new configuration is announced at once instead of at the next tick.

--- /dev/null
+++ b/bench/capacity/nodes.cpp
@@ -0,0 +1,273 @@
+// Capacity of the nodes' own traffic: starts N real nodes with the platform's stand-in, and prints
+// what one of them costs. Started by hand:
+//
+//   capacity-nodes --nodes 32 --domains 1 --seconds 10 --publishes 5
+//
+// One line a run: bytes and datagrams a second sent and received by each node (mean and most),
+// CPU, resident memory, calls to the platform a second, and the time from a publish until the
+// configuration was in force on the first and on the last node.
+
+#include "support/Cluster.h"
+
+#include "ctl/Publish.h"
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <QFile>
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <gtest/gtest.h>
+#include <iostream>
+#include <numeric>
+#include <unistd.h>
+
+namespace options = boost::program_options;
+using namespace hemlockweir;
+
+namespace {
+
+struct Parameters {
+    int nodes = 4;
+    int domains = 3;
+    int seconds = 10;
+    int publishes = 3;
+    int callers = 10; // entries of the configuration: they set its size
+    std::string settings; // more TOML for every node
+};
+
+// What one node has used so far.
+struct Usage {
+    double bytesSent = 0;
+    double bytesReceived = 0;
+    double datagramsSent = 0;
+    double platformCalls = 0;
+    double documentBytes = 0;
+    double cpuSeconds = 0;
+    double residentMb = 0;
+};
+
+double readMetric(const QByteArray& metrics, const char* name)
+{
+    for (const QByteArray& line : metrics.split('\n')) {
+        if (line.startsWith(QByteArray(name) + " "))
+            return line.split(' ').last().toDouble();
+    }
+    return 0;
+}
+
+QByteArray readProc(qint64 pid, const char* file)
+{
+    QFile proc(QString("/proc/%1/%2").arg(pid).arg(file));
+    return proc.open(QIODevice::ReadOnly) ? proc.readAll() : QByteArray();
+}
+
+double readCpuSeconds(qint64 pid)
+{
+    constexpr int userTimeField = 11; // after the name in brackets
+    const QByteArray stat = readProc(pid, "stat");
+    const QList<QByteArray> fields = stat.mid(stat.lastIndexOf(')') + 2).split(' ');
+    if (fields.size() <= userTimeField + 1)
+        return 0;
+    return (fields[userTimeField].toDouble() + fields[userTimeField + 1].toDouble()) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+double readResidentMb(qint64 pid)
+{
+    constexpr double bytesPerMb = 1024.0 * 1024.0;
+    const QList<QByteArray> fields = readProc(pid, "statm").split(' ');
+    return fields.size() < 2 ? 0 : fields[1].toDouble() * static_cast<double>(sysconf(_SC_PAGESIZE)) / bytesPerMb;
+}
+
+class Run {
+public:
+    explicit Run(const Parameters& parameters)
+        : parameters_(parameters)
+    {
+    }
+
+    int measure()
+    {
+        startNodes();
+        publish();
+        if (!waitForRevision(lastRevision_) || !waitForPeers())
+            return 1;
+        const std::vector<Usage> before = readAll();
+        QElapsedTimer elapsed;
+        elapsed.start();
+        waitUntil([] { return false; }, std::chrono::seconds(parameters_.seconds));
+        const double seconds = static_cast<double>(elapsed.elapsed()) / 1000.0;
+        print(before, readAll(), seconds);
+        printPublishes();
+        return 0;
+    }
+
+private:
+    static std::string nameOf(int i) { return "node-" + std::to_string(i); }
+
+    void startNodes()
+    {
+        cluster_.startStore();
+        for (int i = 0; i < parameters_.nodes; ++i) {
+            std::vector<std::string> seeds;
+            for (int s = 0; s < std::min(i, parameters_.domains); ++s)
+                seeds.push_back(nameOf(s));
+            cluster_.startNode({ .name = nameOf(i), .domain = "domain-" + std::to_string(i % parameters_.domains), .seeds = seeds, .settings = parameters_.settings });
+        }
+    }
+
+    Configuration makeConfiguration() const
+    {
+        Configuration configuration { .priorities = { { .name = "urgent" } } };
+        for (int i = 0; i < parameters_.callers; ++i) {
+            const std::string name = "caller-" + std::to_string(i);
+            configuration.callers.push_back({ .name = name, .keySha256 = hashCallerKey(QByteArray::fromStdString(name)), .defaultPriority = "urgent" });
+        }
+        return configuration;
+    }
+
+    void publish()
+    {
+        const Configuration configuration = makeConfiguration();
+        documentBytes_ = formatConfiguration(configuration).size();
+        bool done = false;
+        publishConfiguration(platform(), configuration, { .random = makeSystemRandom() }, [&](const absl::StatusOr<int64_t>& revision) {
+            lastRevision_ = revision.value_or(0);
+            done = true;
+        });
+        waitUntil([&] { return done; });
+    }
+
+    KvClient& platform()
+    {
+        if (!platform_)
+            platform_ = std::make_unique<KvClient>(KvClient::Options { .endpoints = { QUrl(QString::fromStdString(cluster_.urlOf("store"))) } });
+        return *platform_;
+    }
+
+    int countAdopted(int64_t revision)
+    {
+        const QByteArray line = "event=configuration_adopted revision=" + QByteArray::number(static_cast<qlonglong>(revision)) + " ";
+        int count = 0;
+        for (int i = 0; i < parameters_.nodes; ++i)
+            count += cluster_.logOf(nameOf(i)).contains(line) ? 1 : 0;
+        return count;
+    }
+
+    bool waitForRevision(int64_t revision)
+    {
+        return waitUntil([&] { return countAdopted(revision) == parameters_.nodes; });
+    }
+
+    // Waits until each node knows all others of its domain.
+    bool waitForPeers()
+    {
+        const int wanted = (parameters_.nodes / parameters_.domains) - 1;
+        for (int i = 0; i < parameters_.nodes; ++i) {
+            const bool isKnown = waitUntil([&] {
+                int alive = 0;
+                const QJsonArray peers = cluster_.status(nameOf(i))["peers"].toArray();
+                for (const QJsonValue& peer : peers)
+                    alive += peer.toObject()["alive"].toBool() ? 1 : 0;
+                return alive >= wanted;
+            });
+            if (!isKnown)
+                return false;
+        }
+        return true;
+    }
+
+    std::vector<Usage> readAll()
+    {
+        std::vector<Usage> all;
+        for (int i = 0; i < parameters_.nodes; ++i) {
+            const QByteArray metrics = cluster_.call("GET", cluster_.urlOf(nameOf(i)) + "/metrics").body;
+            const qint64 pid = cluster_.pidOf(nameOf(i));
+            all.push_back({ .bytesSent = readMetric(metrics, "hemlockweir_peer_bytes_sent_total"),
+                .bytesReceived = readMetric(metrics, "hemlockweir_peer_bytes_received_total"),
+                .datagramsSent = readMetric(metrics, "hemlockweir_peer_datagrams_sent_total"),
+                .platformCalls = readMetric(metrics, "hemlockweir_platform_calls_total"),
+                .documentBytes = readMetric(metrics, "hemlockweir_configuration_bytes_sent_total"),
+                .cpuSeconds = readCpuSeconds(pid),
+                .residentMb = readResidentMb(pid) });
+        }
+        return all;
+    }
+
+    static void printRate(const char* name, const std::vector<Usage>& before, const std::vector<Usage>& after, double Usage::*field, double perSecond)
+    {
+        std::vector<double> rates;
+        for (size_t i = 0; i < before.size(); ++i)
+            rates.push_back((after[i].*field - before[i].*field) * perSecond);
+        const double mean = std::accumulate(rates.begin(), rates.end(), 0.0) / static_cast<double>(rates.size());
+        std::cout << ' ' << name << '=' << mean << " (most " << *std::max_element(rates.begin(), rates.end()) << ")";
+    }
+
+    void print(const std::vector<Usage>& before, const std::vector<Usage>& after, double seconds) const
+    {
+        constexpr double perMille = 1000.0;
+        constexpr double percent = 100.0;
+        std::cout.precision(3);
+        std::cout << "nodes=" << parameters_.nodes << " domains=" << parameters_.domains;
+        printRate("sent_kb_s", before, after, &Usage::bytesSent, 1 / seconds / perMille);
+        printRate("received_kb_s", before, after, &Usage::bytesReceived, 1 / seconds / perMille);
+        printRate("datagrams_s", before, after, &Usage::datagramsSent, 1 / seconds);
+        printRate("cpu_percent", before, after, &Usage::cpuSeconds, percent / seconds);
+        printRate("platform_calls_s", before, after, &Usage::platformCalls, 1 / seconds);
+        double most = 0;
+        for (const Usage& usage : after)
+            most = std::max(most, usage.residentMb);
+        std::cout << " resident_mb_most=" << most << '\n';
+    }
+
+    void printPublishes()
+    {
+        std::vector<qint64> times;
+        const std::vector<Usage> before = readAll();
+        for (int i = 0; i < parameters_.publishes; ++i) {
+            publish();
+            QElapsedTimer elapsed;
+            elapsed.start();
+            if (!waitForRevision(lastRevision_))
+                std::cout << "a configuration did not arrive everywhere within the limit\n";
+            times.push_back(elapsed.elapsed());
+        }
+        std::sort(times.begin(), times.end());
+        std::cout << "  publishes=" << times.size() << " document_bytes=" << documentBytes_;
+        if (!times.empty())
+            std::cout << " everywhere_ms: least=" << times.front() << " median=" << times[times.size() / 2] << " most=" << times.back();
+        // Counters reach the metrics with the next heartbeat.
+        waitUntil([] { return false; }, std::chrono::seconds(1));
+        printRate("document_kb_sent_per_publish", before, readAll(), &Usage::documentBytes, 1 / 1000.0 / std::max(1, parameters_.publishes));
+        std::cout << '\n';
+    }
+
+    Parameters parameters_;
+    Cluster cluster_;
+    std::unique_ptr<KvClient> platform_;
+    int64_t lastRevision_ = 0;
+    qsizetype documentBytes_ = 0;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    testing::InitGoogleTest(&argc, argv);
+    Parameters parameters;
+    options::options_description description("Measures what nodes cost by themselves");
+    description.add_options()("help,h", "show this text")("nodes", options::value(&parameters.nodes)->default_value(parameters.nodes), "nodes to start")(
+        "domains", options::value(&parameters.domains)->default_value(parameters.domains), "failure domains they stand in")(
+        "seconds", options::value(&parameters.seconds)->default_value(parameters.seconds), "time measured")(
+        "publishes", options::value(&parameters.publishes)->default_value(parameters.publishes), "configurations published afterwards")(
+        "callers", options::value(&parameters.callers)->default_value(parameters.callers), "callers in the configuration: about 150 bytes each")(
+        "settings", options::value(&parameters.settings), "more TOML for each node, such as [timing] lines");
+    options::variables_map values;
+    options::store(options::parse_command_line(argc, argv, description), values);
+    options::notify(values);
+    if (values.count("help") > 0) {
+        std::cout << description;
+        return 0;
+    }
+    QCoreApplication application(argc, argv);
+    return Run(parameters).measure();
+}
--- a/packages/membership/PeerLink.cpp
+++ b/packages/membership/PeerLink.cpp
@@ -13,6 +13,9 @@
 // Ticks between two greetings of a seed or a silent peer, while others are alive.
 static constexpr uint32_t ticksPerGreeting = 5;
 static constexpr uint64_t headerBytes = 28; // IPv4 and UDP
+static constexpr double msPerSecond = 1000.0;
+// Peers up to which budgets of broadcasts are not needed.
+static constexpr size_t fewPeers = 8;
 
 PeerLink::PeerLink(PeerLinkOptions options)
     : options_(std::move(options))
@@ -87,9 +90,8 @@
 
 void PeerLink::sendToSome(const QByteArray& bytes, std::vector<Peer> targets, int bytesPerSecond)
 {
-    constexpr int64_t msPerSecond = 1000;
-    const int64_t budget = bytesPerSecond * options_.heartbeatInterval.count() / msPerSecond;
-    const auto affordable = static_cast<size_t>(std::max<int64_t>(1, budget / (bytes.size() + static_cast<int64_t>(headerBytes))));
+    const double budget = bytesPerSecond * static_cast<double>(options_.heartbeatInterval.count()) / msPerSecond;
+    const auto affordable = static_cast<size_t>(std::max(1.0, budget / static_cast<double>(bytes.size() + headerBytes)));
     for (size_t i = 0; i < std::min(affordable, targets.size()); ++i) {
         std::swap(targets[i], targets[i + options_.random() % (targets.size() - i)]);
         send(bytes, targets[i].heartbeat.peers);
@@ -110,9 +112,30 @@
     sendToAll(bytes, far);
 }
 
+void PeerLink::announce()
+{
+    ++beat_;
+    tellSome();
+}
+
+Millis PeerLink::pauseAfter(uint64_t bytes) const
+{
+    std::lock_guard lock(mutex_);
+    if (table_.near().size() <= fewPeers)
+        return Millis(0);
+    return Millis(static_cast<int64_t>(static_cast<double>(bytes) * msPerSecond / options_.sharedBytesPerSecond));
+}
+
 void PeerLink::tick()
 {
     ++beat_;
+    tellSome();
+    greet();
+    noteSilentPeers();
+}
+
+void PeerLink::tellSome()
+{
     std::vector<Peer> near;
     std::vector<Peer> far;
     {
@@ -125,8 +148,6 @@
         sendToSome(makeDigest(true), near, options_.nearBytesPerSecond);
     if (!far.empty())
         sendToSome(makeDigest(false), far, options_.farBytesPerSecond);
-    greet();
-    noteSilentPeers();
 }
 
 NodeRecord PeerLink::ownRecord() const
@@ -309,10 +330,33 @@
             return;
         targets = sender->heartbeat.domain == heartbeat_.domain ? table_.farRelays() : table_.near();
     }
+    if (!takeRelayBudget(envelope.kind, targets.size() * (static_cast<size_t>(bytes.size()) + headerBytes))) {
+        ++traffic_.relayDropped;
+        return;
+    }
     traffic_.relayed += targets.size();
     sendToAll(bytes, targets);
 }
 
+// Load figures are said again and again, so a relay may leave some out; other kinds always go on.
+bool PeerLink::takeRelayBudget(MessageKind kind, size_t bytes)
+{
+    {
+        std::lock_guard lock(mutex_);
+        if ((kind != MessageKind::Groups && kind != MessageKind::Usage) || table_.peers().size() <= fewPeers)
+            return true;
+    }
+    const Millis now = options_.clock();
+    const double earned = static_cast<double>((now - relayTokensAt_).count()) * options_.sharedBytesPerSecond / msPerSecond;
+    const double most = std::max<double>(options_.sharedBytesPerSecond, static_cast<double>(bytes));
+    relayTokens_ = std::min(relayTokens_ + earned, most);
+    relayTokensAt_ = now;
+    if (relayTokens_ < static_cast<double>(bytes))
+        return false;
+    relayTokens_ -= static_cast<double>(bytes);
+    return true;
+}
+
 void PeerLink::takeDigest(const Envelope& envelope)
 {
     const absl::StatusOr<Digest> digest = decodeBody<Digest>(envelope.body);
--- a/packages/membership/PeerLink.h
+++ b/packages/membership/PeerLink.h
@@ -36,6 +36,7 @@
     Millis forgetTimeout { 3600000 }; // ms of silence after which a peer is no longer greeted
     int nearBytesPerSecond = 3500; // budget of digests within the failure domain
     int farBytesPerSecond = 2500; // budget of a relay's digests to other failure domains
+    int sharedBytesPerSecond = 3000; // budget of broadcasts, once there are more peers than a few
     Clock clock;
     Random random;
 };
@@ -47,7 +48,8 @@
     uint64_t datagramsReceived = 0;
     uint64_t bytesReceived = 0;
     uint64_t refused = 0; // foreign, truncated, forged or old
-    uint64_t relayed = 0; // messages passed on for others
+    uint64_t relayed = 0; // datagrams passed on for others
+    uint64_t relayDropped = 0; // messages not passed on, since the budget was used up
 
     auto operator<=>(const PeerTraffic&) const = default;
 };
@@ -72,6 +74,13 @@
         broadcastBytes(sealMessage(message, nextSender(), options_.clusterKey), Message::kind);
     }
 
+    // Tells a few peers at once what setHeartbeat() said, instead of at the next tick.
+    void announce();
+
+    // How long to wait after broadcasts of so many bytes (see traffic()) before the next ones, so
+    // that they keep to the budget; nothing while there are few peers.
+    Millis pauseAfter(uint64_t bytes) const;
+
     // All peers heard of within the forget timeout. Thread-safe.
     std::vector<Peer> peers() const;
 
@@ -101,6 +110,7 @@
     }
 
     void tick();
+    void tellSome();
     QByteArray makeDigest(bool toNear);
     NodeRecord ownRecord() const;
     void addNews(Digest& digest, bool toNear);
@@ -114,6 +124,7 @@
     void challenge(const Envelope& envelope);
     void handle(const Envelope& envelope, const QByteArray& bytes);
     void relay(const Envelope& envelope, const QByteArray& bytes);
+    bool takeRelayBudget(MessageKind kind, size_t bytes);
     void takeDigest(const Envelope& envelope);
     void takeWanted(const Envelope& envelope);
     void takeChallenge(const Envelope& envelope);
@@ -126,6 +137,8 @@
     uint64_t sequence_ = 0;
     uint32_t beat_ = 0;
     size_t repairAt_ = 0; // whose record goes out next though it is no news
+    double relayTokens_ = 0; // bytes that may be passed on now
+    Millis relayTokensAt_ { 0 };
     PeerTraffic traffic_;
     SenderCheck senders_;
     mutable std::mutex mutex_; // guards table_; a leaf
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -107,6 +107,10 @@
         if (!peer.alive)
             scheduler_.dropPeer(peer.node);
     };
+    follower_.onAdopted = [this](const ConfigSnapshot&) {
+        peers_.setHeartbeat(makeHeartbeat());
+        peers_.announce();
+    };
     connect(&shareTimer_, &QTimer::timeout, this, &Node::shareTables);
     connect(&pumpTimer_, &QTimer::timeout, this, [this] { scheduler_.pump(); });
     connect(&stopTimer_, &QTimer::timeout, this, &Node::checkStopped);
@@ -204,6 +208,7 @@
     metrics_.setGauge("hemlockweir_peer_datagrams_sent_total", "Datagrams sent to peers", static_cast<double>(traffic.datagramsSent));
     metrics_.setGauge("hemlockweir_peer_datagrams_refused_total", "Datagrams refused: foreign, truncated, forged or old", static_cast<double>(traffic.refused));
     metrics_.setGauge("hemlockweir_peer_datagrams_relayed_total", "Datagrams passed on for other nodes", static_cast<double>(traffic.relayed));
+    metrics_.setGauge("hemlockweir_peer_messages_not_relayed_total", "Messages of peers that a relay left out to keep its budget", static_cast<double>(traffic.relayDropped));
     metrics_.setGauge("hemlockweir_configuration_bytes_sent_total", "Bytes of configurations sent to peers", static_cast<double>(configServer_.bytesSent()));
     metrics_.setGauge("hemlockweir_platform_calls_total", "Calls to the platform's key-value service", static_cast<double>(platform_.callsMade()));
     metrics_.setGauge("hemlockweir_configuration_watching", "1 while this node watches the platform for the configuration", follower_.isWatching() ? 1 : 0);
@@ -279,8 +284,12 @@
 void Node::shareTables()
 {
     peers_.setHeartbeat(makeHeartbeat());
-    shareGroups();
-    shareUsage();
+    if (clock_() >= nextShareAt_) {
+        const uint64_t before = peers_.traffic().bytesSent;
+        shareGroups();
+        shareUsage();
+        nextShareAt_ = clock_() + peers_.pauseAfter(peers_.traffic().bytesSent - before);
+    }
     exposeTraffic();
     metrics_.setGauge("hemlockweir_waiting_requests", "Requests waiting for a slot", static_cast<double>(scheduler_.waitingCount()));
 }
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -64,6 +64,7 @@
     QTimer shareTimer_;
     QTimer pumpTimer_;
     QTimer stopTimer_;
+    Millis nextShareAt_ { 0 };
     Millis stopDeadline_ { 0 };
     std::function<void()> onStopped_;
 };
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -95,6 +95,9 @@
     void resume(const std::string& name);
     void restart(const std::string& name);
 
+    // The id of a running process.
+    qint64 pidOf(const std::string& name) { return processes_.at(name).process->processId(); }
+
     // Addresses: the same ADDRESS:PORT each time for the same name.
     std::string addressOf(const std::string& name);
     std::string urlOf(const std::string& name) { return "http://" + addressOf(name); }
