Reserve vectors in the bench and tests, as the linter asks

Cause: three loops reported by performance-inefficient-vector-operation. Change: reserve(). Conclusion: nothing else to do.

--- a/bench/capacity/nodes.cpp
+++ b/bench/capacity/nodes.cpp
@@ -109,6 +109,7 @@
         cluster_.startStore();
         for (int i = 0; i < parameters_.nodes; ++i) {
             std::vector<std::string> seeds;
+            seeds.reserve(static_cast<size_t>(parameters_.domains));
             for (int s = 0; s < std::min(i, parameters_.domains); ++s)
                 seeds.push_back(nameOf(s));
             cluster_.startNode({ .name = nameOf(i), .domain = "domain-" + std::to_string(i % parameters_.domains), .seeds = seeds, .settings = parameters_.settings });
--- a/bench/capacity/tables.cpp
+++ b/bench/capacity/tables.cpp
@@ -34,6 +34,7 @@
 static void fill(FleetTable& table, int count)
 {
     std::vector<Instance> instances;
+    instances.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i)
         instances.push_back({ .id = "instance-" + std::to_string(i), .address = "10.0.0.1:" + std::to_string(i), .domain = "domain-0", .fabric = "fabric", .pool = "models" });
     table.setInstances(instances);
--- a/tests/PeerLinkTest.cpp
+++ b/tests/PeerLinkTest.cpp
@@ -33,6 +33,7 @@
             openWay(member);
         const quint16 port = freePort();
         std::vector<std::string> endpoints;
+        endpoints.reserve(seeds.size());
         for (const std::string& seed : seeds)
             endpoints.push_back(endpointOf(seed));
         member.link = std::make_unique<PeerLink>(PeerLinkOptions { .node = node, .incarnation = incarnation, .address = QHostAddress::LocalHost, .port = port, .seeds = endpoints, .clusterKey = key, .heartbeatInterval = Millis(20), .aliveTimeout = Millis(400), .clock = makeSteadyClock(), .random = makeSeededRandom(stableHash(node)) });
