--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -65,7 +65,9 @@
     , random_(makeSystemRandom())
     , incarnation_(makeIncarnation())
     , fleet_({ .freshness = settings_.statusFreshness, .clock = clock_ })
-    , scheduler_({ .maxWaiting = static_cast<size_t>(settings_.maxWaiting),
+    , scheduler_({ .policy = parseSchedulePolicy(settings_.schedulePolicy),
+          .maxWaiting = static_cast<size_t>(settings_.maxWaiting),
+          .node = settings_.node,
           .domain = settings_.domain,
           .clock = clock_,
           .random = random_,
@@ -73,6 +75,7 @@
     , platform_(makePlatformOptions(settings_))
     , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .clock = clock_, .random = random_ }, makeClaimStore(platform_))
     , peers_(makePeerOptions(settings_, incarnation_, clock_, random_))
+    , usage_(scheduler_, peers_, metrics_)
     , configServer_(makeConfigServerOptions())
     , follower_(makeFollowerOptions(), config_, platform_)
     , manager_({ .node = settings_.node,
@@ -118,6 +121,10 @@
             scheduler_.dropPeer(peer.node);
     };
     metrics_.onRequest = [this](const RequestRecord& record) { report_.record(record); };
+    follower_.onAdopted = [this](const ConfigSnapshot&) {
+        peers_.setHeartbeat(makeHeartbeat());
+        peers_.announce();
+    };
     connect(&shareTimer_, &QTimer::timeout, this, &Node::shareTables);
     connect(&pumpTimer_, &QTimer::timeout, this, [this] { scheduler_.pump(); });
     connect(&stopTimer_, &QTimer::timeout, this, &Node::checkStopped);
@@ -229,6 +236,7 @@
     metrics_.setGauge("hemlockweir_peer_datagrams_sent_total", "Datagrams sent to peers", static_cast<double>(traffic.datagramsSent));
     metrics_.setGauge("hemlockweir_peer_datagrams_refused_total", "Datagrams refused: foreign, truncated, forged or old", static_cast<double>(traffic.refused));
     metrics_.setGauge("hemlockweir_peer_datagrams_relayed_total", "Datagrams passed on for other nodes", static_cast<double>(traffic.relayed));
+    metrics_.setGauge("hemlockweir_peer_messages_not_relayed_total", "Messages of peers that a relay left out to keep its budget", static_cast<double>(traffic.relayDropped));
     metrics_.setGauge("hemlockweir_configuration_bytes_sent_total", "Bytes of configurations sent to peers", static_cast<double>(configServer_.bytesSent()));
     metrics_.setGauge("hemlockweir_platform_calls_total", "Calls to the platform's key-value service", static_cast<double>(platform_.callsMade()));
     metrics_.setGauge("hemlockweir_configuration_watching", "1 while this node watches the platform for the configuration", follower_.isWatching() ? 1 : 0);
@@ -295,39 +303,21 @@
 {
     groupExchange_.take(envelope);
     if (envelope.kind == MessageKind::Usage)
-        takeUsage(envelope);
+        usage_.take(envelope);
     else if (envelope.kind == MessageKind::Counters)
         report_.takeCounters(envelope);
 }
 
-void Node::takeUsage(const Envelope& envelope)
-{
-    const absl::StatusOr<Usage> usage = decodeBody<Usage>(envelope.body);
-    if (!usage.ok())
-        return;
-    std::map<std::string, uint32_t> inFlight;
-    for (const GroupUse& row : usage->groups)
-        inFlight[row.group] = row.inFlight;
-    scheduler_.setPeerUse(envelope.sender.node, inFlight);
-}
-
 void Node::shareTables()
 {
     peers_.setHeartbeat(makeHeartbeat());
-    groupExchange_.share();
-    shareUsage();
-    exposeTraffic();
-    metrics_.setGauge("hemlockweir_waiting_requests", "Requests waiting for a slot", static_cast<double>(scheduler_.waitingCount()));
-}
-
-void Node::shareUsage()
-{
-    Usage usage;
-    for (const auto& [group, inFlight] : scheduler_.inFlightByGroup()) {
-        if (usage.groups.size() < maxRowsPerMessage)
-            usage.groups.push_back({ .group = group, .inFlight = inFlight });
+    if (clock_() >= nextShareAt_) {
+        const uint64_t before = peers_.traffic().bytesSent;
+        groupExchange_.share();
+        usage_.share();
+        nextShareAt_ = clock_() + peers_.pauseAfter(peers_.traffic().bytesSent - before);
     }
-    peers_.broadcast(usage);
+    exposeTraffic();
 }
 
 bool Node::isReady() const
