--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -23,6 +23,9 @@
 
 namespace hemlockweir {
 
+// The key that every node of a test expects from operators.
+inline constexpr char operatorKey[] = "an operator key for tests";
+
 // An HTTP answer, or how the call ended without one.
 struct Answer {
     CallEnd end = CallEnd::NotSent;
@@ -58,6 +61,7 @@
     std::string name = "n1";
     std::string domain = "a";
     std::vector<std::string> seeds; // names of nodes
+    std::string advertised; // name of the proxy link that peers reach it by; default: directly
     std::string platform = "store"; // name whose address the node uses for the platform
     std::string settings; // more TOML: sections [limits] and [timing]
 };
@@ -115,6 +119,7 @@
 
     // Stand-ins.
     void setFaults(const std::string& name, const QJsonObject& faults);
+    // What a stand-in truly did, over all its restarts; an empty `what` means everything.
     std::vector<QJsonObject> effects(const std::string& name, const QString& what);
 
     // What a node knows, and waiting for it.
@@ -123,9 +128,15 @@
     bool waitForGroups(const std::string& node, size_t count);
     bool waitForReady(const std::string& node);
 
+    // Writes a file that lives as long as the cluster; returns its path.
+    QString writeFile(const std::string& name, const std::string& text);
+
     // Standard error of a process so far.
     QByteArray logOf(const std::string& name);
 
+    // Largest resident memory of a process so far, in bytes.
+    qint64 peakMemory(const std::string& name);
+
 private:
     struct Process {
         QString program;
@@ -135,7 +146,7 @@
     };
 
     void startProcess(const std::string& name, const QString& program, const QStringList& arguments);
-    QString writeFile(const std::string& name, const std::string& text);
+    QString effectsFileOf(const std::string& name) const;
     std::string loopbackAddress() const;
 
     QString folder_;
