--- a/packages/fleet/DomainLease.cpp
+++ b/packages/fleet/DomainLease.cpp
@@ -3,6 +3,7 @@
 #include "base/Log.h"
 
 #include <QJsonDocument>
+#include <algorithm>
 
 namespace hemlockweir {
 
@@ -69,6 +70,7 @@
     isBusy_ = true;
     platform_.get(key(), [this](absl::StatusOr<KvRange> range) {
         isBusy_ = false;
+        noteAnswer(range.status());
         if (!range.ok())
             return;
         if (range->entries.empty())
@@ -138,6 +140,7 @@
     const Millis askedAt = options_.clock();
     platform_.renewLease(lease_, [this, askedAt](absl::StatusOr<int64_t> lease) {
         isBusy_ = false;
+        noteAnswer(lease.status());
         if (lease.ok())
             heldUntil_ = trustedUntil(askedAt);
         else if (absl::IsNotFound(lease.status()) && term_ != 0)
@@ -145,6 +148,18 @@
     });
 }
 
+void DomainLease::noteAnswer(const absl::Status& status)
+{
+    if (status.ok() || absl::IsNotFound(status))
+        answeredAt_ = options_.clock();
+}
+
+bool DomainLease::isCutOff() const
+{
+    constexpr int missedTries = 3;
+    return options_.clock() - answeredAt_ > std::max(Millis(options_.ttl), options_.tryInterval * missedTries);
+}
+
 void DomainLease::drop()
 {
     logWarning("planner_lease_lost", { { "domain", options_.domain } });
--- a/packages/fleet/DomainLease.h
+++ b/packages/fleet/DomainLease.h
@@ -37,6 +37,9 @@
     // Whether the lease certainly holds now. False once a margin before it could lapse.
     bool isHeld() const;
 
+    // Whether the platform has not answered for about the life of a lease.
+    bool isCutOff() const;
+
     // The next fencing number; isHeld() must be true.
     uint64_t nextEpoch();
 
@@ -50,6 +53,7 @@
     void take(int64_t lease, int64_t term, Millis heldUntil, const char* event);
     void renew();
     void drop();
+    void noteAnswer(const absl::Status& status);
     Millis trustedUntil(Millis askedAt) const;
 
     Options options_;
@@ -61,6 +65,7 @@
     uint64_t orders_ = 0;
     Millis heldUntil_ { 0 };
     Millis nextTry_ { 0 };
+    Millis answeredAt_ { 0 }; // the platform's last answer
     bool isBusy_ = false;
     bool isWanted_ = true;
 };
--- a/packages/fleet/FleetManager.cpp
+++ b/packages/fleet/FleetManager.cpp
@@ -109,6 +109,21 @@
     }
     for (const std::string& domain : domains)
         planDomain(domain);
+    countStranded();
+}
+
+// The first in rank counts for this node's own domain, whether it holds the lease or not: a domain
+// that is cut off from the platform is counted as well.
+void FleetManager::countStranded()
+{
+    if (options_.rankFor(options_.domain) != 0) {
+        stranded_.skip();
+        return;
+    }
+    StrandedTime::Look look { .domain = options_.domain, .instances = table_.instances(), .now = options_.clock(), .freshness = options_.statusFreshness, .isCutOff = planFor(options_.domain).lease->isCutOff() };
+    for (const Model& model : options_.models())
+        look.pools.insert(model.pool);
+    stranded_.observe(look);
 }
 
 PlannerOptions FleetManager::makePlannerOptions(DomainLease& lease) const
--- a/packages/fleet/FleetManager.h
+++ b/packages/fleet/FleetManager.h
@@ -3,6 +3,7 @@
 #include "fleet/DomainLease.h"
 #include "fleet/DrainList.h"
 #include "fleet/GroupPlanner.h"
+#include "fleet/StrandedTime.h"
 
 #include <deque>
 #include <memory>
@@ -46,6 +47,10 @@
     // Orders given so far, newest last; bounded.
     const std::deque<Order>& recentOrders() const { return recentOrders_; }
 
+    // Accelerator time that served nothing, as far as it fell to this node to count it. In each
+    // failure domain one node counts at a time. Thread-safe.
+    StrandedTotals strandedTotals() const { return stranded_.totals(); }
+
     // Whether this node holds the lease of a domain.
     bool isPlanning(const std::string& domain) const;
 
@@ -63,6 +68,7 @@
     void planDomain(const std::string& domain);
     PlannerOptions makePlannerOptions(DomainLease& lease) const;
     DomainPlan& planFor(const std::string& domain);
+    void countStranded();
     void giveOrder(const Order& order);
 
     FleetManagerOptions options_;
@@ -76,6 +82,7 @@
     std::map<std::string, std::shared_ptr<HttpCall>> polls_; // by instance
     std::map<uint64_t, std::shared_ptr<HttpCall>> orderCalls_;
     std::map<std::string, DomainPlan> plans_; // by domain
+    StrandedTime stranded_;
     std::deque<Order> recentOrders_;
     uint64_t nextOrderCall_ = 1;
     bool isReleased_ = false;
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -1,7 +1,7 @@
 #include "node/Node.h"
 
 #include "base/Log.h"
-#include "fleet/Rendezvous.h"
+#include "membership/Rendezvous.h"
 
 #include <QJsonArray>
 #include <QUrl>
@@ -245,7 +245,7 @@
                 candidates.push_back(peer.node);
         }
     }
-    return rendezvousRank("planner of " + domain, settings_.node, candidates);
+    return rankAmong(candidates, "planner of " + domain);
 }
 
 bool Node::shouldObserve(const Instance& instance) const
@@ -268,11 +268,20 @@
     return nodes;
 }
 
+// How many of the candidates come before this node for a role.
+size_t Node::rankAmong(std::vector<std::string> candidates, const std::string& role) const
+{
+    if (std::find(candidates.begin(), candidates.end(), settings_.node) == candidates.end())
+        candidates.push_back(settings_.node);
+    const std::vector<std::string> order = pickByRendezvous(candidates, role, candidates.size());
+    return static_cast<size_t>(std::find(order.begin(), order.end(), settings_.node) - order.begin());
+}
+
 bool Node::shouldShare(const GroupCondition& group) const
 {
     // Two tell of each group, so that the death of one leaves no gap.
     constexpr size_t sharersPerGroup = 2;
-    return rendezvousRank(group.group, settings_.node, livingNodesIn(settings_.domain)) < sharersPerGroup;
+    return rankAmong(livingNodesIn(settings_.domain), group.group) < sharersPerGroup;
 }
 
 void Node::takeMessage(const Envelope& envelope)
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -37,6 +37,7 @@
     size_t rankFor(const std::string& domain) const;
     bool shouldObserve(const Instance& instance) const;
     std::vector<std::string> livingNodesIn(const std::string& domain) const;
+    size_t rankAmong(std::vector<std::string> candidates, const std::string& role) const;
     bool shouldShare(const GroupCondition& group) const;
     bool isReady() const;
     QJsonObject describe() const;
