--- a/packages/fleet/FleetTable.cpp
+++ b/packages/fleet/FleetTable.cpp
@@ -157,7 +157,9 @@
     std::vector<GroupCondition> conditions;
     for (const auto& [id, entry] : instances_) {
         const InstanceView& view = entry.view;
-        const bool leads = view.status && !view.status->members.empty() && view.status->members.front() == id;
+        // What is left of polls that another node has taken over says nothing any more.
+        const bool counts = view.status && (entry.isObserved || now - view.seenAt <= options_.freshness);
+        const bool leads = counts && !view.status->members.empty() && view.status->members.front() == id;
         if (leads)
             conditions.push_back(checkGroup(view, now));
     }
--- a/standins/proxy.cpp
+++ b/standins/proxy.cpp
@@ -3,7 +3,8 @@
 // Each --link NAME,LISTEN,TARGET[,udp] is one way in. Faults, set by POST /faults on --listen:
 // NAME.cut (bool: refuse and close), NAME.freeze (bool: hold every byte of all connections),
 // NAME.silence (count: connections open now go silent for good; new ones work; each change of the
-// number silences again), NAME.delay_ms, NAME.drop_answers (bool: only towards the target).
+// number silences again), NAME.delay_ms, NAME.cut_from (text: ADDRESS:PORT,...; drops the datagrams of
+// these senders, so that a cut may be one-way), NAME.drop_answers (bool: only towards the target).
 
 #include "StandIn.h"
 
@@ -40,6 +41,7 @@
     bool dropAnswers = false;
     int silence = 0;
     int delayMs = 0;
+    QStringList cutFrom; // UDP senders, ADDRESS:PORT
 };
 
 using ReadFaults = std::function<LinkFaults()>;
@@ -179,9 +181,11 @@
     void read()
     {
         while (socket_.hasPendingDatagrams()) {
-            const QByteArray bytes = socket_.receiveDatagram().data();
+            const QNetworkDatagram datagram = socket_.receiveDatagram();
+            const QByteArray bytes = datagram.data();
+            const QString sender = datagram.senderAddress().toString() + ":" + QString::number(datagram.senderPort());
             const LinkFaults faults = faults_();
-            if (faults.cut || faults.freeze)
+            if (faults.cut || faults.freeze || faults.cutFrom.contains(sender))
                 continue;
             if (faults.delayMs == 0)
                 socket_.writeDatagram(bytes, target_.address, target_.port);
@@ -218,7 +222,8 @@
                 .freeze = standIn.hasFault((name + ".freeze").c_str()),
                 .dropAnswers = standIn.hasFault((name + ".drop_answers").c_str()),
                 .silence = standIn.fault((name + ".silence").c_str()),
-                .delayMs = standIn.fault((name + ".delay_ms").c_str()) };
+                .delayMs = standIn.fault((name + ".delay_ms").c_str()),
+                .cutFrom = standIn.faults()[QString::fromStdString(name + ".cut_from")].toString().split(',', Qt::SkipEmptyParts) };
         };
         if (parts.size() > 3 && parts[3] == "udp")
             udpLinks.push_back(std::make_unique<UdpLink>(parseTarget(parts[1]), parseTarget(parts[2]), faults));
--- a/tests/FleetTableTest.cpp
+++ b/tests/FleetTableTest.cpp
@@ -84,6 +84,18 @@
     EXPECT_EQ(servable(), 0U);
 }
 
+TEST_F(FleetTableTest, ForgetsAGroupThatAnotherNodeObservesInstead)
+{
+    table.setObserved({ "i1", "i2" });
+    report(5, { "i1", "i2" });
+    now += Millis(1501);
+    ASSERT_EQ(table.groups().size(), 1U) << "an observed group that went silent is told of";
+    table.setObserved({});
+    EXPECT_TRUE(table.groups().empty());
+    table.setRemoteGroup(makeRemote(5, { "i1", "i2" }));
+    EXPECT_EQ(table.remoteGroups().size(), 1U);
+}
+
 TEST_F(FleetTableTest, NeverServesAMemberInTwoGroupsThatPeersTellOf)
 {
     const RemoteGroup older = makeRemote(5, { "i1", "i2" }, "n2");
