--- a/bench/Deployment.cpp
+++ b/bench/Deployment.cpp
@@ -10,6 +10,8 @@
 
 namespace hemlockweir {
 
+static constexpr char operatorKey[] = "an operator key for the bench";
+
 static std::string domainName(int number)
 {
     return std::string(1, static_cast<char>('a' + number));
@@ -44,7 +46,7 @@
     CallResult answer;
     bool isDone = false;
     QByteArray received;
-    const auto running = client_.start({ .method = method, .url = QUrl(QString::fromStdString(url)), .headers = {}, .body = body, .firstByteTimeout = hangLimit, .silenceTimeout = hangLimit },
+    const auto running = client_.start({ .method = method, .url = QUrl(QString::fromStdString(url)), .headers = { { "Authorization", QByteArray("Bearer ") + operatorKey } }, .body = body, .firstByteTimeout = hangLimit, .silenceTimeout = hangLimit },
         { .onHead = {}, .onData = [&](const QByteArray& piece) { received += piece; }, .onDone = [&](const CallResult& result) {
              answer = result;
              isDone = true; } });
@@ -86,7 +88,7 @@
 {
     const std::string name = "n" + std::to_string(number + 1);
     const std::string text = "[node]\nname = \"" + name + "\"\nfailure_domain = \"" + domainName(number % options_.domains) + "\"\ncallers = \"" + addressOf(name) + "\"\npeers = \""
-        + addressOf(name + ".peers") + "\"\nseeds = [\"" + addressOf("n1.peers") + "\"]\ncluster_key = \"a key for the bench only\"\n\n[platform]\nurls = [\"http://" + addressOf("store")
+        + addressOf(name + ".peers") + "\"\nseeds = [\"" + addressOf("n1.peers") + "\"]\ncluster_key = \"a key for the bench only\"\noperator_key = \"" + operatorKey + "\"\n\n[platform]\nurls = [\"http://" + addressOf("store")
         + "\"]\ninstances_url = \"http://" + addressOf("store") + "/instances\"\n\n[limits]\nmax_connections = 20000\nmax_connections_per_address = 20000\nmax_waiting = 20000\n\n[schedule]\npolicy = \""
         + options_.policy + "\"\n";
     startProcess(name, "hemlockweir", { "--settings", writeFile(name + ".toml", text) });
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -1,6 +1,7 @@
 #include "node/Node.h"
 
 #include "base/Log.h"
+#include "fleet/Rendezvous.h"
 
 #include <QJsonArray>
 #include <QUrl>
@@ -13,7 +14,8 @@
 static constexpr Millis pumpInterval { 5 };
 static constexpr Millis stopCheckInterval { 20 };
 
-// Wall time in milliseconds: grows over restarts without any disk.
+// Wall time in milliseconds, which operators can read. Peers take it as a name of this start only,
+// so a clock that is behind does no harm.
 static uint64_t makeIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -28,7 +30,7 @@
     return options;
 }
 
-static PeerLinkOptions makePeerOptions(const Settings& settings, uint64_t incarnation, const Clock& clock)
+static PeerLinkOptions makePeerOptions(const Settings& settings, uint64_t incarnation, const Clock& clock, const Random& random)
 {
     PeerLinkOptions options { .node = settings.node,
         .incarnation = incarnation,
@@ -37,7 +39,8 @@
         .seeds = {},
         .clusterKey = QByteArray::fromStdString(settings.clusterKey),
         .heartbeatInterval = settings.heartbeatInterval,
-        .clock = clock };
+        .clock = clock,
+        .random = random };
     for (const Endpoint& seed : settings.seeds)
         options.seeds.push_back(seed.toString());
     return options;
@@ -52,7 +55,8 @@
         .requestTimeout = settings.requestTimeout,
         .idleTimeout = settings.idleTimeout,
         .maxConnections = settings.maxConnections,
-        .maxConnectionsPerAddress = settings.maxConnectionsPerAddress };
+        .maxConnectionsPerAddress = settings.maxConnectionsPerAddress,
+        .replyBufferBytes = settings.replyBufferBytes };
 }
 
 Node::Node(Settings settings)
@@ -69,21 +73,29 @@
           .random = random_,
           .findReplicas = [this](const std::string& model) { return fleet_.findReplicas(model); } })
     , platform_(makePlatformOptions(settings_))
-    , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .random = random_ }, platform_)
-    , peers_(makePeerOptions(settings_, incarnation_, clock_))
+    , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .clock = clock_, .random = random_ }, makeClaimStore(platform_))
+    , peers_(makePeerOptions(settings_, incarnation_, clock_, random_))
     , usage_(scheduler_, peers_, metrics_)
-    , follower_({}, config_, platform_)
+    , configServer_(makeConfigServerOptions())
+    , follower_(makeFollowerOptions(), config_, platform_)
     , manager_({ .node = settings_.node,
+                   .incarnation = incarnation_,
                    .domain = settings_.domain,
                    .instancesUrl = QUrl(QString::fromStdString(settings_.instancesUrl)),
                    .statusInterval = settings_.statusInterval,
                    .statusFreshness = settings_.statusFreshness,
                    .leaseTtl = std::chrono::duration_cast<std::chrono::seconds>(settings_.leaseTtl),
                    .clock = clock_,
+                   .random = random_,
                    .models = [this] { return config_.snapshot().configuration->models; },
                    .domainsToPlan = [this] { return domainsToPlan(); },
+                   .rankFor = [this](const std::string& domain) { return rankFor(domain); },
                    .shouldObserve = [this](const Instance& instance) { return shouldObserve(instance); } },
           fleet_, platform_)
+    , groupExchange_({ .clock = clock_,
+                         .broadcast = [this](const Groups& message) { peers_.broadcast(message); },
+                         .shouldShare = [this](const GroupCondition& group) { return shouldShare(group); } },
+          fleet_)
     , tables_ { .config = config_,
         .fleet = fleet_,
         .scheduler = scheduler_,
@@ -92,7 +104,7 @@
         .clock = clock_,
         .random = random_,
         .silenceTimeout = settings_.silenceTimeout }
-    , api_(tables_, { .isReady = [this] { return isReady(); }, .status = [this] { return describe(); } })
+    , api_({ .operatorKey = QByteArray::fromStdString(settings_.operatorKey), .maxRequestsPerCaller = settings_.maxRequestsPerCaller }, tables_, { .isReady = [this] { return isReady(); }, .status = [this] { return describe(); } })
     , server_(makeServerOptions(settings_), [this](std::shared_ptr<Exchange> exchange) { api_.handle(std::move(exchange)); })
 {
     connectParts();
@@ -107,6 +119,10 @@
         if (!peer.alive)
             scheduler_.dropPeer(peer.node);
     };
+    follower_.onAdopted = [this](const ConfigSnapshot&) {
+        peers_.setHeartbeat(makeHeartbeat());
+        peers_.announce();
+    };
     connect(&shareTimer_, &QTimer::timeout, this, &Node::shareTables);
     connect(&pumpTimer_, &QTimer::timeout, this, [this] { scheduler_.pump(); });
     connect(&stopTimer_, &QTimer::timeout, this, &Node::checkStopped);
@@ -117,6 +133,8 @@
     peers_.setHeartbeat(makeHeartbeat());
     if (const absl::Status status = peers_.start(); !status.ok())
         return status;
+    if (const absl::Status status = configServer_.start(); !status.ok())
+        return status;
     if (const absl::Status status = server_.start(); !status.ok())
         return status;
     follower_.start();
@@ -155,9 +173,57 @@
     return { .domain = settings_.domain,
         .region = settings_.region,
         .callers = settings_.callers.toString(),
-        .peers = settings_.peers.toString(),
+        .peers = settings_.advertisedPeers.toString(),
         .configRevision = config_.snapshot().revision,
-        .leaving = tables_.isStopping };
+        .leaving = tables_.isStopping,
+        .platformDown = follower_.isPlatformDown() };
+}
+
+ConfigServer::Options Node::makeConfigServerOptions()
+{
+    return { .node = settings_.node,
+        .incarnation = incarnation_,
+        .address = QHostAddress(QString::fromStdString(settings_.peers.address)),
+        .port = settings_.peers.port,
+        .clusterKey = QByteArray::fromStdString(settings_.clusterKey),
+        .read = [this] {
+            const ConfigSnapshot snapshot = config_.snapshot();
+            return PublishedDocument { .json = snapshot.document, .revision = snapshot.revision };
+        } };
+}
+
+ConfigFollower::Options Node::makeFollowerOptions()
+{
+    constexpr size_t watchersPerDomain = 2;
+    return { .fetch = { .node = settings_.node, .incarnation = incarnation_, .clusterKey = QByteArray::fromStdString(settings_.clusterKey) },
+        .clock = clock_,
+        .random = random_,
+        .isWatcher = [this] { return peers_.isFirstFor("configuration watcher", watchersPerDomain); },
+        .sources = [this] { return findConfigSources(); } };
+}
+
+std::vector<ConfigSource> Node::findConfigSources() const
+{
+    std::vector<ConfigSource> sources;
+    for (const Peer& peer : peers_.peers()) {
+        if (peer.alive)
+            sources.push_back({ .endpoint = peer.heartbeat.peers, .revision = peer.heartbeat.configRevision, .isNear = peer.heartbeat.domain == settings_.domain });
+    }
+    return sources;
+}
+
+void Node::exposeTraffic()
+{
+    const PeerTraffic traffic = peers_.traffic();
+    metrics_.setGauge("hemlockweir_peer_bytes_sent_total", "Bytes of datagrams sent to peers, with headers", static_cast<double>(traffic.bytesSent));
+    metrics_.setGauge("hemlockweir_peer_bytes_received_total", "Bytes of datagrams received from peers, with headers", static_cast<double>(traffic.bytesReceived));
+    metrics_.setGauge("hemlockweir_peer_datagrams_sent_total", "Datagrams sent to peers", static_cast<double>(traffic.datagramsSent));
+    metrics_.setGauge("hemlockweir_peer_datagrams_refused_total", "Datagrams refused: foreign, truncated, forged or old", static_cast<double>(traffic.refused));
+    metrics_.setGauge("hemlockweir_peer_datagrams_relayed_total", "Datagrams passed on for other nodes", static_cast<double>(traffic.relayed));
+    metrics_.setGauge("hemlockweir_peer_messages_not_relayed_total", "Messages of peers that a relay left out to keep its budget", static_cast<double>(traffic.relayDropped));
+    metrics_.setGauge("hemlockweir_configuration_bytes_sent_total", "Bytes of configurations sent to peers", static_cast<double>(configServer_.bytesSent()));
+    metrics_.setGauge("hemlockweir_platform_calls_total", "Calls to the platform's key-value service", static_cast<double>(platform_.callsMade()));
+    metrics_.setGauge("hemlockweir_configuration_watching", "1 while this node watches the platform for the configuration", follower_.isWatching() ? 1 : 0);
 }
 
 bool Node::hasNodeIn(const std::string& domain) const
@@ -177,6 +243,19 @@
     return { domains.begin(), domains.end() };
 }
 
+// A domain is planned by a node of its own, or by any node when it has none alive.
+size_t Node::rankFor(const std::string& domain) const
+{
+    std::vector<std::string> candidates = livingNodesIn(domain);
+    if (candidates.empty()) {
+        for (const Peer& peer : peers_.peers()) {
+            if (peer.alive && !peer.heartbeat.leaving)
+                candidates.push_back(peer.node);
+        }
+    }
+    return rendezvousRank("planner of " + domain, settings_.node, candidates);
+}
+
 bool Node::shouldObserve(const Instance& instance) const
 {
     const ConfigSnapshot config = config_.snapshot();
@@ -185,69 +264,42 @@
     return !isEngine || instance.domain == settings_.domain || !hasNodeIn(instance.domain);
 }
 
-void Node::takeMessage(const Envelope& envelope)
+std::vector<std::string> Node::livingNodesIn(const std::string& domain) const
 {
-    if (envelope.kind == MessageKind::Groups)
-        takeGroups(envelope);
-    else if (envelope.kind == MessageKind::Usage)
-        usage_.take(envelope);
+    std::vector<std::string> nodes;
+    if (settings_.domain == domain)
+        nodes.push_back(settings_.node);
+    for (const Peer& peer : peers_.peers()) {
+        if (peer.alive && !peer.heartbeat.leaving && peer.heartbeat.domain == domain)
+            nodes.push_back(peer.node);
+    }
+    return nodes;
 }
 
-void Node::takeGroups(const Envelope& envelope)
+bool Node::shouldShare(const GroupCondition& group) const
 {
-    const absl::StatusOr<Groups> groups = decodeBody<Groups>(envelope.body);
-    if (!groups.ok())
-        return;
-    for (const GroupRow& row : groups->rows) {
-        if (!row.whole) {
-            fleet_.dropRemoteReplica(row.group);
-            continue;
-        }
-        fleet_.setRemoteReplica(envelope.sender.node,
-            { .group = row.group,
-                .epoch = row.epoch,
-                .model = row.model,
-                .domain = row.domain,
-                .leader = row.leader,
-                .slots = row.slots,
-                .running = row.running,
-                .waiting = row.waiting,
-                .reportedAt = clock_() - Millis(row.ageMs) });
-    }
+    // Two tell of each group, so that the death of one leaves no gap.
+    constexpr size_t sharersPerGroup = 2;
+    return rendezvousRank(group.group, settings_.node, livingNodesIn(settings_.domain)) < sharersPerGroup;
 }
 
-void Node::shareTables()
+void Node::takeMessage(const Envelope& envelope)
 {
-    peers_.setHeartbeat(makeHeartbeat());
-    shareGroups();
-    usage_.share();
+    groupExchange_.take(envelope);
+    if (envelope.kind == MessageKind::Usage)
+        usage_.take(envelope);
 }
 
-void Node::shareGroups()
+void Node::shareTables()
 {
-    constexpr size_t rowsPerDatagram = 8;
-    Groups message;
-    for (const GroupCondition& group : fleet_.groups()) {
-        const Replica& replica = group.replica;
-        const Millis age = group.whole ? clock_() - replica.reportedAt : Millis(0);
-        message.rows.push_back({ .group = group.group,
-            .epoch = group.epoch,
-            .model = group.model,
-            .domain = group.domain,
-            .leader = replica.leader,
-            .members = static_cast<uint32_t>(group.members.size()),
-            .whole = group.whole,
-            .running = replica.running,
-            .waiting = replica.waiting,
-            .slots = replica.slots,
-            .ageMs = static_cast<uint32_t>(age.count()) });
-        if (message.rows.size() == rowsPerDatagram) {
-            peers_.broadcast(message);
-            message.rows.clear();
-        }
+    peers_.setHeartbeat(makeHeartbeat());
+    if (clock_() >= nextShareAt_) {
+        const uint64_t before = peers_.traffic().bytesSent;
+        groupExchange_.share();
+        usage_.share();
+        nextShareAt_ = clock_() + peers_.pauseAfter(peers_.traffic().bytesSent - before);
     }
-    if (!message.rows.empty())
-        peers_.broadcast(message);
+    exposeTraffic();
 }
 
 bool Node::isReady() const
@@ -255,17 +307,23 @@
     return !tables_.isStopping && config_.snapshot().revision > 0;
 }
 
+static QJsonObject describeGroup(const GroupCondition& group)
+{
+    QJsonArray members;
+    for (const std::string& member : group.members)
+        members.append(QString::fromStdString(member));
+    return { { "group", QString::fromStdString(group.group) }, { "epoch", static_cast<double>(group.epoch) },
+        { "model", QString::fromStdString(group.model) }, { "domain", QString::fromStdString(group.domain) }, { "members", members },
+        { "whole", group.whole }, { "reason", QString::fromStdString(group.reason) }, { "observer", QString::fromStdString(group.observer) } };
+}
+
 QJsonObject Node::describe() const
 {
     QJsonArray groups;
-    for (const GroupCondition& group : fleet_.groups()) {
-        QJsonArray members;
-        for (const std::string& member : group.members)
-            members.append(QString::fromStdString(member));
-        groups.append(QJsonObject { { "group", QString::fromStdString(group.group) }, { "epoch", static_cast<double>(group.epoch) },
-            { "model", QString::fromStdString(group.model) }, { "domain", QString::fromStdString(group.domain) }, { "members", members },
-            { "whole", group.whole }, { "reason", QString::fromStdString(group.reason) } });
-    }
+    for (const GroupCondition& group : fleet_.groups())
+        groups.append(describeGroup(group));
+    for (const GroupCondition& group : fleet_.remoteGroups())
+        groups.append(describeGroup(group));
     QJsonArray peers;
     for (const Peer& peer : peers_.peers()) {
         peers.append(QJsonObject { { "node", QString::fromStdString(peer.node) }, { "domain", QString::fromStdString(peer.heartbeat.domain) },
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -2,9 +2,11 @@
 
 #include "config/Settings.h"
 #include "fleet/FleetManager.h"
+#include "fleet/GroupExchange.h"
 #include "membership/PeerLink.h"
 #include "node/CallerApi.h"
 #include "node/UsageShare.h"
+#include "rollout/ConfigExchange.h"
 #include "rollout/ConfigFollower.h"
 
 // One entry node: the control thread's parts, the shared tables and the server, put together.
@@ -27,16 +29,21 @@
 private:
     void connectParts();
     void takeMessage(const Envelope& envelope);
-    void takeGroups(const Envelope& envelope);
     void shareTables();
-    void shareGroups();
     void checkStopped();
     bool hasNodeIn(const std::string& domain) const;
     std::vector<std::string> domainsToPlan() const;
+    size_t rankFor(const std::string& domain) const;
     bool shouldObserve(const Instance& instance) const;
+    std::vector<std::string> livingNodesIn(const std::string& domain) const;
+    bool shouldShare(const GroupCondition& group) const;
     bool isReady() const;
     QJsonObject describe() const;
     Heartbeat makeHeartbeat() const;
+    ConfigServer::Options makeConfigServerOptions();
+    ConfigFollower::Options makeFollowerOptions();
+    std::vector<ConfigSource> findConfigSources() const;
+    void exposeTraffic();
 
     Settings settings_;
     Clock clock_;
@@ -50,14 +57,17 @@
     ClaimLedger ledger_;
     PeerLink peers_;
     UsageShare usage_;
+    ConfigServer configServer_;
     ConfigFollower follower_;
     FleetManager manager_;
+    GroupExchange groupExchange_;
     Tables tables_;
     CallerApi api_;
     HttpServer server_;
     QTimer shareTimer_;
     QTimer pumpTimer_;
     QTimer stopTimer_;
+    Millis nextShareAt_ { 0 };
     Millis stopDeadline_ { 0 };
     std::function<void()> onStopped_;
 };
