Route by prefix affinity, forget silent peers, reserve floors only for work that waits

(2) Other domains' nodes are not all known to membership, so a peer's use could stay for ever. (3) engines cache prompt prefixes. Change: floors reserve for priorities with waiting jobs; a peer not heard of for 2 s is forgotten; a bounded table remembers which group last read a prompt's blocks, and the time saved counts against load and distance. The stand-in engine has a prefix cache (--cache-blocks, default none).

--- a/bench/Deployment.cpp
+++ b/bench/Deployment.cpp
@@ -79,7 +79,7 @@
     const std::string address = addressOf(id);
     startProcess(id, "standin-engine",
         { "--listen", QString::fromStdString(address), "--id", QString::fromStdString(id), "--slots", QString::number(options_.slots), "--token-ms", QString::number(options_.tokenMs),
-            "--prefill-ms", QString::number(options_.prefillMs) });
+            "--prefill-ms", QString::number(options_.prefillMs), "--cache-blocks", QString::number(options_.cacheBlocks) });
     instances_.append(QJsonObject { { "id", QString::fromStdString(id) }, { "address", QString::fromStdString(address) }, { "domain", QString::fromStdString(domain) },
         { "fabric", QString::fromStdString(fabric) }, { "pool", "models" }, { "state", "live" } });
 }
--- a/bench/Deployment.h
+++ b/bench/Deployment.h
@@ -22,6 +22,7 @@
     int slots = 4; // requests that a group runs at once
     int tokenMs = 10; // ms for each token
     int prefillMs = 40; // ms before the first token
+    int cacheBlocks = 40; // blocks in an engine's prefix cache; a prompt of the bench has 9
     std::string policy = "full"; // of the scheduler
 
     int groups() const { return domains * groupsPerDomain; }
--- a/bench/hw-bench.cpp
+++ b/bench/hw-bench.cpp
@@ -69,7 +69,9 @@
         "policy", options::value(&bench.policies)->multitoken(), "full, least_in_flight, round_robin; default: all")(
         "seconds", options::value(&bench.seconds), "seconds of arrivals in each scenario")("seed", options::value(&bench.seed), "seed of arrivals and lengths")(
         "nodes", options::value(&bench.deployment.nodes), "nodes")("groups", options::value(&bench.deployment.groupsPerDomain), "groups in each of 3 failure domains")(
-        "slots", options::value(&bench.deployment.slots), "requests that a group runs at once");
+        "slots", options::value(&bench.deployment.slots), "requests that a group runs at once")(
+        "cache-blocks", options::value(&bench.deployment.cacheBlocks), "blocks in an engine's prefix cache")(
+        "prefill-ms", options::value(&bench.deployment.prefillMs), "ms to read a prompt of which no block is cached");
     options::variables_map values;
     try {
         options::store(options::parse_command_line(argc, argv, description), values);
--- a/packages/node/CompletionFlow.cpp
+++ b/packages/node/CompletionFlow.cpp
@@ -47,6 +47,13 @@
     return request;
 }
 
+static QByteArray promptOf(const CompletionRequest& completion)
+{
+    if (completion.isChat)
+        return QJsonDocument(completion.body["messages"].toArray()).toJson(QJsonDocument::Compact);
+    return completion.body["prompt"].toString().toUtf8();
+}
+
 void CompletionFlow::start(Tables& tables, std::shared_ptr<Exchange> exchange, CallerRequest request, CompletionRequest completion)
 {
     auto* flow = new CompletionFlow(tables, std::move(exchange), std::move(request), std::move(completion));
@@ -57,6 +64,7 @@
     : Flow(tables, std::move(exchange), std::move(request))
     , completion_(std::move(completion))
     , seed_(completion_.body.contains("seed") ? static_cast<uint64_t>(completion_.body["seed"].toDouble()) : tables.random() >> 32)
+    , prefix_(hashPrefix(promptOf(completion_).toStdString()))
     , runId_(makeRandomId(tables.random))
 {
 }
@@ -83,6 +91,7 @@
         .target = arrivedAt_ + Millis(request().priority.firstTokenMs),
         .cost = static_cast<double>(completion_.maxTokens - received_),
         .avoidGroups = groupsToAvoid(),
+        .prefix = prefix_,
         .preemptions = preemptions_,
     };
     const uint64_t id = jobId_;
--- a/packages/node/CompletionFlow.h
+++ b/packages/node/CompletionFlow.h
@@ -56,6 +56,7 @@
 
     CompletionRequest completion_;
     uint64_t seed_; // the same in every attempt, so that a resumed answer goes on as it began
+    std::vector<uint64_t> prefix_; // hashes of the prompt's leading blocks
     std::string runId_; // names this request towards engines; callers' ids may collide
     uint64_t jobId_ = 0; // 0: no job queued or running
     bool holdsSlot_ = false;
--- a/packages/schedule/Job.h
+++ b/packages/schedule/Job.h
@@ -20,6 +20,7 @@
     Millis target { 0 }; // when the first token is due, in the clock's time; 0: at the deadline
     double cost = 1.0; // expected work, in tokens
     std::vector<std::string> avoidGroups; // groups that failed this job before; not empty: a retry
+    std::vector<uint64_t> prefix; // hashes of the prompt's leading blocks, see hashPrefix()
     uint32_t preemptions = 0; // times that this request gave its slot back
 
     Millis dueAt() const { return target.count() > 0 ? std::min(target, deadline) : deadline; }
--- a/packages/schedule/ReplicaChooser.cpp
+++ b/packages/schedule/ReplicaChooser.cpp
@@ -106,7 +106,7 @@
     load.peersLately.set(std::max(0, load.peers), now);
 }
 
-std::vector<size_t> ReplicaChooser::pickSample()
+std::vector<size_t> ReplicaChooser::pickSample(const std::optional<Affinity>& affinity)
 {
     std::vector<size_t> sample;
     if (replicas_.size() <= sampleSize) {
@@ -114,6 +114,8 @@
             sample.push_back(i);
         return sample;
     }
+    if (const auto found = indexOf_.find(affinity ? affinity->group : std::string()); found != indexOf_.end())
+        sample.push_back(found->second);
     while (!freed_.empty() && sample.size() < sampleSize / 4) {
         if (const auto found = indexOf_.find(freed_.back()); found != indexOf_.end())
             sample.push_back(found->second);
@@ -153,22 +155,26 @@
 Candidate ReplicaChooser::choose(const Job& job, Millis now)
 {
     Candidate best;
-    for (const size_t index : pickSample()) {
+    const std::optional<Affinity> affinity = affinities_.find(job.prefix);
+    for (const size_t index : pickSample(affinity)) {
         const Replica& replica = replicas_[index];
         const Load& load = loads_[replica.group];
         if (!hasSlot(job, replica, load, now))
             continue;
         const double jitter = jitterMs * static_cast<double>(options_.random() % 1024) / 1024;
-        const double score = scoreOf(job, replica, load, now) + jitter;
+        // What the prefix cache saves counts against load and distance like any other time.
+        const double saved = affinity && affinity->group == replica.group ? affinity->share * firstTokenMs_.valueOr(0) : 0;
+        const double score = scoreOf(job, replica, load, now) + jitter - saved;
         if (!best.replica || score < best.firstTokenMs)
             best = { .replica = &replica, .firstTokenMs = score };
     }
     return best;
 }
 
-void ReplicaChooser::noteGranted(const std::string& group)
+void ReplicaChooser::noteGranted(const Job& job, const std::string& group)
 {
     ++loads_[group].own;
+    affinities_.record(job.prefix, group);
 }
 
 void ReplicaChooser::noteFirstToken(const std::string& group, Millis took, Millis now)
--- a/packages/schedule/ReplicaChooser.h
+++ b/packages/schedule/ReplicaChooser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "schedule/AffinityTable.h"
 #include "schedule/Decayed.h"
 #include "schedule/Job.h"
 
@@ -46,7 +47,7 @@
     Candidate choose(const Job& job, Millis now);
 
     // What becomes of a granted job.
-    void noteGranted(const std::string& group);
+    void noteGranted(const Job& job, const std::string& group);
     void noteFirstToken(const std::string& group, Millis took, Millis now);
     void noteFinished(const std::string& group, Millis held, Millis generated, double tokens, Millis now);
 
@@ -75,7 +76,7 @@
     void correctReport(const Replica& replica, Load& load);
     void borrow(const Replica& replica, Load& load, size_t sharers, Millis now);
     void updateCapacity(Millis now);
-    std::vector<size_t> pickSample();
+    std::vector<size_t> pickSample(const std::optional<Affinity>& affinity);
     bool hasSlot(const Job& job, const Replica& replica, const Load& load, Millis now) const;
     double scoreOf(const Job& job, const Replica& replica, const Load& load, Millis now) const;
 
@@ -85,6 +86,7 @@
     std::unordered_map<std::string, size_t> indexOf_; // by group
     std::unordered_map<std::string, Load> loads_; // by group
     std::vector<std::string> freed_; // groups that lately got a free slot
+    AffinityTable affinities_;
     double capacity_ = 0;
     Average holdMs_;
     Average firstTokenMs_;
--- a/packages/schedule/Scheduler.cpp
+++ b/packages/schedule/Scheduler.cpp
@@ -55,8 +55,8 @@
         return found->second;
     Pool& pool = pools_.emplace(model, Pool { .chooser = ReplicaChooser({ .domain = options_.domain, .random = options_.random }), .ranks = {} }).first->second;
     const Millis now = options_.clock();
-    for (const auto& [node, use] : peers_) {
-        for (const auto& [group, count] : use.inFlightByGroup)
+    for (const auto& [node, peer] : peers_) {
+        for (const auto& [group, count] : peer.use.inFlightByGroup)
             pool.chooser.addPeerUse(group, static_cast<int>(count), now);
     }
     return pool;
@@ -171,7 +171,7 @@
 {
     double reserved = 0;
     for (const auto& [rank, load] : pool.ranks) {
-        if (rank > besides && (load.running > 0 || load.queue.size() > 0))
+        if (rank > besides && load.queue.size() > 0)
             reserved += load.floorShare;
     }
     return reserved;
@@ -247,7 +247,7 @@
     ++rank.running;
     rank.granted.add(1, now);
     rank.queue.charge(waiting.job.caller, waiting.job.cost, now);
-    pool.chooser.noteGranted(replica.group);
+    pool.chooser.noteGranted(waiting.job, replica.group);
     ++inFlight_[replica.group];
     running_[jobId] = { .job = waiting.job, .hooks = waiting.hooks, .group = replica.group, .grantedAt = now };
     if (waiting.job.rank > 0 && waiting.job.preemptions < maxPreemptions)
@@ -416,6 +416,7 @@
         std::lock_guard lock(mutex_);
         const Millis now = options_.clock();
         refuseExpired(now, calls);
+        forgetSilentPeers(now);
         for (auto& [model, pool] : pools_) {
             refresh(model, pool, now);
             grantAll(model, pool, now, calls);
@@ -424,18 +425,15 @@
     calls.run();
 }
 
-void Scheduler::setPeerUse(const std::string& node, const NodeUse& use)
+void Scheduler::replaceUse(const std::string& node, const NodeUse& before, const NodeUse& after, Millis now)
 {
-    std::lock_guard lock(mutex_);
-    const Millis now = options_.clock();
-    const NodeUse before = std::exchange(peers_[node], use);
     for (auto& [model, pool] : pools_) {
         for (const auto& [group, count] : before.inFlightByGroup)
             pool.chooser.addPeerUse(group, -static_cast<int>(count), now);
-        for (const auto& [group, count] : use.inFlightByGroup)
+        for (const auto& [group, count] : after.inFlightByGroup)
             pool.chooser.addPeerUse(group, static_cast<int>(count), now);
         std::map<uint32_t, std::map<std::string, double>> tokens;
-        for (const CallerTokensRow& row : use.callers) {
+        for (const CallerTokensRow& row : after.callers) {
             if (row.model == model)
                 tokens[row.rank][row.caller] = row.tokens;
         }
@@ -444,17 +442,51 @@
     }
 }
 
-void Scheduler::dropPeer(const std::string& node)
+void Scheduler::setPeerUse(const std::string& node, const NodeUse& use)
 {
-    setPeerUse(node, {});
     std::lock_guard lock(mutex_);
-    peers_.erase(node);
+    const Millis now = options_.clock();
+    Peer& peer = peers_[node];
+    const NodeUse before = std::exchange(peer.use, use);
+    peer.heardAt = now;
+    replaceUse(node, before, use, now);
+}
+
+void Scheduler::forget(const std::string& node, Millis now)
+{
+    const auto found = peers_.find(node);
+    if (found == peers_.end())
+        return;
+    replaceUse(node, found->second.use, {}, now);
+    peers_.erase(found);
     for (auto& [model, pool] : pools_) {
         for (auto& [number, rank] : pool.ranks)
             rank.queue.dropPeer(node);
     }
 }
 
+void Scheduler::dropPeer(const std::string& node)
+{
+    std::lock_guard lock(mutex_);
+    forget(node, options_.clock());
+}
+
+void Scheduler::forgetSilentPeers(Millis now)
+{
+    constexpr Millis checkInterval { 200 };
+    constexpr Millis silence { 2000 };
+    if (now - peersCheckedAt_ < checkInterval)
+        return;
+    peersCheckedAt_ = now;
+    std::vector<std::string> silent;
+    for (const auto& [node, peer] : peers_) {
+        if (now - peer.heardAt > silence)
+            silent.push_back(node);
+    }
+    for (const std::string& node : silent)
+        forget(node, now);
+}
+
 NodeUse Scheduler::use() const
 {
     std::lock_guard lock(mutex_);
--- a/packages/schedule/Scheduler.h
+++ b/packages/schedule/Scheduler.h
@@ -90,7 +90,8 @@
     // Grants and refuses what time and new reports allow. Call at least every 10 ms.
     void pump();
 
-    // Takes what a peer uses, and forgets a peer.
+    // Takes what a peer uses, and forgets a peer. One that is not heard of for two seconds is
+    // forgotten as well.
     void setPeerUse(const std::string& node, const NodeUse& use);
     void dropPeer(const std::string& node);
 
@@ -148,6 +149,14 @@
         std::deque<Millis> preemptedAt; // of jobs that were asked lately and still hold their slot
     };
 
+    struct Peer {
+        NodeUse use;
+        Millis heardAt { 0 };
+    };
+
+    void replaceUse(const std::string& node, const NodeUse& before, const NodeUse& after, Millis now);
+    void forget(const std::string& node, Millis now);
+    void forgetSilentPeers(Millis now);
     Pool& poolOf(const std::string& model);
     void refresh(const std::string& model, Pool& pool, Millis now);
     SlotSharers sharers() const;
@@ -186,7 +195,8 @@
     std::multimap<Millis, uint64_t> expiries_; // jobs by deadline; may hold jobs that are gone
     std::map<uint64_t, Running> running_; // by job
     std::map<std::string, uint32_t> inFlight_; // by group
-    std::map<std::string, NodeUse> peers_; // by node
+    std::map<std::string, Peer> peers_; // by node
+    Millis peersCheckedAt_ { 0 };
     RetryBudget retries_;
     size_t nextTurn_ = 0; // of RoundRobin
 };
--- /dev/null
+++ b/standins/PrefixCache.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <QByteArray>
+#include <QHash>
+#include <list>
+
+// The prefix cache of the stand-in engine: blocks of prompts, the oldest given up when it is full.
+
+namespace hemlockweir {
+
+class PrefixCache {
+public:
+    explicit PrefixCache(int capacity)
+        : capacity_(capacity)
+    {
+    }
+
+    // Reads a prompt into the cache. Returns the share of its blocks that was not there.
+    double load(const QByteArray& prompt)
+    {
+        if (capacity_ == 0)
+            return 1;
+        constexpr qsizetype blockBytes = 64;
+        const qsizetype count = prompt.size() / blockBytes + 1;
+        qsizetype missing = 0;
+        for (qsizetype i = 1; i <= count; ++i)
+            missing += touch(qHash(QByteArrayView(prompt).first(std::min(i * blockBytes, prompt.size())))) ? 0 : 1;
+        return static_cast<double>(missing) / static_cast<double>(count);
+    }
+
+private:
+    bool touch(size_t hash)
+    {
+        const bool wasThere = uses_.contains(hash);
+        if (wasThere)
+            order_.erase(uses_[hash]);
+        order_.push_front(hash);
+        uses_[hash] = order_.begin();
+        if (uses_.size() > capacity_) {
+            uses_.remove(order_.back());
+            order_.pop_back();
+        }
+        return wasThere;
+    }
+
+    qsizetype capacity_; // blocks; 0: nothing is kept
+    std::list<size_t> order_; // latest first
+    QHash<size_t, std::list<size_t>::iterator> uses_;
+};
+
+} // namespace hemlockweir
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -11,6 +11,7 @@
 // generated and not sent), cannot_resume (bool: begins anew).
 // A request that waits or prefills gets a comment line each 200 ms as a sign of life.
 
+#include "PrefixCache.h"
 #include "StandIn.h"
 
 #include "http/HttpClient.h"
@@ -34,7 +35,8 @@
     std::string id;
     int slots = 16; // requests generated at once
     int tokenMs = 5; // ms for each token
-    int prefillMs = 10; // ms before the first token
+    int prefillMs = 10; // ms before the first token, when no block of the prompt is in the prefix cache
+    int cacheBlocks = 0; // blocks in the prefix cache; 0: no cache
     int loadMs = 100; // ms to load a model
     int loadLagMs = 200; // ms that the reported load is old
     bool checksFencing = true; // refuse an order with an old epoch
@@ -250,6 +252,12 @@
     int ownStepMs() const { return setting("token_ms", options_.tokenMs) * std::max(1, standIn_.fault("slow_factor")); }
     int setting(const char* name, int fallback) const { return standIn_.faults().contains(QLatin1String(name)) ? standIn_.fault(name) : fallback; }
 
+    int prefillOf(const Run& run)
+    {
+        const double missing = cache_.load(run.seed);
+        return static_cast<int>(missing * setting("prefill_ms", options_.prefillMs));
+    }
+
     void step()
     {
         if (standIn_.hasFault("pause"))
@@ -260,7 +268,7 @@
         std::erase_if(queue_, [this](const Run& run) { return noteCancelled(run); });
         while (!queue_.empty() && running_.size() < static_cast<size_t>(options_.slots)) {
             running_.splice(running_.end(), queue_, queue_.begin());
-            running_.back().nextAt = now + setting("prefill_ms", options_.prefillMs);
+            running_.back().nextAt = now + prefillOf(running_.back());
         }
         std::erase_if(running_, [&](Run& run) { return advance(run, now); });
         for (std::list<Run>* runs : { &running_, &queue_ })
@@ -344,6 +352,7 @@
     double epoch_ = 0;
     QJsonArray members_;
     QJsonArray addresses_;
+    PrefixCache cache_ { options_.cacheBlocks };
     std::list<Run> running_;
     std::list<Run> queue_;
     std::vector<std::shared_ptr<Exchange>> paused_;
@@ -368,7 +377,7 @@
     addStandInOptions(description);
     description.add_options()("id", options::value(&engine.id)->required(), "instance id")(
         "slots", options::value(&engine.slots), "requests at once")("token-ms", options::value(&engine.tokenMs), "ms for each token")(
-        "prefill-ms", options::value(&engine.prefillMs), "ms before the first token")("load-ms", options::value(&engine.loadMs), "ms to load a model")(
+        "prefill-ms", options::value(&engine.prefillMs), "ms before the first token")("cache-blocks", options::value(&engine.cacheBlocks), "blocks of prompts in the prefix cache")("load-ms", options::value(&engine.loadMs), "ms to load a model")(
         "load-lag-ms", options::value(&engine.loadLagMs), "ms that the reported load is old")("fencing", options::value(&engine.checksFencing), "refuse orders with an old epoch")(
         "checks-members", options::value(&engine.checksMembers), "as a leader, notice a missing member");
     const auto values = readOptions(argc, argv, description);
--- a/tests/FairnessTest.cpp
+++ b/tests/FairnessTest.cpp
@@ -189,6 +189,18 @@
     EXPECT_GE(nodes.granted["only"], 0.9 * 3 * Nodes::slots * 10000 / 250);
 }
 
+TEST(Nodes, APeerThatFallsSilentLeavesItsSlots)
+{
+    FakeFleet fleet(makeReplicas(1, 8));
+    fleet.scheduler().setPeerUse("n2", { .inFlightByGroup = { { "a-g0", 4 } }, .callers = {} });
+    for (int i = 0; i < 20; ++i)
+        fleet.submit("c", 1);
+    EXPECT_EQ(fleet.scheduler().use().inFlightByGroup["a-g0"], 4U);
+    for (int i = 0; i < 300; ++i)
+        fleet.advance(Millis(10));
+    EXPECT_EQ(fleet.scheduler().use().inFlightByGroup["a-g0"], 8U);
+}
+
 TEST(Nodes, ANodeThatIsCutOffKeepsServing)
 {
     Nodes nodes;
--- a/tests/RoutingTest.cpp
+++ b/tests/RoutingTest.cpp
@@ -26,7 +26,7 @@
     for (int i = 0; i < 20; ++i)
         EXPECT_EQ(chooser.choose({ .rank = 1 }, Millis(0)).replica->domain, "a");
     for (int i = 0; i < 4; ++i)
-        chooser.noteGranted("a-g0");
+        chooser.noteGranted({}, "a-g0");
     EXPECT_NE(chooser.choose({ .rank = 1 }, Millis(0)).replica->domain, "a");
 }
 
@@ -68,7 +68,7 @@
         replicas[0].reportedAt = Millis(20 * i);
         if (i == 0) {
             for (int job = 0; job < 4; ++job)
-                chooser.noteGranted("a-g0");
+                chooser.noteGranted({}, "a-g0");
         }
         chooser.setReplicas(replicas, {}, Millis(20 * i));
     }
@@ -110,8 +110,35 @@
     ReplicaChooser chooser = makeChooser();
     chooser.setReplicas(makeReplicas(1500, 1), {}, Millis(0));
     for (int i = 0; i < 1500; ++i)
-        chooser.noteGranted("a-g" + std::to_string(i));
+        chooser.noteGranted({}, "a-g" + std::to_string(i));
     EXPECT_EQ(chooser.choose({ .rank = 1 }, Millis(0)).replica, nullptr);
     chooser.noteFinished("a-g777", Millis(100), Millis(0), 10, Millis(0));
     EXPECT_EQ(chooser.choose({ .rank = 1 }, Millis(0)).replica->group, "a-g777");
 }
+
+TEST(Routing, GoesWhereThePromptWasReadUnlessItIsFull)
+{
+    ReplicaChooser chooser = makeChooser();
+    chooser.setReplicas(makeReplicas(6, 4), {}, Millis(0));
+    for (const Replica& replica : makeReplicas(6, 4))
+        chooser.noteFirstToken(replica.group, Millis(100), Millis(0));
+    const std::string page(640, 'x');
+    const Job first { .rank = 1, .prefix = hashPrefix(page + "one question that is long enough to fill a block of its own, at the end of the prompt") };
+    const Job second { .rank = 1, .prefix = hashPrefix(page + "another question, as long as the first, that shares with it only the page before it") };
+    chooser.noteGranted(first, "a-g4");
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_EQ(chooser.choose(second, Millis(0)).replica->group, "a-g4");
+        chooser.noteGranted(second, "a-g4");
+    }
+    EXPECT_NE(chooser.choose(second, Millis(0)).replica->group, "a-g4");
+}
+
+TEST(Affinity, IsBoundedAndForgetsTheOldest)
+{
+    AffinityTable table(10);
+    for (uint64_t i = 1; i <= 100; ++i)
+        table.record({ i }, "g" + std::to_string(i));
+    EXPECT_EQ(table.size(), 10U);
+    EXPECT_FALSE(table.find({ 1 }));
+    EXPECT_EQ(table.find({ 100, 7 }), (Affinity { .group = "g100", .share = 0.5 }));
+}
