--- a/packages/schedule/FairQueue.cpp
+++ b/packages/schedule/FairQueue.cpp
@@ -12,6 +12,14 @@
     ++size_;
 }
 
+void FairQueue::pushFirst(uint64_t job, const std::string& caller, double weight)
+{
+    Line& line = lines_[caller];
+    line.weight = weight;
+    line.jobs.push_front(job);
+    ++size_;
+}
+
 void FairQueue::remove(uint64_t job, const std::string& caller)
 {
     const auto line = lines_.find(caller);
--- a/packages/schedule/FairQueue.h
+++ b/packages/schedule/FairQueue.h
@@ -25,6 +25,8 @@
 public:
     // Jobs.
     void push(uint64_t job, const std::string& caller, double weight);
+    // The same, before the caller's other jobs.
+    void pushFirst(uint64_t job, const std::string& caller, double weight);
     void remove(uint64_t job, const std::string& caller);
     size_t size() const { return size_; }
     size_t sizeOf(const std::string& caller) const;
--- a/packages/schedule/Scheduler.cpp
+++ b/packages/schedule/Scheduler.cpp
@@ -21,6 +21,9 @@
 // A job that was asked to yield and did not in this time keeps its slot.
 static constexpr Millis preemptTimeout { 200 };
 
+// A job that gave its slot back waits at least this long for another.
+static constexpr Millis yieldedPatience { 30000 };
+
 static constexpr Millis leastRetryAfter { 100 };
 static constexpr Millis mostRetryAfter { 30000 };
 
@@ -89,8 +92,7 @@
         if (const std::optional<Refusal> refusal = refusalOf(job, pool, now)) {
             calls.verdicts.push_back({ hooks.onDecision, makeRefusal(*refusal, job, pool, now) });
         } else {
-            pool.ranks[job.rank].queue.push(job.id, job.caller, job.weight);
-            expiries_.emplace(job.deadline, job.id);
+            enqueue(job, pool, now);
             waiting_[job.id] = { .job = job, .hooks = std::move(hooks) };
             grantAll(job.model, pool, now, calls);
         }
@@ -98,6 +100,19 @@
     calls.run();
 }
 
+void Scheduler::enqueue(const Job& job, Pool& pool, Millis now)
+{
+    FairQueue& queue = pool.ranks[job.rank].queue;
+    if (job.preemptions == 0) {
+        queue.push(job.id, job.caller, job.weight);
+        expiries_.emplace(job.deadline, job.id);
+        return;
+    }
+    // It has started in time: the deadline is past for it, and its work is not thrown away.
+    queue.pushFirst(job.id, job.caller, job.weight);
+    expiries_.emplace(std::max(job.deadline, now + yieldedPatience), job.id);
+}
+
 bool Scheduler::isFull(const Job& job, const Pool& pool) const
 {
     if (waiting_.size() >= options_.maxWaiting)
--- a/packages/schedule/Scheduler.h
+++ b/packages/schedule/Scheduler.h
@@ -164,6 +164,7 @@
     // Admission.
     std::optional<Refusal> refusalOf(const Job& job, Pool& pool, Millis now);
     double expectedWaitMs(const Job& job, const Pool& pool, Millis now) const;
+    void enqueue(const Job& job, Pool& pool, Millis now);
     bool isFull(const Job& job, const Pool& pool) const;
     Decision makeRefusal(Refusal refusal, const Job& job, const Pool& pool, Millis now) const;
 
--- a/tests/SchedulerTest.cpp
+++ b/tests/SchedulerTest.cpp
@@ -182,3 +182,19 @@
     EXPECT_LE(fleet.scheduler().waitingCount(), 26U);
     EXPECT_FALSE(fleet.isRefused(small));
 }
+
+TEST(Scheduler, WorkThatYieldedIsNotRefusedAtItsDeadline)
+{
+    FakeFleet fleet(makeReplicas(1, 1));
+    const uint64_t running = fleet.submit("c", 2);
+    Job yielded = fleet.makeJob("c", 2);
+    yielded.deadline = fleet.now() + Millis(100);
+    yielded.preemptions = 1;
+    const uint64_t other = fleet.submit("c", 2);
+    fleet.submit(yielded);
+    fleet.advance(Millis(500));
+    EXPECT_FALSE(fleet.hasDecision(yielded.id));
+    fleet.scheduler().finish(running);
+    EXPECT_TRUE(fleet.isGranted(yielded.id));
+    EXPECT_FALSE(fleet.hasDecision(other));
+}
