--- a/packages/schedule/Scheduler.cpp
+++ b/packages/schedule/Scheduler.cpp
@@ -21,6 +21,9 @@
 // A job that was asked to yield and did not in this time keeps its slot.
 static constexpr Millis preemptTimeout { 200 };
 
+// A job that gave its slot back waits at least this long for another.
+static constexpr Millis yieldedPatience { 30000 };
+
 static constexpr Millis leastRetryAfter { 100 };
 static constexpr Millis mostRetryAfter { 30000 };
 
@@ -55,8 +58,8 @@
         return found->second;
     Pool& pool = pools_.emplace(model, Pool { .chooser = ReplicaChooser({ .domain = options_.domain, .random = options_.random }), .ranks = {} }).first->second;
     const Millis now = options_.clock();
-    for (const auto& [node, use] : peers_) {
-        for (const auto& [group, count] : use.inFlightByGroup)
+    for (const auto& [node, peer] : peers_) {
+        for (const auto& [group, count] : peer.use.inFlightByGroup)
             pool.chooser.addPeerUse(group, static_cast<int>(count), now);
     }
     return pool;
@@ -89,8 +92,7 @@
         if (const std::optional<Refusal> refusal = refusalOf(job, pool, now)) {
             calls.verdicts.push_back({ hooks.onDecision, makeRefusal(*refusal, job, pool, now) });
         } else {
-            pool.ranks[job.rank].queue.push(job.id, job.caller, job.weight);
-            expiries_.emplace(job.deadline, job.id);
+            enqueue(job, pool, now);
             waiting_[job.id] = { .job = job, .hooks = std::move(hooks) };
             grantAll(job.model, pool, now, calls);
         }
@@ -98,6 +100,19 @@
     calls.run();
 }
 
+void Scheduler::enqueue(const Job& job, Pool& pool, Millis now)
+{
+    FairQueue& queue = pool.ranks[job.rank].queue;
+    if (job.preemptions == 0) {
+        queue.push(job.id, job.caller, job.weight);
+        expiries_.emplace(job.deadline, job.id);
+        return;
+    }
+    // It has started in time: the deadline is past for it, and its work is not thrown away.
+    queue.pushFirst(job.id, job.caller, job.weight);
+    expiries_.emplace(std::max(job.deadline, now + yieldedPatience), job.id);
+}
+
 bool Scheduler::isFull(const Job& job, const Pool& pool) const
 {
     if (waiting_.size() >= options_.maxWaiting)
@@ -173,7 +188,7 @@
 {
     double reserved = 0;
     for (const auto& [rank, load] : pool.ranks) {
-        if (rank > besides && (load.running > 0 || load.queue.size() > 0))
+        if (rank > besides && load.queue.size() > 0)
             reserved += load.floorShare;
     }
     return reserved;
@@ -249,7 +264,7 @@
     ++rank.running;
     rank.granted.add(1, now);
     rank.queue.charge(waiting.job.caller, waiting.job.cost, now);
-    pool.chooser.noteGranted(replica.group);
+    pool.chooser.noteGranted(waiting.job, replica.group);
     ++inFlight_[replica.group];
     running_[jobId] = { .job = waiting.job, .hooks = waiting.hooks, .group = replica.group, .grantedAt = now };
     if (waiting.job.rank > 0 && waiting.job.preemptions < maxPreemptions)
@@ -418,6 +433,7 @@
         std::lock_guard lock(mutex_);
         const Millis now = options_.clock();
         refuseExpired(now, calls);
+        forgetSilentPeers(now);
         for (auto& [model, pool] : pools_) {
             refresh(model, pool, now);
             grantAll(model, pool, now, calls);
@@ -426,18 +442,15 @@
     calls.run();
 }
 
-void Scheduler::setPeerUse(const std::string& node, const NodeUse& use)
+void Scheduler::replaceUse(const std::string& node, const NodeUse& before, const NodeUse& after, Millis now)
 {
-    std::lock_guard lock(mutex_);
-    const Millis now = options_.clock();
-    const NodeUse before = std::exchange(peers_[node], use);
     for (auto& [model, pool] : pools_) {
         for (const auto& [group, count] : before.inFlightByGroup)
             pool.chooser.addPeerUse(group, -static_cast<int>(count), now);
-        for (const auto& [group, count] : use.inFlightByGroup)
+        for (const auto& [group, count] : after.inFlightByGroup)
             pool.chooser.addPeerUse(group, static_cast<int>(count), now);
         std::map<uint32_t, std::map<std::string, double>> tokens;
-        for (const CallerTokensRow& row : use.callers) {
+        for (const CallerTokensRow& row : after.callers) {
             if (row.model == model)
                 tokens[row.rank][row.caller] = row.tokens;
         }
@@ -446,17 +459,51 @@
     }
 }
 
-void Scheduler::dropPeer(const std::string& node)
+void Scheduler::setPeerUse(const std::string& node, const NodeUse& use)
 {
-    setPeerUse(node, {});
     std::lock_guard lock(mutex_);
-    peers_.erase(node);
+    const Millis now = options_.clock();
+    Peer& peer = peers_[node];
+    const NodeUse before = std::exchange(peer.use, use);
+    peer.heardAt = now;
+    replaceUse(node, before, use, now);
+}
+
+void Scheduler::forget(const std::string& node, Millis now)
+{
+    const auto found = peers_.find(node);
+    if (found == peers_.end())
+        return;
+    replaceUse(node, found->second.use, {}, now);
+    peers_.erase(found);
     for (auto& [model, pool] : pools_) {
         for (auto& [number, rank] : pool.ranks)
             rank.queue.dropPeer(node);
     }
 }
 
+void Scheduler::dropPeer(const std::string& node)
+{
+    std::lock_guard lock(mutex_);
+    forget(node, options_.clock());
+}
+
+void Scheduler::forgetSilentPeers(Millis now)
+{
+    constexpr Millis checkInterval { 200 };
+    constexpr Millis silence { 2000 };
+    if (now - peersCheckedAt_ < checkInterval)
+        return;
+    peersCheckedAt_ = now;
+    std::vector<std::string> silent;
+    for (const auto& [node, peer] : peers_) {
+        if (now - peer.heardAt > silence)
+            silent.push_back(node);
+    }
+    for (const std::string& node : silent)
+        forget(node, now);
+}
+
 NodeUse Scheduler::use() const
 {
     std::lock_guard lock(mutex_);
