--- a/bench/capacity/requests.cpp
+++ b/bench/capacity/requests.cpp
@@ -30,6 +30,7 @@
     int tokenMs = 20; // ms an engine takes for each
     int seconds = 10;
     int slots = 16; // of each engine
+    int idleEngines = 0; // more engines that the node looks at
 };
 
 double readCpuSeconds(qint64 pid)
@@ -52,7 +53,7 @@
 
     int measure()
     {
-        const int engines = parameters_.streams / parameters_.slots + 1;
+        const int engines = parameters_.streams / parameters_.slots + 1 + parameters_.idleEngines;
         cluster_.startStore();
         cluster_.startEngines({ .count = engines, .arguments = { "--token-ms", QString::number(parameters_.tokenMs), "--slots", QString::number(parameters_.slots) } });
         cluster_.startNode({ .name = "n1" });
@@ -106,7 +107,7 @@
         const double requests = static_cast<double>(whole_) / parameters_.seconds;
         const double tokens = requests * parameters_.tokens;
         std::cout.precision(4);
-        std::cout << "streams=" << parameters_.streams << " tokens_each=" << parameters_.tokens << " requests_s=" << requests << " tokens_s=" << tokens
+        std::cout << "engines=" << parameters_.streams / parameters_.slots + 1 + parameters_.idleEngines << " streams=" << parameters_.streams << " tokens_each=" << parameters_.tokens << " requests_s=" << requests << " tokens_s=" << tokens
                   << " failed=" << failed_ << " cpu_idle=" << idle << " cpu_busy=" << busy << " cpu_us_per_request=" << (busy - idle) * 1e6 / std::max(requests, 0.001)
                   << " cpu_us_per_token=" << (busy - idle) * 1e6 / std::max(tokens, 0.001) << '\n';
     }
@@ -123,7 +124,7 @@
     Cluster cluster;
     cluster.startStore();
     KvClient platform({ .endpoints = { QUrl(QString::fromStdString(cluster.urlOf("store"))) }, .timeout = hangLimit });
-    ClaimLedger ledger({ .owner = "bench", .random = makeSystemRandom() }, platform);
+    ClaimLedger ledger({ .owner = "bench", .clock = makeSteadyClock(), .random = makeSystemRandom() }, makeClaimStore(platform));
     int serial = 0;
     auto claim = [&](int burst) {
         int granted = 0;
@@ -160,6 +161,7 @@
         "streams", options::value(&parameters.streams)->default_value(parameters.streams), "requests running at once")(
         "tokens", options::value(&parameters.tokens)->default_value(parameters.tokens), "tokens of each")(
         "token-ms", options::value(&parameters.tokenMs)->default_value(parameters.tokenMs), "ms an engine takes for each")(
+        "idle-engines", options::value(&parameters.idleEngines)->default_value(parameters.idleEngines), "engines beyond those that the streams need")(
         "seconds", options::value(&parameters.seconds)->default_value(parameters.seconds), "time measured");
     options::variables_map values;
     options::store(options::parse_command_line(argc, argv, description), values);
--- a/packages/config/Settings.cpp
+++ b/packages/config/Settings.cpp
@@ -60,6 +60,11 @@
     settings.clusterKey = reader.requireString("cluster_key");
     if (!settings.clusterKey.empty() && settings.clusterKey.size() < minKeyBytes)
         reader.noteError("cluster_key", "write a secret of at least 16 characters, the same on every node");
+    settings.operatorKey = reader.requireString("operator_key");
+    if (!settings.operatorKey.empty() && settings.operatorKey.size() < minKeyBytes)
+        reader.noteError("operator_key", "write a secret of at least 16 characters that operators send as Authorization: Bearer KEY");
+    if (!settings.operatorKey.empty() && settings.operatorKey == settings.clusterKey)
+        reader.noteError("operator_key", "is the same as cluster_key; write another secret, or operators could pose as nodes");
     settings.workers = static_cast<int>(reader.readInteger("workers", settings.workers, 1, 64));
     if (!settings.callers.address.empty() && settings.callers == settings.peers)
         reader.noteError("peers", "is the same address as callers; write another port");
@@ -92,6 +97,15 @@
     settings.maxConnections = static_cast<int>(reader.readInteger("max_connections", settings.maxConnections, 1, 1000000));
     settings.maxConnectionsPerAddress = static_cast<int>(reader.readInteger("max_connections_per_address", settings.maxConnectionsPerAddress, 1, 1000000));
     settings.maxWaiting = static_cast<int>(reader.readInteger("max_waiting", settings.maxWaiting, 0, 1000000));
+    settings.maxRequestsPerCaller = static_cast<int>(reader.readInteger("max_requests_per_caller", settings.maxRequestsPerCaller, 1, 1000000));
+    settings.replyBufferBytes = reader.readInteger("reply_buffer_bytes", settings.replyBufferBytes, 1024, 1024 * 1024 * 1024);
+}
+
+static void readSchedule(TableReader& reader, Settings& settings)
+{
+    settings.schedulePolicy = reader.readString("policy", settings.schedulePolicy);
+    if (settings.schedulePolicy != "full" && settings.schedulePolicy != "round_robin" && settings.schedulePolicy != "least_in_flight")
+        reader.noteError("policy", "write \"full\", \"round_robin\" or \"least_in_flight\"");
 }
 
 static void readTiming(TableReader& reader, Settings& settings)
@@ -124,6 +138,7 @@
     readSection("node", readNode);
     readSection("platform", readPlatform);
     readSection("limits", readLimits);
+    readSection("schedule", readSchedule);
     readSection("timing", readTiming);
     root.rejectUnknownKeys();
     if (const absl::Status status = joinErrors(errors); !status.ok())
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -1,6 +1,7 @@
 #include "node/Node.h"
 
 #include "base/Log.h"
+#include "fleet/Rendezvous.h"
 
 #include <QJsonArray>
 #include <QUrl>
@@ -54,7 +55,8 @@
         .requestTimeout = settings.requestTimeout,
         .idleTimeout = settings.idleTimeout,
         .maxConnections = settings.maxConnections,
-        .maxConnectionsPerAddress = settings.maxConnectionsPerAddress };
+        .maxConnectionsPerAddress = settings.maxConnectionsPerAddress,
+        .replyBufferBytes = settings.replyBufferBytes };
 }
 
 Node::Node(Settings settings)
@@ -63,27 +65,37 @@
     , random_(makeSystemRandom())
     , incarnation_(makeIncarnation())
     , fleet_({ .freshness = settings_.statusFreshness, .clock = clock_ })
-    , scheduler_({ .maxWaiting = static_cast<size_t>(settings_.maxWaiting),
+    , scheduler_({ .policy = parseSchedulePolicy(settings_.schedulePolicy),
+          .maxWaiting = static_cast<size_t>(settings_.maxWaiting),
+          .node = settings_.node,
           .domain = settings_.domain,
           .clock = clock_,
           .random = random_,
           .findReplicas = [this](const std::string& model) { return fleet_.findReplicas(model); } })
     , platform_(makePlatformOptions(settings_))
-    , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .random = random_ }, platform_)
+    , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .clock = clock_, .random = random_ }, makeClaimStore(platform_))
     , peers_(makePeerOptions(settings_, incarnation_, clock_, random_))
+    , usage_(scheduler_, peers_, metrics_)
     , configServer_(makeConfigServerOptions())
     , follower_(makeFollowerOptions(), config_, platform_)
     , manager_({ .node = settings_.node,
+                   .incarnation = incarnation_,
                    .domain = settings_.domain,
                    .instancesUrl = QUrl(QString::fromStdString(settings_.instancesUrl)),
                    .statusInterval = settings_.statusInterval,
                    .statusFreshness = settings_.statusFreshness,
                    .leaseTtl = std::chrono::duration_cast<std::chrono::seconds>(settings_.leaseTtl),
                    .clock = clock_,
+                   .random = random_,
                    .models = [this] { return config_.snapshot().configuration->models; },
                    .domainsToPlan = [this] { return domainsToPlan(); },
+                   .rankFor = [this](const std::string& domain) { return rankFor(domain); },
                    .shouldObserve = [this](const Instance& instance) { return shouldObserve(instance); } },
           fleet_, platform_)
+    , groupExchange_({ .clock = clock_,
+                         .broadcast = [this](const Groups& message) { peers_.broadcast(message); },
+                         .shouldShare = [this](const GroupCondition& group) { return shouldShare(group); } },
+          fleet_)
     , tables_ { .config = config_,
         .fleet = fleet_,
         .scheduler = scheduler_,
@@ -92,7 +104,7 @@
         .clock = clock_,
         .random = random_,
         .silenceTimeout = settings_.silenceTimeout }
-    , api_(tables_, { .isReady = [this] { return isReady(); }, .status = [this] { return describe(); } })
+    , api_({ .operatorKey = QByteArray::fromStdString(settings_.operatorKey), .maxRequestsPerCaller = settings_.maxRequestsPerCaller }, tables_, { .isReady = [this] { return isReady(); }, .status = [this] { return describe(); } })
     , server_(makeServerOptions(settings_), [this](std::shared_ptr<Exchange> exchange) { api_.handle(std::move(exchange)); })
 {
     connectParts();
@@ -231,6 +243,19 @@
     return { domains.begin(), domains.end() };
 }
 
+// A domain is planned by a node of its own, or by any node when it has none alive.
+size_t Node::rankFor(const std::string& domain) const
+{
+    std::vector<std::string> candidates = livingNodesIn(domain);
+    if (candidates.empty()) {
+        for (const Peer& peer : peers_.peers()) {
+            if (peer.alive && !peer.heartbeat.leaving)
+                candidates.push_back(peer.node);
+        }
+    }
+    return rendezvousRank("planner of " + domain, settings_.node, candidates);
+}
+
 bool Node::shouldObserve(const Instance& instance) const
 {
     const ConfigSnapshot config = config_.snapshot();
@@ -239,46 +264,30 @@
     return !isEngine || instance.domain == settings_.domain || !hasNodeIn(instance.domain);
 }
 
-void Node::takeMessage(const Envelope& envelope)
+std::vector<std::string> Node::livingNodesIn(const std::string& domain) const
 {
-    if (envelope.kind == MessageKind::Groups)
-        takeGroups(envelope);
-    else if (envelope.kind == MessageKind::Usage)
-        takeUsage(envelope);
+    std::vector<std::string> nodes;
+    if (settings_.domain == domain)
+        nodes.push_back(settings_.node);
+    for (const Peer& peer : peers_.peers()) {
+        if (peer.alive && !peer.heartbeat.leaving && peer.heartbeat.domain == domain)
+            nodes.push_back(peer.node);
+    }
+    return nodes;
 }
 
-void Node::takeGroups(const Envelope& envelope)
+bool Node::shouldShare(const GroupCondition& group) const
 {
-    const absl::StatusOr<Groups> groups = decodeBody<Groups>(envelope.body);
-    if (!groups.ok())
-        return;
-    for (const GroupRow& row : groups->rows) {
-        if (!row.whole) {
-            fleet_.dropRemoteReplica(row.group);
-            continue;
-        }
-        fleet_.setRemoteReplica(envelope.sender.node,
-            { .group = row.group,
-                .epoch = row.epoch,
-                .model = row.model,
-                .domain = row.domain,
-                .leader = row.leader,
-                .slots = row.slots,
-                .running = row.running,
-                .waiting = row.waiting,
-                .reportedAt = clock_() - Millis(row.ageMs) });
-    }
+    // Two tell of each group, so that the death of one leaves no gap.
+    constexpr size_t sharersPerGroup = 2;
+    return rendezvousRank(group.group, settings_.node, livingNodesIn(settings_.domain)) < sharersPerGroup;
 }
 
-void Node::takeUsage(const Envelope& envelope)
+void Node::takeMessage(const Envelope& envelope)
 {
-    const absl::StatusOr<Usage> usage = decodeBody<Usage>(envelope.body);
-    if (!usage.ok())
-        return;
-    std::map<std::string, uint32_t> inFlight;
-    for (const GroupUse& row : usage->groups)
-        inFlight[row.group] = row.inFlight;
-    scheduler_.setPeerUse(envelope.sender.node, inFlight);
+    groupExchange_.take(envelope);
+    if (envelope.kind == MessageKind::Usage)
+        usage_.take(envelope);
 }
 
 void Node::shareTables()
@@ -286,67 +295,35 @@
     peers_.setHeartbeat(makeHeartbeat());
     if (clock_() >= nextShareAt_) {
         const uint64_t before = peers_.traffic().bytesSent;
-        shareGroups();
-        shareUsage();
+        groupExchange_.share();
+        usage_.share();
         nextShareAt_ = clock_() + peers_.pauseAfter(peers_.traffic().bytesSent - before);
     }
     exposeTraffic();
-    metrics_.setGauge("hemlockweir_waiting_requests", "Requests waiting for a slot", static_cast<double>(scheduler_.waitingCount()));
-}
-
-void Node::shareGroups()
-{
-    constexpr size_t rowsPerDatagram = 8;
-    Groups message;
-    for (const GroupCondition& group : fleet_.groups()) {
-        const Replica& replica = group.replica;
-        const Millis age = group.whole ? clock_() - replica.reportedAt : Millis(0);
-        message.rows.push_back({ .group = group.group,
-            .epoch = group.epoch,
-            .model = group.model,
-            .domain = group.domain,
-            .leader = replica.leader,
-            .members = static_cast<uint32_t>(group.members.size()),
-            .whole = group.whole,
-            .running = replica.running,
-            .waiting = replica.waiting,
-            .slots = replica.slots,
-            .ageMs = static_cast<uint32_t>(age.count()) });
-        if (message.rows.size() == rowsPerDatagram) {
-            peers_.broadcast(message);
-            message.rows.clear();
-        }
-    }
-    if (!message.rows.empty())
-        peers_.broadcast(message);
 }
 
-void Node::shareUsage()
+bool Node::isReady() const
 {
-    Usage usage;
-    for (const auto& [group, inFlight] : scheduler_.inFlightByGroup()) {
-        if (usage.groups.size() < maxRowsPerMessage)
-            usage.groups.push_back({ .group = group, .inFlight = inFlight });
-    }
-    peers_.broadcast(usage);
+    return !tables_.isStopping && config_.snapshot().revision > 0;
 }
 
-bool Node::isReady() const
+static QJsonObject describeGroup(const GroupCondition& group)
 {
-    return !tables_.isStopping && config_.snapshot().revision > 0;
+    QJsonArray members;
+    for (const std::string& member : group.members)
+        members.append(QString::fromStdString(member));
+    return { { "group", QString::fromStdString(group.group) }, { "epoch", static_cast<double>(group.epoch) },
+        { "model", QString::fromStdString(group.model) }, { "domain", QString::fromStdString(group.domain) }, { "members", members },
+        { "whole", group.whole }, { "reason", QString::fromStdString(group.reason) }, { "observer", QString::fromStdString(group.observer) } };
 }
 
 QJsonObject Node::describe() const
 {
     QJsonArray groups;
-    for (const GroupCondition& group : fleet_.groups()) {
-        QJsonArray members;
-        for (const std::string& member : group.members)
-            members.append(QString::fromStdString(member));
-        groups.append(QJsonObject { { "group", QString::fromStdString(group.group) }, { "epoch", static_cast<double>(group.epoch) },
-            { "model", QString::fromStdString(group.model) }, { "domain", QString::fromStdString(group.domain) }, { "members", members },
-            { "whole", group.whole }, { "reason", QString::fromStdString(group.reason) } });
-    }
+    for (const GroupCondition& group : fleet_.groups())
+        groups.append(describeGroup(group));
+    for (const GroupCondition& group : fleet_.remoteGroups())
+        groups.append(describeGroup(group));
     QJsonArray peers;
     for (const Peer& peer : peers_.peers()) {
         peers.append(QJsonObject { { "node", QString::fromStdString(peer.node) }, { "domain", QString::fromStdString(peer.heartbeat.domain) },
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -2,8 +2,10 @@
 
 #include "config/Settings.h"
 #include "fleet/FleetManager.h"
+#include "fleet/GroupExchange.h"
 #include "membership/PeerLink.h"
 #include "node/CallerApi.h"
+#include "node/UsageShare.h"
 #include "rollout/ConfigExchange.h"
 #include "rollout/ConfigFollower.h"
 
@@ -27,15 +29,14 @@
 private:
     void connectParts();
     void takeMessage(const Envelope& envelope);
-    void takeGroups(const Envelope& envelope);
-    void takeUsage(const Envelope& envelope);
     void shareTables();
-    void shareGroups();
-    void shareUsage();
     void checkStopped();
     bool hasNodeIn(const std::string& domain) const;
     std::vector<std::string> domainsToPlan() const;
+    size_t rankFor(const std::string& domain) const;
     bool shouldObserve(const Instance& instance) const;
+    std::vector<std::string> livingNodesIn(const std::string& domain) const;
+    bool shouldShare(const GroupCondition& group) const;
     bool isReady() const;
     QJsonObject describe() const;
     Heartbeat makeHeartbeat() const;
@@ -55,9 +56,11 @@
     KvClient platform_;
     ClaimLedger ledger_;
     PeerLink peers_;
+    UsageShare usage_;
     ConfigServer configServer_;
     ConfigFollower follower_;
     FleetManager manager_;
+    GroupExchange groupExchange_;
     Tables tables_;
     CallerApi api_;
     HttpServer server_;
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -65,32 +65,33 @@
     uint64_t epoch = 0;
     std::string model;
     std::string domain;
-    std::string leader; // ADDRESS:PORT of the member that takes requests
-    uint32_t members = 0;
+    std::vector<std::string> members; // instance ids, leader first; receivers know the addresses
     bool whole = false; // every member agreed on this group and epoch
     uint32_t running = 0; // requests in the engine
     uint32_t waiting = 0; // requests queued in the engine
     uint32_t slots = 0; // requests the engine runs at once
-    uint32_t ageMs = 0; // ms, age of the oldest member report behind this row
+    uint32_t ageMs = 0; // ms, age of the oldest member report behind this row when it was sent
 
     template <class Archive>
     void serialize(Archive& archive)
     {
         archive(bounded(group, maxNameLength), epoch, bounded(model, maxNameLength), bounded(domain, maxNameLength),
-            bounded(leader, maxEndpointLength), members, whole, running, waiting, slots, ageMs);
+            boundedNames(members, maxGroupMembers, maxNameLength), whole, running, waiting, slots, ageMs);
     }
     auto operator<=>(const GroupRow&) const = default;
 };
 
-// Groups that the sender observes.
+// Groups that the sender observes, and the instances that it knows operators drain.
 struct Groups {
     static constexpr MessageKind kind = MessageKind::Groups;
+    uint64_t sentAtMs = 0; // ms, the sender's monotonic clock
     std::vector<GroupRow> rows;
+    std::vector<std::string> draining; // instance ids
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(bounded(rows, maxRowsPerMessage));
+        archive(bounded(rows, maxRowsPerMessage), boundedNames(draining, maxRowsPerMessage, maxNameLength), sentAtMs);
     }
     auto operator<=>(const Groups&) const = default;
 };
@@ -108,21 +109,23 @@
     auto operator<=>(const GroupUse&) const = default;
 };
 
-// What one caller uses at the sender.
+// Tokens that the sender lately granted to one caller for one model and priority.
 struct CallerUse {
+    std::string model;
+    uint32_t rank = 0; // of the priority
     std::string caller;
-    uint32_t inFlight = 0; // requests running
-    uint32_t waiting = 0; // requests queued
+    float tokens = 0; // fading sum
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(bounded(caller, maxNameLength), inFlight, waiting);
+        archive(bounded(model, maxNameLength), rank, bounded(caller, maxNameLength), tokens);
     }
     auto operator<=>(const CallerUse&) const = default;
 };
 
-// The sender's use of groups and by callers. Rows that are missing are zero.
+// The sender's use of groups and by callers. Rows that are missing are zero: a sender that has more
+// than fit leaves out the smallest.
 struct Usage {
     static constexpr MessageKind kind = MessageKind::Usage;
     std::vector<GroupUse> groups;
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -1,10 +1,15 @@
 // Stand-in of a model engine: one instance that joins groups on orders and generates tokens.
 //
 // The leader of a group asks every member each 50 ms whether it is still there; a member that
-// does not answer breaks the group and every request on it.
+// does not answer breaks the group and every request on it. With --checks-members 0 it never
+// notices, and so serves whatever it is sent for its own group and epoch.
 //
 // Faults: token_ms, prefill_ms, slow_factor, pause (bool: answers nothing), crash_on (text: a
-// prompt that holds it ends the process), leaving (bool), load_lag_ms, load_ms.
+// prompt that holds it ends the process), leaving (bool), refuse (bool: answers 503 to
+// every request), load_lag_ms, load_ms, crossed_chunks (bool: pieces of another request, an old
+// attempt and a duplicated index between the tokens), lose_tokens (count: tokens that are
+// generated and not sent), cannot_resume (bool: begins anew).
+// A request that waits or prefills gets a comment line each 200 ms as a sign of life.
 
 #include "StandIn.h"
 
@@ -16,6 +21,7 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QTimer>
+#include <algorithm>
 #include <deque>
 #include <list>
 
@@ -32,16 +38,19 @@
     int loadMs = 100; // ms to load a model
     int loadLagMs = 200; // ms that the reported load is old
     bool checksFencing = true; // refuse an order with an old epoch
+    bool checksMembers = true; // the leader notices a missing member
 };
 
 struct Run {
     std::shared_ptr<Exchange> exchange;
-    QString requestId;
+    QString requestId; // the caller's, for the log
+    QString runId; // echoed in each event
     int attempt = 0;
     int rank = 0;
     int next = 0; // index of the next token
     int maxTokens = 0;
     qint64 nextAt = 0; // ms
+    qint64 aliveAt = 0; // ms of the last sign of life
     QByteArray seed;
 };
 
@@ -52,10 +61,10 @@
 
 class Engine {
 public:
-    Engine(const std::string& listen, EngineOptions engineOptions)
+    Engine(const boost::program_options::variables_map& values, EngineOptions engineOptions)
         : options_(std::move(engineOptions))
         , incarnation_(QString::number(nowMs()))
-        , standIn_(listen, [this](std::shared_ptr<Exchange> exchange) { handle(std::move(exchange)); })
+        , standIn_(values, [this](std::shared_ptr<Exchange> exchange) { handle(std::move(exchange)); })
     {
         QObject::connect(&stepTimer_, &QTimer::timeout, [this] { step(); });
         QObject::connect(&memberTimer_, &QTimer::timeout, [this] { checkMembers(); });
@@ -77,7 +86,7 @@
         else if (path == "/orders")
             takeOrder(*exchange);
         else if (path == "/member")
-            exchange->sendJson(200, { { "epoch", epoch_ } });
+            exchange->sendJson(200, { { "epoch", epoch_ }, { "step_ms", ownStepMs() } });
         else if (path == "/v1/completions" || path == "/v1/chat/completions")
             startRun(exchange);
         else
@@ -99,6 +108,7 @@
             { "waiting", reportedWaiting_ },
             { "slots", options_.slots },
             { "leaving", standIn_.hasFault("leaving") },
+            { "step_ms", ownStepMs() },
         };
     }
 
@@ -149,7 +159,7 @@
 
     void checkMembers()
     {
-        if (!isLeader() || state_ != "ready" || standIn_.hasFault("pause"))
+        if (!options_.checksMembers || !isLeader() || state_ != "ready" || standIn_.hasFault("pause"))
             return;
         for (qsizetype i = 1; i < addresses_.size(); ++i) {
             const QString address = addresses_.at(i).toString();
@@ -159,7 +169,9 @@
             const CallOptions call { .method = "GET", .url = QUrl("http://" + address + "/member"), .headers = {}, .body = {}, .firstByteTimeout = Millis(500), .silenceTimeout = Millis(500) };
             memberCalls_[address] = client_.start(call, { .onHead = {}, .onData = {}, .onDone = [this, address, epoch](const CallResult& result) {
                 const auto keep = memberCalls_.extract(address);
-                const double memberEpoch = QJsonDocument::fromJson(result.body).object()["epoch"].toDouble();
+                const QJsonObject member = QJsonDocument::fromJson(result.body).object();
+                const double memberEpoch = member["epoch"].toDouble();
+                memberStepMs_[address] = member["step_ms"].toInt();
                 if (epoch == epoch_ && (!result.isSuccess() || memberEpoch != epoch))
                     breakGroup(); } });
         }
@@ -194,6 +206,11 @@
         if ((!crashOn.isEmpty() && prompt.contains(crashOn)) || prompt.contains("CRASH-ENGINE"))
             std::_Exit(66);
         const bool isForUs = state_ == "ready" && isLeader() && QString(exchange->header("X-Group")) == group_ && exchange->header("X-Group-Epoch").toDouble() == epoch_;
+        if (standIn_.hasFault("refuse")) {
+            standIn_.note("run_refused", { { "request", requestId }, { "group", group_ } });
+            exchange->sendJson(503, { { "error", "refusing work" } });
+            return;
+        }
         if (!isForUs) {
             standIn_.note("run_refused", { { "request", requestId }, { "group", QString(exchange->header("X-Group")) } });
             exchange->sendJson(409, { { "error", "not serving this group and epoch" } });
@@ -202,14 +219,16 @@
         Run run {
             .exchange = exchange,
             .requestId = requestId,
+            .runId = exchange->header("X-Run-Id"),
             .attempt = exchange->header("X-Attempt").toInt(),
             .rank = exchange->header("X-Priority-Rank").toInt(),
-            .next = exchange->header("X-Resume-Offset").toInt(),
+            .next = standIn_.hasFault("cannot_resume") ? 0 : exchange->header("X-Resume-Offset").toInt(),
             .maxTokens = body["max_tokens"].toInt(16),
             .nextAt = 0,
+            .aliveAt = nowMs(),
             .seed = prompt.toUtf8() + QByteArray::number(body["seed"].toDouble(), 'f', 0),
         };
-        standIn_.note("run_started", { { "request", requestId }, { "attempt", run.attempt }, { "from", run.next }, { "group", group_ }, { "epoch", epoch_ }, { "rank", run.rank } });
+        standIn_.note("run_started", { { "request", requestId }, { "prompt", prompt.left(64) }, { "attempt", run.attempt }, { "from", run.next }, { "group", group_ }, { "epoch", epoch_ }, { "rank", run.rank } });
         exchange->startStream("text/event-stream");
         // Urgent work goes before what waits already.
         auto at = queue_.begin();
@@ -218,7 +237,17 @@
         queue_.insert(at, std::move(run));
     }
 
-    int tokenMs() const { return setting("token_ms", options_.tokenMs) * std::max(1, standIn_.fault("slow_factor")); }
+    // Every step waits for the slowest member.
+    int tokenMs() const
+    {
+        int slowest = ownStepMs();
+        for (const QJsonValue& address : addresses_) {
+            const auto found = memberStepMs_.find(address.toString());
+            slowest = std::max(slowest, found == memberStepMs_.end() ? 0 : found->second);
+        }
+        return slowest;
+    }
+    int ownStepMs() const { return setting("token_ms", options_.tokenMs) * std::max(1, standIn_.fault("slow_factor")); }
     int setting(const char* name, int fallback) const { return standIn_.faults().contains(QLatin1String(name)) ? standIn_.fault(name) : fallback; }
 
     void step()
@@ -234,6 +263,17 @@
             running_.back().nextAt = now + setting("prefill_ms", options_.prefillMs);
         }
         std::erase_if(running_, [&](Run& run) { return advance(run, now); });
+        for (std::list<Run>* runs : { &running_, &queue_ })
+            std::for_each(runs->begin(), runs->end(), [now](Run& run) { showLife(run, now); });
+    }
+
+    static void showLife(Run& run, qint64 now)
+    {
+        constexpr qint64 intervalMs = 200;
+        if (now - run.aliveAt < intervalMs)
+            return;
+        run.aliveAt = now;
+        run.exchange->sendChunk(": alive\n\n");
     }
 
     bool noteCancelled(const Run& run)
@@ -250,7 +290,10 @@
         while (run.nextAt <= now && run.next < run.maxTokens && !run.exchange->isOver()) {
             // The same prompt and seed give the same token at the same place on every engine.
             const QByteArray digest = QCryptographicHash::hash(run.seed + QByteArray::number(run.next), QCryptographicHash::Md5).toHex().left(4);
-            send(run, { { "index", run.next }, { "text", QString(" " + digest) } });
+            if (standIn_.hasFault("crossed_chunks"))
+                sendCrossedChunks(run);
+            if (!standIn_.takeFault("lose_tokens"))
+                send(run, { { "index", run.next }, { "text", QString(" " + digest) } });
             ++run.next;
             run.nextAt += tokenMs();
         }
@@ -265,9 +308,30 @@
         return true;
     }
 
+    // Pieces that a lost or mixed-up connection could bring: of every other run, of an earlier
+    // attempt, and the former token once more.
+    void sendCrossedChunks(Run& run)
+    {
+        std::vector<std::pair<QString, int>> senders { { "another", run.attempt }, { run.runId, run.attempt - 1 } };
+        for (const Run& other : running_) {
+            if (other.runId != run.runId)
+                senders.emplace_back(other.runId, other.attempt);
+        }
+        Run crossed = run;
+        for (const auto& [runId, attempt] : senders) {
+            crossed.runId = runId;
+            crossed.attempt = attempt;
+            send(crossed, { { "index", run.next }, { "text", " WRONG" } });
+            send(crossed, { { "finish_reason", "stop" }, { "tokens", run.next } });
+        }
+        if (run.next > 0)
+            send(run, { { "index", run.next - 1 }, { "text", " WRONG" } });
+    }
+
     static void send(Run& run, QJsonObject event)
     {
-        event["request_id"] = run.requestId;
+        run.aliveAt = nowMs();
+        event["run_id"] = run.runId;
         event["attempt"] = run.attempt;
         run.exchange->sendEvent(QJsonDocument(event).toJson(QJsonDocument::Compact));
     }
@@ -288,6 +352,7 @@
     int reportedWaiting_ = 0;
     HttpClient client_;
     std::map<QString, std::shared_ptr<HttpCall>> memberCalls_;
+    std::map<QString, int> memberStepMs_; // ms, by address
     QTimer stepTimer_;
     QTimer memberTimer_;
     StandIn standIn_;
@@ -300,11 +365,13 @@
     QCoreApplication application(argc, argv);
     EngineOptions engine;
     options::options_description description("Stand-in of a model engine");
-    description.add_options()("listen", options::value<std::string>()->required(), "ADDRESS:PORT")("id", options::value(&engine.id)->required(), "instance id")(
+    addStandInOptions(description);
+    description.add_options()("id", options::value(&engine.id)->required(), "instance id")(
         "slots", options::value(&engine.slots), "requests at once")("token-ms", options::value(&engine.tokenMs), "ms for each token")(
         "prefill-ms", options::value(&engine.prefillMs), "ms before the first token")("load-ms", options::value(&engine.loadMs), "ms to load a model")(
-        "load-lag-ms", options::value(&engine.loadLagMs), "ms that the reported load is old")("fencing", options::value(&engine.checksFencing), "refuse orders with an old epoch");
+        "load-lag-ms", options::value(&engine.loadLagMs), "ms that the reported load is old")("fencing", options::value(&engine.checksFencing), "refuse orders with an old epoch")(
+        "checks-members", options::value(&engine.checksMembers), "as a leader, notice a missing member");
     const auto values = readOptions(argc, argv, description);
-    Engine standIn(values["listen"].as<std::string>(), engine);
+    Engine standIn(values, engine);
     return QCoreApplication::exec();
 }
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -78,11 +78,14 @@
     Process& entry = processes_[name];
     entry.program = program;
     entry.arguments = arguments;
+    QStringList allArguments = arguments;
+    if (program.startsWith("standin-"))
+        allArguments << "--effects" << effectsFileOf(name);
     entry.process = std::make_unique<QProcess>();
     QProcess* process = entry.process.get();
     process->setProcessChannelMode(QProcess::MergedChannels);
     QObject::connect(process, &QProcess::readyRead, process, [this, name, process] { processes_[name].log += process->readAll(); });
-    process->start(QString(BIN_DIR) + "/" + program, arguments);
+    process->start(QString(BIN_DIR) + "/" + program, allArguments);
     ASSERT_TRUE(process->waitForStarted());
     const std::string url = urlOf(name) + (program == "hemlockweir" ? "/healthz" : "/effects");
     ASSERT_TRUE(waitUntil([&] { return process->state() != QProcess::Running || call("GET", url).status == 200; }));
@@ -124,7 +127,7 @@
         seeds += (seeds.empty() ? "\"" : ", \"") + addressOf(seed + ".peers") + "\"";
     const std::string advertised = options.advertised.empty() ? "" : "\"\nadvertised_peers = \"" + addressOf(options.advertised);
     const std::string text = "[node]\nname = \"" + options.name + "\"\nfailure_domain = \"" + options.domain + "\"\ncallers = \"" + addressOf(options.name)
-        + "\"\npeers = \"" + addressOf(options.name + ".peers") + advertised + "\"\nseeds = [" + seeds + "]\ncluster_key = \"a key for tests only\"\n\n[platform]\nurls = [\""
+        + "\"\npeers = \"" + addressOf(options.name + ".peers") + advertised + "\"\nseeds = [" + seeds + "]\ncluster_key = \"a key for tests only\"\noperator_key = \"" + operatorKey + "\"\n\n[platform]\nurls = [\""
         + urlOf(options.platform) + "\"]\ninstances_url = \"" + urlOf(options.platform) + "/instances\"\n\n" + options.settings;
     startProcess(options.name, "hemlockweir", { "--settings", writeFile(options.name + ".toml", text) });
 }
@@ -236,20 +239,27 @@
     ASSERT_EQ(call("POST", urlOf(name) + "/faults", QJsonDocument(faults).toJson()).status, 200);
 }
 
+QString Cluster::effectsFileOf(const std::string& name) const
+{
+    return folder_ + "/" + QString::fromStdString(name) + ".effects";
+}
+
 std::vector<QJsonObject> Cluster::effects(const std::string& name, const QString& what)
 {
     std::vector<QJsonObject> found;
-    const QJsonObject answer = call("GET", urlOf(name) + "/effects").json();
-    for (const QJsonValue& effect : answer["effects"].toArray()) {
-        if (effect.toObject()["what"].toString() == what)
-            found.push_back(effect.toObject());
+    QFile file(effectsFileOf(name));
+    EXPECT_TRUE(file.open(QIODevice::ReadOnly));
+    for (const QByteArray& line : file.readAll().split('\n')) {
+        const QJsonObject effect = QJsonDocument::fromJson(line).object();
+        if (what.isEmpty() ? !effect.isEmpty() : effect["what"].toString() == what)
+            found.push_back(effect);
     }
     return found;
 }
 
 QJsonObject Cluster::status(const std::string& node)
 {
-    return call("GET", urlOf(node) + "/operator/status").json();
+    return call("GET", urlOf(node) + "/operator/status", {}, { { "Authorization", QByteArray("Bearer ") + operatorKey } }).json();
 }
 
 std::vector<QJsonObject> Cluster::wholeGroups(const std::string& node)
@@ -278,6 +288,18 @@
     return processes_.at(name).log;
 }
 
+qint64 Cluster::peakMemory(const std::string& name)
+{
+    QFile file("/proc/" + QString::number(processes_.at(name).process->processId()) + "/status");
+    EXPECT_TRUE(file.open(QIODevice::ReadOnly));
+    constexpr qint64 bytesPerKilobyte = 1024;
+    for (const QByteArray& line : file.readAll().split('\n')) {
+        if (line.startsWith("VmHWM:"))
+            return line.mid(6).trimmed().split(' ').front().toLongLong() * bytesPerKilobyte;
+    }
+    return 0;
+}
+
 std::string makeServiceFile(int members)
 {
     return R"([[priority]]
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -23,6 +23,9 @@
 
 namespace hemlockweir {
 
+// The key that every node of a test expects from operators.
+inline constexpr char operatorKey[] = "an operator key for tests";
+
 // An HTTP answer, or how the call ended without one.
 struct Answer {
     CallEnd end = CallEnd::NotSent;
@@ -119,6 +122,7 @@
 
     // Stand-ins.
     void setFaults(const std::string& name, const QJsonObject& faults);
+    // What a stand-in truly did, over all its restarts; an empty `what` means everything.
     std::vector<QJsonObject> effects(const std::string& name, const QString& what);
 
     // What a node knows, and waiting for it.
@@ -133,6 +137,9 @@
     // Standard error of a process so far.
     QByteArray logOf(const std::string& name);
 
+    // Largest resident memory of a process so far, in bytes.
+    qint64 peakMemory(const std::string& name);
+
 private:
     struct Process {
         QString program;
@@ -142,6 +149,7 @@
     };
 
     void startProcess(const std::string& name, const QString& program, const QStringList& arguments);
+    QString effectsFileOf(const std::string& name) const;
     std::string loopbackAddress() const;
 
     QString folder_;
