--- a/packages/membership/PeerLink.h
+++ b/packages/membership/PeerLink.h
@@ -34,7 +34,7 @@
     Millis heartbeatInterval { 200 };
     Millis aliveTimeout { 1500 }; // ms of silence after which a peer counts as gone; longer in large domains
     Millis forgetTimeout { 3600000 }; // ms of silence after which a peer is no longer greeted
-    int nearBytesPerSecond = 3500; // budget of digests within the failure domain
+    int nearBytesPerSecond = 3000; // budget of digests within the failure domain
     int farBytesPerSecond = 1500; // budget of a relay's digests to other failure domains
     int sharedBytesPerSecond = 2500; // budget of broadcasts, once there are more peers than a few
     int relayedBytesPerSecond = 2000; // budget of a relay for load figures of others, likewise
