Serve what arrives during a planned stop, and take streams up over new connections

Cause: a planned stop ended the process as soon as nothing was in flight, while the balancer still sent requests; streams longer than 60 s were cut; open connections were not told to close. Ruled out: the second SIGTERM never cut (its notifier is off); groups were not regrouped by silence.

--- a/packages/config/Settings.cpp
+++ b/packages/config/Settings.cpp
@@ -108,6 +108,7 @@
     settings.statusFreshness = readMillis(reader, "status_freshness_ms", settings.statusFreshness, 20);
     settings.leaseTtl = readMillis(reader, "lease_ttl_ms", settings.leaseTtl, 1000);
     settings.silenceTimeout = readMillis(reader, "silence_timeout_ms", settings.silenceTimeout, 10);
+    settings.shutdownQuiet = readMillis(reader, "shutdown_quiet_ms", settings.shutdownQuiet, 0);
     settings.shutdownTimeout = readMillis(reader, "shutdown_timeout_ms", settings.shutdownTimeout, 0);
     if (settings.statusFreshness < 2 * settings.statusInterval)
         reader.noteError("status_freshness_ms", "write at least twice status_interval_ms, or no group is ever served");
--- a/packages/config/Settings.h
+++ b/packages/config/Settings.h
@@ -57,7 +57,8 @@
     Millis statusFreshness { 1500 }; // ms, oldest report that still counts
     Millis leaseTtl { 5000 }; // ms, right to form groups in a failure domain
     Millis silenceTimeout { 2000 }; // ms without a token before a stream is given up
-    Millis shutdownTimeout { 60000 }; // ms for requests in flight at a planned stop
+    Millis shutdownQuiet { 3000 }; // ms without a new request before a planned stop closes the door
+    Millis shutdownTimeout { 3600000 }; // ms for requests in flight at a planned stop
 };
 
 // Reads and checks a settings file; the error lists every mistake with file and line.
--- a/packages/http/HttpServer.cpp
+++ b/packages/http/HttpServer.cpp
@@ -86,6 +86,8 @@
 {
     responder_->writeStatusLine(static_cast<QHttpServerResponder::StatusCode>(status));
     responder_->writeHeader("Content-Type", contentType);
+    if (closesConnection && closesConnection())
+        responder_->writeHeader("Connection", "close");
     for (const HttpHeader& header : headers)
         responder_->writeHeader(header.name, header.value);
 }
--- a/packages/http/HttpServer.h
+++ b/packages/http/HttpServer.h
@@ -80,6 +80,9 @@
     bool isOver() const { return over_ || !socket_; }
     bool isStreaming() const { return streaming_; }
 
+    // Asked at the head of the reply: whether the caller is told to use another connection next.
+    std::function<bool()> closesConnection;
+
     // Called once if the caller goes before the reply is finished.
     std::function<void()> onGone;
 
--- a/packages/node/CallerApi.cpp
+++ b/packages/node/CallerApi.cpp
@@ -17,8 +17,10 @@
 
 void CallerApi::handle(std::shared_ptr<Exchange> exchange)
 {
+    exchange->closesConnection = [&tables = tables_] { return tables.isStopping.load(); };
     if (handleOpen(*exchange))
         return;
+    tables_.lastArrival = tables_.clock();
     if (exchange->path().startsWith("/operator/"))
         handleOperator(*exchange);
     else if (exchange->path() == "/v1/completions")
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -144,18 +144,31 @@
         return;
     logInfo("node_stopping", { { "in_flight", std::to_string(server_.requestsInFlight()) } });
     onStopped_ = std::move(onStopped);
-    stopDeadline_ = clock_() + settings_.shutdownTimeout;
+    stoppingSince_ = clock_();
     manager_.release();
     peers_.setHeartbeat(makeHeartbeat());
     stopTimer_.start(stopCheckInterval);
 }
 
+// The balancer may send requests long after /readyz fails, but not for ever.
+bool Node::mayCloseDoor() const
+{
+    constexpr int mostQuietTimes = 10;
+    const Millis now = clock_();
+    const Millis quietSince = std::max(stoppingSince_, tables_.lastArrival.load());
+    return now - quietSince >= settings_.shutdownQuiet || now - stoppingSince_ >= mostQuietTimes * settings_.shutdownQuiet;
+}
+
 void Node::checkStopped()
 {
+    if (isListening_ && mayCloseDoor()) {
+        server_.stopListening();
+        isListening_ = false;
+    }
     const int inFlight = server_.requestsInFlight();
-    if (inFlight > 0 && clock_() < stopDeadline_)
+    const bool isLate = clock_() - stoppingSince_ >= settings_.shutdownTimeout;
+    if (!isLate && (isListening_ || inFlight > 0))
         return;
-    server_.stopListening();
     stopTimer_.stop();
     logInfo("node_stopped", { { "in_flight", std::to_string(inFlight) } });
     onStopped_();
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -21,8 +21,9 @@
     // Opens the sockets and starts everything; the error says what could not be opened.
     absl::Status start();
 
-    // Begins a planned stop: no new work, requests in flight go on. `onStopped` is called when
-    // the last one is answered or the shutdown timeout has passed.
+    // Begins a planned stop: /readyz fails at once; requests that still arrive are served until
+    // none has come for the quiet time, since the balancer lags. `onStopped` is called when the
+    // last one is answered or the shutdown timeout has passed.
     void stop(std::function<void()> onStopped);
 
 private:
@@ -32,6 +33,7 @@
     void shareTables();
     void shareUsage();
     void checkStopped();
+    bool mayCloseDoor() const;
     bool hasNodeIn(const std::string& domain) const;
     std::vector<std::string> domainsToPlan() const;
     size_t rankFor(const std::string& domain) const;
@@ -67,7 +69,8 @@
     QTimer shareTimer_;
     QTimer pumpTimer_;
     QTimer stopTimer_;
-    Millis stopDeadline_ { 0 };
+    Millis stoppingSince_ { 0 };
+    bool isListening_ = true;
     std::function<void()> onStopped_;
 };
 
--- a/packages/node/Tables.h
+++ b/packages/node/Tables.h
@@ -23,6 +23,7 @@
     Random random;
     Millis silenceTimeout { 2000 }; // ms without a token before a stream is given up
     std::atomic<bool> isStopping { false }; // a planned stop has begun
+    std::atomic<Millis> lastArrival { Millis(0) }; // of a caller's request
     std::atomic<uint64_t> nextJob { 1 };
 };
 
