--- a/packages/config/Settings.h
+++ b/packages/config/Settings.h
@@ -51,6 +51,9 @@
     int maxRequestsPerCaller = 1000; // requests of one caller at this node, waiting and running
     int64_t replyBufferBytes = 1024 * 1024; // bytes that a slow reader may leave unread
 
+    // [schedule]
+    std::string schedulePolicy = "full"; // "full"; "round_robin" and "least_in_flight" only to compare with
+
     // [timing]
     Millis heartbeatInterval { 200 }; // ms, between nodes
     Millis statusInterval { 300 }; // ms, between two looks at an instance
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -5,6 +5,7 @@
 #include "fleet/GroupExchange.h"
 #include "membership/PeerLink.h"
 #include "node/CallerApi.h"
+#include "node/UsageShare.h"
 #include "rollout/ConfigExchange.h"
 #include "rollout/ConfigFollower.h"
 
@@ -29,9 +30,7 @@
 private:
     void connectParts();
     void takeMessage(const Envelope& envelope);
-    void takeUsage(const Envelope& envelope);
     void shareTables();
-    void shareUsage();
     void checkStopped();
     bool mayCloseDoor() const;
     bool hasNodeIn(const std::string& domain) const;
@@ -59,6 +58,7 @@
     KvClient platform_;
     ClaimLedger ledger_;
     PeerLink peers_;
+    UsageShare usage_;
     ConfigServer configServer_;
     ConfigFollower follower_;
     FleetManager manager_;
