--- a/packages/http/HttpClient.cpp
+++ b/packages/http/HttpClient.cpp
@@ -148,8 +148,10 @@
     reply_ = nullptr;
     if (onRelease_)
         onRelease_();
-    if (hooks_.onDone)
-        hooks_.onDone(result);
+    // The hook may destroy this call, and so the hook.
+    const auto onDone = std::move(hooks_.onDone);
+    if (onDone)
+        onDone(result);
 }
 
 void HttpCall::cancel()
--- a/packages/node/CompletionFlow.cpp
+++ b/packages/node/CompletionFlow.cpp
@@ -58,9 +58,15 @@
     , completion_(std::move(completion))
     , seed_(completion_.body.contains("seed") ? static_cast<uint64_t>(completion_.body["seed"].toDouble()) : tables.random() >> 32)
     , runId_(makeRandomId(tables.random))
+    , fingerprint_(Quarantine::fingerprintOf(this->request().caller.name, this->exchange().body()))
 {
 }
 
+CompletionFlow::~CompletionFlow()
+{
+    tables_.quarantine.release(runId_);
+}
+
 void CompletionFlow::cancelWork()
 {
     call_.reset();
@@ -69,8 +75,77 @@
     freeSlot();
 }
 
+// The latest useful start. An answer that has begun is taken up again though its first start is past.
+Millis CompletionFlow::deadline() const
+{
+    return (received_ > 0 ? resumedAt_ : arrivedAt_) + request().deadline;
+}
+
+// Returns the groups to avoid so that a suspect runs apart from other suspects; none when each
+// group has one already.
+std::optional<std::vector<std::string>> CompletionFlow::isolate()
+{
+    std::vector<std::string> avoid = groupsToAvoid();
+    if (!tables_.quarantine.isSuspect(fingerprint_))
+        return avoid;
+    std::vector<std::string> groups = failedGroups_;
+    std::vector<std::string> candidates;
+    for (const Replica& replica : tables_.fleet.findReplicas(completion_.model)) {
+        groups.push_back(replica.group);
+        if (std::find(avoid.begin(), avoid.end(), replica.group) == avoid.end())
+            candidates.push_back(replica.group);
+    }
+    const std::optional<std::string> reserved = tables_.quarantine.reserve(candidates, runId_);
+    if (!reserved)
+        return std::nullopt;
+    reservedGroup_ = *reserved;
+    std::erase(groups, reservedGroup_);
+    return groups;
+}
+
+void CompletionFlow::waitForGroup()
+{
+    constexpr Millis interval { 50 };
+    if (tables_.clock() > deadline()) {
+        fail({ .status = 503, .type = "overloaded", .message = "no group was free of other suspects before the deadline", .outcome = mayHaveRun_ ? Outcome::Unknown : Outcome::NotRun });
+        return;
+    }
+    QTimer::singleShot(interval, this, [this] {
+        if (!hasEnded())
+            schedule();
+    });
+}
+
+// A reserved group may go before it grants a slot: then another one is reserved.
+void CompletionFlow::watchReservation(uint64_t jobId)
+{
+    constexpr Millis interval { 500 };
+    QTimer::singleShot(interval, this, [this, jobId] {
+        if (jobId != jobId_ || holdsSlot_ || hasEnded())
+            return;
+        const std::vector<Replica> replicas = tables_.fleet.findReplicas(completion_.model);
+        if (std::any_of(replicas.begin(), replicas.end(), [this](const Replica& replica) { return replica.group == reservedGroup_; })) {
+            watchReservation(jobId);
+            return;
+        }
+        tables_.scheduler.cancel(jobId);
+        freeSlot();
+        schedule();
+    });
+}
+
 void CompletionFlow::schedule()
 {
+    tables_.quarantine.release(runId_);
+    if (tables_.quarantine.isQuarantined(fingerprint_)) {
+        fail({ .status = 422, .type = "quarantined", .message = "endpoints died while they ran this request, so it is refused for a time", .outcome = mayHaveRun_ ? Outcome::Unknown : Outcome::NotRun });
+        return;
+    }
+    const std::optional<std::vector<std::string>> avoid = isolate();
+    if (!avoid) {
+        waitForGroup();
+        return;
+    }
     jobId_ = tables_.nextJob++;
     const Job job {
         .id = jobId_,
@@ -79,10 +154,10 @@
         .weight = request().caller.weight,
         .rank = request().priority.rank,
         .floorShare = request().priority.floorShare,
-        .deadline = arrivedAt_ + request().deadline,
+        .deadline = deadline(),
         .target = arrivedAt_ + Millis(request().priority.firstTokenMs),
         .cost = static_cast<double>(completion_.maxTokens - received_),
-        .avoidGroups = groupsToAvoid(),
+        .avoidGroups = *avoid,
         .preemptions = preemptions_,
     };
     const uint64_t id = jobId_;
@@ -92,6 +167,8 @@
         .onPreempt = [this, id, post] { post([this, id] { yieldSlot(id); }); },
     };
     tables_.scheduler.submit(job, hooks);
+    if (tables_.quarantine.isSuspect(fingerprint_))
+        watchReservation(id);
 }
 
 void CompletionFlow::takeDecision(uint64_t jobId, const Decision& decision)
@@ -254,14 +331,46 @@
     mayHaveRun_ = mayHaveRun_ || (result.end != CallEnd::NotSent && !saysNotRun(result));
     freeSlot();
     const bool isRefusal = result.end == CallEnd::Answered && result.status >= 400 && result.status < 500 && result.status != 409 && result.status != 429;
+    if (received_ > 0)
+        resumedAt_ = tables_.clock();
     if (result.isSuccess() && !finishReason_.isEmpty())
         sendFinish();
     else if (isRefusal)
         passRefusal(result);
+    else if (result.end == CallEnd::Broken)
+        checkDeath(result);
     else
         retryOrFail(result);
 }
 
+// Whether a look at the leader shows that the group of this epoch is gone: nobody listens, it was
+// started anew, or it lost a member. A cut connection alone is no death.
+static bool showsDeath(const CallResult& look, uint64_t epoch)
+{
+    if (look.end == CallEnd::NotSent)
+        return true;
+    const QJsonObject status = QJsonDocument::fromJson(look.body).object();
+    const double current = status["epoch"].toDouble();
+    return look.isSuccess() && (current < static_cast<double>(epoch) || (current == static_cast<double>(epoch) && status["state"].toString() == "broken"));
+}
+
+// Counts a death of the group against this request before it goes on.
+void CompletionFlow::checkDeath(const CallResult& result)
+{
+    const CallOptions look { .method = "GET",
+        .url = QUrl(QStringLiteral("http://") + QString::fromStdString(replica_->leader) + QStringLiteral("/status")),
+        .headers = {},
+        .body = {},
+        .firstByteTimeout = tables_.silenceTimeout,
+        .silenceTimeout = tables_.silenceTimeout };
+    call_ = client().start(look, { .onHead = {}, .onData = {}, .onDone = [this, result](const CallResult& seen) {
+        if (showsDeath(seen, replica_->epoch)) {
+            logWarning("death_on_request", { { "request", request().requestId }, { "group", replica_->group }, { "epoch", std::to_string(replica_->epoch) }, { "fingerprint", std::to_string(fingerprint_) } });
+            tables_.quarantine.addDeath(fingerprint_, Quarantine::deathOf(replica_->group, replica_->epoch));
+        }
+        retryOrFail(result); } });
+}
+
 // The engine finds fault with the request itself: another group would as well.
 void CompletionFlow::passRefusal(const CallResult& result)
 {
@@ -326,6 +435,8 @@
 
 void CompletionFlow::sendFinish()
 {
+    tables_.quarantine.clear(fingerprint_);
+    tables_.quarantine.release(runId_);
     const QByteArray whole = QJsonDocument(makeWhole()).toJson(QJsonDocument::Compact);
     storeAnswer({ .status = 200, .contentType = "application/json", .body = whole }, [this, whole] {
         if (completion_.isStreamed) {
--- a/packages/node/CompletionFlow.h
+++ b/packages/node/CompletionFlow.h
@@ -28,10 +28,15 @@
 private:
     CompletionFlow(Tables& tables, std::shared_ptr<Exchange> exchange, CallerRequest request, CompletionRequest completion);
 
+    ~CompletionFlow() override;
     void cancelWork() override;
 
     // Scheduling.
     void schedule();
+    std::optional<std::vector<std::string>> isolate();
+    void waitForGroup();
+    void watchReservation(uint64_t jobId);
+    Millis deadline() const;
     void takeDecision(uint64_t jobId, const Decision& decision);
     void freeSlot();
     void yieldSlot(uint64_t jobId);
@@ -44,6 +49,7 @@
     void takeFinish(const QJsonObject& event);
     void breakAttempt(const char* why);
     void takeCallEnd(const CallResult& result);
+    void checkDeath(const CallResult& result);
     void retryOrFail(const CallResult& result);
     void passRefusal(const CallResult& result);
     std::vector<std::string> groupsToAvoid() const;
@@ -57,6 +63,9 @@
     CompletionRequest completion_;
     uint64_t seed_; // the same in every attempt, so that a resumed answer goes on as it began
     std::string runId_; // names this request towards engines; callers' ids may collide
+    uint64_t fingerprint_; // of the caller and the body, for the quarantine
+    std::string reservedGroup_; // where a suspect is to run
+    Millis resumedAt_ { 0 }; // when an answer that had begun was cut
     uint64_t jobId_ = 0; // 0: no job queued or running
     bool holdsSlot_ = false;
     uint32_t preemptions_ = 0; // times that the slot was given back to more urgent work
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -96,11 +96,14 @@
                          .broadcast = [this](const Groups& message) { peers_.broadcast(message); },
                          .shouldShare = [this](const GroupCondition& group) { return shouldShare(group); } },
           fleet_)
+    , quarantine_({ .clock = clock_, .ownsGroup = [this](const std::string& group) { return ownsGroup(group); }, .onNews = [this] { QMetaObject::invokeMethod(this, [this] { suspects_.share(); }); } })
+    , suspects_(quarantine_, [this](const Suspects& message) { peers_.broadcast(message); })
     , tables_ { .config = config_,
         .fleet = fleet_,
         .scheduler = scheduler_,
         .metrics = metrics_,
         .ledger = ledger_,
+        .quarantine = quarantine_,
         .clock = clock_,
         .random = random_,
         .silenceTimeout = settings_.silenceTimeout }
@@ -116,8 +119,10 @@
 {
     peers_.onMessage = [this](const Envelope& envelope) { takeMessage(envelope); };
     peers_.onPeerChanged = [this](const Peer& peer) {
-        if (!peer.alive)
-            scheduler_.dropPeer(peer.node);
+        if (peer.alive)
+            return;
+        scheduler_.dropPeer(peer.node);
+        quarantine_.dropPeer(peer.node);
     };
     connect(&shareTimer_, &QTimer::timeout, this, &Node::shareTables);
     connect(&pumpTimer_, &QTimer::timeout, this, [this] { scheduler_.pump(); });
@@ -284,6 +289,17 @@
     return nodes;
 }
 
+// Each group has one living node that sends suspects to it, so that two nodes do not at once.
+bool Node::ownsGroup(const std::string& group) const
+{
+    std::vector<std::string> nodes { settings_.node };
+    for (const Peer& peer : peers_.peers()) {
+        if (peer.alive && !peer.heartbeat.leaving)
+            nodes.push_back(peer.node);
+    }
+    return rendezvousRank("suspects of " + group, settings_.node, nodes) == 0;
+}
+
 bool Node::shouldShare(const GroupCondition& group) const
 {
     // Two tell of each group, so that the death of one leaves no gap.
@@ -294,6 +310,7 @@
 void Node::takeMessage(const Envelope& envelope)
 {
     groupExchange_.take(envelope);
+    suspects_.take(envelope);
     if (envelope.kind == MessageKind::Usage)
         usage_.take(envelope);
 }
@@ -302,6 +319,8 @@
 {
     peers_.setHeartbeat(makeHeartbeat());
     groupExchange_.share();
+    suspects_.share();
+    metrics_.setGauge("hemlockweir_endpoint_deaths_on_requests", "Deaths of endpoints counted against requests that were on them", static_cast<double>(quarantine_.rows().size()));
     usage_.share();
     exposeTraffic();
 }
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -6,6 +6,7 @@
 #include "membership/PeerLink.h"
 #include "node/CallerApi.h"
 #include "node/UsageShare.h"
+#include "quarantine/SuspectShare.h"
 #include "rollout/ConfigExchange.h"
 #include "rollout/ConfigFollower.h"
 
@@ -38,6 +39,7 @@
     size_t rankFor(const std::string& domain) const;
     bool shouldObserve(const Instance& instance) const;
     std::vector<std::string> livingNodesIn(const std::string& domain) const;
+    bool ownsGroup(const std::string& group) const;
     bool shouldShare(const GroupCondition& group) const;
     bool isReady() const;
     QJsonObject describe() const;
@@ -63,6 +65,8 @@
     ConfigFollower follower_;
     FleetManager manager_;
     GroupExchange groupExchange_;
+    Quarantine quarantine_;
+    SuspectShare suspects_;
     Tables tables_;
     CallerApi api_;
     HttpServer server_;
--- a/packages/node/Tables.h
+++ b/packages/node/Tables.h
@@ -2,6 +2,7 @@
 
 #include "fleet/FleetTable.h"
 #include "ledger/ClaimLedger.h"
+#include "quarantine/Quarantine.h"
 #include "report/Metrics.h"
 #include "rollout/ConfigTable.h"
 #include "schedule/Scheduler.h"
@@ -19,6 +20,7 @@
     Scheduler& scheduler;
     Metrics& metrics;
     ClaimLedger& ledger;
+    Quarantine& quarantine;
     Clock clock;
     Random random;
     Millis silenceTimeout { 2000 }; // ms without a token before a stream is given up
--- /dev/null
+++ b/packages/quarantine/Quarantine.cpp
@@ -0,0 +1,162 @@
+#include "quarantine/Quarantine.h"
+
+#include <QCryptographicHash>
+#include <QtEndian>
+#include <algorithm>
+
+namespace hemlockweir {
+
+static uint64_t hashOf(const QByteArray& bytes)
+{
+    return qFromBigEndian<quint64>(QCryptographicHash::hash(bytes, QCryptographicHash::Sha256).constData());
+}
+
+Quarantine::Quarantine(Options options)
+    : options_(std::move(options))
+{
+}
+
+uint64_t Quarantine::fingerprintOf(const std::string& caller, const QByteArray& body)
+{
+    return hashOf(QByteArray::fromStdString(caller) + '\n' + body);
+}
+
+uint64_t Quarantine::deathOf(const std::string& group, uint64_t epoch)
+{
+    return hashOf(QByteArray::fromStdString(group) + '\n' + QByteArray::number(static_cast<qulonglong>(epoch)));
+}
+
+bool Quarantine::isExpired(const Death& death) const
+{
+    return options_.clock() - death.seenAt > options_.expiry;
+}
+
+void Quarantine::add(uint64_t fingerprint, uint64_t death, const Death& seen)
+{
+    for (auto it = deaths_.begin(); it != deaths_.end();) {
+        std::erase_if(it->second, [this](const auto& row) { return isExpired(row.second); });
+        it = it->second.empty() ? deaths_.erase(it) : std::next(it);
+    }
+    if (isExpired(seen) || (deaths_.size() >= options_.maxFingerprints && !deaths_.contains(fingerprint)))
+        return;
+    const auto [at, isNew] = deaths_[fingerprint].try_emplace(death, seen);
+    at->second.cleared = at->second.cleared || seen.cleared;
+    at->second.isOwn = at->second.isOwn || seen.isOwn;
+    at->second.seenAt = std::min(at->second.seenAt, seen.seenAt);
+}
+
+void Quarantine::addDeath(uint64_t fingerprint, uint64_t death)
+{
+    {
+        std::lock_guard lock(mutex_);
+        add(fingerprint, death, { .seenAt = options_.clock(), .cleared = false, .isOwn = true });
+    }
+    if (options_.onNews)
+        options_.onNews();
+}
+
+void Quarantine::clear(uint64_t fingerprint)
+{
+    std::lock_guard lock(mutex_);
+    const auto found = deaths_.find(fingerprint);
+    if (found == deaths_.end())
+        return;
+    for (auto& [id, death] : found->second) {
+        death.cleared = true;
+        death.isOwn = true;
+    }
+}
+
+size_t Quarantine::countDeaths(uint64_t fingerprint) const
+{
+    const auto found = deaths_.find(fingerprint);
+    if (found == deaths_.end())
+        return 0;
+    return static_cast<size_t>(std::count_if(found->second.begin(), found->second.end(), [this](const auto& row) { return !row.second.cleared && !isExpired(row.second); }));
+}
+
+bool Quarantine::isSuspect(uint64_t fingerprint) const
+{
+    std::lock_guard lock(mutex_);
+    return countDeaths(fingerprint) > 0;
+}
+
+bool Quarantine::isQuarantined(uint64_t fingerprint) const
+{
+    std::lock_guard lock(mutex_);
+    return countDeaths(fingerprint) >= options_.limit;
+}
+
+bool Quarantine::isReserved(const std::string& group) const
+{
+    return std::any_of(reserved_.begin(), reserved_.end(), [&](const auto& row) { return row.second == group; })
+        || std::any_of(peerGroups_.begin(), peerGroups_.end(), [&](const auto& row) { return row.second.contains(group); });
+}
+
+std::optional<std::string> Quarantine::reserve(const std::vector<std::string>& groups, const std::string& run)
+{
+    // The hook is called without the lock.
+    std::vector<std::string> owned;
+    std::copy_if(groups.begin(), groups.end(), std::back_inserter(owned), options_.ownsGroup);
+    std::lock_guard lock(mutex_);
+    for (const std::string& group : owned.empty() ? groups : owned) {
+        if (isReserved(group))
+            continue;
+        reserved_[run] = group;
+        return group;
+    }
+    return std::nullopt;
+}
+
+void Quarantine::release(const std::string& run)
+{
+    std::lock_guard lock(mutex_);
+    reserved_.erase(run);
+}
+
+Suspects Quarantine::makeMessage() const
+{
+    std::lock_guard lock(mutex_);
+    Suspects message;
+    for (const auto& [fingerprint, deaths] : deaths_) {
+        for (const auto& [id, death] : deaths) {
+            const Millis age = options_.clock() - death.seenAt;
+            if (death.isOwn && !isExpired(death) && message.deaths.size() < maxRowsPerMessage)
+                message.deaths.push_back({ .fingerprint = fingerprint, .death = id, .cleared = death.cleared, .ageMs = static_cast<uint32_t>(age.count()) });
+        }
+    }
+    for (const auto& [run, group] : reserved_) {
+        if (message.groups.size() < maxRowsPerMessage)
+            message.groups.push_back(group);
+    }
+    return message;
+}
+
+void Quarantine::merge(const std::string& node, const Suspects& message)
+{
+    std::lock_guard lock(mutex_);
+    for (const DeathRow& row : message.deaths)
+        add(row.fingerprint, row.death, { .seenAt = options_.clock() - Millis(row.ageMs), .cleared = row.cleared, .isOwn = false });
+    peerGroups_[node] = { message.groups.begin(), message.groups.end() };
+}
+
+void Quarantine::dropPeer(const std::string& node)
+{
+    std::lock_guard lock(mutex_);
+    peerGroups_.erase(node);
+}
+
+std::vector<DeathRow> Quarantine::rows() const
+{
+    std::lock_guard lock(mutex_);
+    std::vector<DeathRow> all;
+    for (const auto& [fingerprint, deaths] : deaths_) {
+        for (const auto& [id, death] : deaths) {
+            if (!isExpired(death))
+                all.push_back({ .fingerprint = fingerprint, .death = id, .cleared = death.cleared, .ageMs = static_cast<uint32_t>((options_.clock() - death.seenAt).count()) });
+        }
+    }
+    return all;
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/quarantine/Quarantine.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "wire/SuspectMessages.h"
+
+#include <QByteArray>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+
+// Which requests crash the endpoints that run them. Every death of an endpoint counts once, by its
+// id, against each request that was on it, whichever nodes saw it. A request with one death is a
+// suspect: it runs only where no other suspect does, so that a second death tells it from its
+// companions. With `limit` deaths it is quarantined. Finishing elsewhere clears its deaths.
+// Thread-safe; its lock is a leaf.
+
+namespace hemlockweir {
+
+class Quarantine {
+public:
+    struct Options {
+        size_t limit = 2; // deaths across the fleet after which a request is refused
+        Millis expiry { 600000 }; // ms that a death counts
+        size_t maxFingerprints = 10000; // requests held; new ones are not taken beyond
+        Clock clock;
+        std::function<bool(const std::string& group)> ownsGroup; // whether this node sends suspects there
+        std::function<void()> onNews; // called without the lock when this node saw a death
+    };
+
+    explicit Quarantine(Options options);
+
+    // Identifies what a caller asks for, whatever node it comes to.
+    static uint64_t fingerprintOf(const std::string& caller, const QByteArray& body);
+
+    // Identifies the death of one group in one epoch.
+    static uint64_t deathOf(const std::string& group, uint64_t epoch);
+
+    // Counts a death that this node saw against a request that was there.
+    void addDeath(uint64_t fingerprint, uint64_t death);
+
+    // Clears a request that finished.
+    void clear(uint64_t fingerprint);
+
+    // Whether a request has any death, or too many.
+    bool isSuspect(uint64_t fingerprint) const;
+    bool isQuarantined(uint64_t fingerprint) const;
+
+    // Reserves one of the groups for a suspect: one that this node owns, or any if it owns none.
+    // None when other suspects are on all of them.
+    std::optional<std::string> reserve(const std::vector<std::string>& groups, const std::string& run);
+    void release(const std::string& run);
+
+    // Exchange with peers: what this node saw and runs, and what a peer tells.
+    Suspects makeMessage() const;
+    void merge(const std::string& node, const Suspects& message);
+    void dropPeer(const std::string& node);
+
+    // Every death that counts, for tests and reports.
+    std::vector<DeathRow> rows() const;
+
+private:
+    struct Death {
+        Millis seenAt { 0 };
+        bool cleared = false;
+        bool isOwn = false; // this node saw it, and tells of it
+    };
+
+    bool isReserved(const std::string& group) const;
+    void add(uint64_t fingerprint, uint64_t death, const Death& seen);
+    size_t countDeaths(uint64_t fingerprint) const;
+    bool isExpired(const Death& death) const;
+
+    Options options_;
+    mutable std::mutex mutex_;
+    std::map<uint64_t, std::map<uint64_t, Death>> deaths_; // by fingerprint, by death
+    std::map<std::string, std::string> reserved_; // group by run
+    std::map<std::string, std::set<std::string>> peerGroups_; // by node
+};
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/quarantine/SuspectShare.cpp
@@ -0,0 +1,38 @@
+#include "quarantine/SuspectShare.h"
+
+namespace hemlockweir {
+
+SuspectShare::SuspectShare(Quarantine& quarantine, Broadcast broadcast)
+    : quarantine_(quarantine)
+    , broadcast_(std::move(broadcast))
+{
+}
+
+void SuspectShare::share()
+{
+    constexpr int newsTicks = 3; // a datagram may be lost
+    constexpr int repeatTicks = 25;
+    const Suspects message = quarantine_.makeMessage();
+    std::vector<uint64_t> deaths;
+    deaths.reserve(message.deaths.size());
+    for (const DeathRow& row : message.deaths)
+        deaths.push_back(row.death ^ (row.fingerprint << 1) ^ (row.cleared ? 1 : 0));
+    const bool isNews = deaths != lastDeaths_ || message.groups != lastGroups_;
+    quietTicks_ = isNews ? 0 : quietTicks_ + 1;
+    lastDeaths_ = std::move(deaths);
+    lastGroups_ = message.groups;
+    const bool isEmpty = message.deaths.empty() && message.groups.empty();
+    if (quietTicks_ < newsTicks || (!isEmpty && quietTicks_ % repeatTicks == 0))
+        broadcast_(message);
+}
+
+void SuspectShare::take(const Envelope& envelope)
+{
+    if (envelope.kind != MessageKind::Suspects)
+        return;
+    const absl::StatusOr<Suspects> message = decodeBody<Suspects>(envelope.body);
+    if (message.ok())
+        quarantine_.merge(envelope.sender.node, *message);
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/quarantine/SuspectShare.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "quarantine/Quarantine.h"
+#include "wire/Codec.h"
+
+// Tells the other nodes of suspects, and takes what they tell. Silent while there is nothing to
+// tell. Lives on the control thread.
+
+namespace hemlockweir {
+
+class SuspectShare {
+public:
+    using Broadcast = std::function<void(const Suspects&)>;
+
+    SuspectShare(Quarantine& quarantine, Broadcast broadcast);
+
+    // Sends what this node saw; call every heartbeat interval. What did not change is repeated
+    // seldom, for nodes that missed it.
+    void share();
+
+    // Takes a peer's message, whatever its kind; others than Suspects are ignored.
+    void take(const Envelope& envelope);
+
+private:
+    Quarantine& quarantine_;
+    Broadcast broadcast_;
+    std::vector<uint64_t> lastDeaths_;
+    std::vector<std::string> lastGroups_;
+    int quietTicks_ = 0;
+};
+
+} // namespace hemlockweir
--- /dev/null
+++ b/tests/QuarantineProcessTest.cpp
@@ -0,0 +1,69 @@
+// A request that crashes every endpoint that runs it is stopped, and its neighbours are not blamed.
+
+#include "support/Cluster.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace hemlockweir {
+
+class QuarantineProcess : public testing::Test {
+protected:
+    void SetUp() override
+    {
+        cluster.startStore();
+        cluster.startEngines({ .count = 6, .domain = "a", .fabric = "a1", .arguments = { "--token-ms", "20" } });
+        cluster.startNode({ .name = "n1", .domain = "a", .seeds = { "n2" } });
+        cluster.startNode({ .name = "n2", .domain = "a", .seeds = { "n1" } });
+        ASSERT_EQ(cluster.publish(makeServiceFile(1)), 0);
+        for (const char* node : { "n1", "n2" })
+            ASSERT_TRUE(cluster.waitForGroups(node, 6));
+    }
+
+    int deathsKnownTo(const std::string& node)
+    {
+        const QByteArray name = "\nhemlockweir_endpoint_deaths_on_requests ";
+        const QByteArray metrics = cluster.call("GET", cluster.urlOf(node) + "/metrics").body;
+        const qsizetype at = metrics.indexOf(name);
+        return at < 0 ? 0 : static_cast<int>(metrics.mid(at + name.size(), 20).split('\n').at(0).toDouble());
+    }
+
+    size_t deadEngines()
+    {
+        size_t dead = 0;
+        for (const Instance& instance : cluster.instances())
+            dead += cluster.call("GET", cluster.urlOf(instance.id) + "/member").status == 200 ? 0 : 1;
+        return dead;
+    }
+
+    Cluster cluster;
+};
+
+TEST_F(QuarantineProcess, StopsACrashingRequestAndFinishesItsNeighbours)
+{
+    std::vector<PendingAnswer> innocents;
+    innocents.reserve(12);
+    for (int i = 0; i < 12; ++i)
+        innocents.push_back(cluster.startAsk(i % 2 == 0 ? "n1" : "n2", { .prompt = "innocent " + std::to_string(i), .maxTokens = 150, .stream = true }));
+    ASSERT_TRUE(waitUntil([&] {
+        return std::all_of(innocents.begin(), innocents.end(), [](const PendingAnswer& innocent) { return innocent.received->contains("\"text\""); });
+    }));
+    const Answer poison = cluster.ask("n1", { .prompt = "CRASH-ENGINE" });
+    EXPECT_EQ(poison.status, 422) << poison.body.constData();
+    EXPECT_EQ(poison.outcome(), "unknown");
+    EXPECT_EQ(deadEngines(), 2U);
+    // Its caller sends it again through the other node, which has only heard of it.
+    ASSERT_TRUE(waitUntil([&] { return deathsKnownTo("n1") >= 2 && deathsKnownTo("n2") >= deathsKnownTo("n1"); }));
+    const Answer again = cluster.ask("n2", { .prompt = "CRASH-ENGINE" });
+    EXPECT_EQ(again.status, 422);
+    EXPECT_EQ(again.outcome(), "not_run");
+    EXPECT_EQ(deadEngines(), 2U);
+    for (const PendingAnswer& innocent : innocents) {
+        const QByteArray body = innocent.wait().body;
+        EXPECT_EQ(body.count("\"finish_reason\":null"), 150);
+        EXPECT_TRUE(body.endsWith("data: [DONE]\n\n")) << body.right(300).constData();
+    }
+    EXPECT_EQ(deadEngines(), 2U);
+}
+
+} // namespace hemlockweir
