--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -124,6 +124,10 @@
         scheduler_.dropPeer(peer.node);
         quarantine_.dropPeer(peer.node);
     };
+    follower_.onAdopted = [this](const ConfigSnapshot&) {
+        peers_.setHeartbeat(makeHeartbeat());
+        peers_.announce();
+    };
     connect(&shareTimer_, &QTimer::timeout, this, &Node::shareTables);
     connect(&pumpTimer_, &QTimer::timeout, this, [this] { scheduler_.pump(); });
     connect(&stopTimer_, &QTimer::timeout, this, &Node::checkStopped);
@@ -234,6 +238,7 @@
     metrics_.setGauge("hemlockweir_peer_datagrams_sent_total", "Datagrams sent to peers", static_cast<double>(traffic.datagramsSent));
     metrics_.setGauge("hemlockweir_peer_datagrams_refused_total", "Datagrams refused: foreign, truncated, forged or old", static_cast<double>(traffic.refused));
     metrics_.setGauge("hemlockweir_peer_datagrams_relayed_total", "Datagrams passed on for other nodes", static_cast<double>(traffic.relayed));
+    metrics_.setGauge("hemlockweir_peer_messages_not_relayed_total", "Messages of peers that a relay left out to keep its budget", static_cast<double>(traffic.relayDropped));
     metrics_.setGauge("hemlockweir_configuration_bytes_sent_total", "Bytes of configurations sent to peers", static_cast<double>(configServer_.bytesSent()));
     metrics_.setGauge("hemlockweir_platform_calls_total", "Calls to the platform's key-value service", static_cast<double>(platform_.callsMade()));
     metrics_.setGauge("hemlockweir_configuration_watching", "1 while this node watches the platform for the configuration", follower_.isWatching() ? 1 : 0);
@@ -318,10 +323,14 @@
 void Node::shareTables()
 {
     peers_.setHeartbeat(makeHeartbeat());
-    groupExchange_.share();
     suspects_.share();
     metrics_.setGauge("hemlockweir_endpoint_deaths_on_requests", "Deaths of endpoints counted against requests that were on them", static_cast<double>(quarantine_.rows().size()));
-    usage_.share();
+    if (clock_() >= nextShareAt_) {
+        const uint64_t before = peers_.traffic().bytesSent;
+        groupExchange_.share();
+        usage_.share();
+        nextShareAt_ = clock_() + peers_.pauseAfter(peers_.traffic().bytesSent - before);
+    }
     exposeTraffic();
 }
 
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -73,6 +73,7 @@
     QTimer shareTimer_;
     QTimer pumpTimer_;
     QTimer stopTimer_;
+    Millis nextShareAt_ { 0 };
     Millis stoppingSince_ { 0 };
     bool isListening_ = true;
     std::function<void()> onStopped_;
