--- a/packages/config/Settings.cpp
+++ b/packages/config/Settings.cpp
@@ -133,6 +133,7 @@
     settings.silenceTimeout = readMillis(reader, "silence_timeout_ms", settings.silenceTimeout, 10);
     settings.reportShareInterval = readMillis(reader, "report_share_interval_ms", settings.reportShareInterval, 10);
     settings.reportFlushInterval = readMillis(reader, "report_flush_interval_ms", settings.reportFlushInterval, 10);
+    settings.shutdownQuiet = readMillis(reader, "shutdown_quiet_ms", settings.shutdownQuiet, 0);
     settings.shutdownTimeout = readMillis(reader, "shutdown_timeout_ms", settings.shutdownTimeout, 0);
     if (settings.reportFlushInterval < settings.reportShareInterval)
         reader.noteError("report_flush_interval_ms", "write at least report_share_interval_ms");
--- a/packages/config/Settings.h
+++ b/packages/config/Settings.h
@@ -62,7 +62,8 @@
     Millis silenceTimeout { 2000 }; // ms without a token before a stream is given up
     Millis reportShareInterval { 1000 }; // ms, between two tellings of figures to peers
     Millis reportFlushInterval { 30000 }; // ms, between two writes of figures to the platform
-    Millis shutdownTimeout { 60000 }; // ms for requests in flight at a planned stop
+    Millis shutdownQuiet { 3000 }; // ms without a new request before a planned stop closes the door
+    Millis shutdownTimeout { 3600000 }; // ms for requests in flight at a planned stop
 };
 
 // Reads and checks a settings file; the error lists every mistake with file and line.
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -96,11 +96,14 @@
                          .broadcast = [this](const Groups& message) { peers_.broadcast(message); },
                          .shouldShare = [this](const GroupCondition& group) { return shouldShare(group); } },
           fleet_)
+    , quarantine_({ .clock = clock_, .ownsGroup = [this](const std::string& group) { return ownsGroup(group); }, .onNews = [this] { QMetaObject::invokeMethod(this, [this] { suspects_.share(); }); } })
+    , suspects_(quarantine_, [this](const Suspects& message) { peers_.broadcast(message); })
     , tables_ { .config = config_,
         .fleet = fleet_,
         .scheduler = scheduler_,
         .metrics = metrics_,
         .ledger = ledger_,
+        .quarantine = quarantine_,
         .clock = clock_,
         .random = random_,
         .silenceTimeout = settings_.silenceTimeout }
@@ -117,8 +120,10 @@
 {
     peers_.onMessage = [this](const Envelope& envelope) { takeMessage(envelope); };
     peers_.onPeerChanged = [this](const Peer& peer) {
-        if (!peer.alive)
-            scheduler_.dropPeer(peer.node);
+        if (peer.alive)
+            return;
+        scheduler_.dropPeer(peer.node);
+        quarantine_.dropPeer(peer.node);
     };
     metrics_.onRequest = [this](const RequestRecord& record) { report_.record(record); };
     follower_.onAdopted = [this](const ConfigSnapshot&) {
@@ -154,18 +159,31 @@
         return;
     logInfo("node_stopping", { { "in_flight", std::to_string(server_.requestsInFlight()) } });
     onStopped_ = std::move(onStopped);
-    stopDeadline_ = clock_() + settings_.shutdownTimeout;
+    stoppingSince_ = clock_();
     manager_.release();
     peers_.setHeartbeat(makeHeartbeat());
     stopTimer_.start(stopCheckInterval);
 }
 
+// The balancer may send requests long after /readyz fails, but not for ever.
+bool Node::mayCloseDoor() const
+{
+    constexpr int mostQuietTimes = 10;
+    const Millis now = clock_();
+    const Millis quietSince = std::max(stoppingSince_, tables_.lastArrival.load());
+    return now - quietSince >= settings_.shutdownQuiet || now - stoppingSince_ >= mostQuietTimes * settings_.shutdownQuiet;
+}
+
 void Node::checkStopped()
 {
+    if (isListening_ && mayCloseDoor()) {
+        server_.stopListening();
+        isListening_ = false;
+    }
     const int inFlight = server_.requestsInFlight();
-    if (inFlight > 0 && clock_() < stopDeadline_)
+    const bool isLate = clock_() - stoppingSince_ >= settings_.shutdownTimeout;
+    if (!isLate && (isListening_ || inFlight > 0))
         return;
-    server_.stopListening();
     stopTimer_.stop();
     logInfo("node_stopped", { { "in_flight", std::to_string(inFlight) } });
     report_.stop(onStopped_);
@@ -301,6 +319,17 @@
     return static_cast<size_t>(std::find(order.begin(), order.end(), settings_.node) - order.begin());
 }
 
+// Each group has one living node that sends suspects to it, so that two nodes do not at once.
+bool Node::ownsGroup(const std::string& group) const
+{
+    std::vector<std::string> nodes;
+    for (const Peer& peer : peers_.peers()) {
+        if (peer.alive && !peer.heartbeat.leaving)
+            nodes.push_back(peer.node);
+    }
+    return rankAmong(nodes, "suspects of " + group) == 0;
+}
+
 bool Node::shouldShare(const GroupCondition& group) const
 {
     // Two tell of each group, so that the death of one leaves no gap.
@@ -311,6 +340,7 @@
 void Node::takeMessage(const Envelope& envelope)
 {
     groupExchange_.take(envelope);
+    suspects_.take(envelope);
     if (envelope.kind == MessageKind::Usage)
         usage_.take(envelope);
     else if (envelope.kind == MessageKind::Counters)
@@ -320,6 +350,8 @@
 void Node::shareTables()
 {
     peers_.setHeartbeat(makeHeartbeat());
+    suspects_.share();
+    metrics_.setGauge("hemlockweir_endpoint_deaths_on_requests", "Deaths of endpoints counted against requests that were on them", static_cast<double>(quarantine_.rows().size()));
     if (clock_() >= nextShareAt_) {
         const uint64_t before = peers_.traffic().bytesSent;
         groupExchange_.share();
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -6,6 +6,7 @@
 #include "membership/PeerLink.h"
 #include "node/CallerApi.h"
 #include "node/UsageShare.h"
+#include "quarantine/SuspectShare.h"
 #include "rollout/ConfigExchange.h"
 #include "rollout/ConfigFollower.h"
 
@@ -22,8 +23,9 @@
     // Opens the sockets and starts everything; the error says what could not be opened.
     absl::Status start();
 
-    // Begins a planned stop: no new work, requests in flight go on. `onStopped` is called when
-    // the last one is answered or the shutdown timeout has passed.
+    // Begins a planned stop: /readyz fails at once; requests that still arrive are served until
+    // none has come for the quiet time, since the balancer lags. `onStopped` is called when the
+    // last one is answered or the shutdown timeout has passed.
     void stop(std::function<void()> onStopped);
 
 private:
@@ -31,12 +33,14 @@
     void takeMessage(const Envelope& envelope);
     void shareTables();
     void checkStopped();
+    bool mayCloseDoor() const;
     bool hasNodeIn(const std::string& domain) const;
     std::vector<std::string> domainsToPlan() const;
     size_t rankFor(const std::string& domain) const;
     bool shouldObserve(const Instance& instance) const;
     std::vector<std::string> livingNodesIn(const std::string& domain) const;
     size_t rankAmong(std::vector<std::string> candidates, const std::string& role) const;
+    bool ownsGroup(const std::string& group) const;
     bool shouldShare(const GroupCondition& group) const;
     bool isReady() const;
     QJsonObject describe() const;
@@ -63,6 +67,8 @@
     ConfigFollower follower_;
     FleetManager manager_;
     GroupExchange groupExchange_;
+    Quarantine quarantine_;
+    SuspectShare suspects_;
     Tables tables_;
     ReportKeeper report_;
     CallerApi api_;
@@ -71,7 +77,8 @@
     QTimer pumpTimer_;
     QTimer stopTimer_;
     Millis nextShareAt_ { 0 };
-    Millis stopDeadline_ { 0 };
+    Millis stoppingSince_ { 0 };
+    bool isListening_ = true;
     std::function<void()> onStopped_;
 };
 
