Announce a group of another node before a suspect runs on it

Ruled out: counting one death twice (ids are merged as sets). Change: such a group is announced first and used a second later if no peer announced it too; a contested one is given up by both. Conclusion: mended as far as seen; a lockstep of two nodes that both own none ends by the deadline.

--- a/packages/quarantine/Quarantine.cpp
+++ b/packages/quarantine/Quarantine.cpp
@@ -89,25 +89,60 @@
 
 bool Quarantine::isReserved(const std::string& group) const
 {
-    return std::any_of(reserved_.begin(), reserved_.end(), [&](const auto& row) { return row.second == group; })
-        || std::any_of(peerGroups_.begin(), peerGroups_.end(), [&](const auto& row) { return row.second.contains(group); });
+    return std::any_of(reserved_.begin(), reserved_.end(), [&](const auto& row) { return row.second.group == group; })
+        || isAnnouncedByPeer(group);
 }
 
-std::optional<std::string> Quarantine::reserve(const std::vector<std::string>& groups, const std::string& run)
+bool Quarantine::isAnnouncedByPeer(const std::string& group) const
 {
-    // The hook is called without the lock.
-    std::vector<std::string> owned;
-    std::copy_if(groups.begin(), groups.end(), std::back_inserter(owned), options_.ownsGroup);
-    std::lock_guard lock(mutex_);
-    for (const std::string& group : owned.empty() ? groups : owned) {
+    return std::any_of(peerGroups_.begin(), peerGroups_.end(), [&](const auto& row) { return row.second.contains(group); });
+}
+
+// Gives up what a run was announced for when its group went, or a peer wants it too.
+void Quarantine::dropContested(const std::vector<std::string>& groups, const std::string& run)
+{
+    const auto found = reserved_.find(run);
+    if (found == reserved_.end())
+        return;
+    const Reservation& reservation = found->second;
+    const bool isListed = std::find(groups.begin(), groups.end(), reservation.group) != groups.end();
+    const bool isContested = reservation.usableAt.count() > 0 && isAnnouncedByPeer(reservation.group);
+    if (!isListed || isContested)
+        reserved_.erase(found);
+}
+
+std::optional<std::string> Quarantine::reserveFree(const std::vector<std::string>& groups, const std::string& run, Millis usableAt)
+{
+    for (const std::string& group : groups) {
         if (isReserved(group))
             continue;
-        reserved_[run] = group;
+        reserved_[run] = { .group = group, .usableAt = usableAt };
         return group;
     }
     return std::nullopt;
 }
 
+std::optional<std::string> Quarantine::reserve(const std::vector<std::string>& groups, const std::string& run)
+{
+    // The hooks are called without the lock.
+    std::vector<std::string> owned;
+    std::copy_if(groups.begin(), groups.end(), std::back_inserter(owned), options_.ownsGroup);
+    bool isAnnounced = false;
+    {
+        std::lock_guard lock(mutex_);
+        const Millis now = options_.clock();
+        dropContested(groups, run);
+        if (const auto held = reserved_.find(run); held != reserved_.end())
+            return now >= held->second.usableAt ? std::optional(held->second.group) : std::nullopt;
+        if (!owned.empty())
+            return reserveFree(owned, run, Millis(0));
+        isAnnounced = reserveFree(groups, run, now + options_.announceTime).has_value();
+    }
+    if (isAnnounced && options_.onNews)
+        options_.onNews();
+    return std::nullopt;
+}
+
 void Quarantine::release(const std::string& run)
 {
     std::lock_guard lock(mutex_);
@@ -125,9 +160,9 @@
                 message.deaths.push_back({ .fingerprint = fingerprint, .death = id, .cleared = death.cleared, .ageMs = static_cast<uint32_t>(age.count()) });
         }
     }
-    for (const auto& [run, group] : reserved_) {
+    for (const auto& [run, reservation] : reserved_) {
         if (message.groups.size() < maxRowsPerMessage)
-            message.groups.push_back(group);
+            message.groups.push_back(reservation.group);
     }
     return message;
 }
--- a/packages/quarantine/Quarantine.h
+++ b/packages/quarantine/Quarantine.h
@@ -23,6 +23,7 @@
     struct Options {
         size_t limit = 2; // deaths across the fleet after which a request is refused
         Millis expiry { 600000 }; // ms that a death counts
+        Millis announceTime { 1000 }; // ms that a group of another node is announced before it is used
         size_t maxFingerprints = 10000; // requests held; new ones are not taken beyond
         Clock clock;
         std::function<bool(const std::string& group)> ownsGroup; // whether this node sends suspects there
@@ -47,8 +48,9 @@
     bool isSuspect(uint64_t fingerprint) const;
     bool isQuarantined(uint64_t fingerprint) const;
 
-    // Reserves one of the groups for a suspect: one that this node owns, or any if it owns none.
-    // None when other suspects are on all of them.
+    // Reserves one of the groups for a suspect: one that this node owns, at once, or else any,
+    // once it was announced for a while and no peer announced it too. None until then, or while
+    // other suspects are on all of them: call again.
     std::optional<std::string> reserve(const std::vector<std::string>& groups, const std::string& run);
     void release(const std::string& run);
 
@@ -67,7 +69,16 @@
         bool isOwn = false; // this node saw it, and tells of it
     };
 
+    // A group that a run has, or that is announced for it.
+    struct Reservation {
+        std::string group;
+        Millis usableAt { 0 };
+    };
+
     bool isReserved(const std::string& group) const;
+    bool isAnnouncedByPeer(const std::string& group) const;
+    void dropContested(const std::vector<std::string>& groups, const std::string& run);
+    std::optional<std::string> reserveFree(const std::vector<std::string>& groups, const std::string& run, Millis usableAt);
     void add(uint64_t fingerprint, uint64_t death, const Death& seen);
     size_t countDeaths(uint64_t fingerprint) const;
     bool isExpired(const Death& death) const;
@@ -75,7 +86,7 @@
     Options options_;
     mutable std::mutex mutex_;
     std::map<uint64_t, std::map<uint64_t, Death>> deaths_; // by fingerprint, by death
-    std::map<std::string, std::string> reserved_; // group by run
+    std::map<std::string, Reservation> reserved_; // by run
     std::map<std::string, std::set<std::string>> peerGroups_; // by node
 };
 
--- a/tests/QuarantineTest.cpp
+++ b/tests/QuarantineTest.cpp
@@ -100,4 +100,18 @@
     EXPECT_EQ(quarantine.reserve({ "other", "own1", "own2" }, "c"), "own1");
 }
 
+TEST(QuarantineTest, AnnouncesAGroupOfAnotherNodeBeforeItIsUsed)
+{
+    Quarantine quarantine(makeOptions());
+    EXPECT_EQ(quarantine.reserve({ "other1", "other2" }, "a"), std::nullopt);
+    ASSERT_EQ(quarantine.makeMessage().groups, std::vector<std::string> { "other1" });
+    // A peer announced the same group within the time: both give it up.
+    quarantine.merge("peer", { .deaths = {}, .groups = { "other1" } });
+    now += Millis(1000);
+    EXPECT_EQ(quarantine.reserve({ "other1", "other2" }, "a"), std::nullopt);
+    EXPECT_EQ(quarantine.makeMessage().groups, std::vector<std::string> { "other2" });
+    now += Millis(1000);
+    EXPECT_EQ(quarantine.reserve({ "other1", "other2" }, "a"), "other2");
+}
+
 } // namespace hemlockweir
