Show what broken groups strand in the shared report

Cause: the fleet counted stranded time and the report had a place for it, yet nothing joined the two, so finance's half of the report stayed empty. Change: the node hands the fleet's totals to the report by cause. Before and after: Report.NamesTheAcceleratorsThatABrokenGroupStrands waits for rows that never came before; it passes now (1.7 s). Conclusion: the report names causes; the figures are those of the node that holds the domain's lease.

--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -189,11 +189,25 @@
     report_.stop(onStopped_);
 }
 
+static std::vector<WasteRow> describeWaste(const StrandedTotals& totals)
+{
+    return {
+        { .cause = "missing_member", .strandedMs = totals.missingMemberMs },
+        { .cause = "loading", .strandedMs = totals.loadingMs },
+        { .cause = "no_partner", .strandedMs = totals.noPartnerMs },
+        { .cause = "cut_off", .strandedMs = totals.cutOffMs },
+        { .cause = "leaving", .strandedMs = totals.leavingMs },
+        { .cause = "not_reporting", .strandedMs = totals.notReportingMs },
+        { .cause = "group_down", .downtimeMs = totals.groupDownMs },
+    };
+}
+
 ReportOptions Node::makeReportOptions()
 {
     ReportOptions options { .own = { .node = settings_.node, .incarnation = incarnation_ }, .shareInterval = settings_.reportShareInterval, .flushInterval = settings_.reportFlushInterval };
     options.freshness = settings_.statusFreshness;
     options.clock = clock_;
+    options.waste = [this] { return describeWaste(manager_.strandedTotals()); };
     options.broadcast = [this](const Counters& counters) { peers_.broadcast(counters); };
     options.isRunning = [this](const PartId& id) {
         const std::vector<Peer> peers = peers_.peers();
--- a/tests/ReportProcessTest.cpp
+++ b/tests/ReportProcessTest.cpp
@@ -134,4 +134,26 @@
     expectSameAsEngines(report({ "--platform", platform() }));
 }
 
+TEST_F(Report, NamesTheAcceleratorsThatABrokenGroupStrands)
+{
+    start("report_share_interval_ms = 50\nreport_flush_interval_ms = 100\n");
+    const QStringList sources { "--platform", platform(), "--node", node("n1"), "--node", node("n2") };
+    auto stranded = [&](const QString& cause) {
+        const QJsonObject answer = report(sources);
+        for (const QJsonValue& row : answer["waste"].toArray()) {
+            if (row.toObject()["cause"].toString() == cause)
+                return row.toObject()["stranded_ms"].toDouble();
+        }
+        return -1.0;
+    };
+    ASSERT_TRUE(waitUntil([&] { return stranded("loading") >= 0; }));
+    // Before the group was whole its members were idle; that time stands still since.
+    const double idle = stranded("no_partner") + stranded("missing_member");
+    const double silent = stranded("not_reporting");
+    cluster.kill("a1-2");
+    // The survivor has nobody to form a group with; the killed instance is listed and silent.
+    EXPECT_TRUE(waitUntil([&] { return stranded("no_partner") + stranded("missing_member") > idle; }));
+    EXPECT_TRUE(waitUntil([&] { return stranded("not_reporting") > silent; }));
+}
+
 } // namespace hemlockweir
