--- a/tests/support/Promises.cpp
+++ b/tests/support/Promises.cpp
@@ -121,11 +121,9 @@
         for (const QJsonObject& effect : cluster.effects(engine, {})) {
             const QString what = effect["what"].toString();
             const auto at = static_cast<qint64>(effect["at"].toDouble());
-            if (what == "started")
-                assignments.push_back({ .at = at });
-            else if (what == "order" && effect["type"].toString() == "join")
+            if (what == "order" && effect["type"].toString() == "join")
                 assignments.push_back({ .at = at, .group = effect["group"].toString(), .epoch = static_cast<qint64>(effect["epoch"].toDouble()), .members = effect["members"].toArray() });
-            else if (what == "order")
+            else if (what == "order" || what == "started")
                 assignments.push_back({ .at = at });
         }
         return assignments;
