--- a/packages/membership/Rendezvous.cpp
+++ b/packages/membership/Rendezvous.cpp
@@ -1,19 +1,15 @@
 #include "membership/Rendezvous.h"
 
+#include "base/StableHash.h"
+
 #include <algorithm>
 
 namespace hemlockweir {
 
-// FNV-1a, then the finalizer of MurmurHash3, so that names that differ in one digit spread.
+// The stable hash, then the finalizer of MurmurHash3, so that names that differ in one digit spread.
 uint64_t stableHash(std::string_view text)
 {
-    constexpr uint64_t offsetBasis = 14695981039346656037ULL;
-    constexpr uint64_t prime = 1099511628211ULL;
-    uint64_t hash = offsetBasis;
-    for (const char c : text) {
-        hash ^= static_cast<uint8_t>(c);
-        hash *= prime;
-    }
+    uint64_t hash = extendStableHash(stableHashStart, text);
     constexpr uint64_t firstFactor = 0xff51afd7ed558ccdULL;
     constexpr uint64_t secondFactor = 0xc4ceb9fe1a85ec53ULL;
     hash = (hash ^ (hash >> 33)) * firstFactor;
--- a/packages/schedule/AffinityTable.cpp
+++ b/packages/schedule/AffinityTable.cpp
@@ -1,5 +1,7 @@
 #include "schedule/AffinityTable.h"
 
+#include "base/StableHash.h"
+
 namespace hemlockweir {
 
 static constexpr size_t blockBytes = 64;
@@ -8,10 +10,9 @@
 std::vector<uint64_t> hashPrefix(std::string_view prompt)
 {
     std::vector<uint64_t> hashes;
-    uint64_t hash = 14695981039346656037ULL; // FNV-1a
+    uint64_t hash = stableHashStart;
     for (size_t at = 0; at + blockBytes <= prompt.size() && hashes.size() < mostBlocks; at += blockBytes) {
-        for (const char c : prompt.substr(at, blockBytes))
-            hash = (hash ^ static_cast<uint8_t>(c)) * 1099511628211ULL;
+        hash = extendStableHash(hash, prompt.substr(at, blockBytes));
         hashes.push_back(hash);
     }
     return hashes;
--- a/packages/schedule/ReplicaChooser.cpp
+++ b/packages/schedule/ReplicaChooser.cpp
@@ -1,5 +1,7 @@
 #include "schedule/ReplicaChooser.h"
 
+#include "base/StableHash.h"
+
 #include <algorithm>
 
 namespace hemlockweir {
@@ -27,10 +29,7 @@
 
 uint32_t ownSlots(const std::string& group, uint32_t slots, const SlotSharers& sharers)
 {
-    // FNV-1a: the same on every node, whatever the library's hash.
-    uint64_t hash = 14695981039346656037ULL;
-    for (const char c : group)
-        hash = (hash ^ static_cast<uint8_t>(c)) * 1099511628211ULL;
+    const uint64_t hash = extendStableHash(stableHashStart, group);
     const size_t offset = (sharers.own + sharers.count - hash % sharers.count) % sharers.count;
     const uint32_t each = slots / static_cast<uint32_t>(sharers.count);
     return each + (offset < slots % sharers.count ? 1 : 0);
