Ask the fleet table again when a granted request is sent

Cause: the scheduler keeps its replicas up to 20 ms, so a request could be granted on a group that the table already knew to be broken, and was sent. Ruled out: the table and the peers' rows, which both showed the group broken. Change: a grant whose group and epoch are no longer whole gives its slot back and waits for another group. Conclusion: what decides is the table at the time of sending.

--- a/packages/node/CompletionFlow.cpp
+++ b/packages/node/CompletionFlow.cpp
@@ -119,7 +119,7 @@
 {
     constexpr Millis interval { 50 };
     if (tables_.clock() > deadline()) {
-        fail({ .status = 503, .type = "overloaded", .message = "no group was free of other suspects before the deadline", .outcome = mayHaveRun_ ? Outcome::Unknown : Outcome::NotRun });
+        fail({ .status = 503, .type = "overloaded", .message = "no whole group was free for this request before the deadline", .outcome = mayHaveRun_ ? Outcome::Unknown : Outcome::NotRun });
         return;
     }
     QTimer::singleShot(interval, this, [this] {
@@ -191,7 +191,13 @@
         return;
     if (decision.isGranted()) {
         holdsSlot_ = true;
-        attempt(decision.replica);
+        // The scheduler reads its replicas now and then; the table may know better by now.
+        if (tables_.fleet.findReplica(decision.replica.group, decision.replica.epoch)) {
+            attempt(decision.replica);
+            return;
+        }
+        freeSlot();
+        waitForGroup();
         return;
     }
     jobId_ = 0;
