Show that a suspect of a node without a group never goes on

Cause: a flow gives its reservation back on every look for a group (CompletionFlow::schedule, every 50 ms), so that a group of another node, which is announced for a second before it is used, is announced anew each time and never used. A node whose groups all died, or that never owned one, keeps its suspects waiting until their deadline.

--- a/tests/QuarantineProcessTest.cpp
+++ b/tests/QuarantineProcessTest.cpp
@@ -1,5 +1,6 @@
 // A request that crashes every endpoint that runs it is stopped, and its neighbours are not blamed.
 
+#include "membership/Rendezvous.h"
 #include "support/Cluster.h"
 
 #include <algorithm>
@@ -66,4 +67,46 @@
     EXPECT_EQ(deadEngines(), 2U);
 }
 
+// Two groups, of which one is ended while streams of both run through the node that does not own
+// the other.
+class QuarantineTurns : public testing::Test {
+protected:
+    void SetUp() override
+    {
+        cluster.startStore();
+        cluster.startEngines({ .count = 2, .domain = "a", .fabric = "a1", .arguments = { "--token-ms", "20" } });
+        cluster.startNode({ .name = "n1", .domain = "a", .seeds = { "n2" } });
+        cluster.startNode({ .name = "n2", .domain = "a", .seeds = { "n1" } });
+        ASSERT_EQ(cluster.publish(makeServiceFile(1)), 0);
+        for (const char* node : { "n1", "n2" })
+            ASSERT_TRUE(cluster.waitForGroups(node, 2));
+        const std::vector<QJsonObject> groups = cluster.wholeGroups("n1");
+        victim = groups[0]["members"].toArray().at(0).toString().toStdString();
+        const std::string owner = pickByRendezvous({ "n1", "n2" }, "suspects of " + groups[1]["group"].toString().toStdString(), 1).front();
+        other = owner == "n1" ? "n2" : "n1";
+    }
+
+    Cluster cluster;
+    std::string victim; // the instance that is ended
+    std::string other; // the node that owns no group then
+};
+
+TEST_F(QuarantineTurns, SuspectsOfANodeThatOwnsNoGroupGoOnInTurn)
+{
+    std::vector<PendingAnswer> streams;
+    streams.reserve(6);
+    for (int i = 0; i < 6; ++i)
+        streams.push_back(cluster.startAsk(other, { .prompt = "stream " + std::to_string(i), .maxTokens = 50, .stream = true, .headers = { { "X-Priority", "batch" } } }));
+    ASSERT_TRUE(waitUntil([&] {
+        return std::all_of(streams.begin(), streams.end(), [](const PendingAnswer& stream) { return stream.received->contains("\"text\""); });
+    }));
+    ASSERT_GE(cluster.effects(victim, "run_started").size(), 2U);
+    cluster.kill(victim);
+    for (const PendingAnswer& stream : streams) {
+        const QByteArray body = stream.wait().body;
+        EXPECT_EQ(body.count("\"finish_reason\":null"), 50);
+        EXPECT_TRUE(body.endsWith("data: [DONE]\n\n")) << body.right(300).constData();
+    }
+}
+
 } // namespace hemlockweir
