Let a suspect keep the group that is announced for it

Cause: CompletionFlow gave the reservation back before each look for a group, so that the second that a group of another node is announced for began anew every 50 ms. A node that owned none of the groups left never placed its suspects: two innocent streams stayed at one token. Which groups die is chance, and so was the failure. Ruled out: the scheduler (the suspects never reached it), lost datagrams (the news repeats).

Change: a run keeps its reservation until the attempt that used it has failed, or its group went. A node whose own groups are taken announces others. Of two nodes that announce one group the one that ranks first for it stays, the other gives way; at the end of the time a peer that still names it runs there, and keeps it. Groups in use are named with every heartbeat, and forgotten 5 s after a peer last named them. The emptiest group is taken first.

--- a/packages/node/CompletionFlow.cpp
+++ b/packages/node/CompletionFlow.cpp
@@ -93,16 +93,26 @@
     return (received_ > 0 ? resumedAt_ : arrivedAt_) + request().deadline;
 }
 
+static double loadOf(const Replica& replica)
+{
+    return static_cast<double>(replica.running + replica.waiting) / std::max(1U, replica.slots);
+}
+
 // Returns the groups to avoid so that a suspect runs apart from other suspects; none when each
 // group has one already.
 std::optional<std::vector<std::string>> CompletionFlow::isolate()
 {
     std::vector<std::string> avoid = groupsToAvoid();
-    if (!tables_.quarantine.isSuspect(fingerprint_))
+    if (!tables_.quarantine.isSuspect(fingerprint_)) {
+        tables_.quarantine.release(runId_);
         return avoid;
+    }
+    std::vector<Replica> replicas = tables_.fleet.findReplicas(completion_.model);
+    // The emptiest first: fewer neighbours to end, and a slot sooner.
+    std::stable_sort(replicas.begin(), replicas.end(), [](const Replica& a, const Replica& b) { return loadOf(a) < loadOf(b); });
     std::vector<std::string> groups = failedGroups_;
     std::vector<std::string> candidates;
-    for (const Replica& replica : tables_.fleet.findReplicas(completion_.model)) {
+    for (const Replica& replica : replicas) {
         groups.push_back(replica.group);
         if (std::find(avoid.begin(), avoid.end(), replica.group) == avoid.end())
             candidates.push_back(replica.group);
@@ -142,13 +152,13 @@
         }
         tables_.scheduler.cancel(jobId);
         freeSlot();
+        tables_.quarantine.release(runId_);
         schedule();
     });
 }
 
 void CompletionFlow::schedule()
 {
-    tables_.quarantine.release(runId_);
     if (tables_.quarantine.isQuarantined(fingerprint_)) {
         fail({ .status = 422, .type = "quarantined", .message = "endpoints died while they ran this request, so it is refused for a time", .outcome = mayHaveRun_ ? Outcome::Unknown : Outcome::NotRun });
         return;
@@ -411,6 +421,7 @@
 {
     logWarning("attempt_failed", { { "request", request().requestId }, { "group", replica_->group }, { "epoch", std::to_string(replica_->epoch) }, { "attempt", std::to_string(attempt_) }, { "http", std::to_string(result.status) }, { "error", result.error.toStdString() } });
     tables_.fleet.suspectGroup(replica_->group, replica_->epoch);
+    tables_.quarantine.release(runId_);
     failedGroups_.push_back(replica_->group);
     ++failures_;
     const bool mayRepeat = !isClaimed() || result.end == CallEnd::NotSent || saysNotRun(result);
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -96,7 +96,7 @@
                          .broadcast = [this](const Groups& message) { peers_.broadcast(message); },
                          .shouldShare = [this](const GroupCondition& group) { return shouldShare(group); } },
           fleet_)
-    , quarantine_({ .clock = clock_, .ownsGroup = [this](const std::string& group) { return ownsGroup(group); }, .onNews = [this] { QMetaObject::invokeMethod(this, [this] { suspects_.share(); }); } })
+    , quarantine_({ .node = settings_.node, .clock = clock_, .ownsGroup = [this](const std::string& group) { return ownsGroup(group); }, .onNews = [this] { QMetaObject::invokeMethod(this, [this] { suspects_.share(); }); } })
     , suspects_(quarantine_, [this](const Suspects& message) { peers_.broadcast(message); })
     , tables_ { .config = config_,
         .fleet = fleet_,
@@ -341,7 +341,7 @@
         if (peer.alive && !peer.heartbeat.leaving)
             nodes.push_back(peer.node);
     }
-    return rankAmong(nodes, "suspects of " + group) == 0;
+    return rankAmong(nodes, Quarantine::roleOf(group)) == 0;
 }
 
 bool Node::shouldShare(const GroupCondition& group) const
--- a/packages/quarantine/Quarantine.cpp
+++ b/packages/quarantine/Quarantine.cpp
@@ -1,5 +1,7 @@
 #include "quarantine/Quarantine.h"
 
+#include "membership/Rendezvous.h"
+
 #include <QCryptographicHash>
 #include <QtEndian>
 #include <algorithm>
@@ -90,35 +92,75 @@
 bool Quarantine::isReserved(const std::string& group) const
 {
     return std::any_of(reserved_.begin(), reserved_.end(), [&](const auto& row) { return row.second.group == group; })
-        || isAnnouncedByPeer(group);
+        || isNamedByPeer(group);
+}
+
+bool Quarantine::isNamed(const PeerGroups& peer, const std::string& group) const
+{
+    return peer.groups.contains(group) && options_.clock() - peer.heardAt <= options_.peerMemory;
 }
 
-bool Quarantine::isAnnouncedByPeer(const std::string& group) const
+bool Quarantine::isNamedByPeer(const std::string& group) const
 {
-    return std::any_of(peerGroups_.begin(), peerGroups_.end(), [&](const auto& row) { return row.second.contains(group); });
+    return std::any_of(peerGroups_.begin(), peerGroups_.end(), [&](const auto& row) { return isNamed(row.second, group); });
 }
 
-// Gives up what a run was announced for when its group went, or a peer wants it too.
-void Quarantine::dropContested(const std::vector<std::string>& groups, const std::string& run)
+// Whether an announced group is left to a peer that names it too: to one that ranks before this
+// node, and at the end of the time to any, since one that has not given way by then runs there.
+bool Quarantine::mustGiveWay(const Reservation& reservation) const
+{
+    const bool isTimeOver = options_.clock() >= reservation.usableAt;
+    return std::any_of(peerGroups_.begin(), peerGroups_.end(), [&](const auto& row) {
+        const auto& [peer, named] = row;
+        return isNamed(named, reservation.group)
+            && (isTimeOver || pickByRendezvous({ options_.node, peer }, roleOf(reservation.group), 1).front() == peer);
+    });
+}
+
+// Gives up a group that went, or an announced one that a peer is to have.
+void Quarantine::dropLost(const std::vector<std::string>& groups, const std::string& run)
 {
     const auto found = reserved_.find(run);
     if (found == reserved_.end())
         return;
     const Reservation& reservation = found->second;
     const bool isListed = std::find(groups.begin(), groups.end(), reservation.group) != groups.end();
-    const bool isContested = reservation.usableAt.count() > 0 && isAnnouncedByPeer(reservation.group);
-    if (!isListed || isContested)
+    if (!isListed || (!reservation.isUsed && mustGiveWay(reservation)))
         reserved_.erase(found);
 }
 
-std::optional<std::string> Quarantine::reserveFree(const std::vector<std::string>& groups, const std::string& run, Millis usableAt)
+std::optional<std::string> Quarantine::findFree(const std::vector<std::string>& groups) const
+{
+    const auto free = std::find_if(groups.begin(), groups.end(), [this](const std::string& group) { return !isReserved(group); });
+    return free == groups.end() ? std::nullopt : std::optional(*free);
+}
+
+std::string Quarantine::groupOf(const std::string& run) const
+{
+    const auto found = reserved_.find(run);
+    return found == reserved_.end() ? std::string() : found->second.group;
+}
+
+// One look for a group: returns the one that the run may use, and announces one otherwise.
+std::optional<std::string> Quarantine::place(const std::vector<std::string>& groups, const std::vector<std::string>& owned, const std::string& run)
 {
-    for (const std::string& group : groups) {
-        if (isReserved(group))
-            continue;
-        reserved_[run] = { .group = group, .usableAt = usableAt };
-        return group;
+    dropLost(groups, run);
+    const Millis now = options_.clock();
+    const auto held = reserved_.find(run);
+    const bool isHeld = held != reserved_.end();
+    if (isHeld && (held->second.isUsed || now >= held->second.usableAt)) {
+        held->second.isUsed = true;
+        return held->second.group;
     }
+    // An owned group that became free is sooner to be had than one that is announced.
+    if (const std::optional<std::string> free = findFree(owned)) {
+        reserved_[run] = { .group = *free, .usableAt = now, .isUsed = true };
+        return free;
+    }
+    if (isHeld)
+        return std::nullopt;
+    if (const std::optional<std::string> free = findFree(groups))
+        reserved_[run] = { .group = *free, .usableAt = now + options_.announceTime, .isUsed = false };
     return std::nullopt;
 }
 
@@ -127,26 +169,28 @@
     // The hooks are called without the lock.
     std::vector<std::string> owned;
     std::copy_if(groups.begin(), groups.end(), std::back_inserter(owned), options_.ownsGroup);
-    bool isAnnounced = false;
+    std::optional<std::string> usable;
+    bool isNews = false;
     {
         std::lock_guard lock(mutex_);
-        const Millis now = options_.clock();
-        dropContested(groups, run);
-        if (const auto held = reserved_.find(run); held != reserved_.end())
-            return now >= held->second.usableAt ? std::optional(held->second.group) : std::nullopt;
-        if (!owned.empty())
-            return reserveFree(owned, run, Millis(0));
-        isAnnounced = reserveFree(groups, run, now + options_.announceTime).has_value();
+        const std::string before = groupOf(run);
+        usable = place(groups, owned, run);
+        isNews = groupOf(run) != before;
     }
-    if (isAnnounced && options_.onNews)
+    if (isNews && options_.onNews)
         options_.onNews();
-    return std::nullopt;
+    return usable;
 }
 
 void Quarantine::release(const std::string& run)
 {
-    std::lock_guard lock(mutex_);
-    reserved_.erase(run);
+    {
+        std::lock_guard lock(mutex_);
+        if (reserved_.erase(run) == 0)
+            return;
+    }
+    if (options_.onNews)
+        options_.onNews();
 }
 
 Suspects Quarantine::makeMessage() const
@@ -172,7 +216,7 @@
     std::lock_guard lock(mutex_);
     for (const DeathRow& row : message.deaths)
         add(row.fingerprint, row.death, { .seenAt = options_.clock() - Millis(row.ageMs), .cleared = row.cleared, .isOwn = false });
-    peerGroups_[node] = { message.groups.begin(), message.groups.end() };
+    peerGroups_[node] = { .groups = { message.groups.begin(), message.groups.end() }, .heardAt = options_.clock() };
 }
 
 void Quarantine::dropPeer(const std::string& node)
--- a/packages/quarantine/Quarantine.h
+++ b/packages/quarantine/Quarantine.h
@@ -14,6 +14,11 @@
 // id, against each request that was on it, whichever nodes saw it. A request with one death is a
 // suspect: it runs only where no other suspect does, so that a second death tells it from its
 // companions. With `limit` deaths it is quarantined. Finishing elsewhere clears its deaths.
+//
+// Each group has one owner among the living nodes, which takes it for a suspect at once. Any other
+// node announces it first, and uses it if no peer names it at the end of that time. Of two that
+// announce one group the one that ranks first for it stays, so that nodes in lockstep go on too.
+//
 // Thread-safe; its lock is a leaf.
 
 namespace hemlockweir {
@@ -21,13 +26,15 @@
 class Quarantine {
 public:
     struct Options {
+        std::string node; // this node's name
         size_t limit = 2; // deaths across the fleet after which a request is refused
         Millis expiry { 600000 }; // ms that a death counts
         Millis announceTime { 1000 }; // ms that a group of another node is announced before it is used
+        Millis peerMemory { 5000 }; // ms that a peer's groups count after it last named them
         size_t maxFingerprints = 10000; // requests held; new ones are not taken beyond
         Clock clock;
         std::function<bool(const std::string& group)> ownsGroup; // whether this node sends suspects there
-        std::function<void()> onNews; // called without the lock when this node saw a death
+        std::function<void()> onNews; // called without the lock when makeMessage() has news for peers
     };
 
     explicit Quarantine(Options options);
@@ -48,12 +55,16 @@
     bool isSuspect(uint64_t fingerprint) const;
     bool isQuarantined(uint64_t fingerprint) const;
 
-    // Reserves one of the groups for a suspect: one that this node owns, at once, or else any,
-    // once it was announced for a while and no peer announced it too. None until then, or while
-    // other suspects are on all of them: call again.
+    // Reserves one of the groups for a suspect, the first that it may have: one that this node
+    // owns, at once, or else any, once it was announced. None until then, or while other suspects
+    // are on all of them: call again. The same run keeps its group, announced or not, until it is
+    // released or the group is no longer among `groups`.
     std::optional<std::string> reserve(const std::vector<std::string>& groups, const std::string& run);
     void release(const std::string& run);
 
+    // The role whose ranking tells which node owns a group; the same on every node.
+    static std::string roleOf(const std::string& group) { return "suspects of " + group; }
+
     // Exchange with peers: what this node saw and runs, and what a peer tells.
     Suspects makeMessage() const;
     void merge(const std::string& node, const Suspects& message);
@@ -73,12 +84,23 @@
     struct Reservation {
         std::string group;
         Millis usableAt { 0 };
+        bool isUsed = false; // given to the run: peers give way from then on
+    };
+
+    // The groups that a peer names.
+    struct PeerGroups {
+        std::set<std::string> groups;
+        Millis heardAt { 0 };
     };
 
     bool isReserved(const std::string& group) const;
-    bool isAnnouncedByPeer(const std::string& group) const;
-    void dropContested(const std::vector<std::string>& groups, const std::string& run);
-    std::optional<std::string> reserveFree(const std::vector<std::string>& groups, const std::string& run, Millis usableAt);
+    bool isNamed(const PeerGroups& peer, const std::string& group) const;
+    bool isNamedByPeer(const std::string& group) const;
+    bool mustGiveWay(const Reservation& reservation) const;
+    void dropLost(const std::vector<std::string>& groups, const std::string& run);
+    std::optional<std::string> findFree(const std::vector<std::string>& groups) const;
+    std::string groupOf(const std::string& run) const;
+    std::optional<std::string> place(const std::vector<std::string>& groups, const std::vector<std::string>& owned, const std::string& run);
     void add(uint64_t fingerprint, uint64_t death, const Death& seen);
     size_t countDeaths(uint64_t fingerprint) const;
     bool isExpired(const Death& death) const;
@@ -87,7 +109,7 @@
     mutable std::mutex mutex_;
     std::map<uint64_t, std::map<uint64_t, Death>> deaths_; // by fingerprint, by death
     std::map<std::string, Reservation> reserved_; // by run
-    std::map<std::string, std::set<std::string>> peerGroups_; // by node
+    std::map<std::string, PeerGroups> peerGroups_; // by node
 };
 
 } // namespace hemlockweir
--- a/packages/quarantine/SuspectShare.cpp
+++ b/packages/quarantine/SuspectShare.cpp
@@ -21,8 +21,9 @@
     quietTicks_ = isNews ? 0 : quietTicks_ + 1;
     lastDeaths_ = std::move(deaths);
     lastGroups_ = message.groups;
-    const bool isEmpty = message.deaths.empty() && message.groups.empty();
-    if (quietTicks_ < newsTicks || (!isEmpty && quietTicks_ % repeatTicks == 0))
+    // Peers forget a group that is not named again.
+    const bool isDue = !message.groups.empty() || (!message.deaths.empty() && quietTicks_ % repeatTicks == 0);
+    if (quietTicks_ < newsTicks || isDue)
         broadcast_(message);
 }
 
--- a/packages/quarantine/SuspectShare.h
+++ b/packages/quarantine/SuspectShare.h
@@ -14,8 +14,8 @@
 
     SuspectShare(Quarantine& quarantine, Broadcast broadcast);
 
-    // Sends what this node saw; call every heartbeat interval. What did not change is repeated
-    // seldom, for nodes that missed it.
+    // Sends what this node saw; call every heartbeat interval. Deaths that are known are repeated
+    // seldom, for nodes that missed them; groups in use are named each time.
     void share();
 
     // Takes a peer's message, whatever its kind; others than Suspects are ignored.
--- a/tests/QuarantineProcessTest.cpp
+++ b/tests/QuarantineProcessTest.cpp
@@ -1,6 +1,7 @@
 // A request that crashes every endpoint that runs it is stopped, and its neighbours are not blamed.
 
 #include "membership/Rendezvous.h"
+#include "quarantine/Quarantine.h"
 #include "support/Cluster.h"
 
 #include <algorithm>
@@ -82,7 +83,7 @@
             ASSERT_TRUE(cluster.waitForGroups(node, 2));
         const std::vector<QJsonObject> groups = cluster.wholeGroups("n1");
         victim = groups[0]["members"].toArray().at(0).toString().toStdString();
-        const std::string owner = pickByRendezvous({ "n1", "n2" }, "suspects of " + groups[1]["group"].toString().toStdString(), 1).front();
+        const std::string owner = pickByRendezvous({ "n1", "n2" }, Quarantine::roleOf(groups[1]["group"].toString().toStdString()), 1).front();
         other = owner == "n1" ? "n2" : "n1";
     }
 
--- a/tests/QuarantineTest.cpp
+++ b/tests/QuarantineTest.cpp
@@ -1,7 +1,9 @@
 // The quarantine's decisions, without sockets.
 
-#include "quarantine/Quarantine.h"
+#include "membership/Rendezvous.h"
+#include "quarantine/SuspectShare.h"
 
+#include <deque>
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
@@ -13,7 +15,7 @@
 
     Quarantine::Options makeOptions()
     {
-        return { .clock = [] { return now; }, .ownsGroup = [](const std::string& group) { return group.starts_with("own"); } };
+        return { .node = "self", .clock = [] { return now; }, .ownsGroup = [](const std::string& group) { return group.starts_with("own"); } };
     }
 
     // A message with few different deaths, so that they repeat.
@@ -25,6 +27,132 @@
         return rc::gen::build<Suspects>(rc::gen::set(&Suspects::deaths, rc::gen::container<std::vector<DeathRow>>(row)));
     }
 
+    // Nodes that look for groups for their suspects every 50 ms, all at the same instants, and
+    // hear of each other after a delay. A group of "idle" belongs to no node that has suspects.
+    class Fleet {
+    public:
+        static constexpr Millis step { 50 };
+        static constexpr Millis heartbeat { 200 };
+
+        struct Options {
+            size_t nodes = 2;
+            std::vector<std::string> groups;
+            size_t suspectsPerNode = 1;
+            Millis delay { 0 }; // of messages
+            Millis runTime { 1000 }; // that a suspect holds its group
+            bool isOwnerThere = false; // otherwise all groups belong to a node without suspects
+        };
+
+        explicit Fleet(Options options)
+            : options_(std::move(options))
+        {
+            std::vector<std::string> names;
+            for (size_t i = 0; i < options_.nodes; ++i)
+                names.push_back("n" + std::to_string(i));
+            for (const std::string& name : names)
+                addNode(name, names);
+        }
+
+        // Runs one step; false when a group has two suspects.
+        bool advance()
+        {
+            now += step;
+            while (!inTransit_.empty() && inTransit_.front().at <= now)
+                deliver();
+            if (now.count() % heartbeat.count() == 0) {
+                for (Node& node : nodes_)
+                    node.share->share();
+            }
+            for (Node& node : nodes_)
+                runSuspects(node);
+            std::set<std::string> used;
+            for (const Node& node : nodes_) {
+                for (const Suspect& suspect : node.suspects) {
+                    if (!suspect.isOver && suspect.group && !used.insert(*suspect.group).second)
+                        return false;
+                }
+            }
+            return true;
+        }
+
+        bool isOver() const
+        {
+            return std::all_of(nodes_.begin(), nodes_.end(), [](const Node& node) {
+                return std::all_of(node.suspects.begin(), node.suspects.end(), [](const Suspect& suspect) { return suspect.isOver; });
+            });
+        }
+
+    private:
+        struct Suspect {
+            std::string run;
+            std::optional<std::string> group;
+            Millis endsAt { 0 };
+            bool isOver = false;
+        };
+
+        struct Node {
+            std::string name;
+            std::unique_ptr<Quarantine> quarantine;
+            std::unique_ptr<SuspectShare> share;
+            std::vector<Suspect> suspects;
+        };
+
+        struct Message {
+            Millis at { 0 };
+            std::string sender;
+            Suspects body;
+        };
+
+        void addNode(const std::string& name, const std::vector<std::string>& names)
+        {
+            Node node { .name = name, .quarantine = nullptr, .share = nullptr, .suspects = {} };
+            const size_t index = nodes_.size();
+            node.quarantine = std::make_unique<Quarantine>(Quarantine::Options {
+                .node = name,
+                .clock = [] { return now; },
+                .ownsGroup = [this, name, names](const std::string& group) { return options_.isOwnerThere && pickByRendezvous(names, Quarantine::roleOf(group), 1).front() == name; },
+                .onNews = [this, index] { nodes_[index].share->share(); },
+            });
+            node.share = std::make_unique<SuspectShare>(*node.quarantine, [this, name](const Suspects& body) { inTransit_.push_back({ .at = now + options_.delay, .sender = name, .body = body }); });
+            for (size_t i = 0; i < options_.suspectsPerNode; ++i)
+                node.suspects.push_back({ .run = name + "-" + std::to_string(i), .group = {}, .endsAt = {}, .isOver = false });
+            nodes_.push_back(std::move(node));
+        }
+
+        void deliver()
+        {
+            const Message message = inTransit_.front();
+            inTransit_.pop_front();
+            for (Node& node : nodes_) {
+                if (node.name != message.sender)
+                    node.quarantine->merge(message.sender, message.body);
+            }
+        }
+
+        void runSuspects(Node& node)
+        {
+            for (Suspect& suspect : node.suspects) {
+                if (suspect.isOver)
+                    continue;
+                if (!suspect.group) {
+                    suspect.group = node.quarantine->reserve(options_.groups, suspect.run);
+                    suspect.endsAt = now + options_.runTime;
+                } else if (now >= suspect.endsAt) {
+                    node.quarantine->release(suspect.run);
+                    suspect.isOver = true;
+                }
+            }
+        }
+
+        Options options_;
+        std::vector<Node> nodes_;
+        std::deque<Message> inTransit_;
+    };
+
+    // From a group's becoming free to its use by a waiting suspect: the news, an announcement, and
+    // one more for a peer that was given way to and then took another group.
+    constexpr Millis handover { 3000 };
+
 } // namespace
 
 TEST(QuarantineProperty, MergesInAnyOrderAndAnyNumberOfTimes)
@@ -61,6 +189,54 @@
     }));
 }
 
+TEST(QuarantineProperty, RunsEverySuspectApartAndSoon)
+{
+    EXPECT_TRUE(rc::check("one suspect a group, and no free group waits", [] {
+        Fleet::Options options;
+        options.nodes = *rc::gen::inRange<size_t>(1, 5);
+        const size_t groups = *rc::gen::inRange<size_t>(1, 5);
+        for (size_t i = 0; i < groups; ++i)
+            options.groups.push_back("g" + std::to_string(i));
+        options.suspectsPerNode = *rc::gen::inRange<size_t>(1, 4);
+        options.delay = Fleet::step * *rc::gen::inRange(0, 5);
+        options.runTime = Fleet::step * *rc::gen::inRange(1, 60);
+        options.isOwnerThere = *rc::gen::arbitrary<bool>();
+        Fleet fleet(options);
+        const size_t suspects = options.nodes * options.suspectsPerNode;
+        const Millis end = now + static_cast<int>(suspects) * (options.runTime + handover);
+        while (!fleet.isOver() && now < end)
+            RC_ASSERT(fleet.advance());
+        RC_ASSERT(fleet.isOver());
+    }));
+}
+
+TEST(QuarantineTest, GoesOnWithTwoNodesInLockstepAndOneGroup)
+{
+    Fleet fleet({ .nodes = 2, .groups = { "g" }, .suspectsPerNode = 1, .delay = Millis(100) });
+    const Millis end = now + 2 * (Millis(1000) + handover);
+    while (!fleet.isOver() && now < end)
+        ASSERT_TRUE(fleet.advance());
+    EXPECT_TRUE(fleet.isOver());
+}
+
+TEST(QuarantineTest, UsesGroupsOfOtherNodesWhenItsOwnAreTaken)
+{
+    Quarantine quarantine(makeOptions());
+    ASSERT_EQ(quarantine.reserve({ "own1", "other" }, "a"), "own1");
+    EXPECT_EQ(quarantine.reserve({ "own1", "other" }, "b"), std::nullopt);
+    now += Millis(1000);
+    EXPECT_EQ(quarantine.reserve({ "own1", "other" }, "b"), "other");
+}
+
+TEST(QuarantineTest, ForgetsTheGroupsOfAPeerThatNamesThemNoMore)
+{
+    Quarantine quarantine(makeOptions());
+    quarantine.merge("peer", { .deaths = {}, .groups = { "own1" } });
+    EXPECT_EQ(quarantine.reserve({ "own1" }, "a"), std::nullopt);
+    now += Millis(5001);
+    EXPECT_EQ(quarantine.reserve({ "own1" }, "a"), "own1");
+}
+
 TEST(QuarantineTest, CountsADeathOnceThoughTwoNodesSawIt)
 {
     Quarantine first(makeOptions());
