Cancel the work of a caller that vanished without closing

Cause: only TCP's default keepalive (two hours) and retransmissions (15 minutes) noticed a caller whose machine or link was lost; its request held a slot till its last token. Change: TCP_USER_TIMEOUT and keepalive probes on callers' sockets, caller_timeout_ms (15000). The proxy gains black_hole: a socket filter drops what arrives, so that not even the kernel answers.

--- a/packages/config/Settings.cpp
+++ b/packages/config/Settings.cpp
@@ -131,6 +131,7 @@
     settings.statusFreshness = readMillis(reader, "status_freshness_ms", settings.statusFreshness, 20);
     settings.leaseTtl = readMillis(reader, "lease_ttl_ms", settings.leaseTtl, 1000);
     settings.silenceTimeout = readMillis(reader, "silence_timeout_ms", settings.silenceTimeout, 10);
+    settings.callerTimeout = readMillis(reader, "caller_timeout_ms", settings.callerTimeout, 1000);
     settings.reportShareInterval = readMillis(reader, "report_share_interval_ms", settings.reportShareInterval, 10);
     settings.reportFlushInterval = readMillis(reader, "report_flush_interval_ms", settings.reportFlushInterval, 10);
     settings.shutdownQuiet = readMillis(reader, "shutdown_quiet_ms", settings.shutdownQuiet, 0);
--- a/packages/config/Settings.h
+++ b/packages/config/Settings.h
@@ -60,6 +60,7 @@
     Millis statusFreshness { 1500 }; // ms, oldest report that still counts
     Millis leaseTtl { 5000 }; // ms, right to form groups in a failure domain
     Millis silenceTimeout { 2000 }; // ms without a token before a stream is given up
+    Millis callerTimeout { 15000 }; // ms without an answer from a caller's machine before its requests are cancelled
     Millis reportShareInterval { 1000 }; // ms, between two tellings of figures to peers
     Millis reportFlushInterval { 30000 }; // ms, between two writes of figures to the platform
     Millis shutdownQuiet { 3000 }; // ms without a new request before a planned stop closes the door
--- a/packages/http/GuardedSocket.cpp
+++ b/packages/http/GuardedSocket.cpp
@@ -2,6 +2,9 @@
 
 #include "base/Log.h"
 
+#include <algorithm>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace hemlockweir {
@@ -10,6 +13,22 @@
 // connection, and the caller would lose the refusal.
 static constexpr Millis lingerTimeout { 2000 };
 
+// Lets the kernel cut a connection whose other machine answers nothing for a time: bytes that stay
+// unacknowledged tell, and on a connection with nothing to send, probes do. A machine that answers
+// without taking bytes for that long is cut as well.
+static void watchPeer(qintptr descriptor, Millis timeout)
+{
+    const auto set = [socket = static_cast<int>(descriptor)](int option, int value) {
+        if (::setsockopt(socket, IPPROTO_TCP, option, &value, sizeof value) != 0)
+            logWarning("socket_option_failed", { { "option", std::to_string(option) } });
+    };
+    constexpr Millis::rep probes = 3; // within the timeout
+    const int probeSeconds = static_cast<int>(std::max<Millis::rep>(1, timeout.count() / probes / 1000));
+    set(TCP_USER_TIMEOUT, static_cast<int>(timeout.count()));
+    set(TCP_KEEPIDLE, probeSeconds);
+    set(TCP_KEEPINTVL, probeSeconds);
+}
+
 ConnectionCount::ConnectionCount(int total, int perAddress)
     : totalLimit_(total)
     , perAddressLimit_(perAddress)
@@ -58,6 +77,7 @@
         return false;
     setSocketOption(QAbstractSocket::LowDelayOption, 1);
     setSocketOption(QAbstractSocket::KeepAliveOption, 1);
+    watchPeer(descriptor, options_.peerTimeout);
     // What a slow reader leaves unread in the kernel counts as well.
     setSocketOption(QAbstractSocket::SendBufferSizeSocketOption, options_.replyBufferBytes);
     peer_ = peerAddress().toString();
--- a/packages/http/HttpServer.h
+++ b/packages/http/HttpServer.h
@@ -38,6 +38,7 @@
     RequestLimits limits; // size of one request
     Millis requestTimeout { 10000 }; // ms, first byte to last byte of one request
     Millis idleTimeout { 60000 }; // ms, silence between requests
+    Millis peerTimeout { 15000 }; // ms without an answer from the other machine's TCP; then the connection is cut
     int maxConnections = 4096; // open connections, all callers together
     int maxConnectionsPerAddress = 1024; // open connections from one IP address
     qint64 replyBufferBytes = 1024 * 1024; // bytes a slow reader may leave unread
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -54,6 +54,7 @@
         .limits = { .headBytes = settings.headBytes, .bodyBytes = settings.bodyBytes },
         .requestTimeout = settings.requestTimeout,
         .idleTimeout = settings.idleTimeout,
+        .peerTimeout = settings.callerTimeout,
         .maxConnections = settings.maxConnections,
         .maxConnectionsPerAddress = settings.maxConnectionsPerAddress,
         .replyBufferBytes = settings.replyBufferBytes };
--- a/standins/proxy.cpp
+++ b/standins/proxy.cpp
@@ -3,7 +3,8 @@
 // Each --link NAME,LISTEN,TARGET[,udp] is one way in. Faults, set by POST /faults on --listen:
 // NAME.cut (bool: refuse and close), NAME.freeze (bool: hold every byte of all connections),
 // NAME.silence (count: connections open now go silent for good; new ones work; each change of the
-// number silences again), NAME.delay_ms, NAME.cut_from (text: ADDRESS:PORT,...; drops the datagrams of
+// number silences again), NAME.black_hole (count, as silence: not even the kernel answers on them
+// any more, as with a host that lost its power or a link that was cut), NAME.delay_ms, NAME.cut_from (text: ADDRESS:PORT,...; drops the datagrams of
 // these senders, so that a cut may be one-way), NAME.drop_answers (bool: only towards the target).
 
 #include "StandIn.h"
@@ -16,7 +17,10 @@
 #include <QUdpSocket>
 #include <QUrl>
 #include <iostream>
+#include <linux/filter.h>
 #include <set>
+#include <sys/socket.h>
+#include <utility>
 
 using namespace hemlockweir;
 namespace options = boost::program_options;
@@ -40,10 +44,20 @@
     bool freeze = false;
     bool dropAnswers = false;
     int silence = 0;
+    int blackHole = 0;
     int delayMs = 0;
     QStringList cutFrom; // UDP senders, ADDRESS:PORT
 };
 
+// Makes the kernel drop what arrives on a socket before TCP sees it: no acknowledgement, no reset.
+void dropArriving(const QTcpSocket& socket)
+{
+    sock_filter dropAll = BPF_STMT(BPF_RET | BPF_K, 0);
+    const sock_fprog program { .len = 1, .filter = &dropAll };
+    if (::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program) != 0)
+        std::cerr << "cannot attach a filter to a socket\n";
+}
+
 using ReadFaults = std::function<LinkFaults()>;
 
 // One TCP connection through the proxy.
@@ -54,6 +68,7 @@
         , target_(new QTcpSocket(this))
         , faults_(std::move(faults))
         , silenceAtStart_(faults_().silence)
+        , blackHoleAtStart_(faults_().blackHole)
     {
         caller_->setParent(this);
         for (QTcpSocket* socket : { caller_, target_ }) {
@@ -73,7 +88,11 @@
             close();
             return;
         }
-        if (faults.freeze || faults.silence != silenceAtStart_)
+        if (faults.blackHole != blackHoleAtStart_) {
+            vanish();
+            return;
+        }
+        if (isHeld(faults))
             return;
         move(caller_, target_, faults.delayMs);
         if (!faults.dropAnswers)
@@ -81,6 +100,19 @@
     }
 
 private:
+    bool isHeld(const LinkFaults& faults) const
+    {
+        return faults.freeze || faults.silence != silenceAtStart_ || faults.blackHole != blackHoleAtStart_;
+    }
+
+    void vanish()
+    {
+        if (std::exchange(vanished_, true))
+            return;
+        dropArriving(*caller_);
+        dropArriving(*target_);
+    }
+
     void move(QTcpSocket* from, QTcpSocket* to, int delayMs)
     {
         if (to->state() != QAbstractSocket::ConnectedState || from->bytesAvailable() == 0)
@@ -96,8 +128,7 @@
     void close()
     {
         const LinkFaults faults = faults_();
-        const bool isHeld = !faults.cut && (faults.freeze || faults.silence != silenceAtStart_);
-        if (closing_ || isHeld)
+        if (closing_ || (!faults.cut && isHeld(faults)))
             return;
         closing_ = true;
         pass();
@@ -118,6 +149,8 @@
     QTcpSocket* target_;
     ReadFaults faults_;
     int silenceAtStart_;
+    int blackHoleAtStart_;
+    bool vanished_ = false;
     bool closing_ = false;
 };
 
@@ -222,6 +255,7 @@
                 .freeze = standIn.hasFault((name + ".freeze").c_str()),
                 .dropAnswers = standIn.hasFault((name + ".drop_answers").c_str()),
                 .silence = standIn.fault((name + ".silence").c_str()),
+                .blackHole = standIn.fault((name + ".black_hole").c_str()),
                 .delayMs = standIn.fault((name + ".delay_ms").c_str()),
                 .cutFrom = standIn.faults()[QString::fromStdString(name + ".cut_from")].toString().split(',', Qt::SkipEmptyParts) };
         };
--- a/tests/SilenceProcessTest.cpp
+++ b/tests/SilenceProcessTest.cpp
@@ -84,4 +84,36 @@
     EXPECT_EQ(cluster.effects("o1", "order").size(), 1U);
 }
 
+// A caller behind a link that can lose it without a word.
+class SilentCaller : public testing::TestWithParam<bool> {
+protected:
+    void SetUp() override
+    {
+        cluster.startStore();
+        cluster.startEngine({ .id = "e1", .domain = "a", .fabric = "a1", .pool = "models" }, { "--token-ms", "20" });
+        cluster.publishInstances();
+        cluster.startProxy({ "c," + cluster.addressOf("c-link") + "," + cluster.addressOf("n1") });
+        cluster.startNode({ .name = "n1", .domain = "a", .settings = "[timing]\ncaller_timeout_ms = 2000\n" });
+        ASSERT_EQ(cluster.publish(makeServiceFile(1)), 0);
+        ASSERT_TRUE(cluster.waitForGroups("n1", 1));
+    }
+
+    Cluster cluster;
+};
+
+// Streamed, the node has unread bytes to notice it by; whole, it has nothing to send.
+TEST_P(SilentCaller, ThatVanishedIsNoticedAndItsWorkIsCancelled)
+{
+    const QByteArray body = QByteArray(R"({"model":"m","prompt":"p","max_tokens":100000,"stream":)") + (GetParam() ? "true}" : "false}");
+    const PendingAnswer lost = cluster.start("POST", cluster.urlOf("c-link") + "/v1/completions", body, { { "Authorization", "Bearer caller-key" } });
+    ASSERT_TRUE(waitUntil([&] { return cluster.effects("e1", "run_started").size() == 1; }));
+    ASSERT_TRUE(waitUntil([&] { return !GetParam() || lost.received->contains("\"text\""); }));
+    cluster.setFaults("proxy", { { "c.black_hole", 1 } });
+    EXPECT_TRUE(waitUntil([&] { return cluster.effects("e1", "run_cancelled").size() == 1; }));
+    // The slot is free, and a caller over a new connection is served.
+    EXPECT_EQ(cluster.ask("c-link", {}).status, 200);
+}
+
+INSTANTIATE_TEST_SUITE_P(StreamedAndWhole, SilentCaller, testing::Bool());
+
 } // namespace hemlockweir
