Try a request that no engine took until its deadline

Cause of a 502: four attempts that failed ended a request, also when each engine said that it did not take it (409, 503) or was not reached. A group that is just being left or formed refuses once for every report that still calls it whole, so four refusals pass in about a second, with most of the deadline left. Only attempts that an engine may have taken count now; the others go on until the deadline, at the pace of the groups' reports (a refusal takes the group out until its next one). Claims are unchanged: a taken attempt is not repeated.

--- a/packages/node/CompletionFlow.cpp
+++ b/packages/node/CompletionFlow.cpp
@@ -10,7 +10,8 @@
 
 namespace hemlockweir {
 
-// Attempts of one request that may fail before it is given up, when sending it again does no harm.
+// Attempts of one request that may fail after they were taken before it is given up. Those that no
+// engine took cost nothing: they go on until the deadline, at the pace of the groups' reports.
 static constexpr uint32_t maxFailures = 4;
 
 // Looks at a leader whose connection broke, while the looks break as well.
@@ -423,9 +424,10 @@
     tables_.fleet.suspectGroup(replica_->group, replica_->epoch);
     tables_.quarantine.release(runId_);
     failedGroups_.push_back(replica_->group);
-    ++failures_;
-    const bool mayRepeat = !isClaimed() || result.end == CallEnd::NotSent || saysNotRun(result);
-    if (mayRepeat && !cannotResume_ && failures_ < maxFailures) {
+    const bool wasTaken = result.end != CallEnd::NotSent && !saysNotRun(result);
+    failures_ += wasTaken ? 1 : 0;
+    const bool mayRepeat = wasTaken ? !isClaimed() && failures_ < maxFailures : tables_.clock() < deadline();
+    if (mayRepeat && !cannotResume_) {
         schedule();
         return;
     }
--- a/packages/node/CompletionFlow.h
+++ b/packages/node/CompletionFlow.h
@@ -74,7 +74,7 @@
     std::shared_ptr<HttpCall> call_;
     std::unique_ptr<EventStream> events_;
     uint32_t attempt_ = 0;
-    uint32_t failures_ = 0; // attempts that failed
+    uint32_t failures_ = 0; // attempts that failed after an engine may have taken them
     bool attemptOver_ = false; // nothing more is taken from the current attempt
     bool hasToken_ = false; // the current attempt has given a token
     bool cannotResume_ = false; // an engine began anew instead of resuming
--- a/tests/LeavingProcessTest.cpp
+++ b/tests/LeavingProcessTest.cpp
@@ -77,6 +77,16 @@
     expectReplaced();
 }
 
+// A group that refuses more often than a request that may have run is tried again.
+TEST_F(Leaving, ARequestThatNoGroupTakesYetWaitsUntilOneDoes)
+{
+    cluster.setFaults(leader, { { "refuse", true } });
+    const PendingAnswer waiting = cluster.startAsk("n1", {});
+    ASSERT_TRUE(waitUntil([&] { return cluster.effects(leader, "run_refused").size() >= 6 || *waiting.isDone; }));
+    cluster.setFaults(leader, { { "refuse", false } });
+    EXPECT_EQ(waiting.wait().status, 200);
+}
+
 TEST_F(Leaving, ByAnOperatorsDrain)
 {
     const QByteArray key = "/hemlockweir/drains/" + QByteArray::fromStdString(member);
