Give the parts of a model request modules of their own

CompletionFlow.cpp held the request's checks, the engine's events, the look at a dead leader and the caller's answer beside the flow. Meant to behave as before, but that an attempt that breaks off twice (a wrong event, then one over the limit) is ended once.

--- a/packages/node/CompletionFlow.cpp
+++ b/packages/node/CompletionFlow.cpp
@@ -2,10 +2,8 @@
 
 #include "base/Log.h"
 
-#include <QJsonArray>
 #include <QJsonDocument>
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace hemlockweir {
@@ -14,51 +12,6 @@
 // engine took cost nothing: they go on until the deadline, at the pace of the groups' reports.
 static constexpr uint32_t maxFailures = 4;
 
-// Looks at a leader whose connection broke, while the looks break as well.
-static constexpr int looksAtDeath = 4;
-static constexpr Millis lookInterval { 50 };
-
-static constexpr uint32_t defaultTokens = 128; // when a request names none
-static constexpr double mostTokens = 1000000;
-static constexpr double maxSeed = 9007199254740992.0; // 2^53: JSON numbers are exact up to it
-
-static bool isWholeNumber(const QJsonValue& value, double least, double most)
-{
-    return value.isDouble() && value.toDouble() >= least && value.toDouble() <= most && std::floor(value.toDouble()) == value.toDouble();
-}
-
-absl::StatusOr<CompletionRequest> parseCompletionRequest(const QByteArray& body, bool isChat)
-{
-    QJsonParseError error {};
-    const QJsonDocument document = QJsonDocument::fromJson(body, &error);
-    if (!document.isObject())
-        return absl::InvalidArgumentError("the body is not a JSON object: " + error.errorString().toStdString());
-    const QJsonObject object = document.object();
-    if (!object["model"].isString() || object["model"].toString().isEmpty())
-        return absl::InvalidArgumentError("\"model\" is required and is a string");
-    if (isChat && !object["messages"].isArray())
-        return absl::InvalidArgumentError("\"messages\" is required and is an array");
-    if (!isChat && !object["prompt"].isString())
-        return absl::InvalidArgumentError("\"prompt\" is required and is a string");
-    if (object.contains("stream") && !object["stream"].isBool())
-        return absl::InvalidArgumentError("\"stream\" takes true or false");
-    if (object.contains("seed") && !isWholeNumber(object["seed"], 0, maxSeed))
-        return absl::InvalidArgumentError("\"seed\" takes a whole number from 0 to 2^53");
-    if (object.contains("max_tokens") && !isWholeNumber(object["max_tokens"], 1, mostTokens))
-        return absl::InvalidArgumentError("\"max_tokens\" takes a whole number from 1 to 1000000");
-    CompletionRequest request { .body = object, .model = object["model"].toString().toStdString(), .isChat = isChat, .isStreamed = object["stream"].toBool(), .maxTokens = defaultTokens };
-    if (object.contains("max_tokens"))
-        request.maxTokens = static_cast<uint32_t>(object["max_tokens"].toInt());
-    return request;
-}
-
-static QByteArray promptOf(const CompletionRequest& completion)
-{
-    if (completion.isChat)
-        return QJsonDocument(completion.body["messages"].toArray()).toJson(QJsonDocument::Compact);
-    return completion.body["prompt"].toString().toUtf8();
-}
-
 void CompletionFlow::start(Tables& tables, std::shared_ptr<Exchange> exchange, CallerRequest request, CompletionRequest completion)
 {
     auto* flow = new CompletionFlow(tables, std::move(exchange), std::move(request), std::move(completion));
@@ -72,6 +25,7 @@
     , prefix_(hashPrefix(promptOf(completion_).toStdString()))
     , runId_(makeRandomId(tables.random))
     , fingerprint_(Quarantine::fingerprintOf(this->request().caller.name, this->exchange().body()))
+    , reply_(this->exchange(), this->request().requestId, completion_)
 {
 }
 
@@ -83,6 +37,7 @@
 void CompletionFlow::cancelWork()
 {
     call_.reset();
+    look_.reset();
     if (jobId_ != 0 && !holdsSlot_)
         tables_.scheduler.cancel(jobId_);
     freeSlot();
@@ -260,9 +215,6 @@
 {
     replica_ = replica;
     ++attempt_;
-    attemptOver_ = false;
-    hasToken_ = false;
-    finishReason_.clear();
     record_.attempts = attempt_;
     QJsonObject body = completion_.body;
     body["stream"] = true;
@@ -284,67 +236,33 @@
         .firstByteTimeout = tables_.silenceTimeout,
         .silenceTimeout = tables_.silenceTimeout,
     };
-    events_ = std::make_unique<EventStream>([this](const QByteArray& data) { takeEvent(data); });
+    answer_ = std::make_unique<AnswerStream>(AnswerStream::Options {
+        .runId = runId_,
+        .attempt = attempt_,
+        .received = received_,
+        .onToken = [this](const QString& text, bool isFirst) { takeToken(text, isFirst); },
+        .onBroken = [this](const char* why) { breakAttempt(why); },
+    });
     CallHooks hooks;
-    hooks.onData = [this](const QByteArray& bytes) { takeBytes(bytes); };
+    hooks.onData = [this](const QByteArray& bytes) { answer_->feed(bytes); };
     hooks.onDone = [this](const CallResult& result) { takeCallEnd(result); };
     call_ = client().start(options, hooks);
 }
 
-void CompletionFlow::takeBytes(const QByteArray& bytes)
-{
-    if (!events_->feed(bytes))
-        breakAttempt("an event of the stream is over the limit");
-}
-
-void CompletionFlow::takeEvent(const QByteArray& data)
-{
-    if (attemptOver_)
-        return;
-    const QJsonObject event = QJsonDocument::fromJson(data).object();
-    // A piece of another request or attempt is never passed on.
-    const bool isOurs = event["run_id"].toString().toStdString() == runId_ && event["attempt"].toInt() == static_cast<int>(attempt_);
-    if (!isOurs)
-        return;
-    if (event.contains("finish_reason")) {
-        takeFinish(event);
-        return;
-    }
-    const int index = event["index"].toInt(-1);
-    if (index == static_cast<int>(received_)) {
-        takeToken(event);
-    } else if (index > static_cast<int>(received_)) {
-        breakAttempt("a token is missing");
-    } else if (!hasToken_) {
-        // What was sent already must not be followed by the tokens of another generation.
-        cannotResume_ = true;
-        breakAttempt("the engine began anew instead of resuming");
-    }
-}
-
-void CompletionFlow::takeToken(const QJsonObject& event)
+void CompletionFlow::takeToken(const QString& text, bool isFirst)
 {
     if (received_ == 0)
         record_.firstToken = tables_.clock() - arrivedAt_;
-    if (!std::exchange(hasToken_, true))
+    if (isFirst)
         tables_.scheduler.noteFirstToken(jobId_);
     ++received_;
     record_.tokens = received_;
-    sendToken(event["text"].toString());
-}
-
-void CompletionFlow::takeFinish(const QJsonObject& event)
-{
-    if (event["tokens"].toInt(-1) == static_cast<int>(received_))
-        finishReason_ = event["finish_reason"].toString();
-    else
-        breakAttempt("the engine counts other tokens than arrived");
+    reply_.addToken(text);
 }
 
 // Gives the current attempt up. Its end is handled later: the call is still on the stack.
 void CompletionFlow::breakAttempt(const char* why)
 {
-    attemptOver_ = true;
     call_->cancel();
     poster()([this, attempt = attempt_, why] {
         if (attempt == attempt_ && !hasEnded())
@@ -353,63 +271,40 @@
 }
 
 // An engine that answers 409 or 503 in place of a stream says that it did not take the request.
-static bool saysNotRun(const CallResult& result)
+static bool mayHaveBeenTaken(const CallResult& result)
 {
-    return result.end == CallEnd::Answered && (result.status == 409 || result.status == 503);
+    const bool isRefused = result.end == CallEnd::Answered && (result.status == 409 || result.status == 503);
+    return result.end != CallEnd::NotSent && !isRefused;
 }
 
 void CompletionFlow::takeCallEnd(const CallResult& result)
 {
-    attemptOver_ = true;
-    mayHaveRun_ = mayHaveRun_ || (result.end != CallEnd::NotSent && !saysNotRun(result));
+    answer_->close();
+    mayHaveRun_ = mayHaveRun_ || mayHaveBeenTaken(result);
     freeSlot();
     const bool isRefusal = result.end == CallEnd::Answered && result.status >= 400 && result.status < 500 && result.status != 409 && result.status != 429;
     if (received_ > 0)
         resumedAt_ = tables_.clock();
-    if (result.isSuccess() && !finishReason_.isEmpty())
+    if (result.isSuccess() && !answer_->finishReason().isEmpty())
         sendFinish();
     else if (isRefusal)
         passRefusal(result);
     else if (result.end == CallEnd::Broken)
-        checkDeath(result, looksAtDeath);
+        checkDeath(result);
     else
         retryOrFail(result);
 }
 
-// Whether a look at the leader shows that the group of this epoch is gone: nobody listens, it was
-// started anew, or it lost a member. A cut connection alone is no death.
-static bool showsDeath(const CallResult& look, uint64_t epoch)
-{
-    if (look.end == CallEnd::NotSent)
-        return true;
-    const QJsonObject status = QJsonDocument::fromJson(look.body).object();
-    const double current = status["epoch"].toDouble();
-    return look.isSuccess() && (current < static_cast<double>(epoch) || (current == static_cast<double>(epoch) && status["state"].toString() == "broken"));
-}
-
 // Counts a death of the group against this request before it goes on.
-void CompletionFlow::checkDeath(const CallResult& result, int looksLeft)
+void CompletionFlow::checkDeath(const CallResult& result)
 {
-    const CallOptions look { .method = "GET",
-        .url = QUrl(QStringLiteral("http://") + QString::fromStdString(replica_->leader) + QStringLiteral("/status")),
-        .headers = {},
-        .body = {},
-        .firstByteTimeout = tables_.silenceTimeout,
-        .silenceTimeout = tables_.silenceTimeout };
-    call_ = client().start(look, { .onHead = {}, .onData = {}, .onDone = [this, result, looksLeft](const CallResult& seen) {
-        // A process that is just ending may still have taken the connection.
-        if (seen.end == CallEnd::Broken && looksLeft > 1) {
-            QTimer::singleShot(lookInterval, this, [this, result, looksLeft] {
-                if (!hasEnded())
-                    checkDeath(result, looksLeft - 1);
-            });
-            return;
-        }
-        if (showsDeath(seen, replica_->epoch)) {
+    look_ = std::make_unique<DeathLook>(DeathLook::Options { .client = client(), .leader = replica_->leader, .epoch = replica_->epoch, .timeout = tables_.silenceTimeout }, [this, result](bool isDead) {
+        if (isDead) {
             logWarning("death_on_request", { { "request", request().requestId }, { "group", replica_->group }, { "epoch", std::to_string(replica_->epoch) }, { "fingerprint", std::to_string(fingerprint_) } });
             tables_.quarantine.addDeath(fingerprint_, Quarantine::deathOf(replica_->group, replica_->epoch));
         }
-        retryOrFail(result); } });
+        retryOrFail(result);
+    });
 }
 
 // The engine finds fault with the request itself: another group would as well.
@@ -424,10 +319,10 @@
     tables_.fleet.suspectGroup(replica_->group, replica_->epoch);
     tables_.quarantine.release(runId_);
     failedGroups_.push_back(replica_->group);
-    const bool wasTaken = result.end != CallEnd::NotSent && !saysNotRun(result);
+    const bool wasTaken = mayHaveBeenTaken(result);
     failures_ += wasTaken ? 1 : 0;
     const bool mayRepeat = wasTaken ? !isClaimed() && failures_ < maxFailures : tables_.clock() < deadline();
-    if (mayRepeat && !cannotResume_) {
+    if (mayRepeat && !answer_->beganAnew()) {
         schedule();
         return;
     }
@@ -435,61 +330,14 @@
     fail({ .status = 502, .type = "endpoint_failed", .message = "the endpoint failed and the request could not be taken up by another", .outcome = outcome });
 }
 
-QJsonObject CompletionFlow::makeChunk(const QString& text, const QJsonValue& finishReason) const
-{
-    QJsonObject choice { { "index", 0 }, { "finish_reason", finishReason } };
-    if (completion_.isChat)
-        choice["delta"] = text.isEmpty() ? QJsonObject() : QJsonObject { { "content", text } };
-    else
-        choice["text"] = text;
-    return {
-        { "id", QString::fromStdString(request().requestId) },
-        { "object", completion_.isChat ? "chat.completion.chunk" : "text_completion" },
-        { "model", QString::fromStdString(completion_.model) },
-        { "choices", QJsonArray { choice } },
-    };
-}
-
-QJsonObject CompletionFlow::makeWhole() const
-{
-    QJsonObject choice { { "index", 0 }, { "finish_reason", finishReason_ } };
-    if (completion_.isChat)
-        choice["message"] = QJsonObject { { "role", "assistant" }, { "content", text_ } };
-    else
-        choice["text"] = text_;
-    return {
-        { "id", QString::fromStdString(request().requestId) },
-        { "object", completion_.isChat ? "chat.completion" : "text_completion" },
-        { "model", QString::fromStdString(completion_.model) },
-        { "choices", QJsonArray { choice } },
-        { "usage", QJsonObject { { "completion_tokens", static_cast<int>(received_) } } },
-    };
-}
-
-void CompletionFlow::sendToken(const QString& text)
-{
-    text_ += text;
-    if (!completion_.isStreamed)
-        return;
-    if (!exchange().isStreaming())
-        exchange().startStream("text/event-stream", { { "X-Request-Id", QByteArray::fromStdString(request().requestId) } });
-    exchange().sendEvent(QJsonDocument(makeChunk(text, QJsonValue())).toJson(QJsonDocument::Compact));
-}
-
 void CompletionFlow::sendFinish()
 {
     tables_.quarantine.clear(fingerprint_);
     tables_.quarantine.release(runId_);
-    const QByteArray whole = QJsonDocument(makeWhole()).toJson(QJsonDocument::Compact);
-    storeAnswer({ .status = 200, .contentType = "application/json", .body = whole }, [this, whole] {
-        if (completion_.isStreamed) {
-            exchange().startStream("text/event-stream");
-            exchange().sendEvent(QJsonDocument(makeChunk({}, finishReason_)).toJson(QJsonDocument::Compact));
-            exchange().sendEvent("[DONE]");
-            exchange().finishStream();
-        } else {
-            exchange().sendBytes(200, "application/json", whole, { { "X-Request-Id", QByteArray::fromStdString(request().requestId) } });
-        }
+    const QString finishReason = answer_->finishReason();
+    const QByteArray whole = reply_.makeWhole(finishReason, received_);
+    storeAnswer({ .status = 200, .contentType = "application/json", .body = whole }, [this, finishReason, whole] {
+        reply_.finish(finishReason, whole);
         const bool isLate = record_.firstToken > Millis(request().priority.firstTokenMs);
         end(isLate ? RequestEnd::Late : RequestEnd::Whole);
     });
