Give each test process a loopback address of its own

Cause: the harness mapped process ids onto addresses by remainders, so ids that differ by 254 in one block shared one. Tests that run side by side then met: the second used the first one's store and its nodes joined the first one's, since all tests have one cluster key.

Change: all 22 bits of the id are in the address. Qt's own messages go through the structured log, those that are meant are left out: they had pushed the useful lines out of the log that a failed test prints.

--- a/packages/base/Log.cpp
+++ b/packages/base/Log.cpp
@@ -1,7 +1,32 @@
 #include "base/Log.h"
 
+#include <QString>
+#include <algorithm>
+#include <array>
+
 namespace hemlockweir {
 
+// What Qt says about things that are meant: a server that gets its sockets from another one, and
+// bodies that can not be rewound so that no request is repeated.
+static constexpr std::array expectedQtMessages {
+    "QTcpServer::nextPendingConnection() called while not listening",
+    "is not listening.",
+    "Cannot call seek on a sequential device",
+};
+
+static void logQtMessage(QtMsgType type, const QMessageLogContext& context, const QString& text)
+{
+    const std::string message = text.toStdString();
+    const bool isExpected = std::any_of(expectedQtMessages.begin(), expectedQtMessages.end(), [&](const char* expected) { return message.ends_with(expected); });
+    if (isExpected)
+        return;
+    const std::string category = context.category ? context.category : "default";
+    if (type == QtDebugMsg || type == QtInfoMsg)
+        logInfo("qt_message", { { "category", category }, { "text", message } });
+    else
+        logWarning("qt_message", { { "category", category }, { "text", message } });
+}
+
 static std::string quoteValue(const std::string& value)
 {
     if (!value.empty() && value.find_first_of(" \"\\\n\r\t=") == std::string::npos)
@@ -23,6 +48,7 @@
 {
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(programName);
+    qInstallMessageHandler(logQtMessage);
 }
 
 std::string formatEvent(std::string_view event, std::initializer_list<LogField> fields)
--- a/packages/base/Log.h
+++ b/packages/base/Log.h
@@ -15,7 +15,8 @@
     std::string value;
 };
 
-// Sends log lines to standard error with glog's prefix; call once at the start of a program.
+// Sends log lines to standard error with glog's prefix, those of Qt as `event=qt_message`; call
+// once at the start of a program.
 void startLogging(const char* programName);
 
 // Formats an event; values with blanks or quotes are quoted and escaped.
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -49,18 +49,22 @@
     QDir(folder_).removeRecursively();
 }
 
-// Each test process has a loopback address of its own, so that tests run side by side.
-std::string Cluster::loopbackAddress() const
+std::string loopbackAddressOf(unsigned processId)
 {
-    const auto pid = static_cast<unsigned>(getpid());
-    return "127." + std::to_string(1 + (pid >> 16) % 200) + "." + std::to_string((pid >> 8) % 256) + "." + std::to_string(1 + pid % 254);
+    constexpr unsigned lowBits = 7;
+    constexpr unsigned middleBits = 8;
+    constexpr unsigned highBits = 7;
+    auto bitsFrom = [processId](unsigned shift, unsigned count) { return (processId >> shift) & ((1U << count) - 1); };
+    const unsigned high = 1 + bitsFrom(lowBits + middleBits, highBits);
+    const unsigned low = 1 + bitsFrom(0, lowBits);
+    return "127." + std::to_string(high) + "." + std::to_string(bitsFrom(lowBits, middleBits)) + "." + std::to_string(low);
 }
 
 std::string Cluster::addressOf(const std::string& name)
 {
     std::string& address = addresses_[name];
     if (address.empty())
-        address = loopbackAddress() + ":" + std::to_string(nextPort_++);
+        address = loopbackAddressOf(static_cast<unsigned>(getpid())) + ":" + std::to_string(nextPort_++);
     return address;
 }
 
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -150,7 +150,6 @@
 
     void startProcess(const std::string& name, const QString& program, const QStringList& arguments);
     QString effectsFileOf(const std::string& name) const;
-    std::string loopbackAddress() const;
 
     QString folder_;
     std::map<std::string, Process> processes_;
@@ -160,6 +159,10 @@
     int nextPort_ = 20000;
 };
 
+// The loopback address of one test process, so that tests run side by side. No two process ids of
+// Linux (22 bits) share one: nodes of two tests at one address would join each other.
+std::string loopbackAddressOf(unsigned processId);
+
 // A service file with priorities urgent, standard and batch, one caller "caller" with the key
 // "caller-key", the model "m" of `members` members and the plain service /orders.
 std::string makeServiceFile(int members);
