Speak TLS to callers and operators, and renew the certificate as it runs

Cause: callers' keys and orders crossed the network in the clear; TLS stood in docs/STATUS.md as not built.

Weighed: a second listener for TLS (two ports for the balancer), Qt's QSslServer (its sockets would go round the limits of GuardedSocket). Chosen: GuardedSocket is a QSslSocket, so every limit holds below TLS as well; [tls] names a certificate and a key, read again when they change. Qt takes a pair that does not belong together, so OpenSSL's own check is asked first.

Found on the way: refusals were lost under TLS, since bytesWritten comes while the encrypted bytes are not yet counted; the socket now waits for encryptedBytesWritten (Tls.KeepsTheLimitsOfPlainCallers failed before).

Not built: TLS between nodes, to endpoints and to the platform.

--- a/packages/config/Settings.cpp
+++ b/packages/config/Settings.cpp
@@ -101,6 +101,17 @@
     return Millis(reader.readInteger(key, fallback.count(), least, dayMs));
 }
 
+static void readTls(TableReader& reader, Settings& settings)
+{
+    settings.tlsCertificateFile = reader.readString("certificate_file", "");
+    settings.tlsKeyFile = reader.readString("key_file", "");
+    settings.tlsCheckInterval = readMillis(reader, "check_interval_ms", settings.tlsCheckInterval, 10);
+    if (settings.tlsCertificateFile.empty() && !settings.tlsKeyFile.empty())
+        reader.noteError("certificate_file", "is missing beside key_file; write the path of the PEM certificate, or leave both out for plain HTTP");
+    if (!settings.tlsCertificateFile.empty() && settings.tlsKeyFile.empty())
+        reader.noteError("key_file", "is missing beside certificate_file; write the path of the PEM private key, or leave both out for plain HTTP");
+}
+
 static void readLimits(TableReader& reader, Settings& settings)
 {
     settings.headBytes = static_cast<size_t>(reader.readInteger("head_bytes", static_cast<int64_t>(settings.headBytes), 1024, 1024 * 1024));
@@ -160,6 +171,7 @@
     };
     readSection("node", readNode);
     readSection("platform", readPlatform);
+    readSection("tls", readTls);
     readSection("limits", readLimits);
     readSection("schedule", readSchedule);
     readSection("timing", readTiming);
--- a/packages/config/Settings.h
+++ b/packages/config/Settings.h
@@ -36,6 +36,11 @@
     std::string operatorKey; // secret that operators send to /operator/*
     int workers = 2; // threads that serve callers
 
+    // [tls]
+    std::string tlsCertificateFile; // PEM chain shown to callers and operators; empty: plain HTTP
+    std::string tlsKeyFile; // PEM private key
+    Millis tlsCheckInterval { 5000 }; // ms, between two looks whether the files changed
+
     // [platform]
     std::vector<std::string> platformUrls; // http://ADDRESS:PORT of the key-value service
     std::string instancesUrl; // http://ADDRESS:PORT/path of the instance list
--- a/packages/ctl/Remote.cpp
+++ b/packages/ctl/Remote.cpp
@@ -3,7 +3,11 @@
 #include <QDateTime>
 #include <QHostAddress>
 #include <QJsonDocument>
+#include <QSslCertificate>
+#include <QSslConfiguration>
 #include <QUrlQuery>
+#include <absl/strings/str_join.h>
+#include <algorithm>
 
 namespace hemlockweir {
 
@@ -62,12 +66,24 @@
     });
 }
 
-absl::Status checkServerUrl(const std::string& option, const std::string& text)
+absl::Status checkServerUrl(const std::string& option, const std::string& text, const std::vector<std::string>& schemes)
 {
     const QUrl url(QString::fromStdString(text), QUrl::StrictMode);
-    if (url.isValid() && url.scheme() == "http" && !QHostAddress(url.host()).isNull())
+    const bool isKnown = std::find(schemes.begin(), schemes.end(), url.scheme().toStdString()) != schemes.end();
+    if (url.isValid() && isKnown && !QHostAddress(url.host()).isNull())
         return absl::OkStatus();
-    return absl::InvalidArgumentError(option + " takes http://ADDRESS:PORT with an IP number, not '" + text + "'");
+    return absl::InvalidArgumentError(option + " takes " + absl::StrJoin(schemes, " or ") + "://ADDRESS:PORT with an IP number, not '" + text + "'");
+}
+
+absl::Status trustCertificates(const std::string& file)
+{
+    const QList<QSslCertificate> certificates = QSslCertificate::fromPath(QString::fromStdString(file), QSsl::Pem, QSslCertificate::PatternSyntax::FixedString);
+    if (certificates.isEmpty())
+        return absl::InvalidArgumentError("--ca-file: " + file + " holds no certificate in PEM");
+    QSslConfiguration configuration = QSslConfiguration::defaultConfiguration();
+    configuration.setCaCertificates(certificates);
+    QSslConfiguration::setDefaultConfiguration(configuration);
+    return absl::OkStatus();
 }
 
 void printJson(const CommandLine& line, const QJsonObject& object)
--- a/packages/ctl/Remote.h
+++ b/packages/ctl/Remote.h
@@ -37,8 +37,12 @@
 absl::StatusOr<QJsonObject> askNode(const CommandLine& line, const std::string& node, const QString& path,
     const QString& queryName = {}, const std::string& queryValue = {});
 
-// Returns a usage error unless the text is http://ADDRESS:PORT with an IP number.
-absl::Status checkServerUrl(const std::string& option, const std::string& text);
+// Returns a usage error unless the text is SCHEME://ADDRESS:PORT with one of the schemes and an IP
+// number.
+absl::Status checkServerUrl(const std::string& option, const std::string& text, const std::vector<std::string>& schemes);
+
+// Trusts the authorities of a PEM file, and no others, in all calls from now on.
+absl::Status trustCertificates(const std::string& file);
 
 // Prints a JSON document.
 void printJson(const CommandLine& line, const QJsonObject& object);
--- a/packages/http/GuardedSocket.cpp
+++ b/packages/http/GuardedSocket.cpp
@@ -35,7 +35,7 @@
 }
 
 GuardedSocket::GuardedSocket(const HttpServerOptions& options, std::shared_ptr<ConnectionCount> connections, QObject* parent)
-    : QTcpSocket(parent)
+    : QSslSocket(parent)
     , options_(options)
     , connections_(std::move(connections))
     , scanner_(options.limits)
@@ -61,6 +61,8 @@
     // What a slow reader leaves unread in the kernel counts as well.
     setSocketOption(QAbstractSocket::SendBufferSizeSocketOption, options_.replyBufferBytes);
     peer_ = peerAddress().toString();
+    if (options_.tls)
+        startTls();
     counted_ = connections_->acquire(peer_);
     if (!counted_) {
         refuse(503, "too many connections; try again later");
@@ -70,6 +72,13 @@
     return true;
 }
 
+void GuardedSocket::startTls()
+{
+    connect(this, &QSslSocket::encrypted, this, &GuardedSocket::restartTimer);
+    setSslConfiguration(options_.tls());
+    startServerEncryption();
+}
+
 void GuardedSocket::watchServer()
 {
     connect(this, &QTcpSocket::readyRead, this, [this] { scannedLeft_ = bytesAvailable(); });
@@ -86,12 +95,12 @@
 
 void GuardedSocket::restartTimer()
 {
-    timer_.start(midRequest_ ? options_.requestTimeout : options_.idleTimeout);
+    timer_.start(midRequest_ || isHandshaking() ? options_.requestTimeout : options_.idleTimeout);
 }
 
 void GuardedSocket::checkDeadline()
 {
-    if (refused_)
+    if (refused_ || isHandshaking())
         abort();
     else if (midRequest_)
         refuse(408, "the request did not arrive whole in time");
@@ -159,7 +168,11 @@
         return;
     }
     connect(this, &QTcpSocket::readyRead, this, &GuardedSocket::discardArrived);
-    connect(this, &QTcpSocket::bytesWritten, this, &GuardedSocket::endWriting);
+    // Under TLS bytesWritten comes while what it encrypted is not yet counted as unsent.
+    if (options_.tls)
+        connect(this, &QSslSocket::encryptedBytesWritten, this, &GuardedSocket::endWriting);
+    else
+        connect(this, &QTcpSocket::bytesWritten, this, &GuardedSocket::endWriting);
     const QByteArray body = QByteArray("{\"error\":{\"message\":\"") + reason + "\",\"type\":\"refused\",\"outcome\":\"not_run\"}}";
     write("HTTP/1.1 " + QByteArray::number(status) + " Refused\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: "
         + QByteArray::number(body.size()) + "\r\n\r\n" + body);
@@ -178,7 +191,7 @@
 
 void GuardedSocket::endWriting()
 {
-    if (bytesToWrite() == 0)
+    if (unsentBytes() == 0 && !isHandshaking())
         ::shutdown(static_cast<int>(socketDescriptor()), SHUT_WR);
 }
 
--- a/packages/http/GuardedSocket.h
+++ b/packages/http/GuardedSocket.h
@@ -2,6 +2,7 @@
 
 #include "http/HttpServer.h"
 
+#include <QSslSocket>
 #include <QTimer>
 #include <map>
 #include <mutex>
@@ -28,8 +29,8 @@
 };
 
 // A TCP socket that scans what arrives before Qt's server sees it, and refuses a breach of the
-// limits with an answer that the caller can read.
-class GuardedSocket : public QTcpSocket {
+// limits with an answer that the caller can read. Speaks TLS if the options say so.
+class GuardedSocket : public QSslSocket {
     Q_OBJECT
 public:
     GuardedSocket(const HttpServerOptions& options, std::shared_ptr<ConnectionCount> connections, QObject* parent);
@@ -46,10 +47,15 @@
     void finishReply();
     bool isReplying() const { return replies_ > 0; }
 
+    // Bytes of replies that the caller has not taken, encrypted ones included.
+    qint64 unsentBytes() const { return bytesToWrite() + encryptedBytesToWrite(); }
+
     // Closes once the reply at work is finished: answers to pipelined requests never mix.
     void closeAfterReply() { closesAfterReply_ = true; }
 
 private:
+    bool isHandshaking() const { return options_.tls && !isEncrypted(); }
+    void startTls();
     void scanArrived();
     void takeVerdict(ScanVerdict verdict);
     void refuse(int status, const char* reason);
--- a/packages/http/HttpServer.cpp
+++ b/packages/http/HttpServer.cpp
@@ -124,8 +124,9 @@
     if (isOver() || !streaming_ || bytes.isEmpty())
         return;
     responder_->writeBody(QByteArray::number(bytes.size(), 16) + "\r\n" + bytes + "\r\n");
-    if (socket_ && socket_->bytesToWrite() > replyBufferBytes_) {
-        logInfo("slow_reader_cut", { { "peer", socket_->peerAddress().toString().toStdString() }, { "unread_bytes", std::to_string(socket_->bytesToWrite()) } });
+    const auto* guarded = qobject_cast<GuardedSocket*>(socket_.data());
+    if (guarded && guarded->unsentBytes() > replyBufferBytes_) {
+        logInfo("slow_reader_cut", { { "peer", guarded->peerAddress().toString().toStdString() }, { "unread_bytes", std::to_string(guarded->unsentBytes()) } });
         abort();
     }
 }
--- a/packages/http/HttpServer.h
+++ b/packages/http/HttpServer.h
@@ -9,6 +9,7 @@
 #include <QJsonObject>
 #include <QObject>
 #include <QPointer>
+#include <QSslConfiguration>
 #include <QTcpSocket>
 #include <absl/status/status.h>
 #include <atomic>
@@ -41,6 +42,7 @@
     int maxConnections = 4096; // open connections, all callers together
     int maxConnectionsPerAddress = 1024; // open connections from one IP address
     qint64 replyBufferBytes = 1024 * 1024; // bytes a slow reader may leave unread
+    std::function<QSslConfiguration()> tls; // asked at each new connection, on any worker; unset: plain HTTP
 };
 
 // One header of a reply.
--- /dev/null
+++ b/packages/http/TlsFiles.cpp
@@ -0,0 +1,105 @@
+#include "http/TlsFiles.h"
+
+#include <QFile>
+#include <QSslCertificate>
+#include <QSslKey>
+#include <absl/status/statusor.h>
+#include <glog/logging.h>
+#include <memory>
+#include <openssl/ssl.h>
+
+namespace hemlockweir {
+
+TlsFiles::TlsFiles(TlsFilesOptions options)
+    : options_(std::move(options))
+{
+}
+
+static absl::StatusOr<QByteArray> readBytes(const std::string& path)
+{
+    QFile file(QString::fromStdString(path));
+    if (!file.open(QIODevice::ReadOnly))
+        return absl::InvalidArgumentError("cannot read " + path + ": " + file.errorString().toStdString());
+    return file.readAll();
+}
+
+static absl::StatusOr<QSslKey> readKey(const QByteArray& pem, const std::string& path)
+{
+    for (const QSsl::KeyAlgorithm algorithm : { QSsl::Rsa, QSsl::Ec }) {
+        QSslKey key(pem, algorithm, QSsl::Pem, QSsl::PrivateKey);
+        if (!key.isNull())
+            return key;
+    }
+    return absl::InvalidArgumentError(path + " holds no private key in PEM that is not encrypted");
+}
+
+// Qt would take a pair that does not belong together, and every handshake would fail.
+static absl::Status checkPair(const TlsFilesOptions& options)
+{
+    const std::unique_ptr<SSL_CTX, void (*)(SSL_CTX*)> context(SSL_CTX_new(TLS_server_method()), SSL_CTX_free);
+    CHECK(context) << "the TLS library gives no context";
+    const bool isPair = SSL_CTX_use_certificate_chain_file(context.get(), options.certificateFile.c_str()) == 1
+        && SSL_CTX_use_PrivateKey_file(context.get(), options.keyFile.c_str(), SSL_FILETYPE_PEM) == 1
+        && SSL_CTX_check_private_key(context.get()) == 1;
+    if (isPair)
+        return absl::OkStatus();
+    return absl::InvalidArgumentError(options.keyFile + " is not the key of the certificate in " + options.certificateFile);
+}
+
+absl::Status TlsFiles::load()
+{
+    const absl::StatusOr<QByteArray> certificatePem = readBytes(options_.certificateFile);
+    if (!certificatePem.ok())
+        return certificatePem.status();
+    const absl::StatusOr<QByteArray> keyPem = readBytes(options_.keyFile);
+    if (!keyPem.ok())
+        return keyPem.status();
+    {
+        std::lock_guard lock(mutex_);
+        seen_ = *certificatePem + *keyPem;
+    }
+    const QList<QSslCertificate> chain = QSslCertificate::fromData(*certificatePem, QSsl::Pem);
+    if (chain.isEmpty())
+        return absl::InvalidArgumentError(options_.certificateFile + " holds no certificate in PEM");
+    const absl::StatusOr<QSslKey> key = readKey(*keyPem, options_.keyFile);
+    if (!key.ok())
+        return key.status();
+    if (const absl::Status status = checkPair(options_); !status.ok())
+        return status;
+    QSslConfiguration configuration = QSslConfiguration::defaultConfiguration();
+    configuration.setLocalCertificateChain(chain);
+    configuration.setPrivateKey(*key);
+    configuration.setProtocol(QSsl::TlsV1_2OrLater);
+    // Callers and operators are known by their keys, not by certificates.
+    configuration.setPeerVerifyMode(QSslSocket::VerifyNone);
+    std::lock_guard lock(mutex_);
+    configuration_ = configuration;
+    ++loads_;
+    return absl::OkStatus();
+}
+
+absl::Status TlsFiles::loadIfChanged()
+{
+    const absl::StatusOr<QByteArray> certificatePem = readBytes(options_.certificateFile);
+    const absl::StatusOr<QByteArray> keyPem = readBytes(options_.keyFile);
+    {
+        std::lock_guard lock(mutex_);
+        if (certificatePem.ok() && keyPem.ok() && seen_ == *certificatePem + *keyPem)
+            return absl::OkStatus();
+    }
+    return load();
+}
+
+QSslConfiguration TlsFiles::configuration() const
+{
+    std::lock_guard lock(mutex_);
+    return configuration_;
+}
+
+int TlsFiles::loads() const
+{
+    std::lock_guard lock(mutex_);
+    return loads_;
+}
+
+} // namespace hemlockweir
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -46,9 +46,9 @@
     return options;
 }
 
-static HttpServerOptions makeServerOptions(const Settings& settings)
+static HttpServerOptions makeServerOptions(const Settings& settings, const TlsFiles& tls)
 {
-    return { .address = QHostAddress(QString::fromStdString(settings.callers.address)),
+    HttpServerOptions options { .address = QHostAddress(QString::fromStdString(settings.callers.address)),
         .port = settings.callers.port,
         .workers = settings.workers,
         .limits = { .headBytes = settings.headBytes, .bodyBytes = settings.bodyBytes },
@@ -56,7 +56,11 @@
         .idleTimeout = settings.idleTimeout,
         .maxConnections = settings.maxConnections,
         .maxConnectionsPerAddress = settings.maxConnectionsPerAddress,
-        .replyBufferBytes = settings.replyBufferBytes };
+        .replyBufferBytes = settings.replyBufferBytes,
+        .tls = {} };
+    if (!settings.tlsCertificateFile.empty())
+        options.tls = [&tls] { return tls.configuration(); };
+    return options;
 }
 
 Node::Node(Settings settings)
@@ -109,7 +113,8 @@
         .silenceTimeout = settings_.silenceTimeout }
     , report_(makeReportOptions(), fleet_, platform_)
     , api_({ .operatorKey = QByteArray::fromStdString(settings_.operatorKey), .maxRequestsPerCaller = settings_.maxRequestsPerCaller }, tables_, { .isReady = [this] { return isReady(); }, .status = [this] { return describe(); }, .report = &report_ })
-    , server_(makeServerOptions(settings_), [this](std::shared_ptr<Exchange> exchange) { api_.handle(std::move(exchange)); })
+    , tls_({ .certificateFile = settings_.tlsCertificateFile, .keyFile = settings_.tlsKeyFile })
+    , server_(makeServerOptions(settings_, tls_), [this](std::shared_ptr<Exchange> exchange) { api_.handle(std::move(exchange)); })
 {
     connectParts();
 }
@@ -132,11 +137,14 @@
     };
     connect(&shareTimer_, &QTimer::timeout, this, &Node::shareTables);
     connect(&pumpTimer_, &QTimer::timeout, this, [this] { scheduler_.pump(); });
+    connect(&tlsTimer_, &QTimer::timeout, this, &Node::checkTlsFiles);
     connect(&stopTimer_, &QTimer::timeout, this, &Node::checkStopped);
 }
 
 absl::Status Node::start()
 {
+    if (const absl::Status status = startTls(); !status.ok())
+        return status;
     peers_.setHeartbeat(makeHeartbeat());
     if (const absl::Status status = peers_.start(); !status.ok())
         return status;
@@ -153,6 +161,25 @@
     return absl::OkStatus();
 }
 
+absl::Status Node::startTls()
+{
+    if (settings_.tlsCertificateFile.empty())
+        return absl::OkStatus();
+    tlsTimer_.start(settings_.tlsCheckInterval);
+    return tls_.load();
+}
+
+// Open connections keep the certificate that they began with.
+void Node::checkTlsFiles()
+{
+    const int before = tls_.loads();
+    const absl::Status status = tls_.loadIfChanged();
+    if (!status.ok())
+        logWarning("tls_files_refused", { { "error", std::string(status.message()) }, { "action", "the former ones stay in use" } });
+    else if (tls_.loads() != before)
+        logInfo("tls_files_loaded", { { "certificate", settings_.tlsCertificateFile } });
+}
+
 void Node::stop(std::function<void()> onStopped)
 {
     if (tables_.isStopping.exchange(true))
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -3,6 +3,7 @@
 #include "config/Settings.h"
 #include "fleet/FleetManager.h"
 #include "fleet/GroupExchange.h"
+#include "http/TlsFiles.h"
 #include "membership/PeerLink.h"
 #include "node/CallerApi.h"
 #include "node/UsageShare.h"
@@ -50,6 +51,8 @@
     ConfigFollower::Options makeFollowerOptions();
     std::vector<ConfigSource> findConfigSources() const;
     void exposeTraffic();
+    absl::Status startTls();
+    void checkTlsFiles();
 
     Settings settings_;
     Clock clock_;
@@ -72,10 +75,12 @@
     Tables tables_;
     ReportKeeper report_;
     CallerApi api_;
+    TlsFiles tls_;
     HttpServer server_;
     QTimer shareTimer_;
     QTimer pumpTimer_;
     QTimer stopTimer_;
+    QTimer tlsTimer_;
     Millis nextShareAt_ { 0 };
     Millis stoppingSince_ { 0 };
     bool isListening_ = true;
--- a/programs/hemlockctl.cpp
+++ b/programs/hemlockctl.cpp
@@ -18,10 +18,10 @@
 {
     options::options_description description("Options");
     description.add_options()("help,h", "explain a command, with examples")("platform", options::value<std::string>()->default_value(""), "http://ADDRESS:PORT of the platform's key-value service")(
-        "node", options::value<std::vector<std::string>>()->default_value({}, ""), "http://ADDRESS:PORT of a node; may be given again")("base", options::value<int64_t>()->default_value(-1, "any"), "revision that the publish replaces")(
+        "node", options::value<std::vector<std::string>>()->default_value({}, ""), "http://ADDRESS:PORT or https://ADDRESS:PORT of a node; may be given again")("base", options::value<int64_t>()->default_value(-1, "any"), "revision that the publish replaces")(
         "json", options::bool_switch(), "print one JSON document")("by", options::value<std::string>()->default_value("", "$USER"), "who is at work, as others will read it")("reason", options::value<std::string>()->default_value(""), "why, as others will read it")(
         "group", options::value<std::string>()->default_value(""), "a group")("instance", options::value<std::string>()->default_value(""), "an instance")("html", options::value<std::string>()->default_value(""), "file for the report's page")(
-        "operator-key-file", options::value<std::string>()->default_value("", "$HEMLOCKWEIR_OPERATOR_KEY"), "file that holds the operator key of the nodes");
+        "operator-key-file", options::value<std::string>()->default_value("", "$HEMLOCKWEIR_OPERATOR_KEY"), "file that holds the operator key of the nodes")("ca-file", options::value<std::string>()->default_value("", "the system's"), "PEM file of the authorities that sign the nodes' certificates");
     return description;
 }
 
@@ -75,11 +75,11 @@
 static absl::Status checkUrls(const CommandLine& line)
 {
     if (!line.platform.empty()) {
-        if (absl::Status status = checkServerUrl("--platform", line.platform); !status.ok())
+        if (absl::Status status = checkServerUrl("--platform", line.platform, { "http" }); !status.ok())
             return status;
     }
     for (const std::string& node : line.nodes) {
-        if (absl::Status status = checkServerUrl("--node", node); !status.ok())
+        if (absl::Status status = checkServerUrl("--node", node, { "http", "https" }); !status.ok())
             return status;
     }
     return absl::OkStatus();
@@ -102,6 +102,10 @@
     line.arguments.erase(line.arguments.begin());
     if (const absl::Status status = checkUrls(line); !status.ok())
         return reportUsage(line, std::string(status.message()));
+    if (const std::string caFile = values["ca-file"].as<std::string>(); !caFile.empty()) {
+        if (const absl::Status status = trustCertificates(caFile); !status.ok())
+            return reportUsage(line, std::string(status.message()));
+    }
     const absl::StatusOr<std::string> key = readOperatorKey(values["operator-key-file"].as<std::string>());
     if (!key.ok())
         return reportFailure(line, key.status());
--- a/programs/hemlockweir.cpp
+++ b/programs/hemlockweir.cpp
@@ -35,6 +35,14 @@
     return parseSettings(*text, path);
 }
 
+// A certificate that can not be used is a mistake of the settings, told before a socket opens.
+static absl::Status checkTlsFiles(const Settings& settings)
+{
+    if (settings.tlsCertificateFile.empty())
+        return absl::OkStatus();
+    return TlsFiles({ .certificateFile = settings.tlsCertificateFile, .keyFile = settings.tlsKeyFile }).load();
+}
+
 static int run(int argc, char** argv, const Settings& settings)
 {
     QCoreApplication application(argc, argv);
@@ -82,6 +90,10 @@
         std::cerr << settings.status().message() << '\n';
         return exitUsage;
     }
+    if (const absl::Status status = checkTlsFiles(*settings); !status.ok()) {
+        std::cerr << status.message() << '\n';
+        return exitUsage;
+    }
     if (values.count("check") > 0)
         return 0;
     startLogging(argv[0]);
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -7,7 +7,7 @@
 
 PACKAGES="g++ cmake ninja-build ccache clang-format clang-tidy curl qt6-base-dev qt6-httpserver-dev qt6-websockets-dev
 libcereal-dev prometheus-cpp-dev libboost-program-options-dev libgoogle-glog-dev libabsl-dev librapidcheck-dev
-libtomlplusplus-dev libgtest-dev libbenchmark-dev"
+libtomlplusplus-dev libssl-dev openssl libgtest-dev libbenchmark-dev"
 
 install_packages() {
     local missing=""
--- a/tests/SettingsTest.cpp
+++ b/tests/SettingsTest.cpp
@@ -48,6 +48,7 @@
         { goodNode + goodPlatform + "[limits]\nmax_connections = 10\nmax_connections_per_address = 20\n", "n.toml:13: limits.max_connections_per_address: is above max_connections and never reached; write at most 10" },
         { goodNode + goodPlatform + "[timing]\nstatus_interval_ms = 1000\n", "timing.status_freshness_ms: write at least twice status_interval_ms" },
         { goodNode + goodPlatform + "[timing]\nreport_flush_interval_ms = 500\n", "n.toml:12: timing.report_flush_interval_ms: write at least report_share_interval_ms" },
+        { goodNode + goodPlatform + "[tls]\nkey_file = \"node.key\"\n", "tls.certificate_file: is missing beside key_file" },
         { goodNode + goodPlatform + "[extra]\n", "n.toml:11: extra: unknown key" },
         { goodNode, "platform.urls: write at least one" },
         { goodPlatform, "node.operator_key: is required" },
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -1,6 +1,7 @@
 #include "support/Cluster.h"
 
 #include "config/Configuration.h"
+#include "ctl/Remote.h"
 
 #include <QDir>
 #include <QFile>
@@ -126,6 +127,10 @@
 
 void Cluster::startNode(const NodeOptions& options)
 {
+    if (!options.tlsAuthority.isEmpty()) {
+        tlsNodes_.insert(options.name);
+        EXPECT_TRUE(trustCertificates(options.tlsAuthority.toStdString()).ok());
+    }
     std::string seeds;
     for (const std::string& seed : options.seeds)
         seeds += (seeds.empty() ? "\"" : ", \"") + addressOf(seed + ".peers") + "\"";
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -9,6 +9,7 @@
 #include <QProcess>
 #include <map>
 #include <memory>
+#include <set>
 
 // A whole system of real processes on loopback addresses of its own, for tests.
 //
@@ -63,7 +64,8 @@
     std::vector<std::string> seeds; // names of nodes
     std::string advertised; // name of the proxy link that peers reach it by; default: directly
     std::string platform = "store"; // name whose address the node uses for the platform
-    std::string settings; // more TOML: sections [limits] and [timing]
+    std::string settings; // more TOML: sections [limits], [timing] and [tls]
+    QString tlsAuthority; // PEM file of the authority behind the node's certificate; empty: plain HTTP
 };
 
 // What a caller asks of a model.
@@ -103,7 +105,7 @@
 
     // Addresses: the same ADDRESS:PORT each time for the same name.
     std::string addressOf(const std::string& name);
-    std::string urlOf(const std::string& name) { return "http://" + addressOf(name); }
+    std::string urlOf(const std::string& name) { return (tlsNodes_.contains(name) ? "https://" : "http://") + addressOf(name); }
 
     // The platform's instance list: what was started, with changes.
     std::vector<Instance>& instances() { return instances_; }
@@ -154,6 +156,7 @@
     QString folder_;
     std::map<std::string, Process> processes_;
     std::map<std::string, std::string> addresses_;
+    std::set<std::string> tlsNodes_;
     std::vector<Instance> instances_;
     HttpClient client_;
     int nextPort_ = 20000;
