--- a/bench/Deployment.cpp
+++ b/bench/Deployment.cpp
@@ -3,42 +3,44 @@
 #include "Workload.h"
 #include "support/Wait.h"
 
-#include <QFile>
+#include <QDateTime>
 #include <QJsonDocument>
 #include <QUrl>
-#include <unistd.h>
+#include <algorithm>
 
 namespace hemlockweir {
 
 static constexpr char operatorKey[] = "an operator key for the bench";
 
-static std::string domainName(int number)
+// Time in which the balancer goes on sending to a node that died.
+static constexpr Millis balancerLag { 300 };
+
+std::optional<DeploymentOptions> findDeployment(const std::string& name)
 {
-    return std::string(1, static_cast<char>('a' + number));
+    if (name == "kiriamu")
+        return DeploymentOptions { .name = name, .network = { .domainDelayMs = 1.5, .callerDelayMs = 3 } };
+    if (name == "marcacao")
+        return DeploymentOptions { .name = name, .network = { .domainDelayMs = 1, .callerDelayMs = 1 } };
+    if (name == "small")
+        return DeploymentOptions { .name = name, .domains = 1, .nodes = 2, .groupsPerDomain = 1, .members = 2, .services = 1, .network = {} };
+    return std::nullopt;
 }
 
 Deployment::Deployment(DeploymentOptions options)
     : options_(std::move(options))
+    , network_(
+          processes_, [this](const std::string& process, const QJsonObject& faults) { postFaults(process, faults); }, options_.network)
 {
+    for (int i = 0; i < options_.domains; ++i)
+        domains_.emplace_back(1, static_cast<char>('a' + i));
+    for (int i = 0; i < options_.nodes; ++i)
+        nodes_.push_back("n" + std::to_string(i + 1));
 }
 
-Deployment::~Deployment()
-{
-    for (auto& [name, process] : processes_) {
-        process->kill();
-        process->waitForFinished();
-    }
-}
-
-// Each bench process has a loopback address of its own, so that several run side by side.
-std::string Deployment::addressOf(const std::string& name)
+std::string Deployment::domainOfNode(const std::string& node) const
 {
-    std::string& address = addresses_[name];
-    if (address.empty()) {
-        const auto pid = static_cast<unsigned>(getpid());
-        address = "127." + std::to_string(1 + (pid >> 16) % 200) + "." + std::to_string((pid >> 8) % 256) + "." + std::to_string(1 + pid % 254) + ":" + std::to_string(nextPort_++);
-    }
-    return address;
+    const auto place = static_cast<size_t>(std::find(nodes_.begin(), nodes_.end(), node) - nodes_.begin());
+    return domains_[place % domains_.size()];
 }
 
 CallResult Deployment::call(const QByteArray& method, const std::string& url, const QByteArray& body)
@@ -46,7 +48,8 @@
     CallResult answer;
     bool isDone = false;
     QByteArray received;
-    const auto running = client_.start({ .method = method, .url = QUrl(QString::fromStdString(url)), .headers = { { "Authorization", QByteArray("Bearer ") + operatorKey } }, .body = body, .firstByteTimeout = hangLimit, .silenceTimeout = hangLimit },
+    constexpr Millis patience { 2000 };
+    const auto running = client_.start({ .method = method, .url = QUrl(QString::fromStdString(url)), .headers = { { "Authorization", QByteArray("Bearer ") + operatorKey } }, .body = body, .firstByteTimeout = patience, .silenceTimeout = patience },
         { .onHead = {}, .onData = [&](const QByteArray& piece) { received += piece; }, .onDone = [&](const CallResult& result) {
              answer = result;
              isDone = true; } });
@@ -55,87 +58,130 @@
     return answer;
 }
 
-QString Deployment::writeFile(const std::string& name, const std::string& text)
+void Deployment::postFaults(const std::string& process, const QJsonObject& faults)
+{
+    const std::string url = "http://" + processes_.addressOf(process) + "/faults";
+    waitUntil([&] { return call("POST", url, QJsonDocument(faults).toJson()).status == 200; });
+}
+
+void Deployment::startPlatform()
 {
-    const QString path = folder_.filePath(QString::fromStdString(name));
-    QFile file(path);
-    if (file.open(QIODevice::WriteOnly))
-        file.write(QByteArray::fromStdString(text));
-    return path;
+    processes_.start("store", "standin-store", { "--listen", QString::fromStdString(processes_.addressOf("store")) });
+    // Nodes of each failure domain reach the endpoints of the others by addresses of their own.
+    for (const std::string& domain : domains_)
+        processes_.start("list-" + domain, "standin-store", { "--listen", QString::fromStdString(processes_.addressOf("list-" + domain)) });
 }
 
-void Deployment::startProcess(const std::string& name, const QString& program, const QStringList& arguments)
+void Deployment::startEndpoint(const std::string& id, const std::string& fabric, const std::string& pool, const QString& program, const QStringList& arguments)
 {
-    auto process = std::make_unique<QProcess>();
-    process->setStandardOutputFile(QProcess::nullDevice());
-    process->setStandardErrorFile(folder_.filePath(QString::fromStdString(name + ".log")));
-    process->start(QString(BIN_DIR) + "/" + program, arguments);
-    process->waitForStarted();
-    processes_[name] = std::move(process);
+    processes_.start(id, program, QStringList { "--listen", QString::fromStdString(processes_.addressOf(id)), "--id", QString::fromStdString(id) } + arguments);
+    effects_.add(id, processes_.effectsFileOf(id));
+    instances_.append(QJsonObject { { "id", QString::fromStdString(id) }, { "domain", QString::fromStdString(domainOfEndpoint(id)) }, { "fabric", QString::fromStdString(fabric) },
+        { "pool", QString::fromStdString(pool) }, { "state", "live" } });
 }
 
-void Deployment::startEngine(const std::string& id, const std::string& domain, const std::string& fabric)
+// The groups of a failure domain stand in two fabric domains, the first the larger.
+void Deployment::startDomain(const std::string& domain)
 {
-    const std::string address = addressOf(id);
-    startProcess(id, "standin-engine",
-        { "--listen", QString::fromStdString(address), "--id", QString::fromStdString(id), "--slots", QString::number(options_.slots), "--token-ms", QString::number(options_.tokenMs),
-            "--prefill-ms", QString::number(options_.prefillMs), "--cache-blocks", QString::number(options_.cacheBlocks) });
-    instances_.append(QJsonObject { { "id", QString::fromStdString(id) }, { "address", QString::fromStdString(address) }, { "domain", QString::fromStdString(domain) },
-        { "fabric", QString::fromStdString(fabric) }, { "pool", "models" }, { "state", "live" } });
+    const QStringList arguments { "--slots", QString::number(options_.slots), "--token-ms", QString::number(options_.tokenMs), "--prefill-ms", QString::number(options_.prefillMs), "--cache-blocks", QString::number(options_.cacheBlocks) };
+    const int firstGroups = (options_.groupsPerDomain + 1) / 2;
+    for (int i = 0; i < options_.groupsPerDomain * options_.members; ++i) {
+        const bool isFirst = i < firstGroups * options_.members;
+        const std::string fabric = domain + (isFirst ? "1" : "2");
+        std::vector<std::string>& engines = enginesByFabric_[fabric];
+        const std::string id = fabric + "-" + std::to_string(engines.size() + 1);
+        engines.push_back(id);
+        startEndpoint(id, fabric, "models", "standin-engine", arguments);
+    }
 }
 
-void Deployment::startNode(int number)
+bool Deployment::publishInstances()
 {
-    const std::string name = "n" + std::to_string(number + 1);
-    const std::string text = "[node]\nname = \"" + name + "\"\nfailure_domain = \"" + domainName(number % options_.domains) + "\"\ncallers = \"" + addressOf(name) + "\"\npeers = \""
-        + addressOf(name + ".peers") + "\"\nseeds = [\"" + addressOf("n1.peers") + "\"]\ncluster_key = \"a key for the bench only\"\noperator_key = \"" + operatorKey + "\"\n\n[platform]\nurls = [\"http://" + addressOf("store")
-        + "\"]\ninstances_url = \"http://" + addressOf("store") + "/instances\"\n\n[limits]\nmax_connections = 20000\nmax_connections_per_address = 20000\nmax_waiting = 20000\n\n[schedule]\npolicy = \""
-        + options_.policy + "\"\n";
-    startProcess(name, "hemlockweir", { "--settings", writeFile(name + ".toml", text) });
+    return std::all_of(domains_.begin(), domains_.end(), [this](const std::string& domain) {
+        QJsonArray rows;
+        for (const QJsonValue& value : instances_) {
+            QJsonObject row = value.toObject();
+            row["address"] = QString::fromStdString(network_.linkOut(domain, row["id"].toString().toStdString()));
+            rows.append(row);
+        }
+        const QByteArray list = QJsonDocument(QJsonObject { { "instances", rows } }).toJson();
+        return waitUntil([&] { return call("PUT", "http://" + processes_.addressOf("list-" + domain) + "/instances", list).status == 200; });
+    });
 }
 
-bool Deployment::publish()
+bool Deployment::publishConfiguration()
 {
     QProcess ctl;
-    ctl.start(QString(BIN_DIR) + "/hemlockctl",
-        { "publish", writeFile("service.toml", makeBenchServiceFile(options_.members)), "--platform", QString::fromStdString("http://" + addressOf("store")) });
+    const QString file = processes_.writeFile("service.toml", makeBenchServiceFile(options_.members));
+    ctl.start(QString(BIN_DIR) + "/hemlockctl", { "publish", file, "--platform", QString::fromStdString("http://" + processes_.addressOf("store")) });
     return waitUntil([&] { return ctl.state() == QProcess::NotRunning; }) && ctl.exitCode() == 0;
 }
 
-bool Deployment::waitForGroups()
+bool Deployment::start()
 {
-    // Groups of other domains are seen as whole replicas only through requests, so each node is
-    // asked for those that it observes and the sum is awaited.
-    return waitUntil([&] {
-        std::map<QString, bool> whole;
-        for (int i = 0; i < options_.nodes; ++i) {
-            const CallResult answer = call("GET", "http://" + addressOf("n" + std::to_string(i + 1)) + "/operator/status");
-            const QJsonArray groups = QJsonDocument::fromJson(answer.body).object()["groups"].toArray();
-            for (const QJsonValue& group : groups) {
-                if (group["whole"].toBool())
-                    whole[group["group"].toString()] = true;
-            }
-        }
-        return whole.size() >= static_cast<size_t>(options_.groups());
-    });
+    startPlatform();
+    for (const std::string& domain : domains_)
+        startDomain(domain);
+    for (int i = 0; i < options_.services; ++i)
+        startEndpoint(domains_[static_cast<size_t>(i) % domains_.size()] + "-orders-" + std::to_string(i + 1), "", "orders", "standin-service", {});
+    for (const std::string& domain : domains_) {
+        std::vector<std::string> nodes;
+        std::copy_if(nodes_.begin(), nodes_.end(), std::back_inserter(nodes), [&](const std::string& node) { return domainOfNode(node) == domain; });
+        network_.addDomain(domain, nodes);
+    }
+    for (const std::string& domain : domains_) {
+        network_.linkOut(domain, "store");
+        network_.linkOut(domain, "list-" + domain);
+    }
+    const bool isListed = publishInstances();
+    network_.start();
+    return isListed && publishConfiguration();
 }
 
-bool Deployment::start()
+void Deployment::startNode(const std::string& node, const NodeProgram& program)
 {
-    startProcess("store", "standin-store", { "--listen", QString::fromStdString(addressOf("store")) });
-    for (int domain = 0; domain < options_.domains; ++domain) {
-        for (int i = 0; i < options_.groupsPerDomain * options_.members; ++i)
-            startEngine(domainName(domain) + std::to_string(i + 1), domainName(domain), domainName(domain) + "-fabric");
+    const std::string domain = domainOfNode(node);
+    const std::string text = "[node]\nname = \"" + node + "\"\nfailure_domain = \"" + domain + "\"\ncallers = \"" + processes_.addressOf(node) + "\"\npeers = \"" + processes_.addressOf(node + ".peers")
+        + "\"\nadvertised_peers = \"" + network_.peersOf(node) + "\"\nseeds = [\"" + network_.peersOf(nodes_.front()) + "\", \"" + network_.peersOf(nodes_.back()) + "\"]\ncluster_key = \"a key for the bench only\"\noperator_key = \"" + operatorKey
+        + "\"\n\n[platform]\nurls = [\"http://" + network_.linkOut(domain, "store") + "\"]\ninstances_url = \"http://" + network_.linkOut(domain, "list-" + domain)
+        + "/instances\"\n\n[limits]\nmax_connections = 20000\nmax_connections_per_address = 20000\nmax_waiting = 20000\nmax_requests_per_caller = 20000\n\n[timing]\nshutdown_quiet_ms = 0\nshutdown_timeout_ms = 1000\nreport_share_interval_ms = 200\n\n[schedule]\npolicy = \""
+        + program.policy + "\"\n";
+    processes_.start(node, program.path, { "--settings", processes_.writeFile(node + ".toml", text) });
+}
+
+bool Deployment::useNodes(const NodeProgram& program)
+{
+    if (program_ == program)
+        return true;
+    for (const std::string& node : nodes_) {
+        if (processes_.isRunning(node))
+            processes_.terminate(node);
     }
-    const QByteArray list = QJsonDocument(QJsonObject { { "instances", instances_ } }).toJson();
-    const bool isListed = waitUntil([&] { return call("PUT", "http://" + addressOf("store") + "/instances", list).status == 200; });
-    if (!isListed || !publish())
-        return false;
-    for (int i = 0; i < options_.nodes; ++i)
-        startNode(i);
+    for (const std::string& node : nodes_)
+        startNode(node, program);
+    program_ = program;
     return waitForGroups();
 }
 
+size_t Deployment::wholeGroupsSeenBy(const std::string& node)
+{
+    const CallResult answer = call("GET", "http://" + processes_.addressOf(node) + "/operator/status");
+    const QJsonArray groups = QJsonDocument::fromJson(answer.body).object()["groups"].toArray();
+    std::set<QString> whole;
+    for (const QJsonValue& group : groups) {
+        if (group["whole"].toBool())
+            whole.insert(group["group"].toString());
+    }
+    return whole.size();
+}
+
+bool Deployment::waitForGroups()
+{
+    return waitUntil([&] {
+        return std::all_of(nodes_.begin(), nodes_.end(), [this](const std::string& node) { return wholeGroupsSeenBy(node) >= static_cast<size_t>(options_.groups()); });
+    });
+}
+
 double Deployment::capacity() const
 {
     const double secondsPerRequest = (options_.prefillMs + meanTokens * options_.tokenMs) / 1000.0;
@@ -145,46 +191,97 @@
 std::vector<std::string> Deployment::nodeAddresses()
 {
     std::vector<std::string> addresses;
-    addresses.reserve(static_cast<size_t>(options_.nodes));
-    for (int i = 0; i < options_.nodes; ++i)
-        addresses.push_back(addressOf("n" + std::to_string(i + 1)));
+    addresses.reserve(nodes_.size());
+    for (const std::string& node : nodes_)
+        addresses.push_back(network_.callersOf(node));
     return addresses;
 }
 
-void Deployment::kill(const std::string& name)
+bool Deployment::isBalanced(size_t node) const
 {
-    processes_.at(name)->kill();
-    processes_.at(name)->waitForFinished();
+    const auto died = diedAt_.find(nodes_[node]);
+    return died == diedAt_.end() || std::chrono::steady_clock::now() - died->second < balancerLag;
 }
 
-double Deployment::nodeCpuSeconds() const
+void Deployment::killEngine(const std::string& engine)
 {
-    // Fields 14 and 15 of /proc/PID/stat; the second field ends with the last bracket.
-    constexpr qsizetype userField = 11;
-    constexpr qsizetype systemField = 12;
-    double ticks = 0;
-    for (const auto& [name, process] : processes_) {
-        QFile file("/proc/" + QString::number(process->processId()) + "/stat");
-        if (!process->program().endsWith("/hemlockweir") || !file.open(QIODevice::ReadOnly))
-            continue;
-        const QByteArray stat = file.readAll();
-        const QList<QByteArray> fields = stat.mid(stat.lastIndexOf(')') + 2).split(' ');
-        ticks += fields.value(userField).toDouble() + fields.value(systemField).toDouble();
+    processes_.kill(engine);
+    deaths_.push_back({ .engine = engine, .at = QDateTime::currentMSecsSinceEpoch() });
+    dead_.push_back(engine);
+}
+
+void Deployment::killFabric(const std::string& fabric)
+{
+    for (const std::string& engine : enginesByFabric_[fabric])
+        killEngine(engine);
+}
+
+void Deployment::killNode(const std::string& node)
+{
+    processes_.kill(node);
+    diedAt_[node] = std::chrono::steady_clock::now();
+    dead_.push_back(node);
+}
+
+void Deployment::restartDead()
+{
+    for (const std::string& name : std::exchange(dead_, {})) {
+        processes_.restart(name);
+        diedAt_.erase(name);
     }
-    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
 }
 
-int Deployment::countEffects(const QString& what)
+void Deployment::setPlatformDown(bool isDown)
+{
+    postFaults("store", { { "down", isDown } });
+    for (const std::string& domain : domains_)
+        postFaults("list-" + domain, { { "down", isDown } });
+}
+
+bool Deployment::restore()
 {
-    int count = 0;
-    for (const auto& [name, process] : processes_) {
-        if (!process->program().endsWith("/standin-engine") || process->state() != QProcess::Running)
+    setPlatformDown(false);
+    network_.heal();
+    restartDead();
+    return waitForGroups();
+}
+
+double Deployment::nodeCpuSeconds() const
+{
+    double seconds = 0;
+    for (const std::string& node : nodes_)
+        seconds += processes_.cpuSeconds(node);
+    return seconds;
+}
+
+// Every node holds copies of the others' figures, which only grow: the largest copy is the newest.
+Waste Deployment::readWaste()
+{
+    using Part = std::pair<QString, double>;
+    std::map<Part, Waste> newest;
+    for (const std::string& node : nodes_) {
+        if (!processes_.isRunning(node))
             continue;
-        const QJsonObject answer = QJsonDocument::fromJson(call("GET", "http://" + addressOf(name) + "/effects").body).object();
-        const QJsonArray effects = answer["effects"].toArray();
-        count += static_cast<int>(std::count_if(effects.begin(), effects.end(), [&](const QJsonValue& effect) { return effect["what"].toString() == what; }));
+        const CallResult answer = call("GET", "http://" + processes_.addressOf(node) + "/operator/report");
+        const QJsonArray parts = QJsonDocument::fromJson(answer.body).object()["parts"].toArray();
+        for (const QJsonValue& part : parts) {
+            Waste sum;
+            const QJsonArray rows = part["waste"].toArray();
+            for (const QJsonValue& row : rows) {
+                sum.strandedSeconds += row["stranded_ms"].toDouble() / 1000;
+                sum.downtimeSeconds += row["downtime_ms"].toDouble() / 1000;
+            }
+            Waste& held = newest[{ part["node"].toString(), part["incarnation"].toDouble() }];
+            held.strandedSeconds = std::max(held.strandedSeconds, sum.strandedSeconds);
+            held.downtimeSeconds = std::max(held.downtimeSeconds, sum.downtimeSeconds);
+        }
+    }
+    Waste all;
+    for (const auto& [part, waste] : newest) {
+        all.strandedSeconds += waste.strandedSeconds;
+        all.downtimeSeconds += waste.downtimeSeconds;
     }
-    return count;
+    return all;
 }
 
 } // namespace hemlockweir
--- a/bench/LoadGenerator.cpp
+++ b/bench/LoadGenerator.cpp
@@ -25,8 +25,9 @@
 
 class LoadGenerator::Call {
 public:
-    Call(const std::string& node, const Arrival& arrival)
+    Call(const std::string& node, const Arrival& arrival, int sends)
         : arrival_(arrival)
+        , sends_(sends)
     {
         const QUrl url(QString::fromStdString("http://" + node));
         started_.start();
@@ -39,24 +40,50 @@
 
     bool isOver(Millis patience) const { return over_ || started_.hasExpired(patience.count()); }
 
+    const Arrival& arrival() const { return arrival_; }
+    int sends() const { return sends_; }
+
     Sample makeSample() const
     {
-        Sample sample { .caller = arrival_.caller, .priority = arrival_.priority, .tokens = arrival_.tokens, .firstTokenMs = firstTokenMs_ };
+        Sample sample { .caller = arrival_.caller, .priority = arrival_.priority, .tokens = arrival_.tokens, .firstTokenMs = firstTokenMs_, .isOrder = isOrder() };
         if (received_.contains("\"not_run\""))
             sample.outcome = CallerOutcome::Refused;
+        else if (isOrder())
+            sample.outcome = received_.startsWith("HTTP/1.1 200") && received_.contains("\"order\"") ? CallerOutcome::Whole : CallerOutcome::Failed;
         else if (received_.contains("[DONE]") && answerText() == expectedText(arrival_))
             sample.outcome = CallerOutcome::Whole;
+        if (sample.outcome == CallerOutcome::Failed)
+            sample.error = errorText();
         return sample;
     }
 
 private:
+    bool isOrder() const { return !arrival_.orderKey.empty(); }
+
     QByteArray makeRequest(const std::string& node) const
+    {
+        return isOrder() ? makeOrder(node) : makeCompletion(node);
+    }
+
+    QByteArray makeHead(const QByteArray& path, const std::string& node, qsizetype bodySize) const
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: " + QByteArray::fromStdString(node) + "\r\nConnection: close\r\nContent-Type: application/json\r\nAuthorization: Bearer "
+            + QByteArray::fromStdString(benchCallers()[arrival_.caller].key()) + "\r\nX-Priority: " + QByteArray::fromStdString(benchPriorities()[arrival_.priority].name)
+            + "\r\nContent-Length: " + QByteArray::number(bodySize) + "\r\n";
+    }
+
+    QByteArray makeOrder(const std::string& node) const
+    {
+        const QByteArray key = QByteArray::fromStdString(arrival_.orderKey);
+        const QByteArray body = "{\"plate\":\"" + key + "\"}";
+        return makeHead("/orders", node, body.size()) + "Idempotency-Key: " + key + "\r\n\r\n" + body;
+    }
+
+    QByteArray makeCompletion(const std::string& node) const
     {
         const QJsonObject object { { "model", "m" }, { "prompt", QString::fromStdString(arrival_.prompt) }, { "max_tokens", arrival_.tokens }, { "stream", true }, { "seed", generationSeed } };
         const QByteArray body = QJsonDocument(object).toJson(QJsonDocument::Compact);
-        return "POST /v1/completions HTTP/1.1\r\nHost: " + QByteArray::fromStdString(node) + "\r\nConnection: close\r\nContent-Type: application/json\r\nAuthorization: Bearer "
-            + QByteArray::fromStdString(benchCallers()[arrival_.caller].key()) + "\r\nX-Priority: " + QByteArray::fromStdString(benchPriorities()[arrival_.priority].name)
-            + "\r\nContent-Length: " + QByteArray::number(body.size()) + "\r\n\r\n" + body;
+        return makeHead("/v1/completions", node, body.size()) + "\r\n" + body;
     }
 
     void read()
@@ -64,10 +91,25 @@
         received_ += socket_.readAll();
         if (firstTokenMs_ < 0 && received_.contains("\"text\":\" "))
             firstTokenMs_ = static_cast<double>(started_.nsecsElapsed()) / 1e6;
-        if (received_.contains("[DONE]") || received_.contains("\"outcome\":"))
+        // The answer to an order ends with its connection.
+        if (!isOrder() && (received_.contains("[DONE]") || received_.contains("\"outcome\":")))
             over_ = true;
     }
 
+    std::string errorText() const
+    {
+        const QByteArray text = textAfter("\"message\":\"", 0);
+        if (!text.isEmpty())
+            return text.toStdString();
+        return received_.isEmpty() ? "closed without an answer" : "broken off or wrong after it began";
+    }
+
+    QByteArray textAfter(const QByteArray& field, qsizetype from) const
+    {
+        const qsizetype at = received_.indexOf(field, from);
+        return at < 0 ? QByteArray() : received_.mid(at + field.size(), received_.indexOf('"', at + field.size()) - at - field.size());
+    }
+
     QByteArray answerText() const
     {
         static const QByteArray field = "\"text\":\"";
@@ -80,6 +122,7 @@
     }
 
     Arrival arrival_;
+    int sends_; // of an order, this one among them
     QTcpSocket socket_;
     QElapsedTimer started_;
     QByteArray received_;
@@ -93,24 +136,53 @@
     timer_.setTimerType(Qt::PreciseTimer);
     QObject::connect(&timer_, &QTimer::timeout, [this] {
         sendDue();
+        repeatDue();
         sweep();
     });
 }
 
 LoadGenerator::~LoadGenerator() = default;
 
+void LoadGenerator::send(const Arrival& arrival, int sends)
+{
+    const size_t count = options_.nodes.size();
+    for (size_t tries = 0; tries < count && options_.isBalanced && !options_.isBalanced(turn_ % count); ++tries)
+        ++turn_;
+    calls_.push_back(std::make_unique<Call>(options_.nodes[turn_++ % count], arrival, sends));
+}
+
 void LoadGenerator::sendDue()
 {
     for (; next_ < options_.arrivals.size() && options_.arrivals[next_].at.count() <= clock_.elapsed(); ++next_)
-        calls_.push_back(std::make_unique<Call>(options_.nodes[next_ % options_.nodes.size()], options_.arrivals[next_]));
+        send(options_.arrivals[next_], 1);
+}
+
+void LoadGenerator::repeatDue()
+{
+    for (const Repeat& repeat : repeats_) {
+        if (repeat.at <= clock_.elapsed())
+            send(repeat.arrival, repeat.sends + 1);
+    }
+    std::erase_if(repeats_, [this](const Repeat& repeat) { return repeat.at <= clock_.elapsed(); });
+}
+
+bool LoadGenerator::mustRepeat(const Call& call) const
+{
+    constexpr int mostSends = 8;
+    const Sample sample = call.makeSample();
+    return sample.isOrder && sample.outcome != CallerOutcome::Whole && call.sends() < mostSends;
 }
 
 void LoadGenerator::sweep()
 {
+    constexpr qint64 repeatPauseMs = 500;
     std::erase_if(calls_, [this](const std::unique_ptr<Call>& call) {
         if (!call->isOver(options_.patience))
             return false;
-        samples_.push_back(call->makeSample());
+        if (mustRepeat(*call))
+            repeats_.push_back({ .at = clock_.elapsed() + repeatPauseMs, .arrival = call->arrival(), .sends = call->sends() });
+        else
+            samples_.push_back(call->makeSample());
         return true;
     });
 }
--- a/bench/LoadGenerator.h
+++ b/bench/LoadGenerator.h
@@ -5,10 +5,12 @@
 #include <QElapsedTimer>
 #include <QTcpSocket>
 #include <QTimer>
+#include <functional>
 #include <memory>
 
 // Open-loop load: each request is sent at its time, whatever became of those before it, to the
-// nodes in turn as a balancer would. One thread, one connection a request.
+// nodes in turn as a balancer would. One thread, one connection a request. An order that is not
+// answered is sent again under the same idempotency key, as its caller would.
 
 namespace hemlockweir {
 
@@ -26,6 +28,8 @@
     int tokens = 0; // tokens asked for
     CallerOutcome outcome = CallerOutcome::Failed;
     double firstTokenMs = -1; // ms from sending; below 0: no token came
+    bool isOrder = false;
+    std::string error = {}; // what a failed request was told; empty: nothing
 
     bool isOnTime() const { return outcome == CallerOutcome::Whole && firstTokenMs <= benchPriorities()[priority].firstTokenMs; }
 };
@@ -33,6 +37,7 @@
 struct LoadOptions {
     std::vector<std::string> nodes; // ADDRESS:PORT
     std::vector<Arrival> arrivals;
+    std::function<bool(size_t node)> isBalanced; // whether the balancer sends to a node
     Millis patience { 20000 }; // ms after which a caller hangs up
 };
 
@@ -47,11 +52,23 @@
 private:
     class Call;
 
+    // An order to be sent again.
+    struct Repeat {
+        qint64 at = 0; // ms from the start
+        Arrival arrival;
+        int sends = 0; // so far
+    };
+
     void sendDue();
+    void repeatDue();
+    void send(const Arrival& arrival, int sends);
+    bool mustRepeat(const Call& call) const;
     void sweep();
 
     LoadOptions options_;
     size_t next_ = 0; // index of the next arrival
+    size_t turn_ = 0; // of the nodes
+    std::vector<Repeat> repeats_;
     QElapsedTimer clock_;
     QTimer timer_;
     std::vector<std::unique_ptr<Call>> calls_;
--- /dev/null
+++ b/bench/Network.cpp
@@ -0,0 +1,115 @@
+#include "Network.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hemlockweir {
+
+std::string domainOfEndpoint(const std::string& name)
+{
+    return name.substr(0, 1);
+}
+
+Network::Network(ProcessSet& processes, PostFaults post, NetworkOptions options)
+    : processes_(processes)
+    , post_(std::move(post))
+    , options_(options)
+{
+}
+
+void Network::addDomain(const std::string& domain, std::vector<std::string> nodes)
+{
+    Domain& entry = domains_[domain];
+    for (const std::string& node : nodes) {
+        entry.links.push_back({ .name = "callers-" + node, .target = node, .targetDomain = {}, .delayMs = options_.callerDelayMs });
+        entry.links.push_back({ .name = "peers-" + node, .target = node + ".peers", .targetDomain = {}, .isUdp = true, .delayMs = options_.domainDelayMs });
+        // Configurations between nodes travel by TCP on the same address.
+        entry.links.push_back({ .name = "documents-" + node, .target = node + ".peers", .targetDomain = {}, .delayMs = options_.domainDelayMs });
+    }
+    entry.nodes = std::move(nodes);
+}
+
+std::string Network::linkOut(const std::string& domain, const std::string& process)
+{
+    const bool isPlatform = process == "store" || process.starts_with("list-");
+    const std::string targetDomain = isPlatform ? std::string() : domainOfEndpoint(process);
+    if (targetDomain == domain)
+        return processes_.addressOf(process);
+    const std::string name = domain + "-to-" + process;
+    std::vector<Link>& links = domains_.at(domain).links;
+    const bool isKnown = std::any_of(links.begin(), links.end(), [&](const Link& link) { return link.name == name; });
+    if (!isKnown)
+        links.push_back({ .name = name, .target = process, .targetDomain = targetDomain, .delayMs = options_.domainDelayMs });
+    return processes_.addressOf(name);
+}
+
+std::string Network::callersOf(const std::string& node)
+{
+    return processes_.addressOf("callers-" + node);
+}
+
+std::string Network::peersOf(const std::string& node)
+{
+    return processes_.addressOf("peers-" + node);
+}
+
+void Network::start()
+{
+    for (const auto& [domain, entry] : domains_) {
+        QStringList arguments { "--listen", QString::fromStdString(processes_.addressOf(proxyOf(domain))) };
+        for (const Link& link : entry.links) {
+            const bool isDocuments = link.name.starts_with("documents-");
+            const std::string listen = isDocuments ? processes_.addressOf("peers-" + link.name.substr(link.name.find('-') + 1)) : processes_.addressOf(link.name);
+            arguments << "--link" << QString::fromStdString(link.name + "," + listen + "," + processes_.addressOf(link.target) + (link.isUdp ? ",udp" : ""));
+        }
+        processes_.start(proxyOf(domain), "standin-proxy", arguments);
+        setDelays(domain);
+    }
+}
+
+// The proxy counts whole milliseconds: of a round trip the way there takes the odd half.
+void Network::setDelays(const std::string& domain)
+{
+    QJsonObject faults;
+    for (const Link& link : domains_.at(domain).links) {
+        const int there = static_cast<int>(std::ceil(link.delayMs));
+        const QString name = QString::fromStdString(link.name);
+        faults[name + ".delay_ms"] = there;
+        faults[name + ".answer_delay_ms"] = static_cast<int>(std::lround(2 * link.delayMs)) - there;
+    }
+    post_(proxyOf(domain), faults);
+}
+
+void Network::cut(const std::string& domain)
+{
+    cutDomains_.insert(domain);
+    setCut(domain, true);
+}
+
+void Network::heal()
+{
+    for (const std::string& domain : std::exchange(cutDomains_, {}))
+        setCut(domain, false);
+}
+
+void Network::setCut(const std::string& domain, bool isCut)
+{
+    QString senders;
+    for (const std::string& node : domains_.at(domain).nodes)
+        senders += (senders.isEmpty() ? "" : ",") + QString::fromStdString(processes_.addressOf(node + ".peers"));
+    for (const auto& [name, entry] : domains_) {
+        QJsonObject faults;
+        for (const Link& link : entry.links) {
+            const QString linkName = QString::fromStdString(link.name);
+            const bool isCallers = link.name.starts_with("callers-");
+            const bool isOwn = name == domain && !isCallers;
+            if (isOwn || link.targetDomain == domain)
+                faults[linkName + ".cut"] = isCut;
+            else if (link.isUdp)
+                faults[linkName + ".cut_from"] = isCut ? senders : QString();
+        }
+        post_(proxyOf(name), faults);
+    }
+}
+
+} // namespace hemlockweir
--- a/bench/Scenario.cpp
+++ b/bench/Scenario.cpp
@@ -4,38 +4,30 @@
 
 #include <QTimer>
 #include <algorithm>
+#include <cstdlib>
 
 namespace hemlockweir {
 
-// Demand of each priority, as a share of the capacity, and who sends it.
-struct Demand {
-    double urgent = 0.25;
-    double standard = 0.20;
-    double batch = 0.15;
-    double batchLength = 1; // times as many tokens as the mean, at as many fewer requests
-
-    std::vector<double> byPriority() const { return { urgent, standard, batch }; }
-};
-
 // The small callers together send this much of the capacity at each priority, the large ones the
-// rest of the demand.
-static constexpr double smallShare = 0.07;
+// rest of the demand. It gives each small caller some twenty requests in a run of eight seconds.
+static constexpr double smallShare = 0.16;
 
-const std::vector<std::string>& scenarioNames()
-{
-    static const std::vector<std::string> names { "steady", "batch_flood", "long_batch_flood", "urgent_flood", "member_lost" };
-    return names;
-}
+static constexpr double ordersPerSecond = 8;
 
-static Demand demandOf(const std::string& scenario)
+const std::vector<Scenario>& scenarios()
 {
-    if (scenario == "batch_flood")
-        return { .batch = 10 };
-    if (scenario == "long_batch_flood")
-        return { .batch = 10, .batchLength = 10 };
-    if (scenario == "urgent_flood")
-        return { .urgent = 3, .batch = 0.4 };
-    return {};
+    static const std::vector<Scenario> all {
+        { .name = "steady" },
+        { .name = "batch_flood", .demand = { .batch = 10 } },
+        { .name = "long_batch_flood", .demand = { .batch = 10, .batchLength = 10 } },
+        { .name = "urgent_flood", .demand = { .urgent = 3, .batch = 0.4 } },
+        { .name = "member_lost", .faults = { { .at = 0.25, .kind = FaultKind::KillEngine, .target = "a1-2" }, { .at = 0.75, .kind = FaultKind::RestartDead } } },
+        { .name = "fabric_dark", .faults = { { .at = 0.25, .kind = FaultKind::KillFabric, .target = "b1" }, { .at = 0.75, .kind = FaultKind::RestartDead } } },
+        { .name = "node_lost", .faults = { { .at = 0.25, .kind = FaultKind::KillNode, .target = "n4" }, { .at = 0.75, .kind = FaultKind::RestartDead } } },
+        { .name = "platform_down", .faults = { { .at = 0.25, .kind = FaultKind::PlatformDown }, { .at = 0.75, .kind = FaultKind::PlatformUp } } },
+        { .name = "domain_cut", .faults = { { .at = 0.25, .kind = FaultKind::CutDomain, .target = "c" }, { .at = 0.75, .kind = FaultKind::HealDomains } } },
+    };
+    return all;
 }
 
 static std::vector<Source> makeSources(const Demand& demand, double capacity)
@@ -48,33 +40,85 @@
     for (size_t priority = 0; priority < demands.size(); ++priority) {
         for (size_t caller = 0; caller < callers.size(); ++caller) {
             const double share = callers[caller].isLarge ? (demands[priority] - smallShare) / large : smallShare / small;
-            const double length = priority + 1 == demands.size() ? demand.batchLength : 1;
+            // A flood of long requests comes from the large callers.
+            const double length = callers[caller].isLarge && priority + 1 == demands.size() ? demand.batchLength : 1;
             sources.push_back({ .caller = caller, .priority = priority, .requestsPerSecond = share * capacity / length, .lengthFactor = length });
         }
     }
     return sources;
 }
 
-RunResult runScenario(Deployment& deployment, const ScenarioOptions& options)
+static void apply(Deployment& deployment, const Fault& fault)
 {
-    const std::vector<Arrival> arrivals = makeArrivals(makeSources(demandOf(options.name), deployment.capacity()), options.duration, options.seed);
-    const double cpuBefore = deployment.nodeCpuSeconds();
-    const int startedBefore = deployment.countEffects("run_started");
-    const int cancelledBefore = deployment.countEffects("run_cancelled");
-    QTimer fault;
-    fault.setSingleShot(true);
-    if (options.name == "member_lost") {
-        QObject::connect(&fault, &QTimer::timeout, [&] { deployment.kill("a2"); });
-        fault.start(options.duration / 3);
+    switch (fault.kind) {
+    case FaultKind::KillEngine:
+        deployment.killEngine(fault.target);
+        return;
+    case FaultKind::KillFabric:
+        deployment.killFabric(fault.target);
+        return;
+    case FaultKind::KillNode:
+        deployment.killNode(fault.target);
+        return;
+    case FaultKind::RestartDead:
+        deployment.restartDead();
+        return;
+    case FaultKind::PlatformDown:
+        deployment.setPlatformDown(true);
+        return;
+    case FaultKind::PlatformUp:
+        deployment.setPlatformDown(false);
+        return;
+    case FaultKind::CutDomain:
+        deployment.cutDomain(fault.target);
+        return;
+    case FaultKind::HealDomains:
+        deployment.healDomains();
+        return;
+    }
+}
+
+static void schedule(Deployment& deployment, const Scenario& scenario, Millis duration, std::vector<std::unique_ptr<QTimer>>& timers)
+{
+    for (const Fault& fault : scenario.faults) {
+        auto timer = std::make_unique<QTimer>();
+        timer->setSingleShot(true);
+        QObject::connect(timer.get(), &QTimer::timeout, [&deployment, fault] { apply(deployment, fault); });
+        timer->start(static_cast<int>(fault.at * static_cast<double>(duration.count())));
+        timers.push_back(std::move(timer));
     }
-    LoadGenerator load({ .nodes = deployment.nodeAddresses(), .arrivals = arrivals });
+}
+
+static double loadAverage()
+{
+    double average = 0;
+    return getloadavg(&average, 1) == 1 ? average : 0;
+}
+
+RunResult runScenario(Deployment& deployment, const Scenario& scenario, const RunOptions& options)
+{
+    std::vector<Arrival> arrivals = makeArrivals(makeSources(scenario.demand, deployment.capacity()), options.duration, options.seed);
+    addOrders(arrivals, ordersPerSecond, options.duration);
+    const double cpuBefore = deployment.nodeCpuSeconds();
+    const Waste wasteBefore = deployment.readWaste();
+    deployment.effects().mark();
+    LoadGenerator load({ .nodes = deployment.nodeAddresses(), .arrivals = arrivals, .isBalanced = [&](size_t node) { return deployment.isBalanced(node); } });
+    std::vector<std::unique_ptr<QTimer>> faults;
+    schedule(deployment, scenario, options.duration, faults);
     const std::vector<Sample> samples = load.run();
-    const double cpuSeconds = deployment.nodeCpuSeconds() - cpuBefore;
-    return { .rows = summarise(options.name, deployment.options().policy, samples, options.duration),
-        .arrivals = static_cast<int>(arrivals.size()),
-        .cpuMsPerRequest = cpuSeconds * 1000 / static_cast<double>(std::max<size_t>(samples.size(), 1)),
-        .started = deployment.countEffects("run_started") - startedBefore,
-        .cancelled = deployment.countEffects("run_cancelled") - cancelledBefore };
+    const Waste waste = deployment.readWaste();
+    const EffectList effects = deployment.effects().read();
+    RunResult result = summarise({ .scenario = scenario.name, .policy = options.label, .duration = options.duration, .capacityTokens = deployment.capacity() * meanTokens }, samples);
+    result.arrivals = static_cast<int>(arrivals.size());
+    result.loadAverage = loadAverage();
+    result.cpuMsPerRequest = (deployment.nodeCpuSeconds() - cpuBefore) * 1000 / static_cast<double>(std::max<size_t>(samples.size(), 1));
+    result.started = countEffects(effects, "run_started");
+    result.cancelled = countEffects(effects, "run_cancelled");
+    result.repeatedOrders = countRepeatedOrders(effects);
+    result.incompleteRuns = countIncompleteRuns(effects, deployment.effects().groups(), deployment.deaths());
+    result.strandedSeconds = waste.strandedSeconds - wasteBefore.strandedSeconds;
+    result.downtimeSeconds = waste.downtimeSeconds - wasteBefore.downtimeSeconds;
+    return result;
 }
 
 } // namespace hemlockweir
--- a/bench/Table.cpp
+++ b/bench/Table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <functional>
 #include <numeric>
 
 namespace hemlockweir {
@@ -32,44 +33,59 @@
     return shares;
 }
 
-static double worstSmallShare(const std::vector<Sample>& samples)
+// How the small callers fared in one priority, against their max-min fair shares.
+static void addSmallShares(PriorityRow& row, const std::vector<Sample>& samples)
 {
     const std::vector<BenchCaller>& callers = benchCallers();
     std::vector<double> demands(callers.size());
     std::vector<double> got(callers.size());
+    std::vector<int> sent(callers.size());
     for (const Sample& sample : samples) {
         demands[sample.caller] += sample.tokens;
+        ++sent[sample.caller];
         if (sample.outcome == CallerOutcome::Whole)
             got[sample.caller] += sample.tokens;
     }
     const std::vector<double> shares = maxMinShares(demands, std::accumulate(got.begin(), got.end(), 0.0));
-    double worst = 1;
+    double allGot = 0;
+    double allShares = 0;
     for (size_t i = 0; i < callers.size(); ++i) {
-        if (!callers[i].isLarge && shares[i] > 0)
-            worst = std::min(worst, got[i] / shares[i]);
+        if (callers[i].isLarge || shares[i] <= 0)
+            continue;
+        allGot += std::min(got[i], shares[i]);
+        allShares += shares[i];
+        if (row.worstSmallSent == 0 || got[i] / shares[i] < row.worstSmallShare) {
+            row.worstSmallShare = got[i] / shares[i];
+            row.worstSmallSent = sent[i];
+        }
     }
-    return worst;
+    row.smallShare = allShares > 0 ? allGot / allShares : 1;
+}
+
+static double sumTokens(const std::vector<Sample>& samples, const std::function<bool(const Sample&)>& isCounted)
+{
+    return std::accumulate(samples.begin(), samples.end(), 0.0, [&](double sum, const Sample& sample) { return sum + (isCounted(sample) ? sample.tokens : 0); });
+}
+
+static bool isWhole(const Sample& sample)
+{
+    return sample.outcome == CallerOutcome::Whole;
 }
 
-static PriorityRow summarisePriority(const std::vector<Sample>& samples, Millis duration)
+static PriorityRow summarisePriority(const std::vector<Sample>& samples, const RunInfo& info)
 {
     PriorityRow row { .sent = static_cast<int>(samples.size()) };
     std::vector<double> firstTokens;
-    int small = 0;
     int smallOnTime = 0;
-    double tokens = 0;
     for (const Sample& sample : samples) {
-        const bool isWhole = sample.outcome == CallerOutcome::Whole;
-        row.whole += isWhole ? 1 : 0;
+        row.whole += isWhole(sample) ? 1 : 0;
         row.onTime += sample.isOnTime() ? 1 : 0;
         row.refused += sample.outcome == CallerOutcome::Refused ? 1 : 0;
         row.failed += sample.outcome == CallerOutcome::Failed ? 1 : 0;
-        if (isWhole) {
+        if (isWhole(sample))
             firstTokens.push_back(sample.firstTokenMs);
-            tokens += sample.tokens;
-        }
         if (!benchCallers()[sample.caller].isLarge) {
-            ++small;
+            ++row.smallSent;
             smallOnTime += sample.isOnTime() ? 1 : 0;
         }
     }
@@ -77,41 +93,95 @@
     row.p50 = percentile(firstTokens, 0.5);
     row.p95 = percentile(firstTokens, 0.95);
     row.p99 = percentile(firstTokens, 0.99);
-    row.tokensPerSecond = tokens * 1000.0 / static_cast<double>(duration.count());
-    row.smallOnTime = small > 0 ? static_cast<double>(smallOnTime) / small : 1;
-    row.worstSmallShare = worstSmallShare(samples);
+    const double seconds = static_cast<double>(info.duration.count()) / 1000.0;
+    row.tokensPerSecond = sumTokens(samples, isWhole) / seconds;
+    const double target = benchPriorities()[samples.empty() ? 0 : samples.front().priority].firstTokenMs / 1000.0;
+    const double fit = std::min(sumTokens(samples, [](const Sample&) { return true; }), info.capacityTokens * (seconds + target));
+    row.onTimeOfFit = fit > 0 ? sumTokens(samples, [](const Sample& sample) { return sample.isOnTime(); }) / fit : 1;
+    row.smallOnTime = row.smallSent > 0 ? static_cast<double>(smallOnTime) / row.smallSent : 1;
+    addSmallShares(row, samples);
     return row;
 }
 
-std::vector<PriorityRow> summarise(const std::string& scenario, const std::string& policy, const std::vector<Sample>& samples, Millis duration)
+static void addOrderCounts(RunResult& result, const std::vector<Sample>& samples)
+{
+    for (const Sample& sample : samples) {
+        if (!sample.isOrder)
+            continue;
+        ++result.ordersSent;
+        result.ordersAnswered += isWhole(sample) ? 1 : 0;
+        result.ordersRefused += sample.outcome == CallerOutcome::Refused ? 1 : 0;
+    }
+}
+
+// Of what the most urgent priority left of the capacity, the part that the others got, as far as
+// they asked for it.
+static double leftOverUsed(const RunInfo& info, const std::vector<Sample>& samples)
+{
+    // The last that arrives may still be on time after the arrivals have ended.
+    const double seconds = (static_cast<double>(info.duration.count()) + benchPriorities().back().firstTokenMs) / 1000.0;
+    const auto isOther = [](const Sample& sample) { return !sample.isOrder && sample.priority > 0; };
+    const double urgent = sumTokens(samples, [&](const Sample& sample) { return !sample.isOrder && sample.priority == 0 && isWhole(sample); });
+    const double left = std::min(std::max(0.0, info.capacityTokens * seconds - urgent), sumTokens(samples, isOther));
+    const double got = sumTokens(samples, [&](const Sample& sample) { return isOther(sample) && isWhole(sample); });
+    return left > 0 ? got / left : 1;
+}
+
+RunResult summarise(const RunInfo& info, const std::vector<Sample>& samples)
 {
-    std::vector<PriorityRow> rows;
+    RunResult result { .info = info };
     for (size_t priority = 0; priority < benchPriorities().size(); ++priority) {
         std::vector<Sample> own;
-        std::copy_if(samples.begin(), samples.end(), std::back_inserter(own), [&](const Sample& sample) { return sample.priority == priority; });
-        PriorityRow row = summarisePriority(own, duration);
-        row.scenario = scenario;
-        row.policy = policy;
+        std::copy_if(samples.begin(), samples.end(), std::back_inserter(own), [&](const Sample& sample) { return !sample.isOrder && sample.priority == priority; });
+        PriorityRow row = summarisePriority(own, info);
         row.priority = benchPriorities()[priority].name;
-        rows.push_back(row);
+        result.rows.push_back(row);
+    }
+    for (const Sample& sample : samples) {
+        if (sample.outcome == CallerOutcome::Failed)
+            ++result.failures[(sample.isOrder ? "order" : benchPriorities()[sample.priority].name) + ": " + (sample.error.empty() ? "no error" : sample.error)];
     }
-    return rows;
+    addOrderCounts(result, samples);
+    result.leftOverUsed = leftOverUsed(info, samples);
+    return result;
+}
+
+static void printRow(const RunInfo& info, const PriorityRow& row)
+{
+    const double sent = std::max(row.sent, 1);
+    const double admitted = std::max(row.sent - row.refused, 1);
+    std::printf("| %s | %s | %s | %d | %d | %.1f | %.1f | %.1f | %d | %d | %.0f | %.0f | %.0f | %.0f | %.1f of %d | %.2f | %.2f of %d |\n", info.scenario.c_str(), info.policy.c_str(), row.priority.c_str(),
+        row.sent, row.whole, 100 * row.onTime / sent, 100 * row.onTime / admitted, 100 * row.onTimeOfFit, row.refused, row.failed, row.p50, row.p95, row.p99, row.tokensPerSecond,
+        100 * row.smallOnTime, row.smallSent, row.smallShare, row.worstSmallShare, row.worstSmallSent);
+}
+
+static void printRun(const RunResult& result)
+{
+    std::printf("| %s | %s | %d | %d | %d | %d | %d | %.1f | %.1f | %.2f | %.2f | %d/%d | %.1f |\n", result.info.scenario.c_str(), result.info.policy.c_str(), result.ordersSent, result.ordersAnswered,
+        result.ordersRefused, result.repeatedOrders, result.incompleteRuns, result.downtimeSeconds, result.strandedSeconds, result.leftOverUsed, result.cpuMsPerRequest, result.started, result.cancelled, result.loadAverage);
+}
+
+static void printFailures(const RunResult& result)
+{
+    for (const auto& [reason, count] : result.failures)
+        std::printf("- failed in %s, %s: %d %s\n", result.info.scenario.c_str(), result.info.policy.c_str(), count, reason.c_str());
 }
 
 void printTable(const std::vector<RunResult>& results)
 {
-    std::puts("| scenario | policy | priority | sent | whole | on time % of sent | of not refused | refused | failed | p50 ms | p95 ms | p99 ms | tokens/s | small on time % | worst small share | node CPU ms/request | "
-              "runs started/cancelled |");
+    std::puts("| scenario | policy | priority | sent | whole | on time % of sent | of not refused | tokens on time % of what fits | refused | failed | p50 ms | p95 ms | p99 ms | tokens/s | small on time % | small share | worst small share |");
     std::puts("|---|---|---|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|");
     for (const RunResult& result : results) {
-        for (const PriorityRow& row : result.rows) {
-            const double sent = std::max(row.sent, 1);
-            const double admitted = std::max(row.sent - row.refused, 1);
-            std::printf("| %s | %s | %s | %d | %d | %.1f | %.1f | %d | %d | %.0f | %.0f | %.0f | %.0f | %.1f | %.2f | %.2f | %d/%d |\n", row.scenario.c_str(), row.policy.c_str(), row.priority.c_str(), row.sent,
-                row.whole, 100 * row.onTime / sent, 100 * row.onTime / admitted, row.refused, row.failed, row.p50, row.p95, row.p99, row.tokensPerSecond, 100 * row.smallOnTime, row.worstSmallShare,
-                result.cpuMsPerRequest, result.started, result.cancelled);
-        }
+        for (const PriorityRow& row : result.rows)
+            printRow(result.info, row);
     }
+    std::puts("\n| scenario | policy | orders sent | answered | refused | harmful repeats | runs on incomplete groups | group downtime s | stranded accelerator-s | left over used | node CPU ms/request | runs started/cancelled | load average |");
+    std::puts("|---|---|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|");
+    for (const RunResult& result : results)
+        printRun(result);
+    std::puts("");
+    for (const RunResult& result : results)
+        printFailures(result);
     std::fflush(stdout);
 }
 
@@ -124,7 +194,7 @@
 bool doCountsAddUp(const std::vector<RunResult>& results)
 {
     return std::all_of(results.begin(), results.end(), [](const RunResult& result) {
-        const int sent = std::accumulate(result.rows.begin(), result.rows.end(), 0, [](int sum, const PriorityRow& row) { return sum + row.sent; });
+        const int sent = std::accumulate(result.rows.begin(), result.rows.end(), result.ordersSent, [](int sum, const PriorityRow& row) { return sum + row.sent; });
         return result.arrivals > 0 && sent == result.arrivals && std::all_of(result.rows.begin(), result.rows.end(), doesRowAddUp);
     });
 }
--- a/bench/Table.h
+++ b/bench/Table.h
@@ -2,14 +2,14 @@
 
 #include "LoadGenerator.h"
 
+#include <map>
+
 // What a run's samples add up to, and the table that is printed.
 
 namespace hemlockweir {
 
 // Service of the requests of one priority in one run.
 struct PriorityRow {
-    std::string scenario;
-    std::string policy;
     std::string priority;
     int sent = 0;
     int whole = 0; // answered whole, in time or late
@@ -20,23 +20,46 @@
     double p95 = 0;
     double p99 = 0;
     double tokensPerSecond = 0; // of whole answers
+    double onTimeOfFit = 1; // 0..1, tokens answered on time, of those asked that fit the capacity
+    int smallSent = 0; // requests of small callers
     double smallOnTime = 1; // 0..1, share of the small callers' requests answered whole and on time
-    double worstSmallShare = 1; // least ratio of a small caller's tokens to its max-min fair share
+    double smallShare = 1; // the small callers' tokens together to their max-min fair shares
+    double worstSmallShare = 1; // least of the same ratio of one small caller
+    int worstSmallSent = 0; // requests of that caller, on which its ratio stands
+};
+
+// What a run was.
+struct RunInfo {
+    std::string scenario;
+    std::string policy;
+    Millis duration { 0 }; // ms of arrivals
+    double capacityTokens = 0; // tokens a second that the engines generate when they are full
 };
 
 // One run of a scenario under a policy.
 struct RunResult {
+    RunInfo info;
     std::vector<PriorityRow> rows; // by priority
     int arrivals = 0; // requests that were to be sent
     double cpuMsPerRequest = 0; // of all nodes together
     int started = 0; // runs that engines started
     int cancelled = 0; // runs that engines cancelled
+    int ordersSent = 0;
+    int ordersAnswered = 0;
+    int ordersRefused = 0; // "not run" to the last
+    int repeatedOrders = 0; // orders that ran beyond the first of their key
+    int incompleteRuns = 0; // runs that began after a member had died and were finished
+    double downtimeSeconds = 0; // of groups, as the nodes report it
+    double strandedSeconds = 0; // accelerator-seconds, as the nodes report it
+    double leftOverUsed = 1; // 0..1, tokens of the other priorities, of what urgent work left over or they asked
+    double loadAverage = 0; // of the machine, at the end
+    std::map<std::string, int> failures; // failed requests by what they were told
 };
 
-// Sums samples up by priority.
-std::vector<PriorityRow> summarise(const std::string& scenario, const std::string& policy, const std::vector<Sample>& samples, Millis duration);
+// Sums samples up: the rows, and what is said of orders and of the capacity left over.
+RunResult summarise(const RunInfo& info, const std::vector<Sample>& samples);
 
-// Prints results as one Markdown table.
+// Prints results as two Markdown tables, by priority and by run, and why requests failed.
 void printTable(const std::vector<RunResult>& results);
 
 // Checks that nothing is lost: arrivals = sent, and sent = on time + late + refused + failed.
--- a/bench/Workload.cpp
+++ b/bench/Workload.cpp
@@ -59,6 +59,11 @@
     return prefix + " question " + std::to_string(number);
 }
 
+static void sortByTime(std::vector<Arrival>& arrivals)
+{
+    std::stable_sort(arrivals.begin(), arrivals.end(), [](const Arrival& a, const Arrival& b) { return a.at < b.at; });
+}
+
 std::vector<Arrival> makeArrivals(const std::vector<Source>& sources, Millis duration, uint64_t seed)
 {
     constexpr double sigma = 0.6;
@@ -75,11 +80,27 @@
                 .caller = source.caller,
                 .priority = source.priority,
                 .tokens = std::clamp(static_cast<int>(source.lengthFactor * tokens(engine)), 1, 500),
-                .prompt = makePrompt(source.caller * topicsPerCaller + static_cast<size_t>(std::min(topic(engine), topicsPerCaller - 1)), arrivals.size()) });
+                .prompt = makePrompt(source.caller * topicsPerCaller + static_cast<size_t>(std::min(topic(engine), topicsPerCaller - 1)), arrivals.size()),
+                .orderKey = {} });
         }
     }
-    std::sort(arrivals.begin(), arrivals.end(), [](const Arrival& a, const Arrival& b) { return a.at < b.at; });
+    sortByTime(arrivals);
     return arrivals;
 }
 
+void addOrders(std::vector<Arrival>& arrivals, double ordersPerSecond, Millis duration)
+{
+    static int number = 0;
+    const double gapMs = 1000 / ordersPerSecond;
+    for (double at = gapMs / 2; at < static_cast<double>(duration.count()); at += gapMs) {
+        ++number;
+        arrivals.push_back({ .at = Millis(static_cast<int64_t>(at)),
+            .caller = static_cast<size_t>(number) % benchCallers().size(),
+            .priority = 1,
+            .prompt = {},
+            .orderKey = "order-" + std::to_string(number) });
+    }
+    sortByTime(arrivals);
+}
+
 } // namespace hemlockweir
--- a/bench/Workload.h
+++ b/bench/Workload.h
@@ -41,6 +41,7 @@
     size_t priority = 0;
     int tokens = 0; // tokens asked for
     std::string prompt; // a prefix that others share, and a text of its own
+    std::string orderKey; // not empty: an order to the plain service, with this idempotency key
 };
 
 // What every scenario of the bench shares.
@@ -57,4 +58,7 @@
 // same arrivals.
 std::vector<Arrival> makeArrivals(const std::vector<Source>& sources, Millis duration, uint64_t seed);
 
+// Adds evenly spread orders of all callers in turn; their keys are unique among all runs of a bench.
+void addOrders(std::vector<Arrival>& arrivals, double ordersPerSecond, Millis duration);
+
 } // namespace hemlockweir
--- a/bench/hw-bench.cpp
+++ b/bench/hw-bench.cpp
@@ -1,7 +1,9 @@
-// Measures the decisions of real nodes in front of stand-in engines and prints one table.
+// Measures the decisions of real nodes in front of stand-in engines and prints two tables.
 //
-//   hw-bench --seed 1 --seconds 12
-//   hw-bench --scenario batch_flood --policy full
+//   hw-bench --deployment kiriamu --seconds 8 --seed 1
+//   hw-bench --scenario batch_flood --policy full --compare-with OTHER_BUILD/bin/hemlockweir
+//
+// The policies take turns in each scenario, on the same engines and with the same arrivals.
 
 #include "Scenario.h"
 
@@ -15,63 +17,108 @@
 namespace {
 
 struct BenchOptions {
-    std::vector<std::string> scenarios = scenarioNames();
-    std::vector<std::string> policies { "full", "least_in_flight", "round_robin" };
-    int seconds = 12; // s of arrivals in each scenario
+    std::vector<std::string> scenarios; // names; empty: all
+    std::vector<std::string> policies { "full", "no_admission", "least_in_flight", "round_robin" };
+    std::string compareWith; // path of another build's hemlockweir; empty: none
+    int seconds = 8; // s of arrivals in each scenario
+    int rounds = 1; // times that everything is run, each with the next seed
     uint64_t seed = 1;
     DeploymentOptions deployment;
 };
 
-// Runs every scenario on one deployment with one policy. Empty: the deployment did not come up.
-std::vector<RunResult> runPolicy(const BenchOptions& bench, const std::string& policy)
+std::vector<NodeProgram> programsOf(const BenchOptions& bench)
 {
-    DeploymentOptions deploymentOptions = bench.deployment;
-    deploymentOptions.policy = policy;
-    Deployment deployment(deploymentOptions);
-    if (!deployment.start())
-        return {};
-    std::vector<RunResult> results;
-    for (const std::string& scenario : bench.scenarios) {
-        std::cerr << policy << ' ' << scenario << " ..." << std::endl;
-        results.push_back(runScenario(deployment, { .name = scenario, .duration = Millis(1000 * bench.seconds), .seed = bench.seed }));
+    std::vector<NodeProgram> programs;
+    for (const std::string& policy : bench.policies) {
+        programs.push_back({ .policy = policy, .label = policy });
+        if (!bench.compareWith.empty())
+            programs.push_back({ .policy = policy, .path = QString::fromStdString(bench.compareWith), .label = policy + " (other)" });
+    }
+    return programs;
+}
+
+std::vector<Scenario> chosenScenarios(const BenchOptions& bench)
+{
+    std::vector<Scenario> chosen;
+    for (const Scenario& scenario : scenarios()) {
+        if (bench.scenarios.empty() || std::find(bench.scenarios.begin(), bench.scenarios.end(), scenario.name) != bench.scenarios.end())
+            chosen.push_back(scenario);
     }
-    return results;
+    return chosen;
+}
+
+// Runs one scenario with each program in turn; false if a deployment did not come up.
+bool runInTurn(Deployment& deployment, const Scenario& scenario, const BenchOptions& bench, uint64_t seed, std::vector<RunResult>& results)
+{
+    for (const NodeProgram& program : programsOf(bench)) {
+        if (!deployment.useNodes(program))
+            return false;
+        std::cerr << scenario.name << ' ' << program.label << " seed " << seed << " ..." << std::endl;
+        results.push_back(runScenario(deployment, scenario, { .label = program.label, .duration = Millis(1000 * bench.seconds), .seed = seed }));
+        if (!deployment.restore())
+            return false;
+    }
+    return true;
+}
+
+std::string describe(const DeploymentOptions& deployment)
+{
+    return deployment.name + ": " + std::to_string(deployment.groups() * deployment.members) + " engines in " + std::to_string(deployment.groups()) + " groups of " + std::to_string(deployment.members) + " in "
+        + std::to_string(deployment.domains) + " failure domains, " + std::to_string(deployment.slots) + " slots a group, " + std::to_string(deployment.tokenMs) + " ms a token, " + std::to_string(deployment.prefillMs) + " ms to the first, "
+        + std::to_string(deployment.nodes) + " nodes, " + std::to_string(deployment.services) + " plain instances; one way " + std::to_string(deployment.network.domainDelayMs) + " ms between domains, "
+        + std::to_string(deployment.network.callerDelayMs) + " ms to callers";
 }
 
 int run(const BenchOptions& bench)
 {
+    Deployment deployment(bench.deployment);
     std::vector<RunResult> results;
-    for (const std::string& policy : bench.policies) {
-        const std::vector<RunResult> some = runPolicy(bench, policy);
-        if (some.empty()) {
-            std::cerr << "the deployment did not come up\n";
-            return 1;
-        }
-        results.insert(results.end(), some.begin(), some.end());
+    bool isStanding = deployment.start();
+    for (int round = 0; round < bench.rounds; ++round) {
+        for (const Scenario& scenario : chosenScenarios(bench))
+            isStanding = isStanding && runInTurn(deployment, scenario, bench, bench.seed + static_cast<uint64_t>(round), results);
     }
-    std::stable_sort(results.begin(), results.end(), [](const RunResult& a, const RunResult& b) { return a.rows.front().scenario < b.rows.front().scenario; });
+    std::cout << describe(bench.deployment) << "\n\n";
     printTable(results);
+    if (!isStanding) {
+        std::cerr << "the deployment did not come up or was not mended\n";
+        return 1;
+    }
     if (doCountsAddUp(results))
         return 0;
     std::cerr << "the counts do not add up\n";
     return 1;
 }
 
+std::string scenarioNames()
+{
+    std::string names;
+    for (const Scenario& scenario : scenarios())
+        names += scenario.name + " ";
+    return names + "(default: all)";
+}
+
+options::options_description describeOptions(BenchOptions& bench, std::string& deployment)
+{
+    options::options_description description("hw-bench: measures nodes in front of stand-in engines");
+    description.add_options()("help", "print this text")("smoke", "one short run; checks only the counts")(
+        "deployment", options::value(&deployment), "kiriamu, marcacao or small")("no-delays", "no delays between failure domains and to callers")(
+        "scenario", options::value(&bench.scenarios)->multitoken(), scenarioNames().c_str())(
+        "policy", options::value(&bench.policies)->multitoken(), "full, no_admission, least_in_flight, round_robin; default: all")(
+        "compare-with", options::value(&bench.compareWith), "path of another build's hemlockweir, which runs in turn with this one")(
+        "seconds", options::value(&bench.seconds), "seconds of arrivals in each scenario")("rounds", options::value(&bench.rounds), "times that everything is run, each with the next seed")(
+        "seed", options::value(&bench.seed), "seed of arrivals and lengths");
+    return description;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     QCoreApplication application(argc, argv);
     BenchOptions bench;
-    options::options_description description("hw-bench: measures nodes in front of stand-in engines");
-    description.add_options()("help", "print this text")("smoke", "one short run of each scenario; checks only the counts")(
-        "scenario", options::value(&bench.scenarios)->multitoken(), "steady, batch_flood, long_batch_flood, urgent_flood, member_lost; default: all")(
-        "policy", options::value(&bench.policies)->multitoken(), "full, least_in_flight, round_robin; default: all")(
-        "seconds", options::value(&bench.seconds), "seconds of arrivals in each scenario")("seed", options::value(&bench.seed), "seed of arrivals and lengths")(
-        "nodes", options::value(&bench.deployment.nodes), "nodes")("groups", options::value(&bench.deployment.groupsPerDomain), "groups in each of 3 failure domains")(
-        "slots", options::value(&bench.deployment.slots), "requests that a group runs at once")(
-        "cache-blocks", options::value(&bench.deployment.cacheBlocks), "blocks in an engine's prefix cache")(
-        "prefill-ms", options::value(&bench.deployment.prefillMs), "ms to read a prompt of which no block is cached");
+    std::string deployment = "kiriamu";
+    const options::options_description description = describeOptions(bench, deployment);
     options::variables_map values;
     try {
         options::store(options::parse_command_line(argc, argv, description), values);
@@ -85,12 +132,18 @@
         return 0;
     }
     if (values.count("smoke") > 0) {
+        deployment = "small";
         bench.policies = { "full" };
         bench.scenarios = { "batch_flood" };
         bench.seconds = 1;
-        bench.deployment.nodes = 2;
-        bench.deployment.groupsPerDomain = 1;
-        bench.deployment.domains = 1;
     }
+    const std::optional<DeploymentOptions> found = findDeployment(deployment);
+    if (!found) {
+        std::cerr << "no such deployment\n";
+        return 2;
+    }
+    bench.deployment = *found;
+    if (values.count("no-delays") > 0)
+        bench.deployment.network = {};
     return run(bench);
 }
--- a/packages/config/Settings.cpp
+++ b/packages/config/Settings.cpp
@@ -120,8 +120,9 @@
 static void readSchedule(TableReader& reader, Settings& settings)
 {
     settings.schedulePolicy = reader.readString("policy", settings.schedulePolicy);
-    if (settings.schedulePolicy != "full" && settings.schedulePolicy != "round_robin" && settings.schedulePolicy != "least_in_flight")
-        reader.noteError("policy", "write \"full\", \"round_robin\" or \"least_in_flight\"");
+    static const std::set<std::string> policies { "full", "no_admission", "round_robin", "least_in_flight" };
+    if (!policies.contains(settings.schedulePolicy))
+        reader.noteError("policy", "write \"full\", \"no_admission\", \"round_robin\" or \"least_in_flight\"");
 }
 
 static void readTiming(TableReader& reader, Settings& settings)
--- a/packages/config/Settings.h
+++ b/packages/config/Settings.h
@@ -52,7 +52,7 @@
     int64_t replyBufferBytes = 1024 * 1024; // bytes that a slow reader may leave unread
 
     // [schedule]
-    std::string schedulePolicy = "full"; // "full"; "round_robin" and "least_in_flight" only to compare with
+    std::string schedulePolicy = "full"; // "full"; the others only to compare with
 
     // [timing]
     Millis heartbeatInterval { 200 }; // ms, between nodes
--- a/packages/schedule/Scheduler.cpp
+++ b/packages/schedule/Scheduler.cpp
@@ -29,6 +29,8 @@
 
 SchedulePolicy parseSchedulePolicy(const std::string& name)
 {
+    if (name == "no_admission")
+        return SchedulePolicy::NoAdmission;
     if (name == "round_robin")
         return SchedulePolicy::RoundRobin;
     if (name == "least_in_flight")
@@ -36,6 +38,12 @@
     return SchedulePolicy::Full;
 }
 
+// Whether each job goes at once to some replica.
+static bool isBaseline(SchedulePolicy policy)
+{
+    return policy == SchedulePolicy::RoundRobin || policy == SchedulePolicy::LeastInFlight;
+}
+
 Scheduler::Scheduler(SchedulerOptions options)
     : options_(std::move(options))
 {
@@ -126,7 +134,7 @@
 {
     if (waiting_.size() >= options_.maxWaiting)
         return Refusal::QueueFull;
-    if (options_.policy != SchedulePolicy::Full)
+    if (isBaseline(options_.policy))
         return std::nullopt;
     if (isFull(job, pool))
         return Refusal::QueueFull;
@@ -134,7 +142,7 @@
         return retries_.take(job.caller) ? std::nullopt : std::optional(Refusal::RetryBudget);
     retries_.earn(job.caller);
     // Work that was begun is not given up for a lack of time.
-    if (job.preemptions > 0 || pool.chooser.size() == 0)
+    if (options_.policy == SchedulePolicy::NoAdmission || job.preemptions > 0 || pool.chooser.size() == 0)
         return std::nullopt;
     // What starts at once is not refused by a measurement: only by running does the pool show that
     // it is fast again.
@@ -275,6 +283,8 @@
 // While others behind it can still be on time, a job that can not is refused in their favour.
 bool Scheduler::refuseStale(Pool& pool, Rank& rank, const Job& job, Millis now, Calls& calls)
 {
+    if (options_.policy == SchedulePolicy::NoAdmission)
+        return false;
     const Millis latestGrant = job.dueAt() - Millis(static_cast<int64_t>(rank.firstTokenMs.upperOr(pool.chooser.firstTokenMs())));
     const bool isStale = now > latestGrant && job.avoidGroups.empty() && job.preemptions == 0;
     if (!isStale || static_cast<double>(rank.queue.size()) <= pool.chooser.capacity() / 4)
@@ -342,7 +352,7 @@
 
 void Scheduler::grantAll(const std::string& model, Pool& pool, Millis now, Calls& calls)
 {
-    if (options_.policy != SchedulePolicy::Full) {
+    if (isBaseline(options_.policy)) {
         grantBaseline(model, pool, now, calls);
         return;
     }
--- a/packages/schedule/Scheduler.h
+++ b/packages/schedule/Scheduler.h
@@ -26,6 +26,7 @@
 // How replicas are chosen and jobs admitted.
 enum class SchedulePolicy {
     Full, // everything below
+    NoAdmission, // to compare with: the same, but what would be late is not refused before its deadline
     RoundRobin, // baseline: each job goes at once to the next replica
     LeastInFlight, // baseline: each job goes at once to the replica with the fewest of this node's jobs
 };
--- a/standins/proxy.cpp
+++ b/standins/proxy.cpp
@@ -3,7 +3,8 @@
 // Each --link NAME,LISTEN,TARGET[,udp] is one way in. Faults, set by POST /faults on --listen:
 // NAME.cut (bool: refuse and close), NAME.freeze (bool: hold every byte of all connections),
 // NAME.silence (count: connections open now go silent for good; new ones work; each change of the
-// number silences again), NAME.delay_ms, NAME.cut_from (text: ADDRESS:PORT,...; drops the datagrams of
+// number silences again), NAME.delay_ms, NAME.answer_delay_ms (towards the caller; default: the same),
+// NAME.cut_from (text: ADDRESS:PORT,...; drops the datagrams of
 // these senders, so that a cut may be one-way), NAME.drop_answers (bool: only towards the target).
 
 #include "StandIn.h"
@@ -41,6 +42,7 @@
     bool dropAnswers = false;
     int silence = 0;
     int delayMs = 0;
+    int answerDelayMs = 0;
     QStringList cutFrom; // UDP senders, ADDRESS:PORT
 };
 
@@ -77,7 +79,7 @@
             return;
         move(caller_, target_, faults.delayMs);
         if (!faults.dropAnswers)
-            move(target_, caller_, faults.delayMs);
+            move(target_, caller_, faults.answerDelayMs);
     }
 
 private:
@@ -218,11 +220,13 @@
             return 2;
         }
         auto faults = [&standIn, name = parts[0].toStdString()] {
+            const int delayMs = standIn.fault((name + ".delay_ms").c_str());
             return LinkFaults { .cut = standIn.hasFault((name + ".cut").c_str()),
                 .freeze = standIn.hasFault((name + ".freeze").c_str()),
                 .dropAnswers = standIn.hasFault((name + ".drop_answers").c_str()),
                 .silence = standIn.fault((name + ".silence").c_str()),
-                .delayMs = standIn.fault((name + ".delay_ms").c_str()),
+                .delayMs = delayMs,
+                .answerDelayMs = standIn.faults()[QString::fromStdString(name + ".answer_delay_ms")].toInt(delayMs),
                 .cutFrom = standIn.faults()[QString::fromStdString(name + ".cut_from")].toString().split(',', Qt::SkipEmptyParts) };
         };
         if (parts.size() > 3 && parts[3] == "udp")
