Split the scheduler into modules with one job each

Scheduler.cpp had 546 lines for admission, shares of the slots, yielding, what peers use, and dispatch. They are now Admission, SlotShares, YieldList, PeerUses and Pool, without a change of behaviour; Scheduler.cpp has 390 lines and keeps the queueing and granting.

--- a/bench/Deployment.cpp
+++ b/bench/Deployment.cpp
@@ -113,7 +113,7 @@
 {
     QProcess ctl;
     const QString file = processes_.writeFile("service.toml", makeBenchServiceFile(options_.members));
-    ctl.start(QString(BIN_DIR) + "/hemlockctl", { "publish", file, "--platform", QString::fromStdString("http://" + processes_.addressOf("store")) });
+    ctl.start(ProcessSet::binFolder() + "/hemlockctl", { "publish", file, "--platform", QString::fromStdString("http://" + processes_.addressOf("store")) });
     return waitUntil([&] { return ctl.state() == QProcess::NotRunning; }) && ctl.exitCode() == 0;
 }
 
--- a/bench/ProcessSet.cpp
+++ b/bench/ProcessSet.cpp
@@ -2,6 +2,7 @@
 
 #include "support/Wait.h"
 
+#include <QCoreApplication>
 #include <QFile>
 #include <unistd.h>
 
@@ -21,6 +22,12 @@
     return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
 }
 
+// The bench runs the programs beside its own, so a copy of the folder measures that build.
+QString ProcessSet::binFolder()
+{
+    return QCoreApplication::applicationDirPath();
+}
+
 ProcessSet::~ProcessSet()
 {
     for (auto& [name, entry] : entries_)
@@ -45,7 +52,7 @@
     Entry& entry = entries_[name];
     if (entry.process)
         entry.cpuBefore += readCpuSeconds(entry.process->processId());
-    entry.program = program.contains('/') ? program : QString(BIN_DIR) + "/" + program;
+    entry.program = program.contains('/') ? program : binFolder() + "/" + program;
     entry.arguments = arguments;
     if (program.startsWith("standin-"))
         entry.arguments << "--effects" << effectsFileOf(name);
--- a/bench/ProcessSet.h
+++ b/bench/ProcessSet.h
@@ -23,6 +23,9 @@
     // The same ADDRESS:PORT each time for the same name.
     std::string addressOf(const std::string& name);
 
+    // Where the programs are.
+    static QString binFolder();
+
     // Starts a program under a name; stand-ins write their effects to effectsFileOf(name).
     void start(const std::string& name, const QString& program, const QStringList& arguments);
     // Starts a process again as it was.
--- a/packages/schedule/Scheduler.cpp
+++ b/packages/schedule/Scheduler.cpp
@@ -1,5 +1,8 @@
 #include "schedule/Scheduler.h"
 
+#include "schedule/Admission.h"
+#include "schedule/SlotShares.h"
+
 #include <algorithm>
 
 namespace hemlockweir {
@@ -8,9 +11,6 @@
 static constexpr Millis refreshInterval { 20 };
 static constexpr size_t replicasPerRefreshMs = 10;
 
-// Share of the slots kept free for the most urgent work while there is some.
-static constexpr double headroomShare = 0.15;
-
 // Most of the queue that one priority, and one caller at one priority, may fill.
 static constexpr size_t ranksPerQueue = 2;
 static constexpr size_t callersPerQueue = 4;
@@ -18,9 +18,6 @@
 // A request gives its slot back at most this often.
 static constexpr uint32_t maxPreemptions = 2;
 
-// A job that was asked to yield and did not in this time keeps its slot.
-static constexpr Millis preemptTimeout { 200 };
-
 // A job that gave its slot back waits at least this long for another.
 static constexpr Millis yieldedPatience { 30000 };
 
@@ -59,33 +56,23 @@
     }
 }
 
-Scheduler::Pool& Scheduler::poolOf(const std::string& model)
+Pool& Scheduler::poolOf(const std::string& model)
 {
     const auto found = pools_.find(model);
     if (found != pools_.end())
         return found->second;
-    Pool& pool = pools_.emplace(model, Pool { .chooser = ReplicaChooser({ .domain = options_.domain, .random = options_.random }), .ranks = {} }).first->second;
-    const Millis now = options_.clock();
-    for (const auto& [node, peer] : peers_) {
-        for (const auto& [group, count] : peer.use.inFlightByGroup)
-            pool.chooser.addPeerUse(group, static_cast<int>(count), now);
-    }
+    Pool& pool = pools_.emplace(model, Pool { .chooser = ReplicaChooser({ .domain = options_.domain, .random = options_.random }) }).first->second;
+    peers_.applyTo(pool, options_.clock());
     return pool;
 }
 
-SlotSharers Scheduler::sharers() const
-{
-    const auto before = static_cast<size_t>(std::distance(peers_.begin(), peers_.lower_bound(options_.node)));
-    return { .count = peers_.size() + 1, .own = before };
-}
-
 void Scheduler::refresh(const std::string& model, Pool& pool, Millis now)
 {
     const Millis interval = std::max(refreshInterval, Millis(pool.chooser.size() / replicasPerRefreshMs));
     if (pool.refreshedAt.count() >= 0 && now - pool.refreshedAt < interval && pool.chooser.size() > 0)
         return;
     pool.refreshedAt = now;
-    pool.chooser.setReplicas(options_.findReplicas(model), sharers(), now);
+    pool.chooser.setReplicas(options_.findReplicas(model), peers_.sharers(options_.node), now);
 }
 
 void Scheduler::submit(const Job& job, JobHooks hooks)
@@ -144,101 +131,15 @@
     // Work that was begun is not given up for a lack of time.
     if (options_.policy == SchedulePolicy::NoAdmission || job.preemptions > 0 || pool.chooser.size() == 0)
         return std::nullopt;
-    // What starts at once is not refused by a measurement: only by running does the pool show that
-    // it is fast again.
-    const Rank& rank = pool.ranks[job.rank];
-    if (rank.queue.size() == 0 && mayTake(pool, job.rank, now))
-        return std::nullopt;
-    const double firstTokenAt = static_cast<double>(now.count()) + expectedWaitMs(job, pool, now) + rank.firstTokenMs.upperOr(pool.chooser.firstTokenMs());
-    if (firstTokenAt > static_cast<double>(job.dueAt().count()))
-        return Refusal::DeadlineUnreachable;
-    return std::nullopt;
+    return canBeOnTime(job, pool, now) ? std::nullopt : std::optional(Refusal::DeadlineUnreachable);
 }
 
-double Scheduler::expectedWaitMs(const Job& job, const Pool& pool, Millis now) const
-{
-    const double holdMs = pool.chooser.holdMs();
-    const Rank& rank = pool.ranks.at(job.rank);
-    if (holdMs <= 0 || (rank.queue.size() == 0 && mayTake(pool, job.rank, now)))
-        return 0;
-    const double slotsPerMs = pool.chooser.capacity() / holdMs;
-    double leftPerMs = slotsPerMs * (1 - reservedFor(pool, job.rank));
-    double urgentAhead = 0;
-    for (const auto& [other, load] : pool.ranks) {
-        if (other >= job.rank)
-            break;
-        leftPerMs -= load.granted.ratePerMs(now);
-        urgentAhead += static_cast<double>(load.queue.size());
-    }
-    const double turns = rank.queue.aheadOf(job.caller, job.weight, job.cost, now) + 1;
-    // What more urgent work leaves, or the floor, whichever is sooner.
-    constexpr double leastShare = 0.01;
-    const double afterUrgent = (turns + urgentAhead) / std::max(leftPerMs, leastShare * slotsPerMs);
-    const double byFloor = turns / (std::max(rank.floorShare, leastShare) * slotsPerMs);
-    return std::min(afterUrgent, byFloor);
-}
-
-Decision Scheduler::makeRefusal(Refusal refusal, const Job& job, const Pool& pool, Millis now) const
+Decision Scheduler::makeRefusal(Refusal refusal, const Job& job, const Pool& pool, Millis now)
 {
     const Millis wait(static_cast<int64_t>(expectedWaitMs(job, pool, now)));
     return { .refusal = refusal, .replica = {}, .retryAfter = std::clamp(wait, leastRetryAfter, mostRetryAfter) };
 }
 
-double Scheduler::runningIn(const Pool& pool)
-{
-    double running = 0;
-    for (const auto& [rank, load] : pool.ranks)
-        running += load.running;
-    return running;
-}
-
-double Scheduler::reservedFor(const Pool& pool, uint32_t besides)
-{
-    double reserved = 0;
-    for (const auto& [rank, load] : pool.ranks) {
-        if (rank > besides && load.queue.size() > 0)
-            reserved += load.floorShare;
-    }
-    return reserved;
-}
-
-double Scheduler::headroom(const Pool& pool, Millis now)
-{
-    constexpr double fewJobs = 0.1;
-    const auto urgent = pool.ranks.find(0);
-    const bool isNeeded = urgent != pool.ranks.end() && (urgent->second.running > 0 || urgent->second.granted.at(now) > fewJobs);
-    return isNeeded ? std::max(1.0, headroomShare * pool.chooser.capacity()) : 0;
-}
-
-bool Scheduler::isBelowFloor(const Pool& pool, uint32_t rank)
-{
-    const Rank& load = pool.ranks.at(rank);
-    return load.running < load.floorShare * pool.chooser.capacity();
-}
-
-double Scheduler::urgentLimit(const Pool& pool, Millis now)
-{
-    // A burst may run into the floors of the rest, and queue briefly in the engines; a flood not.
-    constexpr double burstShare = 0.35;
-    constexpr double floodAt = 0.6;
-    const double capacity = pool.chooser.capacity();
-    const double limit = capacity * (1 - reservedFor(pool, 0));
-    const double usedLately = pool.ranks.at(0).granted.ratePerMs(now) * pool.chooser.holdMs();
-    return usedLately < floodAt * limit ? limit + burstShare * capacity : limit;
-}
-
-bool Scheduler::mayTake(const Pool& pool, uint32_t rank, Millis now)
-{
-    const double capacity = pool.chooser.capacity();
-    if (isBelowFloor(pool, rank))
-        return true;
-    if (rank == 0)
-        return pool.ranks.at(0).running + 1 <= std::max(1.0, urgentLimit(pool, now));
-    const double open = capacity - headroom(pool, now);
-    // A node with hardly a slot of its own still serves when nothing else runs.
-    return runningIn(pool) < std::max(1.0, open);
-}
-
 Scheduler::Waiting Scheduler::takeWaiting(uint64_t jobId)
 {
     Waiting waiting = std::move(waiting_.extract(jobId).mapped());
@@ -268,7 +169,7 @@
 void Scheduler::grant(Pool& pool, uint64_t jobId, const Replica& replica, Millis now, Calls& calls)
 {
     const Waiting waiting = takeWaiting(jobId);
-    Rank& rank = pool.ranks[waiting.job.rank];
+    RankState& rank = pool.ranks[waiting.job.rank];
     ++rank.running;
     rank.granted.add(1, now);
     rank.queue.charge(waiting.job.caller, waiting.job.cost, now);
@@ -276,18 +177,14 @@
     ++inFlight_[replica.group];
     running_[jobId] = { .job = waiting.job, .hooks = waiting.hooks, .group = replica.group, .grantedAt = now };
     if (waiting.job.rank > 0 && waiting.job.preemptions < maxPreemptions)
-        pool.yieldable.insert({ waiting.job.rank, now, jobId });
+        pool.yields.add({ .rank = waiting.job.rank, .grantedAt = now, .job = jobId });
     calls.verdicts.push_back({ waiting.hooks.onDecision, { .refusal = Refusal::None, .replica = replica } });
 }
 
 // While others behind it can still be on time, a job that can not is refused in their favour.
-bool Scheduler::refuseStale(Pool& pool, Rank& rank, const Job& job, Millis now, Calls& calls)
+bool Scheduler::refuseStale(const Pool& pool, const Job& job, Millis now, Calls& calls)
 {
-    if (options_.policy == SchedulePolicy::NoAdmission)
-        return false;
-    const Millis latestGrant = job.dueAt() - Millis(static_cast<int64_t>(rank.firstTokenMs.upperOr(pool.chooser.firstTokenMs())));
-    const bool isStale = now > latestGrant && job.avoidGroups.empty() && job.preemptions == 0;
-    if (!isStale || static_cast<double>(rank.queue.size()) <= pool.chooser.capacity() / 4)
+    if (options_.policy == SchedulePolicy::NoAdmission || !isStale(job, pool, now))
         return false;
     refuse(job.id, Refusal::DeadlineUnreachable, now, calls);
     return true;
@@ -295,10 +192,10 @@
 
 bool Scheduler::grantFrom(Pool& pool, uint32_t rankNumber, Millis now, Calls& calls)
 {
-    Rank& rank = pool.ranks[rankNumber];
+    RankState& rank = pool.ranks[rankNumber];
     while (const std::optional<uint64_t> next = rank.queue.front(now)) {
         const Job job = waiting_.at(*next).job;
-        if (refuseStale(pool, rank, job, now, calls))
+        if (refuseStale(pool, job, now, calls))
             continue;
         const Candidate candidate = pool.chooser.choose(job, now);
         if (!candidate.replica)
@@ -360,35 +257,22 @@
     preempt(pool, now, calls);
 }
 
-Scheduler::Running* Scheduler::findVictim(Pool& pool)
-{
-    // The least urgent priority that has more than its floor, and of its jobs the one that has done least.
-    for (auto rank = pool.ranks.rbegin(); rank != pool.ranks.rend() && rank->first > 0; ++rank) {
-        if (rank->second.running == 0 || isBelowFloor(pool, rank->first))
-            continue;
-        const auto after = pool.yieldable.lower_bound({ rank->first + 1, Millis(0), 0 });
-        if (after != pool.yieldable.begin() && std::prev(after)->rank == rank->first)
-            return &running_.at(std::prev(after)->job);
-    }
-    return nullptr;
-}
-
+// While urgent work is blocked, a job above its priority's floor is asked for its slot.
 void Scheduler::preempt(Pool& pool, Millis now, Calls& calls)
 {
     const auto urgent = pool.ranks.find(0);
     if (urgent == pool.ranks.end() || urgent->second.queue.size() == 0 || !mayTake(pool, 0, now))
         return;
-    while (!pool.preemptedAt.empty() && now - pool.preemptedAt.front() >= preemptTimeout)
-        pool.preemptedAt.pop_front();
-    if (pool.preemptedAt.size() >= urgent->second.queue.size())
+    if (pool.yields.pending(now) >= urgent->second.queue.size())
         return;
-    Running* victim = findVictim(pool);
-    if (!victim)
+    const std::optional<Yieldable> asked = pool.yields.next([&pool](uint32_t rank) { return !isBelowFloor(pool, rank); });
+    if (!asked)
         return;
-    pool.yieldable.erase({ victim->job.rank, victim->grantedAt, victim->job.id });
-    pool.preemptedAt.push_back(now);
-    victim->preemptedAt = now;
-    calls.preempted.push_back(victim->hooks.onPreempt);
+    pool.yields.remove(*asked);
+    pool.yields.noteAsked(now);
+    Running& running = running_.at(asked->job);
+    running.preemptedAt = now;
+    calls.preempted.push_back(running.hooks.onPreempt);
 }
 
 void Scheduler::cancel(uint64_t jobId)
@@ -426,9 +310,9 @@
             inFlight_.erase(use);
         Pool& pool = poolOf(running.job.model);
         --pool.ranks[running.job.rank].running;
-        pool.yieldable.erase({ running.job.rank, running.grantedAt, jobId });
-        if (running.preemptedAt.count() > 0 && !pool.preemptedAt.empty())
-            pool.preemptedAt.pop_front();
+        pool.yields.remove({ .rank = running.job.rank, .grantedAt = running.grantedAt, .job = jobId });
+        if (running.preemptedAt.count() > 0)
+            pool.yields.noteYielded();
         const Millis generated = running.firstTokenAt.count() > 0 && running.preemptedAt.count() == 0 ? now - running.firstTokenAt : Millis(0);
         pool.chooser.noteFinished(running.group, now - running.grantedAt, generated, running.job.cost, now);
         grantAll(running.job.model, pool, now, calls);
@@ -443,7 +327,7 @@
         std::lock_guard lock(mutex_);
         const Millis now = options_.clock();
         refuseExpired(now, calls);
-        forgetSilentPeers(now);
+        peers_.forgetSilent(pools_, now);
         for (auto& [model, pool] : pools_) {
             refresh(model, pool, now);
             grantAll(model, pool, now, calls);
@@ -452,66 +336,16 @@
     calls.run();
 }
 
-void Scheduler::replaceUse(const std::string& node, const NodeUse& before, const NodeUse& after, Millis now)
-{
-    for (auto& [model, pool] : pools_) {
-        for (const auto& [group, count] : before.inFlightByGroup)
-            pool.chooser.addPeerUse(group, -static_cast<int>(count), now);
-        for (const auto& [group, count] : after.inFlightByGroup)
-            pool.chooser.addPeerUse(group, static_cast<int>(count), now);
-        std::map<uint32_t, std::map<std::string, double>> tokens;
-        for (const CallerTokensRow& row : after.callers) {
-            if (row.model == model)
-                tokens[row.rank][row.caller] = row.tokens;
-        }
-        for (auto& [number, rank] : pool.ranks)
-            rank.queue.setPeerTokens(node, tokens[number]);
-    }
-}
-
 void Scheduler::setPeerUse(const std::string& node, const NodeUse& use)
 {
     std::lock_guard lock(mutex_);
-    const Millis now = options_.clock();
-    Peer& peer = peers_[node];
-    const NodeUse before = std::exchange(peer.use, use);
-    peer.heardAt = now;
-    replaceUse(node, before, use, now);
-}
-
-void Scheduler::forget(const std::string& node, Millis now)
-{
-    const auto found = peers_.find(node);
-    if (found == peers_.end())
-        return;
-    replaceUse(node, found->second.use, {}, now);
-    peers_.erase(found);
-    for (auto& [model, pool] : pools_) {
-        for (auto& [number, rank] : pool.ranks)
-            rank.queue.dropPeer(node);
-    }
+    peers_.set(node, use, pools_, options_.clock());
 }
 
 void Scheduler::dropPeer(const std::string& node)
 {
     std::lock_guard lock(mutex_);
-    forget(node, options_.clock());
-}
-
-void Scheduler::forgetSilentPeers(Millis now)
-{
-    constexpr Millis checkInterval { 200 };
-    constexpr Millis silence { 2000 };
-    if (now - peersCheckedAt_ < checkInterval)
-        return;
-    peersCheckedAt_ = now;
-    std::vector<std::string> silent;
-    for (const auto& [node, peer] : peers_) {
-        if (now - peer.heardAt > silence)
-            silent.push_back(node);
-    }
-    for (const std::string& node : silent)
-        forget(node, now);
+    peers_.forget(node, pools_, options_.clock());
 }
 
 NodeUse Scheduler::use() const
--- a/packages/schedule/Scheduler.h
+++ b/packages/schedule/Scheduler.h
@@ -1,13 +1,10 @@
 #pragma once
 
-#include "schedule/FairQueue.h"
 #include "schedule/Job.h"
-#include "schedule/ReplicaChooser.h"
+#include "schedule/PeerUses.h"
 #include "schedule/RetryBudget.h"
 
-#include <deque>
 #include <mutex>
-#include <set>
 
 // Decides which waiting request runs next and on which replica, and which is refused. Thread-safe.
 // Lock order: the scheduler's lock, then the fleet table's. Hooks are called without the lock.
@@ -44,24 +41,6 @@
     std::function<std::vector<Replica>(const std::string& model)> findReplicas;
 };
 
-// Tokens granted lately to one caller for one model and priority.
-struct CallerTokensRow {
-    std::string model;
-    uint32_t rank = 0;
-    std::string caller;
-    double tokens = 0;
-
-    auto operator<=>(const CallerTokensRow&) const = default;
-};
-
-// What one node uses, as nodes tell each other.
-struct NodeUse {
-    std::map<std::string, uint32_t> inFlightByGroup;
-    std::vector<CallerTokensRow> callers;
-
-    bool operator==(const NodeUse&) const = default;
-};
-
 // Jobs of one priority, for metrics.
 struct RankLoad {
     uint32_t rank = 0;
@@ -125,49 +104,14 @@
 
         void run() const;
     };
-    // The jobs of one model and priority.
-    struct Rank {
-        FairQueue queue;
-        uint32_t running = 0;
-        double floorShare = 0;
-        DecayedSum granted { Millis(1000) }; // jobs
-        Average firstTokenMs; // ms, from grant to first token
-    };
-    // A running job that may be asked for its slot.
-    struct Yieldable {
-        uint32_t rank = 0;
-        Millis grantedAt { 0 };
-        uint64_t job = 0;
-
-        auto operator<=>(const Yieldable&) const = default;
-    };
-    // The jobs and replicas of one model.
-    struct Pool {
-        ReplicaChooser chooser;
-        std::map<uint32_t, Rank> ranks;
-        Millis refreshedAt { -1 };
-        std::set<Yieldable> yieldable;
-        std::deque<Millis> preemptedAt; // of jobs that were asked lately and still hold their slot
-    };
-
-    struct Peer {
-        NodeUse use;
-        Millis heardAt { 0 };
-    };
-
-    void replaceUse(const std::string& node, const NodeUse& before, const NodeUse& after, Millis now);
-    void forget(const std::string& node, Millis now);
-    void forgetSilentPeers(Millis now);
     Pool& poolOf(const std::string& model);
     void refresh(const std::string& model, Pool& pool, Millis now);
-    SlotSharers sharers() const;
 
     // Admission.
     std::optional<Refusal> refusalOf(const Job& job, Pool& pool, Millis now);
-    double expectedWaitMs(const Job& job, const Pool& pool, Millis now) const;
     void enqueue(const Job& job, Pool& pool, Millis now);
     bool isFull(const Job& job, const Pool& pool) const;
-    Decision makeRefusal(Refusal refusal, const Job& job, const Pool& pool, Millis now) const;
+    static Decision makeRefusal(Refusal refusal, const Job& job, const Pool& pool, Millis now);
 
     // Grants.
     void refuseExpired(Millis now, Calls& calls);
@@ -176,29 +120,19 @@
     bool grantFrom(Pool& pool, uint32_t rank, Millis now, Calls& calls);
     void grantBaseline(const std::string& model, Pool& pool, Millis now, Calls& calls);
     void grant(Pool& pool, uint64_t jobId, const Replica& replica, Millis now, Calls& calls);
-    Running* findVictim(Pool& pool);
     void preempt(Pool& pool, Millis now, Calls& calls);
     void refuse(uint64_t jobId, Refusal refusal, Millis now, Calls& calls);
     Waiting takeWaiting(uint64_t jobId);
-    bool refuseStale(Pool& pool, Rank& rank, const Job& job, Millis now, Calls& calls);
-
-    // Shares of the slots.
-    static double runningIn(const Pool& pool);
-    static double reservedFor(const Pool& pool, uint32_t besides);
-    static double headroom(const Pool& pool, Millis now);
-    static double urgentLimit(const Pool& pool, Millis now);
-    static bool mayTake(const Pool& pool, uint32_t rank, Millis now);
-    static bool isBelowFloor(const Pool& pool, uint32_t rank);
+    bool refuseStale(const Pool& pool, const Job& job, Millis now, Calls& calls);
 
     SchedulerOptions options_;
     mutable std::mutex mutex_;
-    std::map<std::string, Pool> pools_; // by model
+    Pools pools_;
     std::map<uint64_t, Waiting> waiting_; // by job
     std::multimap<Millis, uint64_t> expiries_; // jobs by deadline; may hold jobs that are gone
     std::map<uint64_t, Running> running_; // by job
     std::map<std::string, uint32_t> inFlight_; // by group
-    std::map<std::string, Peer> peers_; // by node
-    Millis peersCheckedAt_ { 0 };
+    PeerUses peers_;
     RetryBudget retries_;
     size_t nextTurn_ = 0; // of RoundRobin
 };
--- /dev/null
+++ b/packages/schedule/SlotShares.cpp
@@ -0,0 +1,65 @@
+#include "schedule/SlotShares.h"
+
+#include <algorithm>
+
+namespace hemlockweir {
+
+// Share of the slots kept free for the most urgent work while there is some.
+static constexpr double headroomShare = 0.15;
+
+static double runningIn(const Pool& pool)
+{
+    double running = 0;
+    for (const auto& [rank, state] : pool.ranks)
+        running += state.running;
+    return running;
+}
+
+double reservedBelow(const Pool& pool, uint32_t rank)
+{
+    double reserved = 0;
+    for (const auto& [other, state] : pool.ranks) {
+        if (other > rank && state.queue.size() > 0)
+            reserved += state.floorShare;
+    }
+    return reserved;
+}
+
+static double headroom(const Pool& pool, Millis now)
+{
+    constexpr double fewJobs = 0.1;
+    const auto urgent = pool.ranks.find(0);
+    const bool isNeeded = urgent != pool.ranks.end() && (urgent->second.running > 0 || urgent->second.granted.at(now) > fewJobs);
+    return isNeeded ? std::max(1.0, headroomShare * pool.chooser.capacity()) : 0;
+}
+
+bool isBelowFloor(const Pool& pool, uint32_t rank)
+{
+    const RankState& state = pool.ranks.at(rank);
+    return state.running < state.floorShare * pool.chooser.capacity();
+}
+
+static double urgentLimit(const Pool& pool, Millis now)
+{
+    // A burst may run into the floors of the rest, and queue briefly in the engines; a flood not.
+    constexpr double burstShare = 0.35;
+    constexpr double floodAt = 0.6;
+    const double capacity = pool.chooser.capacity();
+    const double limit = capacity * (1 - reservedBelow(pool, 0));
+    const double usedLately = pool.ranks.at(0).granted.ratePerMs(now) * pool.chooser.holdMs();
+    return usedLately < floodAt * limit ? limit + burstShare * capacity : limit;
+}
+
+bool mayTake(const Pool& pool, uint32_t rank, Millis now)
+{
+    const double capacity = pool.chooser.capacity();
+    if (isBelowFloor(pool, rank))
+        return true;
+    if (rank == 0)
+        return pool.ranks.at(0).running + 1 <= std::max(1.0, urgentLimit(pool, now));
+    const double open = capacity - headroom(pool, now);
+    // A node with hardly a slot of its own still serves when nothing else runs.
+    return runningIn(pool) < std::max(1.0, open);
+}
+
+} // namespace hemlockweir
