--- a/bench/Deployment.cpp
+++ b/bench/Deployment.cpp
@@ -83,7 +83,9 @@
 // The groups of a failure domain stand in two fabric domains, the first the larger.
 void Deployment::startDomain(const std::string& domain)
 {
-    const QStringList arguments { "--slots", QString::number(options_.slots), "--token-ms", QString::number(options_.tokenMs), "--prefill-ms", QString::number(options_.prefillMs), "--cache-blocks", QString::number(options_.cacheBlocks) };
+    const QStringList arguments { "--slots", QString::number(options_.slots), "--token-ms", QString::number(options_.tokenMs), "--prefill-ms", QString::number(options_.prefillMs), "--cache-blocks", QString::number(options_.cacheBlocks),
+        // Sixty engines share a machine with the rest.
+        "--step-ms", "5", "--check-ms", "200" };
     const int firstGroups = (options_.groupsPerDomain + 1) / 2;
     for (int i = 0; i < options_.groupsPerDomain * options_.members; ++i) {
         const bool isFirst = i < firstGroups * options_.members;
@@ -193,7 +195,7 @@
     std::vector<std::string> addresses;
     addresses.reserve(nodes_.size());
     for (const std::string& node : nodes_)
-        addresses.push_back(network_.callersOf(node));
+        addresses.push_back(processes_.addressOf(node));
     return addresses;
 }
 
--- a/bench/LoadGenerator.h
+++ b/bench/LoadGenerator.h
@@ -27,7 +27,7 @@
     size_t priority = 0;
     int tokens = 0; // tokens asked for
     CallerOutcome outcome = CallerOutcome::Failed;
-    double firstTokenMs = -1; // ms from sending; below 0: no token came
+    double firstTokenMs = -1; // ms from sending, delays to callers included; below 0: no token came
     bool isOrder = false;
     std::string error = {}; // what a failed request was told; empty: nothing
 
@@ -38,6 +38,7 @@
     std::vector<std::string> nodes; // ADDRESS:PORT
     std::vector<Arrival> arrivals;
     std::function<bool(size_t node)> isBalanced; // whether the balancer sends to a node
+    double delayMs = 0; // ms one way between callers and nodes, added to what is measured
     Millis patience { 20000 }; // ms after which a caller hangs up
 };
 
@@ -49,6 +50,10 @@
     // Sends everything and runs the event loop until all requests have ended.
     std::vector<Sample> run();
 
+    // The longest time that a request was sent late, in ms: beyond some tens the generator or the
+    // machine is the limit, and the run measures that.
+    double worstLagMs() const { return static_cast<double>(worstLagMs_); }
+
 private:
     class Call;
 
@@ -63,11 +68,13 @@
     void repeatDue();
     void send(const Arrival& arrival, int sends);
     bool mustRepeat(const Call& call) const;
+    Sample addDelay(Sample sample) const;
     void sweep();
 
     LoadOptions options_;
     size_t next_ = 0; // index of the next arrival
     size_t turn_ = 0; // of the nodes
+    qint64 worstLagMs_ = 0;
     std::vector<Repeat> repeats_;
     QElapsedTimer clock_;
     QTimer timer_;
--- a/bench/Network.h
+++ b/bench/Network.h
@@ -7,8 +7,10 @@
 #include <set>
 #include <vector>
 
-// The network between failure domains, callers and the platform: one fault-injecting proxy in
-// each failure domain, which carries what its nodes dial outside and what comes in to them.
+// The network between failure domains and the platform: one fault-injecting proxy in each failure
+// domain, which carries what its nodes dial outside and what other nodes send to them. Callers
+// reach the nodes directly: the load generator adds their delay to what it measures, which no
+// decision depends on.
 //
 //   Network network(processes, post, { .domainDelayMs = 1.5, .callerDelayMs = 3 });
 //   network.addDomain("a", { "n1" });
@@ -20,7 +22,7 @@
 
 struct NetworkOptions {
     double domainDelayMs = 0; // ms one way, between failure domains and to the platform
-    double callerDelayMs = 0; // ms one way, between callers and nodes
+    double callerDelayMs = 0; // ms one way, between callers and nodes; not the proxies' matter
 };
 
 class Network {
@@ -36,8 +38,7 @@
     // Address at which the nodes of a domain reach a process outside it.
     std::string linkOut(const std::string& domain, const std::string& process);
 
-    // Addresses at which callers and peers reach a node.
-    std::string callersOf(const std::string& node);
+    // Address at which peers reach a node.
     std::string peersOf(const std::string& node);
 
     // Starts the proxies with all links known by now.
--- a/packages/schedule/ReplicaChooser.cpp
+++ b/packages/schedule/ReplicaChooser.cpp
@@ -127,7 +127,7 @@
     return sample;
 }
 
-bool ReplicaChooser::hasSlot(const Job& job, const Replica& replica, const Load& load, Millis now) const
+bool ReplicaChooser::hasSlot(const Job& job, const Replica& replica, const Load& load, Millis now, bool mayQueue) const
 {
     if (std::find(job.avoidGroups.begin(), job.avoidGroups.end(), replica.group) != job.avoidGroups.end())
         return false;
@@ -136,7 +136,7 @@
     if (load.own < load.share || (mayBorrow && all + 1 <= replica.slots))
         return true;
     const uint32_t queued = std::max(1U, replica.slots / 4);
-    return job.rank == 0 && load.own < load.share + queued && all + 1 <= replica.slots + queued;
+    return mayQueue && job.rank == 0 && load.own < load.share + queued && all + 1 <= replica.slots + queued;
 }
 
 double ReplicaChooser::scoreOf(const Job& job, const Replica& replica, const Load& load, Millis now) const
@@ -151,14 +151,14 @@
         + queued * holdMs() / std::max(1U, replica.slots) + fullBatchMs * load01 + (replica.domain == options_.domain ? 0 : otherDomainMs);
 }
 
-Candidate ReplicaChooser::choose(const Job& job, Millis now)
+Candidate ReplicaChooser::choose(const Job& job, Millis now, bool mayQueue)
 {
     Candidate best;
     const std::optional<Affinity> affinity = affinities_.find(job.prefix);
     for (const size_t index : pickSample(affinity)) {
         const Replica& replica = replicas_[index];
         const Load& load = loads_[replica.group];
-        if (!hasSlot(job, replica, load, now))
+        if (!hasSlot(job, replica, load, now, mayQueue))
             continue;
         const double jitter = jitterMs * static_cast<double>(options_.random() % 1024) / 1024;
         // What the prefix cache saves counts against load and distance like any other time.
--- a/packages/schedule/ReplicaChooser.h
+++ b/packages/schedule/ReplicaChooser.h
@@ -42,9 +42,9 @@
     void setReplicas(std::vector<Replica> replicas, const SlotSharers& sharers, Millis now);
     void addPeerUse(const std::string& group, int difference, Millis now);
 
-    // Chooses among replicas with a slot to give. The most urgent job may queue briefly in the
-    // engine, which serves it first.
-    Candidate choose(const Job& job, Millis now);
+    // Chooses among replicas with a slot to give. With `mayQueue` the most urgent job may queue
+    // briefly in the engine, which serves it first.
+    Candidate choose(const Job& job, Millis now, bool mayQueue = true);
 
     // What becomes of a granted job.
     void noteGranted(const Job& job, const std::string& group);
@@ -77,7 +77,7 @@
     void borrow(const Replica& replica, Load& load, size_t sharers, Millis now);
     void updateCapacity(Millis now);
     std::vector<size_t> pickSample(const std::optional<Affinity>& affinity);
-    bool hasSlot(const Job& job, const Replica& replica, const Load& load, Millis now) const;
+    bool hasSlot(const Job& job, const Replica& replica, const Load& load, Millis now, bool mayQueue) const;
     double scoreOf(const Job& job, const Replica& replica, const Load& load, Millis now) const;
 
     ReplicaChooserOptions options_;
--- a/packages/schedule/Scheduler.cpp
+++ b/packages/schedule/Scheduler.cpp
@@ -190,6 +190,12 @@
     return true;
 }
 
+// The job that would be asked for its slot.
+static std::optional<Yieldable> nextYieldable(const Pool& pool)
+{
+    return pool.yields.next([&pool](uint32_t rank) { return !isBelowFloor(pool, rank); });
+}
+
 bool Scheduler::grantFrom(Pool& pool, uint32_t rankNumber, Millis now, Calls& calls)
 {
     RankState& rank = pool.ranks[rankNumber];
@@ -197,7 +203,9 @@
         const Job job = waiting_.at(*next).job;
         if (refuseStale(pool, job, now, calls))
             continue;
-        const Candidate candidate = pool.chooser.choose(job, now);
+        // A slot that less urgent work gives back is sooner free than one that an engine queues for.
+        const bool mayQueue = !nextYieldable(pool);
+        const Candidate candidate = pool.chooser.choose(job, now, mayQueue);
         if (!candidate.replica)
             return false;
         grant(pool, *next, *candidate.replica, now, calls);
@@ -265,7 +273,7 @@
         return;
     if (pool.yields.pending(now) >= urgent->second.queue.size())
         return;
-    const std::optional<Yieldable> asked = pool.yields.next([&pool](uint32_t rank) { return !isBelowFloor(pool, rank); });
+    const std::optional<Yieldable> asked = nextYieldable(pool);
     if (!asked)
         return;
     pool.yields.remove(*asked);
