--- a/bench/Deployment.cpp
+++ b/bench/Deployment.cpp
@@ -257,10 +257,9 @@
 }
 
 // Every node holds copies of the others' figures, which only grow: the largest copy is the newest.
+// Nodes give the figures of dead ones to the platform, so what was read before is kept here.
 Waste Deployment::readWaste()
 {
-    using Part = std::pair<QString, double>;
-    std::map<Part, Waste> newest;
     for (const std::string& node : nodes_) {
         if (!processes_.isRunning(node))
             continue;
@@ -273,13 +272,13 @@
                 sum.strandedSeconds += row["stranded_ms"].toDouble() / 1000;
                 sum.downtimeSeconds += row["downtime_ms"].toDouble() / 1000;
             }
-            Waste& held = newest[{ part["node"].toString(), part["incarnation"].toDouble() }];
+            Waste& held = wasteByPart_[{ part["node"].toString(), part["incarnation"].toDouble() }];
             held.strandedSeconds = std::max(held.strandedSeconds, sum.strandedSeconds);
             held.downtimeSeconds = std::max(held.downtimeSeconds, sum.downtimeSeconds);
         }
     }
     Waste all;
-    for (const auto& [part, waste] : newest) {
+    for (const auto& [part, waste] : wasteByPart_) {
         all.strandedSeconds += waste.strandedSeconds;
         all.downtimeSeconds += waste.downtimeSeconds;
     }
--- a/bench/Deployment.h
+++ b/bench/Deployment.h
@@ -110,6 +110,7 @@
     std::vector<std::string> dead_; // processes to start again
     std::map<std::string, std::chrono::steady_clock::time_point> diedAt_; // of nodes
     std::optional<NodeProgram> program_;
+    std::map<std::pair<QString, double>, Waste> wasteByPart_; // by node and incarnation, as last read
 };
 
 } // namespace hemlockweir
--- a/packages/node/CompletionFlow.cpp
+++ b/packages/node/CompletionFlow.cpp
@@ -228,6 +228,7 @@
     mayHaveRun_ = mayHaveRun_ || call_;
     call_.reset();
     freeSlot();
+    resumedAt_ = tables_.clock();
     ++preemptions_;
     schedule();
 }
--- a/packages/schedule/Admission.cpp
+++ b/packages/schedule/Admission.cpp
@@ -41,12 +41,22 @@
     return std::min(afterUrgent, byFloor);
 }
 
+// A caller below its share is next in turn: the time to the first token, which others' load made
+// long, is not held against it while its own wait is short.
+static bool isCloseInTurn(const Job& job, const Pool& pool, double waitMs, double leftMs, Millis now)
+{
+    constexpr double shortWait = 0.5;
+    const FairQueue& queue = pool.ranks.at(job.rank).queue;
+    return waitMs <= shortWait * leftMs && queue.sizeOf(job.caller) == 0 && queue.isBelowMeanUse(job.caller, now);
+}
+
 bool canBeOnTime(const Job& job, const Pool& pool, Millis now)
 {
     if (startsAtOnce(job, pool, now))
         return true;
-    const double expectedMs = static_cast<double>(now.count()) + expectedWaitMs(job, pool, now) + firstTokenMs(job, pool);
-    return expectedMs <= static_cast<double>(job.dueAt().count());
+    const double waitMs = expectedWaitMs(job, pool, now);
+    const auto leftMs = static_cast<double>((job.dueAt() - now).count());
+    return waitMs + firstTokenMs(job, pool) <= leftMs || isCloseInTurn(job, pool, waitMs, leftMs, now);
 }
 
 bool isStale(const Job& job, const Pool& pool, Millis now)
--- a/packages/schedule/FairQueue.cpp
+++ b/packages/schedule/FairQueue.cpp
@@ -34,14 +34,36 @@
     return line == lines_.end() ? 0 : line->second.jobs.size();
 }
 
-double FairQueue::usedAnywhere(const std::string& caller, const Line& line, Millis now) const
+double FairQueue::usedByPeers(const std::string& caller) const
 {
-    double used = line.used.at(now);
+    double used = 0;
     for (const auto& [node, tokens] : peers_) {
         if (const auto found = tokens.find(caller); found != tokens.end())
             used += found->second;
     }
-    return used / line.weight;
+    return used;
+}
+
+double FairQueue::usedAnywhere(const std::string& caller, const Line& line, Millis now) const
+{
+    return (line.used.at(now) + usedByPeers(caller)) / line.weight;
+}
+
+bool FairQueue::isBelowMeanUse(const std::string& caller, Millis now) const
+{
+    constexpr double leastTokens = 0.5;
+    double sum = 0;
+    double callers = 0;
+    for (const auto& [name, line] : lines_) {
+        const double used = usedAnywhere(name, line, now);
+        if (used < leastTokens)
+            continue;
+        sum += used;
+        ++callers;
+    }
+    const auto own = lines_.find(caller);
+    const double ownUsed = own == lines_.end() ? usedByPeers(caller) : usedAnywhere(caller, own->second, now);
+    return callers > 0 && ownUsed * callers < sum;
 }
 
 std::optional<uint64_t> FairQueue::front(Millis now) const
--- a/packages/schedule/FairQueue.h
+++ b/packages/schedule/FairQueue.h
@@ -37,6 +37,9 @@
     // Jobs that go before a new one of this caller, if each costs `cost` tokens.
     double aheadOf(const std::string& caller, double weight, double cost, Millis now) const;
 
+    // Whether the caller used less lately, for its weight, than the mean of those that used any.
+    bool isBelowMeanUse(const std::string& caller, Millis now) const;
+
     // Use.
     void charge(const std::string& caller, double tokens, Millis now);
     void setPeerTokens(const std::string& node, const std::map<std::string, double>& tokensByCaller);
@@ -50,6 +53,7 @@
         DecayedSum used { Millis(3000) }; // tokens
     };
 
+    double usedByPeers(const std::string& caller) const;
     double usedAnywhere(const std::string& caller, const Line& line, Millis now) const;
 
     std::map<std::string, Line> lines_; // by caller
--- a/tests/AdmissionTest.cpp
+++ b/tests/AdmissionTest.cpp
@@ -18,10 +18,10 @@
             .random = makeSeededRandom(1),
             .findReplicas = [this](const std::string& model) { return std::vector<Replica> { { .group = "g", .epoch = 1, .model = model, .domain = "a", .leader = "10.0.0.1:80", .slots = 4, .reportedAt = now } }; } } };
 
-        std::optional<Decision> submit(uint64_t id, Millis firstTokenTarget)
+        std::optional<Decision> submit(uint64_t id, Millis firstTokenTarget, const std::string& caller = "c")
         {
             auto decision = std::make_shared<std::optional<Decision>>();
-            const Job job { .id = id, .model = "m", .caller = "c", .deadline = now + Millis(10000), .target = now + firstTokenTarget, .cost = 10 };
+            const Job job { .id = id, .model = "m", .caller = caller, .deadline = now + Millis(10000), .target = now + firstTokenTarget, .cost = 10 };
             scheduler.submit(job, { .onDecision = [decision](const Decision& made) { *decision = made; } });
             return *decision;
         }
@@ -44,4 +44,30 @@
     EXPECT_TRUE(next && next->isGranted()) << "nothing waits and slots are free, yet the job is refused by an old measurement";
 }
 
+// Four slots are full for a second each, and first tokens took 300 ms of the 310 that are allowed.
+TEST(Admission, ACallerBelowItsShareIsNotRefusedForTheLoadOfOthers)
+{
+    Fixture fixture;
+    uint64_t id = 1;
+    for (int round = 0; round < 8; ++round) {
+        const uint64_t first = id;
+        for (int i = 0; i < 4; ++i)
+            fixture.submit(id++, Millis(310), "large");
+        fixture.now += Millis(300);
+        for (uint64_t job = first; job < id; ++job)
+            fixture.scheduler.noteFirstToken(job);
+        fixture.now += Millis(100);
+        for (uint64_t job = first; job < id && round < 7; ++job)
+            fixture.scheduler.finish(job);
+    }
+    // The slots are full, and one may wait in the engine.
+    fixture.submit(id++, Millis(310), "large");
+    const std::optional<Decision> large = fixture.submit(id++, Millis(310), "large");
+    ASSERT_TRUE(large && !large->isGranted());
+    EXPECT_EQ(large->refusal, Refusal::DeadlineUnreachable);
+    EXPECT_FALSE(fixture.submit(id++, Millis(310), "small")) << "the small caller waits for the next slot";
+    const std::optional<Decision> second = fixture.submit(id++, Millis(310), "small");
+    EXPECT_TRUE(second && !second->isGranted()) << "only one request of a caller is let in without an estimate";
+}
+
 } // namespace hemlockweir
--- a/tests/FairnessTest.cpp
+++ b/tests/FairnessTest.cpp
@@ -71,6 +71,25 @@
     EXPECT_EQ(queue.front(Millis(1)), 1U);
 }
 
+RC_GTEST_PROP(FairQueue, BelowTheMeanIsWhoUsedLessThanTheMean, ())
+{
+    const auto used = *rc::gen::container<std::vector<int>>(static_cast<size_t>(*rc::gen::inRange(1, 8)), rc::gen::inRange(1, 1000));
+    FairQueue queue;
+    for (size_t i = 0; i < used.size(); ++i)
+        queue.charge("c" + std::to_string(i), used[i], Millis(0));
+    const int sum = std::accumulate(used.begin(), used.end(), 0);
+    const bool areEqual = std::all_of(used.begin(), used.end(), [&](int each) { return each == used.front(); });
+    size_t below = 0;
+    for (size_t i = 0; i < used.size(); ++i) {
+        const bool isBelow = queue.isBelowMeanUse("c" + std::to_string(i), Millis(0));
+        RC_ASSERT(isBelow == (static_cast<int>(used.size()) * used[i] < sum));
+        below += isBelow ? 1 : 0;
+    }
+    RC_ASSERT(below < used.size());
+    RC_ASSERT(areEqual == (below == 0));
+    RC_ASSERT(queue.isBelowMeanUse("new", Millis(0)));
+}
+
 TEST(FairQueue, UnusedShareIsLentAndForgotten)
 {
     FairQueue queue;
