Count idle slot time by cause

Cause: batch work lost throughput in its own flood and nothing said where slots stood idle. A property says that the causes add up to the slots that nothing runs on.

--- a/bench/Deployment.cpp
+++ b/bench/Deployment.cpp
@@ -285,4 +285,27 @@
     return all;
 }
 
+static double gaugeOf(const QByteArray& metrics, const QByteArray& name)
+{
+    const qsizetype at = metrics.indexOf("\n" + name + " ");
+    if (at < 0)
+        return 0;
+    const qsizetype from = at + name.size() + 2;
+    return metrics.mid(from, metrics.indexOf('\n', from) - from).toDouble();
+}
+
+IdleTime Deployment::readIdleTime()
+{
+    IdleTime sum;
+    for (const std::string& node : nodes_) {
+        if (!processes_.isRunning(node))
+            continue;
+        const QByteArray metrics = call("GET", "http://" + processes_.addressOf(node) + "/metrics").body;
+        sum.notAsked += gaugeOf(metrics, "hemlockweir_idle_slot_seconds_not_asked");
+        sum.keptForUrgent += gaugeOf(metrics, "hemlockweir_idle_slot_seconds_kept_for_urgent");
+        sum.notFound += gaugeOf(metrics, "hemlockweir_idle_slot_seconds_not_found");
+    }
+    return sum;
+}
+
 } // namespace hemlockweir
--- a/bench/Deployment.h
+++ b/bench/Deployment.h
@@ -48,6 +48,13 @@
     double downtimeSeconds = 0; // of groups
 };
 
+// Slot-seconds that the nodes counted as idle so far, by cause.
+struct IdleTime {
+    double notAsked = 0;
+    double keptForUrgent = 0;
+    double notFound = 0;
+};
+
 class Deployment {
 public:
     explicit Deployment(DeploymentOptions options);
@@ -79,6 +86,7 @@
     // Figures.
     double nodeCpuSeconds() const;
     Waste readWaste();
+    IdleTime readIdleTime();
     EffectLog& effects() { return effects_; }
     const std::vector<EngineDeath>& deaths() const { return deaths_; }
 
--- a/bench/Table.cpp
+++ b/bench/Table.cpp
@@ -157,8 +157,8 @@
 
 static void printRun(const RunResult& result)
 {
-    std::printf("| %s | %s | %d | %d | %d | %d | %d | %.1f | %.1f | %.2f | %.2f | %d/%d | %.1f | %.0f |\n", result.info.scenario.c_str(), result.info.policy.c_str(), result.ordersSent, result.ordersAnswered,
-        result.ordersRefused, result.repeatedOrders, result.incompleteRuns, result.downtimeSeconds, result.strandedSeconds, result.leftOverUsed, result.cpuMsPerRequest, result.started, result.cancelled, result.loadAverage, result.worstLagMs);
+    std::printf("| %s | %s | %d | %d | %d | %d | %d | %.1f | %.1f | %.2f | %.0f, %.0f, %.0f | %.2f | %d/%d | %.1f | %.0f |\n", result.info.scenario.c_str(), result.info.policy.c_str(), result.ordersSent, result.ordersAnswered,
+        result.ordersRefused, result.repeatedOrders, result.incompleteRuns, result.downtimeSeconds, result.strandedSeconds, result.leftOverUsed, result.idleNotAsked, result.idleKeptForUrgent, result.idleNotFound, result.cpuMsPerRequest, result.started, result.cancelled, result.loadAverage, result.worstLagMs);
 }
 
 static void printFailures(const RunResult& result)
@@ -175,8 +175,8 @@
         for (const PriorityRow& row : result.rows)
             printRow(result.info, row);
     }
-    std::puts("\n| scenario | policy | orders sent | answered | refused | harmful repeats | runs on incomplete groups | group downtime s | stranded accelerator-s | left over used | node CPU ms/request | runs started/cancelled | load average | generator's worst lag ms |");
-    std::puts("|---|---|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|");
+    std::puts("\n| scenario | policy | orders sent | answered | refused | harmful repeats | runs on incomplete groups | group downtime s | stranded accelerator-s | left over used | idle slot-s: not asked, kept for urgent, not found | node CPU ms/request | runs started/cancelled | load average | generator's worst lag ms |");
+    std::puts("|---|---|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|");
     for (const RunResult& result : results)
         printRun(result);
     std::puts("");
--- a/bench/Table.h
+++ b/bench/Table.h
@@ -53,6 +53,9 @@
     double strandedSeconds = 0; // accelerator-seconds, as the nodes report it
     double leftOverUsed = 1; // 0..1, tokens of the other priorities, of what urgent work left over or they asked
     double loadAverage = 0; // of the machine, at the end
+    double idleNotAsked = 0; // slot-seconds, as the nodes count them
+    double idleKeptForUrgent = 0; // slot-seconds
+    double idleNotFound = 0; // slot-seconds
     double worstLagMs = 0; // of the load generator
     std::map<std::string, int> failures; // failed requests by what they were told
 };
--- a/packages/node/UsageShare.cpp
+++ b/packages/node/UsageShare.cpp
@@ -50,6 +50,10 @@
 void UsageShare::setGauges()
 {
     metrics_.setGauge("hemlockweir_waiting_requests", "Requests waiting for a slot", static_cast<double>(scheduler_.waitingCount()));
+    const IdleSlots idle = scheduler_.idleSlotSeconds();
+    metrics_.setGauge("hemlockweir_idle_slot_seconds_not_asked", "Slot-seconds of this node idle while nothing waited", idle.notAsked);
+    metrics_.setGauge("hemlockweir_idle_slot_seconds_kept_for_urgent", "Slot-seconds of this node kept free for the most urgent work while other work waited", idle.keptForUrgent);
+    metrics_.setGauge("hemlockweir_idle_slot_seconds_not_found", "Slot-seconds of this node idle while work waited and no replica had a slot to give", idle.notFound);
     for (const RankLoad& load : scheduler_.loads()) {
         const std::string rank = std::to_string(load.rank);
         metrics_.setGauge("hemlockweir_waiting_requests_rank_" + rank, "Requests of this rank waiting for a slot", static_cast<double>(load.waiting));
--- a/packages/schedule/Scheduler.cpp
+++ b/packages/schedule/Scheduler.cpp
@@ -1,7 +1,6 @@
 #include "schedule/Scheduler.h"
 
 #include "schedule/Admission.h"
-#include "schedule/SlotShares.h"
 
 #include <algorithm>
 
@@ -339,11 +338,30 @@
         for (auto& [model, pool] : pools_) {
             refresh(model, pool, now);
             grantAll(model, pool, now, calls);
+            countIdle(pool, now);
         }
+        pumpedAt_ = now;
     }
     calls.run();
 }
 
+void Scheduler::countIdle(const Pool& pool, Millis now)
+{
+    if (pumpedAt_.count() == 0)
+        return;
+    const double seconds = static_cast<double>((now - pumpedAt_).count()) / 1000;
+    const IdleSlots idle = findIdleSlots(pool, now);
+    idleSeconds_.notAsked += seconds * idle.notAsked;
+    idleSeconds_.keptForUrgent += seconds * idle.keptForUrgent;
+    idleSeconds_.notFound += seconds * idle.notFound;
+}
+
+IdleSlots Scheduler::idleSlotSeconds() const
+{
+    std::lock_guard lock(mutex_);
+    return idleSeconds_;
+}
+
 void Scheduler::setPeerUse(const std::string& node, const NodeUse& use)
 {
     std::lock_guard lock(mutex_);
--- a/packages/schedule/Scheduler.h
+++ b/packages/schedule/Scheduler.h
@@ -3,6 +3,7 @@
 #include "schedule/Job.h"
 #include "schedule/PeerUses.h"
 #include "schedule/RetryBudget.h"
+#include "schedule/SlotShares.h"
 
 #include <mutex>
 
@@ -80,6 +81,9 @@
     size_t waitingCount() const;
     std::vector<RankLoad> loads() const;
 
+    // Slot-seconds of this node that nothing ran on since the start, by cause.
+    IdleSlots idleSlotSeconds() const;
+
 private:
     struct Waiting {
         Job job;
@@ -113,6 +117,8 @@
     bool isFull(const Job& job, const Pool& pool) const;
     static Decision makeRefusal(Refusal refusal, const Job& job, const Pool& pool, Millis now);
 
+    void countIdle(const Pool& pool, Millis now);
+
     // Grants.
     void refuseExpired(Millis now, Calls& calls);
     void grantAll(const std::string& model, Pool& pool, Millis now, Calls& calls);
@@ -133,6 +139,8 @@
     std::map<uint64_t, Running> running_; // by job
     std::map<std::string, uint32_t> inFlight_; // by group
     PeerUses peers_;
+    IdleSlots idleSeconds_;
+    Millis pumpedAt_ { 0 }; // 0: never
     RetryBudget retries_;
     size_t nextTurn_ = 0; // of RoundRobin
 };
--- a/packages/schedule/SlotShares.cpp
+++ b/packages/schedule/SlotShares.cpp
@@ -62,4 +62,14 @@
     return runningIn(pool) < std::max(1.0, open);
 }
 
+IdleSlots findIdleSlots(const Pool& pool, Millis now)
+{
+    const double idle = std::max(0.0, pool.chooser.capacity() - runningIn(pool));
+    const bool hasWork = std::any_of(pool.ranks.begin(), pool.ranks.end(), [](const auto& entry) { return entry.second.queue.size() > 0; });
+    if (!hasWork)
+        return { .notAsked = idle };
+    const double kept = std::min(idle, headroom(pool, now));
+    return { .keptForUrgent = kept, .notFound = idle - kept };
+}
+
 } // namespace hemlockweir
--- a/packages/schedule/SlotShares.h
+++ b/packages/schedule/SlotShares.h
@@ -15,4 +15,15 @@
 // Share of the slots kept for priorities less urgent than this one, as far as they have work.
 double reservedBelow(const Pool& pool, uint32_t rank);
 
+// Slots of this node that nothing runs on, by cause. The sum is what is idle.
+struct IdleSlots {
+    double notAsked = 0; // nothing waits for them
+    double keptForUrgent = 0; // work waits, and they are kept free for the most urgent
+    double notFound = 0; // work waits, and no replica had a slot to give
+
+    auto operator<=>(const IdleSlots&) const = default;
+};
+
+IdleSlots findIdleSlots(const Pool& pool, Millis now);
+
 } // namespace hemlockweir
--- a/tests/SchedulerTest.cpp
+++ b/tests/SchedulerTest.cpp
@@ -57,6 +57,25 @@
     }
 }
 
+RC_GTEST_PROP(Scheduler, IdleSlotTimeAddsUpToTheSlotsThatNothingRunsOn, ())
+{
+    const uint32_t slots = *rc::gen::inRange(1, 9);
+    FakeFleet fleet(makeReplicas(1, slots));
+    fleet.advance(Millis(5));
+    const int jobs = *rc::gen::inRange(0, 12);
+    for (int i = 0; i < jobs; ++i)
+        fleet.submit("c", *rc::gen::inRange(1U, 3U));
+    fleet.advance(Millis(5));
+    const IdleSlots before = fleet.scheduler().idleSlotSeconds();
+    for (int i = 0; i < 100; ++i)
+        fleet.advance(Millis(10));
+    const IdleSlots after = fleet.scheduler().idleSlotSeconds();
+    const double expected = std::max(0, static_cast<int>(slots) - jobs);
+    const double sum = after.notAsked + after.keptForUrgent + after.notFound - before.notAsked - before.keptForUrgent - before.notFound;
+    RC_ASSERT(std::abs(sum - (jobs == 0 ? 0 : expected)) < 1e-6);
+    RC_ASSERT(after.keptForUrgent == 0.0);
+}
+
 TEST(Scheduler, MoreUrgentWorkGoesFirst)
 {
     FakeFleet fleet(makeReplicas(1, 2));
