Count watchers by the metric's line, not by its help text

Cause: the help text of hemlockweir_configuration_watching began with "1 while this node watches", so the exposition of every node that had the gauge held "hemlockweir_configuration_watching 1", watching or not. The test searched for that. It passed only if it happened to look while exactly two of four nodes had the gauge, and failed for good if it looked later, which a loaded machine made likely.

Ruled out, by printing the state while the test failed: views of membership (all four knew each other alive within a second), platformDown (no platform_silent in any log), a watch that ends or is not opened again (n2 and n3 showed the gauge's line as 1 in every one of the polls of 30 s), calls that hang (none ended otherwise than answered).

Change: the help text does not begin with a figure, and the test reads whole lines. The test is stricter: it waits until every node knows the three others and asks for exactly two of four that all say whether they watch; before, a moment of the start with two gauges was enough, and four watchers passed.

--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -271,7 +271,7 @@
     metrics_.setGauge("hemlockweir_peer_messages_not_relayed_total", "Messages of peers that a relay left out to keep its budget", static_cast<double>(traffic.relayDropped));
     metrics_.setGauge("hemlockweir_configuration_bytes_sent_total", "Bytes of configurations sent to peers", static_cast<double>(configServer_.bytesSent()));
     metrics_.setGauge("hemlockweir_platform_calls_total", "Calls to the platform's key-value service", static_cast<double>(platform_.callsMade()));
-    metrics_.setGauge("hemlockweir_configuration_watching", "1 while this node watches the platform for the configuration", follower_.isWatching() ? 1 : 0);
+    metrics_.setGauge("hemlockweir_configuration_watching", "Whether this node watches the platform for the configuration: 0 or 1", follower_.isWatching() ? 1 : 0);
 }
 
 bool Node::hasNodeIn(const std::string& domain) const
--- a/tests/RolloutProcessTest.cpp
+++ b/tests/RolloutProcessTest.cpp
@@ -73,6 +73,29 @@
         return count;
     }
 
+    size_t countLivingPeers(const std::string& node)
+    {
+        size_t count = 0;
+        const QJsonArray peers = cluster_.status(node)["peers"].toArray();
+        for (const QJsonValue& peer : peers)
+            count += peer.toObject()["alive"].toBool() ? 1 : 0;
+        return count;
+    }
+
+    // Nodes that say that they watch; 0 unless each of them says whether it does.
+    size_t countWatching(const std::vector<std::string>& nodes)
+    {
+        size_t count = 0;
+        for (const std::string& node : nodes) {
+            const QByteArray metrics = cluster_.call("GET", cluster_.urlOf(node) + "/metrics").body;
+            // A whole line: the text of a metric's help holds its name as well.
+            if (!metrics.contains("\nhemlockweir_configuration_watching "))
+                return 0;
+            count += metrics.contains("\nhemlockweir_configuration_watching 1\n") ? 1 : 0;
+        }
+        return count;
+    }
+
     Cluster cluster_;
     int files_ = 0;
 };
@@ -131,13 +154,10 @@
     const std::vector<std::string> nodes { "n1", "n2", "n3", "n4" };
     for (const std::string& node : nodes)
         cluster_.startNode({ .name = node, .domain = "a", .seeds = { "n1" } });
+    for (const std::string& node : nodes)
+        ASSERT_TRUE(waitUntil([&] { return countLivingPeers(node) == nodes.size() - 1; })) << node;
     const int64_t revision = publish();
-    EXPECT_TRUE(waitUntil([&] {
-        int watching = 0;
-        for (const std::string& node : nodes)
-            watching += cluster_.call("GET", cluster_.urlOf(node) + "/metrics").body.contains("hemlockweir_configuration_watching 1") ? 1 : 0;
-        return watching == 2;
-    }));
+    EXPECT_TRUE(waitUntil([&] { return countWatching(nodes) == 2; })) << countWatching(nodes);
     for (const std::string& node : nodes)
         EXPECT_TRUE(waitForRevision(node, revision));
 }
