Fill the watchers' places when too few nodes reach the platform

Cause: found while the failing test of the watchers was looked into. A node whose call to the platform fails says platformDown until its next look, which a node that does not watch takes after 30 to 90 s. Roles went to the able nodes alone, so if one stall of the platform met three of four nodes, one watcher was left, and none in reserve.

Change: pickPreferred() in Rendezvous: the unable fill the places that are left, and a watcher's looks every 2 s clear the flag. Relays were picked by the same pattern written out (leaving nodes last); they use it now.

Seen: PeerLink.RoleIsFilledThoughOnlyOneNodeReachesThePlatform failed on the code before (hang limit) and passed 5 of 5 after; Rendezvous.* pass.

--- a/packages/membership/NodeTable.cpp
+++ b/packages/membership/NodeTable.cpp
@@ -153,10 +153,7 @@
         if (peer.alive && peer.heartbeat.domain == domain)
             (peer.heartbeat.leaving ? leaving : staying).push_back(name);
     }
-    std::vector<std::string> first = pickByRendezvous(staying, "relay", count);
-    for (const std::string& name : pickByRendezvous(leaving, "relay", count - first.size()))
-        first.push_back(name);
-    return first;
+    return pickPreferred(staying, leaving, "relay", count);
 }
 
 std::set<std::string> NodeTable::otherDomains() const
--- a/packages/membership/PeerLink.cpp
+++ b/packages/membership/PeerLink.cpp
@@ -54,19 +54,16 @@
 bool PeerLink::isFirstFor(std::string_view role, size_t count) const
 {
     std::vector<std::string> able;
-    std::vector<std::string> all;
+    std::vector<std::string> unable;
     std::lock_guard lock(mutex_);
     auto add = [&](const std::string& name, const Heartbeat& heartbeat) {
-        if (heartbeat.leaving)
-            return;
-        all.push_back(name);
-        if (!heartbeat.platformDown)
-            able.push_back(name);
+        if (!heartbeat.leaving)
+            (heartbeat.platformDown ? unable : able).push_back(name);
     };
     for (const Peer& peer : table_.near())
         add(peer.node, peer.heartbeat);
     add(options_.node, heartbeat_);
-    const std::vector<std::string> first = pickByRendezvous(able.empty() ? all : able, role, count);
+    const std::vector<std::string> first = pickPreferred(able, unable, role, count);
     return std::find(first.begin(), first.end(), options_.node) != first.end();
 }
 
--- a/packages/membership/PeerLink.h
+++ b/packages/membership/PeerLink.h
@@ -86,7 +86,7 @@
     std::vector<Peer> peers() const;
 
     // The nodes of this failure domain, this one included, that are first in line for a role;
-    // those that can not reach the platform only if no other is left. Thread-safe.
+    // those that can not reach the platform only if too few others are left. Thread-safe.
     bool isFirstFor(std::string_view role, size_t count) const;
 
     // Called for each authenticated message that is not older than one seen before.
--- a/packages/membership/Rendezvous.cpp
+++ b/packages/membership/Rendezvous.cpp
@@ -36,4 +36,12 @@
     return picked;
 }
 
+std::vector<std::string> pickPreferred(const std::vector<std::string>& preferred, const std::vector<std::string>& others, std::string_view role, size_t count)
+{
+    std::vector<std::string> picked = pickByRendezvous(preferred, role, count);
+    for (const std::string& name : pickByRendezvous(others, role, count - picked.size()))
+        picked.push_back(name);
+    return picked;
+}
+
 } // namespace hemlockweir
--- a/packages/membership/Rendezvous.h
+++ b/packages/membership/Rendezvous.h
@@ -17,4 +17,7 @@
 // Returns the `count` names that rank highest for a role, best first; all of them if fewer.
 std::vector<std::string> pickByRendezvous(const std::vector<std::string>& names, std::string_view role, size_t count);
 
+// The same, but the `preferred` names come first: the others only fill the places that are left.
+std::vector<std::string> pickPreferred(const std::vector<std::string>& preferred, const std::vector<std::string>& others, std::string_view role, size_t count);
+
 } // namespace hemlockweir
--- a/tests/PeerLinkTest.cpp
+++ b/tests/PeerLinkTest.cpp
@@ -164,6 +164,39 @@
     }
 }
 
+RC_GTEST_PROP(Rendezvous, TheUnableOnlyFillPlacesThatAreLeft, (const std::set<std::string>& names))
+{
+    constexpr size_t count = 2;
+    std::vector<std::string> able;
+    std::vector<std::string> unable;
+    for (const std::string& name : names)
+        (*rc::gen::arbitrary<bool>() ? able : unable).push_back(name);
+    const std::vector<std::string> picked = pickPreferred(able, unable, "role", count);
+    RC_ASSERT(picked.size() == std::min(count, names.size()));
+    const auto isAble = [&](const std::string& name) { return std::find(able.begin(), able.end(), name) != able.end(); };
+    RC_ASSERT(static_cast<size_t>(std::count_if(picked.begin(), picked.end(), isAble)) == std::min(count, able.size()));
+}
+
+// A node says that it can not reach the platform until its next look, which may be a minute away.
+TEST(PeerLink, RoleIsFilledThoughOnlyOneNodeReachesThePlatform)
+{
+    Links links;
+    const std::vector<std::string> nodes { "n1", "n2", "n3", "n4" };
+    for (const std::string& node : nodes)
+        links.start(node, "a", { "n1" });
+    for (const char* node : { "n2", "n3", "n4" })
+        links[node].link->setHeartbeat({ .domain = "a", .peers = links.endpointOf(node), .platformDown = true });
+    constexpr size_t watchers = 2;
+    const auto isFirst = [&](const std::string& node) { return links[node].link->isFirstFor("watcher", watchers); };
+    const auto knowsAll = [&](const std::string& node) {
+        const std::vector<Peer> peers = links[node].link->peers();
+        return peers.size() == nodes.size() - 1
+            && std::all_of(peers.begin(), peers.end(), [](const Peer& peer) { return peer.alive && peer.heartbeat.platformDown == (peer.node != "n1"); });
+    };
+    EXPECT_TRUE(waitUntil([&] { return std::all_of(nodes.begin(), nodes.end(), knowsAll) && std::count_if(nodes.begin(), nodes.end(), isFirst) == watchers; }));
+    EXPECT_TRUE(isFirst("n1"));
+}
+
 TEST(PeerLink, NodesOfThreeDomainsHearOfEachOther)
 {
     Links links;
