Count what a node sends to its peers by purpose

Relays of 64 nodes in 12 domains sent more than the sum of their budgets, and nothing told why. Each datagram is counted for its purpose, in the metrics and in bench/capacity/nodes (the busiest node).

--- a/bench/capacity/nodes.cpp
+++ b/bench/capacity/nodes.cpp
@@ -10,11 +10,13 @@
 #include "support/Cluster.h"
 
 #include "ctl/Publish.h"
+#include "membership/PeerTraffic.h"
 
 #include <QCoreApplication>
 #include <QElapsedTimer>
 #include <QFile>
 #include <algorithm>
+#include <array>
 #include <boost/program_options.hpp>
 #include <gtest/gtest.h>
 #include <iostream>
@@ -44,6 +46,7 @@
     double documentBytes = 0;
     double cpuSeconds = 0;
     double residentMb = 0;
+    std::array<double, sendPurposes> bytesSentFor {};
 };
 
 double readMetric(const QByteArray& metrics, const char* name)
@@ -190,6 +193,8 @@
                 .documentBytes = readMetric(metrics, "hemlockweir_configuration_bytes_sent_total"),
                 .cpuSeconds = readCpuSeconds(pid),
                 .residentMb = readResidentMb(pid) });
+            for (size_t purpose = 0; purpose < sendPurposes; ++purpose)
+                all.back().bytesSentFor[purpose] = readMetric(metrics, (std::string("hemlockweir_peer_bytes_sent_") + hemlockweir::nameOf(static_cast<SendPurpose>(purpose)) + "_total").c_str());
         }
         return all;
     }
@@ -218,6 +223,21 @@
         for (const Usage& usage : after)
             most = std::max(most, usage.residentMb);
         std::cout << " resident_mb_most=" << most << '\n';
+        printBusiest(before, after, 1 / seconds / perMille);
+    }
+
+    // What the node that sent most sent it for.
+    static void printBusiest(const std::vector<Usage>& before, const std::vector<Usage>& after, double perSecond)
+    {
+        size_t busiest = 0;
+        for (size_t i = 0; i < before.size(); ++i) {
+            if (after[i].bytesSent - before[i].bytesSent > after[busiest].bytesSent - before[busiest].bytesSent)
+                busiest = i;
+        }
+        std::cout << "  busiest sent_kb_s:";
+        for (size_t purpose = 0; purpose < sendPurposes; ++purpose)
+            std::cout << ' ' << hemlockweir::nameOf(static_cast<SendPurpose>(purpose)) << '=' << (after[busiest].bytesSentFor[purpose] - before[busiest].bytesSentFor[purpose]) * perSecond;
+        std::cout << '\n';
     }
 
     void printPublishes()
--- a/packages/membership/PeerLink.cpp
+++ b/packages/membership/PeerLink.cpp
@@ -13,7 +13,6 @@
 
 // Ticks between two greetings of a seed or a silent peer, while others are alive.
 static constexpr uint32_t ticksPerGreeting = 5;
-static constexpr uint64_t headerBytes = 28; // IPv4 and UDP
 static constexpr double msPerSecond = 1000.0;
 // Peers up to which budgets of broadcasts are not needed.
 static constexpr size_t fewPeers = 8;
@@ -72,24 +71,26 @@
     return { .node = options_.node, .incarnation = options_.incarnation, .sequence = ++sequence_ };
 }
 
-void PeerLink::send(const QByteArray& bytes, const std::string& endpoint)
+void PeerLink::send(const QByteArray& bytes, const std::string& endpoint, SendPurpose purpose)
 {
     const QUrl url(QString::fromStdString("udp://" + endpoint));
     socket_.writeDatagram(bytes, QHostAddress(url.host()), static_cast<quint16>(url.port(0)));
     ++traffic_.datagramsSent;
-    traffic_.bytesSent += static_cast<uint64_t>(bytes.size()) + headerBytes;
+    const uint64_t cost = static_cast<uint64_t>(bytes.size()) + datagramHeaderBytes;
+    traffic_.bytesSent += cost;
+    traffic_.bytesSentFor[static_cast<size_t>(purpose)] += cost;
 }
 
-void PeerLink::sendToAll(const QByteArray& bytes, const std::vector<Peer>& targets)
+void PeerLink::sendToAll(const QByteArray& bytes, const std::vector<Peer>& targets, SendPurpose purpose)
 {
     for (const Peer& peer : targets)
-        send(bytes, peer.heartbeat.peers);
+        send(bytes, peer.heartbeat.peers, purpose);
 }
 
-void PeerLink::sendToSome(const QByteArray& bytes, std::vector<Peer> targets, int bytesPerSecond)
+void PeerLink::sendToSome(const QByteArray& bytes, std::vector<Peer> targets, int bytesPerSecond, SendPurpose purpose)
 {
     const double budget = bytesPerSecond * static_cast<double>(options_.heartbeatInterval.count()) / msPerSecond;
-    const double affordable = budget / static_cast<double>(bytes.size() + headerBytes);
+    const double affordable = budget / static_cast<double>(bytes.size() + datagramHeaderBytes);
     // What is left after whole datagrams is sent now and then, so that the mean fits the budget.
     constexpr uint64_t parts = 1000;
     const double rest = affordable - std::floor(affordable);
@@ -97,7 +98,7 @@
     const size_t count = static_cast<size_t>(affordable) + (takesRest ? 1 : 0);
     for (size_t i = 0; i < std::min(count, targets.size()); ++i) {
         std::swap(targets[i], targets[i + options_.random() % (targets.size() - i)]);
-        send(bytes, targets[i].heartbeat.peers);
+        send(bytes, targets[i].heartbeat.peers, purpose);
     }
 }
 
@@ -111,8 +112,8 @@
         if (isRelayed(kind) && table_.isRelay())
             far = table_.farRelays();
     }
-    sendToAll(bytes, near);
-    sendToAll(bytes, far);
+    sendToAll(bytes, near, SendPurpose::NearBroadcast);
+    sendToAll(bytes, far, SendPurpose::FarBroadcast);
 }
 
 void PeerLink::announce()
@@ -148,9 +149,9 @@
             far = table_.farRelays();
     }
     if (!near.empty())
-        sendToSome(makeDigest(true), near, options_.nearBytesPerSecond);
+        sendToSome(makeDigest(true), near, options_.nearBytesPerSecond, SendPurpose::NearDigest);
     if (!far.empty())
-        sendToSome(makeDigest(false), far, options_.farBytesPerSecond);
+        sendToSome(makeDigest(false), far, options_.farBytesPerSecond, SendPurpose::FarDigest);
 }
 
 NodeRecord PeerLink::ownRecord() const
@@ -215,7 +216,7 @@
     if (!living.empty())
         targets = { targets[options_.random() % targets.size()] };
     for (const std::string& endpoint : targets)
-        sendTo(greeting, endpoint);
+        sendTo(greeting, endpoint, SendPurpose::Greeting);
 }
 
 void PeerLink::noteSilentPeers()
@@ -247,7 +248,7 @@
     while (socket_.hasPendingDatagrams()) {
         const QNetworkDatagram datagram = socket_.receiveDatagram(maxDatagramBytes + 1);
         ++traffic_.datagramsReceived;
-        traffic_.bytesReceived += static_cast<uint64_t>(datagram.data().size()) + headerBytes;
+        traffic_.bytesReceived += static_cast<uint64_t>(datagram.data().size()) + datagramHeaderBytes;
         if (datagram.data().size() > maxDatagramBytes)
             ++traffic_.refused;
         else
@@ -361,12 +362,12 @@
     if (targets.empty())
         return;
     const QByteArray sealed = sealMessage(Relayed { .envelope = bytes.toStdString() }, nextSender(), options_.clusterKey);
-    if (!takeRelayBudget(envelope.kind, targets.size() * (static_cast<size_t>(sealed.size()) + headerBytes))) {
+    if (!takeRelayBudget(envelope.kind, targets.size() * (static_cast<size_t>(sealed.size()) + datagramHeaderBytes))) {
         ++traffic_.relayDropped;
         return;
     }
     traffic_.relayed += targets.size();
-    sendToAll(sealed, targets);
+    sendToAll(sealed, targets, SendPurpose::Relayed);
 }
 
 // Load figures are said again and again, so a relay may leave some out; other kinds always go on.
--- a/packages/membership/PeerLink.h
+++ b/packages/membership/PeerLink.h
@@ -2,6 +2,7 @@
 
 #include "base/Clock.h"
 #include "membership/NodeTable.h"
+#include "membership/PeerTraffic.h"
 #include "membership/SenderCheck.h"
 #include "wire/Codec.h"
 
@@ -42,19 +43,6 @@
     Random random;
 };
 
-// Datagrams and bytes so far, with their UDP and IP headers.
-struct PeerTraffic {
-    uint64_t datagramsSent = 0;
-    uint64_t bytesSent = 0;
-    uint64_t datagramsReceived = 0;
-    uint64_t bytesReceived = 0;
-    uint64_t refused = 0; // foreign, truncated, forged or old
-    uint64_t relayed = 0; // datagrams passed on for others
-    uint64_t relayDropped = 0; // messages not passed on, since the budget was used up
-
-    auto operator<=>(const PeerTraffic&) const = default;
-};
-
 // Sends and receives the messages between nodes.
 class PeerLink : public QObject {
     Q_OBJECT
@@ -100,14 +88,14 @@
 
 private:
     Sender nextSender();
-    void send(const QByteArray& bytes, const std::string& endpoint);
+    void send(const QByteArray& bytes, const std::string& endpoint, SendPurpose purpose);
     void broadcastBytes(const QByteArray& bytes, MessageKind kind);
-    void sendToAll(const QByteArray& bytes, const std::vector<Peer>& targets);
-    void sendToSome(const QByteArray& bytes, std::vector<Peer> targets, int bytesPerSecond);
+    void sendToAll(const QByteArray& bytes, const std::vector<Peer>& targets, SendPurpose purpose);
+    void sendToSome(const QByteArray& bytes, std::vector<Peer> targets, int bytesPerSecond, SendPurpose purpose);
     template <typename Message>
-    void sendTo(const Message& message, const std::string& endpoint)
+    void sendTo(const Message& message, const std::string& endpoint, SendPurpose purpose = SendPurpose::Answer)
     {
-        send(sealMessage(message, nextSender(), options_.clusterKey), endpoint);
+        send(sealMessage(message, nextSender(), options_.clusterKey), endpoint, purpose);
     }
 
     void tick();
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -269,6 +269,10 @@
     metrics_.setGauge("hemlockweir_peer_datagrams_refused_total", "Datagrams refused: foreign, truncated, forged or old", static_cast<double>(traffic.refused));
     metrics_.setGauge("hemlockweir_peer_datagrams_relayed_total", "Datagrams passed on for other nodes", static_cast<double>(traffic.relayed));
     metrics_.setGauge("hemlockweir_peer_messages_not_relayed_total", "Messages of peers that a relay left out to keep its budget", static_cast<double>(traffic.relayDropped));
+    for (size_t i = 0; i < sendPurposes; ++i) {
+        const std::string name = std::string("hemlockweir_peer_bytes_sent_") + nameOf(static_cast<SendPurpose>(i)) + "_total";
+        metrics_.setGauge(name, "Bytes of datagrams sent to peers for this purpose, with headers", static_cast<double>(traffic.bytesSentFor[i]));
+    }
     metrics_.setGauge("hemlockweir_configuration_bytes_sent_total", "Bytes of configurations sent to peers", static_cast<double>(configServer_.bytesSent()));
     metrics_.setGauge("hemlockweir_platform_calls_total", "Calls to the platform's key-value service", static_cast<double>(platform_.callsMade()));
     metrics_.setGauge("hemlockweir_configuration_watching", "Whether this node watches the platform for the configuration: 0 or 1", follower_.isWatching() ? 1 : 0);
