Keep what a node sends to budgets that carry over

Cause: the digests' budget was kept by a random rounding at each tick, so a node could be a third over for seconds, announcements were not counted, and answers to peers (challenges, records asked for) had no budget at all.

Change: ByteBudget (pure; RapidCheck: no span of time gets more than its rate, what was saved and one message) for digests within the domain and beyond it, broadcasts of all kinds, messages passed on, and answers (1,000 B/s; those left out are asked for again). pauseAfter(bytes) became sharePause().

A first try refused messages larger than what can be saved, which would have stopped large digests; the property MessageLargerThanWhatCanBeSavedPassesInTime holds that.

--- a/packages/membership/PeerLink.cpp
+++ b/packages/membership/PeerLink.cpp
@@ -14,11 +14,19 @@
 // Ticks between two greetings of a seed or a silent peer, while others are alive.
 static constexpr uint32_t ticksPerGreeting = 5;
 static constexpr double msPerSecond = 1000.0;
+// Seconds of a budget that may be saved up. A node that starts or heals a partition answers many.
+static constexpr double savedSeconds = 1.0;
+static constexpr double savedAnswerSeconds = 20.0;
 // Peers up to which budgets of broadcasts are not needed.
 static constexpr size_t fewPeers = 8;
 
 PeerLink::PeerLink(PeerLinkOptions options)
     : options_(std::move(options))
+    , nearBudget_(options_.nearBytesPerSecond, options_.nearBytesPerSecond * savedSeconds)
+    , farBudget_(options_.farBytesPerSecond, options_.farBytesPerSecond * savedSeconds)
+    , sharedBudget_(options_.sharedBytesPerSecond, 0)
+    , relayedBudget_(options_.relayedBytesPerSecond, options_.relayedBytesPerSecond * savedSeconds)
+    , answerBudget_(options_.answerBytesPerSecond, options_.answerBytesPerSecond * savedAnswerSeconds)
     , senders_({ .secret = options_.random() })
     , table_({ .node = options_.node, .heartbeatInterval = options_.heartbeatInterval, .aliveTimeout = options_.aliveTimeout, .forgetTimeout = options_.forgetTimeout })
 {
@@ -87,21 +95,22 @@
         send(bytes, peer.heartbeat.peers, purpose);
 }
 
-void PeerLink::sendToSome(const QByteArray& bytes, std::vector<Peer> targets, int bytesPerSecond, SendPurpose purpose)
+void PeerLink::sendToSome(const QByteArray& bytes, std::vector<Peer> targets, ByteBudget& budget, double ahead, SendPurpose purpose)
 {
-    const double budget = bytesPerSecond * static_cast<double>(options_.heartbeatInterval.count()) / msPerSecond;
-    const double affordable = budget / static_cast<double>(bytes.size() + datagramHeaderBytes);
-    // What is left after whole datagrams is sent now and then, so that the mean fits the budget.
-    constexpr uint64_t parts = 1000;
-    const double rest = affordable - std::floor(affordable);
-    const bool takesRest = static_cast<double>(options_.random() % parts) < rest * static_cast<double>(parts);
-    const size_t count = static_cast<size_t>(affordable) + (takesRest ? 1 : 0);
-    for (size_t i = 0; i < std::min(count, targets.size()); ++i) {
+    const Millis now = options_.clock();
+    const size_t cost = static_cast<size_t>(bytes.size()) + datagramHeaderBytes;
+    for (size_t i = 0; i < targets.size() && budget.take(cost, now, ahead); ++i) {
         std::swap(targets[i], targets[i + options_.random() % (targets.size() - i)]);
         send(bytes, targets[i].heartbeat.peers, purpose);
     }
 }
 
+void PeerLink::sendAnswer(const QByteArray& bytes, const std::string& endpoint)
+{
+    if (answerBudget_.take(static_cast<size_t>(bytes.size()) + datagramHeaderBytes, options_.clock()))
+        send(bytes, endpoint, SendPurpose::Answer);
+}
+
 void PeerLink::broadcastBytes(const QByteArray& bytes, MessageKind kind)
 {
     std::vector<Peer> near;
@@ -112,6 +121,7 @@
         if (isRelayed(kind) && table_.isRelay())
             far = table_.farRelays();
     }
+    sharedBudget_.spend((near.size() + far.size()) * (static_cast<size_t>(bytes.size()) + datagramHeaderBytes), options_.clock());
     sendToAll(bytes, near, SendPurpose::NearBroadcast);
     sendToAll(bytes, far, SendPurpose::FarBroadcast);
 }
@@ -119,27 +129,27 @@
 void PeerLink::announce()
 {
     ++beat_;
-    tellSome();
+    tellSome(options_.heartbeatInterval);
 }
 
-Millis PeerLink::pauseAfter(uint64_t bytes) const
+Millis PeerLink::sharePause() const
 {
     std::lock_guard lock(mutex_);
-    if (table_.size() <= fewPeers)
-        return Millis(0);
-    return Millis(static_cast<int64_t>(static_cast<double>(bytes) * msPerSecond / options_.sharedBytesPerSecond));
+    return table_.size() <= fewPeers ? Millis(0) : sharedBudget_.pause(options_.clock());
 }
 
 void PeerLink::tick()
 {
     ++beat_;
-    tellSome();
+    tellSome(Millis(0));
     greet();
     noteSilentPeers();
 }
 
-void PeerLink::tellSome()
+// `ahead`: how much of the budget's future may be used, for what can not wait.
+void PeerLink::tellSome(Millis ahead)
 {
+    const double seconds = static_cast<double>(ahead.count()) / msPerSecond;
     std::vector<Peer> near;
     std::vector<Peer> far;
     {
@@ -149,9 +159,9 @@
             far = table_.farRelays();
     }
     if (!near.empty())
-        sendToSome(makeDigest(true), near, options_.nearBytesPerSecond, SendPurpose::NearDigest);
+        sendToSome(makeDigest(true), near, nearBudget_, options_.nearBytesPerSecond * seconds, SendPurpose::NearDigest);
     if (!far.empty())
-        sendToSome(makeDigest(false), far, options_.farBytesPerSecond, SendPurpose::FarDigest);
+        sendToSome(makeDigest(false), far, farBudget_, options_.farBytesPerSecond * seconds, SendPurpose::FarDigest);
 }
 
 NodeRecord PeerLink::ownRecord() const
@@ -216,7 +226,7 @@
     if (!living.empty())
         targets = { targets[options_.random() % targets.size()] };
     for (const std::string& endpoint : targets)
-        sendTo(greeting, endpoint, SendPurpose::Greeting);
+        send(sealMessage(greeting, nextSender(), options_.clusterKey), endpoint, SendPurpose::Greeting);
 }
 
 void PeerLink::noteSilentPeers()
@@ -291,14 +301,14 @@
         return;
     }
     const uint64_t nonce = senders_.nonceFor(envelope.sender, options_.clock());
-    sendTo(Challenge { .nonce = nonce, .replyTo = heartbeat_.peers }, digest->records.front().heartbeat.peers);
+    answer(Challenge { .nonce = nonce, .replyTo = heartbeat_.peers }, digest->records.front().heartbeat.peers);
 }
 
 void PeerLink::takeChallenge(const Envelope& envelope)
 {
     const absl::StatusOr<Challenge> challenge = decodeBody<Challenge>(envelope.body);
     if (challenge.ok())
-        sendTo(ChallengeAnswer { .nonce = challenge->nonce }, challenge->replyTo);
+        answer(ChallengeAnswer { .nonce = challenge->nonce }, challenge->replyTo);
     else
         ++traffic_.refused;
 }
@@ -378,15 +388,7 @@
         if ((kind != MessageKind::Groups && kind != MessageKind::Usage) || table_.size() <= fewPeers)
             return true;
     }
-    const Millis now = options_.clock();
-    const double earned = static_cast<double>((now - relayTokensAt_).count()) * options_.relayedBytesPerSecond / msPerSecond;
-    const double most = std::max<double>(options_.relayedBytesPerSecond, static_cast<double>(bytes));
-    relayTokens_ = std::min(relayTokens_ + earned, most);
-    relayTokensAt_ = now;
-    if (relayTokens_ < static_cast<double>(bytes))
-        return false;
-    relayTokens_ -= static_cast<double>(bytes);
-    return true;
+    return relayedBudget_.take(bytes, options_.clock());
 }
 
 void PeerLink::takeDigest(const Envelope& envelope)
@@ -413,7 +415,7 @@
         }
     }
     if (!wanted.ids.empty())
-        sendTo(wanted, digest->records.front().heartbeat.peers);
+        answer(wanted, digest->records.front().heartbeat.peers);
     for (const Peer& peer : changed)
         tellChanged(peer);
 }
@@ -439,7 +441,7 @@
         }
     }
     if (!endpoint.empty())
-        sendTo(digest, endpoint);
+        answer(digest, endpoint);
 }
 
 } // namespace hemlockweir
--- a/packages/membership/PeerLink.h
+++ b/packages/membership/PeerLink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Clock.h"
+#include "membership/ByteBudget.h"
 #include "membership/NodeTable.h"
 #include "membership/PeerTraffic.h"
 #include "membership/SenderCheck.h"
@@ -39,6 +40,7 @@
     int farBytesPerSecond = 1500; // budget of a relay's digests to other failure domains
     int sharedBytesPerSecond = 2500; // budget of broadcasts, once there are more peers than a few
     int relayedBytesPerSecond = 2000; // budget of a relay for load figures of others, likewise
+    int answerBytesPerSecond = 1000; // budget of answers to peers; those beyond it are asked for again
     Clock clock;
     Random random;
 };
@@ -66,9 +68,9 @@
     // Tells a few peers at once what setHeartbeat() said, instead of at the next tick.
     void announce();
 
-    // How long to wait after broadcasts of so many bytes (see traffic()) before the next ones, so
-    // that they keep to the budget; nothing while there are few peers.
-    Millis pauseAfter(uint64_t bytes) const;
+    // How long to wait with shared tables, so that all broadcasts together keep to their budget;
+    // nothing while there are few peers.
+    Millis sharePause() const;
 
     // All peers heard of within the forget timeout. Thread-safe.
     std::vector<Peer> peers() const;
@@ -91,15 +93,16 @@
     void send(const QByteArray& bytes, const std::string& endpoint, SendPurpose purpose);
     void broadcastBytes(const QByteArray& bytes, MessageKind kind);
     void sendToAll(const QByteArray& bytes, const std::vector<Peer>& targets, SendPurpose purpose);
-    void sendToSome(const QByteArray& bytes, std::vector<Peer> targets, int bytesPerSecond, SendPurpose purpose);
+    void sendToSome(const QByteArray& bytes, std::vector<Peer> targets, ByteBudget& budget, double ahead, SendPurpose purpose);
+    void sendAnswer(const QByteArray& bytes, const std::string& endpoint);
     template <typename Message>
-    void sendTo(const Message& message, const std::string& endpoint, SendPurpose purpose = SendPurpose::Answer)
+    void answer(const Message& message, const std::string& endpoint)
     {
-        send(sealMessage(message, nextSender(), options_.clusterKey), endpoint, purpose);
+        sendAnswer(sealMessage(message, nextSender(), options_.clusterKey), endpoint);
     }
 
     void tick();
-    void tellSome();
+    void tellSome(Millis ahead);
     QByteArray makeDigest(bool toNear);
     NodeRecord ownRecord() const;
     void addNews(Digest& digest, bool toNear);
@@ -127,8 +130,11 @@
     uint64_t sequence_ = 0;
     uint32_t beat_ = 0;
     size_t repairAt_ = 0; // whose record goes out next though it is no news
-    double relayTokens_ = 0; // bytes that may be passed on now
-    Millis relayTokensAt_ { 0 };
+    ByteBudget nearBudget_;
+    ByteBudget farBudget_;
+    ByteBudget sharedBudget_;
+    ByteBudget relayedBudget_;
+    ByteBudget answerBudget_;
     PeerTraffic traffic_;
     SenderCheck senders_;
     mutable std::mutex mutex_; // guards table_; a leaf
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -371,10 +371,9 @@
     suspects_.share();
     metrics_.setGauge("hemlockweir_endpoint_deaths_on_requests", "Deaths of endpoints counted against requests that were on them", static_cast<double>(quarantine_.rows().size()));
     if (clock_() >= nextShareAt_) {
-        const uint64_t before = peers_.traffic().bytesSent;
         groupExchange_.share();
         usage_.share();
-        nextShareAt_ = clock_() + peers_.pauseAfter(peers_.traffic().bytesSent - before);
+        nextShareAt_ = clock_() + peers_.sharePause();
     }
     exposeTraffic();
 }
