Take orders without the platform, under keys bound to a node

Cause: a request with an idempotency key was refused as not_run for as long as the platform was away, since the platform's compare-and-swap was the only place that could claim a key. Ruled out: forwarding the whole request to the home node (bodies and streams cross twice, and the home must be reachable until the last token instead of for two short calls); leases on keys (a paused holder). Change: POST /v1/idempotency-keys makes a key that names its home node and start under a tag of the cluster key. The home's ledger in memory alone grants it; other nodes ask it over the nodes' TCP port (PeerServer, PeerCall, which now carry the configuration as well) and tell it the outcome. What the home can not answer for is unknown and never runs; full and draining homes refuse unclaimed keys for good, which is the one case where not_run says to fetch a new key. Before: keyed orders while the platform is down: refused.

--- a/packages/ledger/ClaimLedger.h
+++ b/packages/ledger/ClaimLedger.h
@@ -38,6 +38,11 @@
     Running, // claimed before and not finished: running, or its outcome is unknown
     Mismatch, // the key was used for another request
     Unavailable, // no claim is held: do not run
+    // Of keys bound to a node only:
+    Refused, // nothing ran under the key and nothing will
+    Unreachable, // this attempt does not run; whether another one ran is not known
+    Lost, // the ledger that knew is gone, or the key is too old: it never runs again
+    Foreign, // no key of this system for this caller
 };
 
 struct ClaimResult {
--- /dev/null
+++ b/packages/ledger/HomeClient.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "ledger/ClaimLedger.h"
+#include "wire/LedgerMessages.h"
+
+// Claims keys bound to a node (BoundKey.h) at that node, wherever the request arrived. A claim is
+// granted by the home's answer only, and an attempt whose answer did not come never runs. Lives on
+// the control thread.
+
+namespace hemlockweir {
+
+class HomeClient : public QObject {
+    Q_OBJECT
+public:
+    using Done = std::function<void(const absl::StatusOr<HomeAnswer>&)>;
+
+    struct Options {
+        QByteArray clusterKey;
+        int tries = 2; // of one claim, each as long as `sendClaim` takes
+        Millis retryDelay { 500 }; // ms before an outcome is told again; doubles
+        int backgroundTries = 10; // of telling an outcome
+        size_t maxUnsettled = 1000; // outcomes that wait to be told; more are given up
+        Random random;
+        std::function<void(const std::string& home, const HomeClaim&, Done)> sendClaim; // to ADDRESS:PORT
+        std::function<void(const std::string& home, const HomeSettle&, Done)> sendSettle;
+    };
+
+    explicit HomeClient(Options options);
+
+    // As ClaimLedger's.
+    void claim(const ClaimRequest& request, std::function<void(const ClaimResult&)> done);
+    void complete(const ClaimRequest& request, const StoredAnswer& answer, std::function<void(bool)> done);
+    void abandon(const ClaimRequest& request);
+
+private:
+    struct Held {
+        std::string home;
+        std::string attempt;
+    };
+
+    void sendClaim(const std::string& home, const HomeClaim& claim, int triesLeft, const std::function<void(const ClaimResult&)>& done);
+    void takeVerdict(const std::string& home, const HomeClaim& claim, const HomeAnswer& answer, const std::function<void(const ClaimResult&)>& done);
+    void settle(const std::string& home, const HomeSettle& outcome, int tries, const std::function<void(bool)>& done);
+    void settleLater(const std::string& home, const HomeSettle& outcome, int tries);
+
+    Options options_;
+    std::map<std::string, Held> held_; // by key
+    size_t unsettled_ = 0;
+};
+
+// Claims each key where it belongs: bound keys at their home, callers' own in the platform.
+class ClaimRouter : public QObject {
+    Q_OBJECT
+public:
+    ClaimRouter(ClaimLedger& platform, HomeClient& homes);
+
+    void claim(const ClaimRequest& request, std::function<void(const ClaimResult&)> done);
+    void complete(const ClaimRequest& request, const StoredAnswer& answer, std::function<void(bool)> done);
+    void abandon(const ClaimRequest& request);
+
+private:
+    ClaimLedger& platform_;
+    HomeClient& homes_;
+};
+
+} // namespace hemlockweir
--- a/packages/node/CallerApi.cpp
+++ b/packages/node/CallerApi.cpp
@@ -1,6 +1,7 @@
 #include "node/CallerApi.h"
 
 #include "node/CompletionFlow.h"
+#include "node/KeyIssue.h"
 #include "node/PlainFlow.h"
 
 #include <QJsonArray>
@@ -27,6 +28,8 @@
         handleCompletion(std::move(exchange), false);
     else if (exchange->path() == "/v1/chat/completions")
         handleCompletion(std::move(exchange), true);
+    else if (exchange->path() == "/v1/idempotency-keys")
+        handleKeys(*exchange);
     else
         handlePlain(std::move(exchange));
 }
@@ -140,6 +143,18 @@
     CompletionFlow::start(tables_, std::move(exchange), std::move(*read.request), std::move(*completion));
 }
 
+void CallerApi::handleKeys(Exchange& exchange)
+{
+    const ConfigSnapshot config = tables_.config.snapshot();
+    const CallerRequestResult read = readCallerRequest(exchange, *config.configuration, tables_.random);
+    if (!read.request) {
+        sendError(exchange, read.error);
+        return;
+    }
+    if (const std::optional<ErrorReply> error = issueKey(tables_, exchange, *read.request))
+        refuse(exchange, *read.request, *error);
+}
+
 void CallerApi::handlePlain(std::shared_ptr<Exchange> exchange)
 {
     const ConfigSnapshot config = tables_.config.snapshot();
--- a/packages/node/CallerApi.h
+++ b/packages/node/CallerApi.h
@@ -38,6 +38,7 @@
     void refuse(Exchange& exchange, const CallerRequest& request, const ErrorReply& error);
     bool admitCaller(Exchange& exchange, const CallerRequest& request);
     void handleCompletion(std::shared_ptr<Exchange> exchange, bool isChat);
+    void handleKeys(Exchange& exchange);
     void handlePlain(std::shared_ptr<Exchange> exchange);
     QJsonObject listModels() const;
 
--- a/packages/node/Flow.cpp
+++ b/packages/node/Flow.cpp
@@ -100,6 +100,18 @@
     case ClaimOutcome::Unavailable:
         fail({ .status = 503, .type = "claim_unavailable", .message = "the request could not be claimed, so it was not run", .outcome = Outcome::NotRun, .retryAfter = Millis(1000) });
         return;
+    case ClaimOutcome::Refused:
+        fail({ .status = 503, .type = "key_refused", .message = "nothing ran under this Idempotency-Key and nothing will, since its home node stops or is full; fetch a new key", .outcome = Outcome::NotRun, .retryAfter = Millis(1000) });
+        return;
+    case ClaimOutcome::Unreachable:
+        fail({ .status = 503, .type = "home_unreachable", .message = "the home node of this Idempotency-Key gave no answer, so this request was not run; an earlier one under the key may have been", .outcome = Outcome::Unknown, .retryAfter = Millis(1000) });
+        return;
+    case ClaimOutcome::Lost:
+        fail({ .status = 409, .type = "key_lost", .message = "this Idempotency-Key is too old or its home node has restarted; a request under it may have run, and none will be run again", .outcome = Outcome::Unknown });
+        return;
+    case ClaimOutcome::Foreign:
+        fail({ .status = 400, .type = "bad_idempotency_key", .message = "this Idempotency-Key is not one that this system made for this caller, so this request was not run", .outcome = Outcome::Unknown });
+        return;
     }
 }
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -74,6 +74,10 @@
           .findReplicas = [this](const std::string& model) { return fleet_.findReplicas(model); } })
     , platform_(makePlatformOptions(settings_))
     , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .clock = clock_, .random = random_ }, makeClaimStore(platform_))
+    , homeLedger_({ .home = settings_.advertisedPeers.toString(), .start = random_(), .clusterKey = QByteArray::fromStdString(settings_.clusterKey), .clock = clock_, .random = random_ })
+    , homeLink_({ .node = settings_.node, .incarnation = incarnation_, .home = settings_.advertisedPeers.toString(), .clusterKey = QByteArray::fromStdString(settings_.clusterKey), .random = random_ }, homeLedger_)
+    , claims_(ledger_, homeLink_.client())
+    , peerServer_(makePeerServerOptions())
     , peers_(makePeerOptions(settings_, incarnation_, clock_, random_))
     , usage_(scheduler_, peers_, metrics_)
     , configServer_(makeConfigServerOptions())
@@ -102,7 +106,8 @@
         .fleet = fleet_,
         .scheduler = scheduler_,
         .metrics = metrics_,
-        .ledger = ledger_,
+        .ledger = claims_,
+        .homeLedger = homeLedger_,
         .quarantine = quarantine_,
         .clock = clock_,
         .random = random_,
@@ -118,6 +123,8 @@
 
 void Node::connectParts()
 {
+    homeLink_.serveAt(peerServer_);
+    peerServer_.setHandler(MessageKind::ConfigRequest, [this](const Envelope& envelope) { return configServer_.answer(envelope); });
     peers_.onMessage = [this](const Envelope& envelope) { takeMessage(envelope); };
     peers_.onPeerChanged = [this](const Peer& peer) {
         if (peer.alive)
@@ -140,7 +147,7 @@
     peers_.setHeartbeat(makeHeartbeat());
     if (const absl::Status status = peers_.start(); !status.ok())
         return status;
-    if (const absl::Status status = configServer_.start(); !status.ok())
+    if (const absl::Status status = peerServer_.start(); !status.ok())
         return status;
     if (const absl::Status status = server_.start(); !status.ok())
         return status;
@@ -161,6 +168,7 @@
     onStopped_ = std::move(onStopped);
     stoppingSince_ = clock_();
     manager_.release();
+    homeLedger_.drain();
     peers_.setHeartbeat(makeHeartbeat());
     stopTimer_.start(stopCheckInterval);
 }
@@ -184,11 +192,30 @@
     const bool isLate = clock_() - stoppingSince_ >= settings_.shutdownTimeout;
     if (!isLate && (isListening_ || inFlight > 0))
         return;
+    if (!isLate && isClaimHeldElsewhere()) {
+        if (!std::exchange(isDrainingClaims_, true))
+            logInfo("node_draining_claims", { { "claims", std::to_string(homeLedger_.holders().size()) } });
+        return;
+    }
     stopTimer_.stop();
     logInfo("node_stopped", { { "in_flight", std::to_string(inFlight) } });
     report_.stop(onStopped_);
 }
 
+// Whether another node that lives may still tell the outcome of a claim that this one granted.
+bool Node::isClaimHeldElsewhere() const
+{
+    const std::vector<std::string> holders = homeLedger_.holders();
+    if (holders.empty())
+        return false;
+    std::set<std::string> dead { settings_.node };
+    for (const Peer& peer : peers_.peers()) {
+        if (!peer.alive)
+            dead.insert(peer.node);
+    }
+    return std::any_of(holders.begin(), holders.end(), [&](const std::string& node) { return !dead.contains(node); });
+}
+
 static std::vector<WasteRow> describeWaste(const StrandedTotals& totals)
 {
     return {
@@ -231,8 +258,6 @@
 {
     return { .node = settings_.node,
         .incarnation = incarnation_,
-        .address = QHostAddress(QString::fromStdString(settings_.peers.address)),
-        .port = settings_.peers.port,
         .clusterKey = QByteArray::fromStdString(settings_.clusterKey),
         .read = [this] {
             const ConfigSnapshot snapshot = config_.snapshot();
@@ -240,6 +265,13 @@
         } };
 }
 
+PeerServer::Options Node::makePeerServerOptions() const
+{
+    return { .address = QHostAddress(QString::fromStdString(settings_.peers.address)),
+        .port = settings_.peers.port,
+        .clusterKey = QByteArray::fromStdString(settings_.clusterKey) };
+}
+
 ConfigFollower::Options Node::makeFollowerOptions()
 {
     constexpr size_t watchersPerDomain = 2;
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -5,6 +5,7 @@
 #include "fleet/GroupExchange.h"
 #include "membership/PeerLink.h"
 #include "node/CallerApi.h"
+#include "node/HomeLink.h"
 #include "node/UsageShare.h"
 #include "quarantine/SuspectShare.h"
 #include "rollout/ConfigExchange.h"
@@ -47,6 +48,8 @@
     Heartbeat makeHeartbeat() const;
     ReportOptions makeReportOptions();
     ConfigServer::Options makeConfigServerOptions();
+    PeerServer::Options makePeerServerOptions() const;
+    bool isClaimHeldElsewhere() const;
     ConfigFollower::Options makeFollowerOptions();
     std::vector<ConfigSource> findConfigSources() const;
     void exposeTraffic();
@@ -61,6 +64,10 @@
     Metrics metrics_;
     KvClient platform_;
     ClaimLedger ledger_;
+    HomeLedger homeLedger_;
+    HomeLink homeLink_;
+    ClaimRouter claims_;
+    PeerServer peerServer_;
     PeerLink peers_;
     UsageShare usage_;
     ConfigServer configServer_;
@@ -79,6 +86,7 @@
     Millis nextShareAt_ { 0 };
     Millis stoppingSince_ { 0 };
     bool isListening_ = true;
+    bool isDrainingClaims_ = false;
     std::function<void()> onStopped_;
 };
 
--- a/packages/node/Tables.h
+++ b/packages/node/Tables.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "fleet/FleetTable.h"
-#include "ledger/ClaimLedger.h"
+#include "ledger/HomeClient.h"
+#include "ledger/HomeLedger.h"
 #include "quarantine/Quarantine.h"
 #include "report/Metrics.h"
 #include "rollout/ConfigTable.h"
@@ -19,7 +20,8 @@
     FleetTable& fleet;
     Scheduler& scheduler;
     Metrics& metrics;
-    ClaimLedger& ledger;
+    ClaimRouter& ledger;
+    HomeLedger& homeLedger;
     Quarantine& quarantine;
     Clock clock;
     Random random;
--- a/packages/rollout/ConfigExchange.cpp
+++ b/packages/rollout/ConfigExchange.cpp
@@ -7,7 +7,6 @@
 
 namespace hemlockweir {
 
-static constexpr qsizetype maxRequestBytes = 1024;
 static constexpr qsizetype maxAnswerBytes = maxPackedDocumentBytes + 1024;
 
 std::string packDocument(const QByteArray& json)
@@ -29,56 +28,16 @@
 ConfigServer::ConfigServer(Options options)
     : options_(std::move(options))
 {
-    connect(&server_, &QTcpServer::newConnection, this, &ConfigServer::accept);
 }
 
-absl::Status ConfigServer::start()
+std::optional<QByteArray> ConfigServer::answer(const Envelope& envelope)
 {
-    if (server_.listen(options_.address, options_.port))
-        return absl::OkStatus();
-    return absl::UnavailableError("cannot listen on TCP " + options_.address.toString().toStdString() + ":" + std::to_string(options_.port) + ": "
-        + server_.errorString().toStdString());
-}
-
-void ConfigServer::accept()
-{
-    while (QTcpSocket* socket = server_.nextPendingConnection()) {
-        if (open_ >= options_.maxConnections) {
-            socket->abort();
-            socket->deleteLater();
-            continue;
-        }
-        ++open_;
-        connect(socket, &QObject::destroyed, this, [this] { --open_; });
-        connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
-        connect(socket, &QTcpSocket::readyRead, this, [this, socket, received = QByteArray()]() mutable { readRequest(socket, received); });
-        QTimer::singleShot(options_.connectionTimeout, socket, [socket] {
-            socket->abort();
-            socket->deleteLater();
-        });
-    }
-}
-
-void ConfigServer::readRequest(QTcpSocket* socket, QByteArray& received)
-{
-    received += socket->read(maxRequestBytes);
-    const auto frame = takeFrame(received, maxRequestBytes);
-    if (frame.ok() && !*frame)
-        return;
-    const auto envelope = frame.ok() ? openEnvelope(**frame, options_.clusterKey) : frame.status();
-    if (!envelope.ok() || envelope->kind != MessageKind::ConfigRequest) {
-        socket->abort();
-        return;
-    }
-    const auto request = decodeBody<ConfigRequest>(envelope->body);
-    if (!request.ok()) {
-        socket->abort();
-        return;
-    }
-    const QByteArray answer = makeFrame(makeAnswer(*request));
+    const auto request = decodeBody<ConfigRequest>(envelope.body);
+    if (!request.ok())
+        return std::nullopt;
+    QByteArray answer = makeAnswer(*request);
     bytesSent_ += static_cast<uint64_t>(answer.size());
-    socket->write(answer);
-    socket->disconnectFromHost();
+    return answer;
 }
 
 QByteArray ConfigServer::makeAnswer(const ConfigRequest& request)
--- a/packages/rollout/ConfigExchange.h
+++ b/packages/rollout/ConfigExchange.h
@@ -4,11 +4,11 @@
 #include "wire/Codec.h"
 #include "wire/RolloutMessages.h"
 
-#include <QTcpServer>
 #include <QTcpSocket>
 #include <QTimer>
 #include <functional>
 #include <memory>
+#include <optional>
 
 // Nodes hand each other the configuration over TCP: one request and one answer a connection, both
 // sealed under the cluster key. A replayed answer does no harm, since a table only moves up.
@@ -29,39 +29,30 @@
 std::string packDocument(const QByteArray& json);
 absl::StatusOr<QByteArray> unpackDocument(const std::string& packed);
 
-// Serves the configuration in force to peers.
-class ConfigServer : public QObject {
-    Q_OBJECT
+// Answers peers' requests for the configuration in force, which a PeerServer takes.
+class ConfigServer {
 public:
     struct Options {
         std::string node;
         uint64_t incarnation = 0;
-        QHostAddress address;
-        quint16 port = 0; // TCP
         QByteArray clusterKey;
-        Millis connectionTimeout { 5000 }; // ms for one request and its answer
-        int maxConnections = 64; // more are closed at once
         std::function<PublishedDocument()> read; // what is in force
     };
 
     explicit ConfigServer(Options options);
 
-    // Opens the port.
-    absl::Status start();
+    // Returns the sealed answer to a ConfigRequest; none when it is malformed.
+    std::optional<QByteArray> answer(const Envelope& envelope);
 
     // Documents handed out, and bytes sent for them.
     uint64_t served() const { return served_; }
     uint64_t bytesSent() const { return bytesSent_; }
 
 private:
-    void accept();
-    void readRequest(QTcpSocket* socket, QByteArray& received);
     QByteArray makeAnswer(const ConfigRequest& request);
     std::string packedFor(const PublishedDocument& document);
 
     Options options_;
-    QTcpServer server_;
-    int open_ = 0;
     uint64_t served_ = 0;
     uint64_t bytesSent_ = 0;
     uint64_t sequence_ = 0;
--- a/packages/wire/Codec.cpp
+++ b/packages/wire/Codec.cpp
@@ -8,12 +8,12 @@
 static constexpr qsizetype headBytes = 4;
 static constexpr qsizetype tagBytes = 16;
 
-static QByteArray makeTag(const QByteArray& bytes, const QByteArray& clusterKey)
+QByteArray makeTag(const QByteArray& bytes, const QByteArray& clusterKey)
 {
     return QMessageAuthenticationCode::hash(bytes, clusterKey, QCryptographicHash::Sha256).left(tagBytes);
 }
 
-static bool equalsInConstantTime(const QByteArray& a, const QByteArray& b)
+bool equalsInConstantTime(const QByteArray& a, const QByteArray& b)
 {
     if (a.size() != b.size())
         return false;
--- a/packages/wire/Codec.h
+++ b/packages/wire/Codec.h
@@ -40,6 +40,12 @@
     QByteArray body;
 };
 
+// Returns the tag of bytes under a key: HMAC-SHA-256, cut to 16 bytes.
+QByteArray makeTag(const QByteArray& bytes, const QByteArray& clusterKey);
+
+// Compares without telling by its time where the first difference is.
+bool equalsInConstantTime(const QByteArray& a, const QByteArray& b);
+
 // Wraps an encoded body.
 QByteArray sealEnvelope(const Envelope& envelope, const QByteArray& clusterKey);
 
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -30,6 +30,9 @@
     ChallengeAnswer = 20,
     Wanted = 21,
     Relayed = 22,
+    HomeClaim = 40,
+    HomeSettle = 41,
+    HomeAnswer = 42,
 };
 
 // Whether relays pass a message on to the other failure domains. Those that concern two nodes or
--- /dev/null
+++ b/packages/wire/PeerExchange.cpp
@@ -0,0 +1,106 @@
+#include "wire/PeerExchange.h"
+
+#include "wire/Frame.h"
+
+#include <QUrl>
+#include <utility>
+
+namespace hemlockweir {
+
+PeerServer::PeerServer(Options options)
+    : options_(std::move(options))
+{
+    connect(&server_, &QTcpServer::newConnection, this, &PeerServer::accept);
+}
+
+void PeerServer::setHandler(MessageKind kind, Handler handler)
+{
+    handlers_[kind] = std::move(handler);
+}
+
+absl::Status PeerServer::start()
+{
+    if (server_.listen(options_.address, options_.port))
+        return absl::OkStatus();
+    return absl::UnavailableError("cannot listen on TCP " + options_.address.toString().toStdString() + ":" + std::to_string(options_.port) + ": "
+        + server_.errorString().toStdString());
+}
+
+void PeerServer::accept()
+{
+    while (QTcpSocket* socket = server_.nextPendingConnection()) {
+        if (open_ >= options_.maxConnections) {
+            socket->abort();
+            socket->deleteLater();
+            continue;
+        }
+        ++open_;
+        connect(socket, &QObject::destroyed, this, [this] { --open_; });
+        connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
+        connect(socket, &QTcpSocket::readyRead, this, [this, socket, received = QByteArray()]() mutable { readRequest(socket, received); });
+        QTimer::singleShot(options_.connectionTimeout, socket, [socket] {
+            socket->abort();
+            socket->deleteLater();
+        });
+    }
+}
+
+void PeerServer::readRequest(QTcpSocket* socket, QByteArray& received)
+{
+    received += socket->read(options_.maxRequestBytes);
+    const auto frame = takeFrame(received, options_.maxRequestBytes);
+    if (frame.ok() && !*frame)
+        return;
+    const auto envelope = frame.ok() ? openEnvelope(**frame, options_.clusterKey) : frame.status();
+    const auto handler = envelope.ok() ? handlers_.find(envelope->kind) : handlers_.end();
+    const std::optional<QByteArray> answer = handler == handlers_.end() ? std::nullopt : handler->second(*envelope);
+    if (!answer) {
+        socket->abort();
+        return;
+    }
+    socket->write(makeFrame(*answer));
+    socket->disconnectFromHost();
+}
+
+PeerCall::PeerCall(Options options)
+    : options_(std::move(options))
+{
+    timer_.setSingleShot(true);
+    connect(&timer_, &QTimer::timeout, this, [this] { finish(absl::UnavailableError("no answer in time")); });
+    connect(&socket_, &QTcpSocket::readyRead, this, &PeerCall::readAnswer);
+    connect(&socket_, &QTcpSocket::errorOccurred, this, [this] {
+        readAnswer();
+        finish(absl::UnavailableError(socket_.errorString().toStdString()));
+    });
+}
+
+void PeerCall::start(const std::string& endpoint, const QByteArray& request, std::function<void(const absl::StatusOr<Envelope>&)> done)
+{
+    done_ = std::move(done);
+    connect(&socket_, &QTcpSocket::connected, this, [this, request] { socket_.write(makeFrame(request)); });
+    const QUrl url(QString::fromStdString("tcp://" + endpoint));
+    timer_.start(options_.timeout);
+    socket_.connectToHost(url.host(), static_cast<quint16>(url.port(0)));
+}
+
+void PeerCall::readAnswer()
+{
+    received_ += socket_.readAll();
+    const auto frame = takeFrame(received_, options_.maxAnswerBytes);
+    if (!frame.ok())
+        finish(frame.status());
+    else if (*frame)
+        finish(openEnvelope(**frame, options_.clusterKey));
+}
+
+void PeerCall::finish(const absl::StatusOr<Envelope>& result)
+{
+    if (!done_)
+        return;
+    timer_.stop();
+    // This may run inside one of the socket's own signals, or inside start(); `done` may destroy it.
+    QMetaObject::invokeMethod(
+        this, [done = std::exchange(done_, nullptr), result] { done(result); }, Qt::QueuedConnection);
+}
+
+} // namespace hemlockweir
