--- a/packages/ledger/HomeLedger.cpp
+++ b/packages/ledger/HomeLedger.cpp
@@ -53,11 +53,25 @@
         return say(HomeVerdict::Refused);
     }
     Record& record = found == records_.end() ? addRecord(id, request.caller) : found->second;
+    hold(record, request, holder);
+    return say(HomeVerdict::Granted);
+}
+
+void HomeLedger::hold(Record& record, const HomeClaim& request, const std::string& holder)
+{
     record.state = State::Claimed;
     record.attempt = request.attempt;
     record.holder = holder;
     record.requestHash = request.requestHash;
-    return say(HomeVerdict::Granted);
+    ++held_[holder];
+}
+
+void HomeLedger::release(Record& record, State next)
+{
+    const auto held = held_.find(record.holder);
+    if (--held->second == 0)
+        held_.erase(held);
+    record.state = next;
 }
 
 HomeAnswer HomeLedger::judgeHeld(const HomeClaim& request, const Record& record) const
@@ -91,7 +105,7 @@
     if (isHeld && outcome.ran)
         keepAnswer(id, found->second, outcome.answer);
     else if (isHeld)
-        found->second.state = State::Free;
+        release(found->second, State::Free);
     if (outcome.ran)
         return answer;
     if (found != records_.end())
@@ -112,13 +126,20 @@
 {
     std::lock_guard lock(mutex_);
     std::vector<std::string> nodes;
-    for (const auto& [id, record] : records_) {
-        if (record.state == State::Claimed)
-            nodes.push_back(record.holder);
-    }
+    for (const auto& [node, count] : held_)
+        nodes.push_back(node);
     return nodes;
 }
 
+size_t HomeLedger::heldCount() const
+{
+    std::lock_guard lock(mutex_);
+    size_t claims = 0;
+    for (const auto& [node, count] : held_)
+        claims += count;
+    return claims;
+}
+
 size_t HomeLedger::recordCount() const
 {
     std::lock_guard lock(mutex_);
@@ -136,6 +157,8 @@
     while (!records_.empty() && Millis(records_.begin()->first.first) + options_.keyLifetime <= now) {
         Record& record = records_.begin()->second;
         dropAnswer(record);
+        if (record.state == State::Claimed)
+            release(record, State::Free);
         const auto count = counts_.find(record.caller);
         if (--count->second == 0)
             counts_.erase(count);
@@ -155,7 +178,7 @@
 
 void HomeLedger::keepAnswer(const RecordId& id, Record& record, const KeptAnswer& answer)
 {
-    record.state = State::Done;
+    release(record, State::Done);
     if (!answer.isKept)
         return;
     record.answer = answer;
--- a/packages/ledger/HomeLedger.h
+++ b/packages/ledger/HomeLedger.h
@@ -49,8 +49,9 @@
     // Begins a planned stop: makes no more keys, and refuses those that were not claimed.
     void drain();
 
-    // Nodes whose attempts hold a claim, once for each claim.
+    // Nodes whose attempts hold a claim, and how many claims they hold together.
     std::vector<std::string> holders() const;
+    size_t heldCount() const;
 
     Millis keyLifetime() const { return options_.keyLifetime; }
 
@@ -82,6 +83,8 @@
 
     bool isLost(const absl::StatusOr<BoundKey>& key, Millis now) const;
     void expire(Millis now);
+    void hold(Record& record, const HomeClaim& request, const std::string& holder);
+    void release(Record& record, State next);
     void dropAnswer(Record& record);
     void keepAnswer(const RecordId& id, Record& record, const KeptAnswer& answer);
     bool isRefused(const BoundKey& key, const std::string& caller) const;
@@ -95,6 +98,7 @@
     mutable std::mutex mutex_; // guards what follows; a leaf
     std::map<RecordId, Record> records_;
     std::map<std::string, size_t> counts_; // records by caller
+    std::map<std::string, size_t> held_; // claims held, by node
     std::map<uint64_t, RecordId> answers_; // kept answers, oldest first
     uint64_t lastAnswer_ = 0;
     size_t answerBytes_ = 0;
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -194,7 +194,7 @@
         return;
     if (!isLate && isClaimHeldElsewhere()) {
         if (!std::exchange(isDrainingClaims_, true))
-            logInfo("node_draining_claims", { { "claims", std::to_string(homeLedger_.holders().size()) } });
+            logInfo("node_draining_claims", { { "claims", std::to_string(homeLedger_.heldCount()) } });
         return;
     }
     stopTimer_.stop();
@@ -303,6 +303,9 @@
     metrics_.setGauge("hemlockweir_peer_messages_not_relayed_total", "Messages of peers that a relay left out to keep its budget", static_cast<double>(traffic.relayDropped));
     metrics_.setGauge("hemlockweir_configuration_bytes_sent_total", "Bytes of configurations sent to peers", static_cast<double>(configServer_.bytesSent()));
     metrics_.setGauge("hemlockweir_platform_calls_total", "Calls to the platform's key-value service", static_cast<double>(platform_.callsMade()));
+    metrics_.setGauge("hemlockweir_bound_keys_recorded", "Keys bound to this node that were claimed within their lifetime", static_cast<double>(homeLedger_.recordCount()));
+    metrics_.setGauge("hemlockweir_bound_keys_held", "Those whose outcome is not told yet", static_cast<double>(homeLedger_.heldCount()));
+    metrics_.setGauge("hemlockweir_bound_key_answer_bytes", "Bytes of answers kept under bound keys", static_cast<double>(homeLedger_.answerBytes()));
     metrics_.setGauge("hemlockweir_configuration_watching", "1 while this node watches the platform for the configuration", follower_.isWatching() ? 1 : 0);
 }
 
--- a/tests/BoundKeyProcessTest.cpp
+++ b/tests/BoundKeyProcessTest.cpp
@@ -56,6 +56,12 @@
 
     void takePlatformAway() { cluster.setFaults("store", { { "down", true } }); }
 
+    // A repeat of the order would not do: it might claim the key itself.
+    bool waitForClaimAt(const std::string& home)
+    {
+        return waitUntil([&] { return cluster.call("GET", cluster.urlOf(home) + "/metrics").body.contains("hemlockweir_bound_keys_held 1\n"); });
+    }
+
     size_t orders() { return cluster.effects("o1", "order").size(); }
     bool waitForOrder()
     {
@@ -130,7 +136,7 @@
     cluster.setFaults("o1", { { "pause", true } });
     const QByteArray key = fetchKey("n1");
     const PendingAnswer first = startOrder("n2", key);
-    ASSERT_TRUE(waitUntil([&] { return typeOf(order("n1", key)) == "in_progress_or_unknown"; }));
+    ASSERT_TRUE(waitForClaimAt("n1"));
     cluster.kill("n1");
     expectError(order("n2", key), "home_unreachable", "unknown");
     cluster.setFaults("store", { { "down", false } });
@@ -255,7 +261,7 @@
     cluster.setFaults("o1", { { "pause", true } });
     const QByteArray key = fetchKey("n1");
     const PendingAnswer running = startOrder("n2", key);
-    ASSERT_TRUE(waitUntil([&] { return typeOf(order("n1", key)) == "in_progress_or_unknown"; }));
+    ASSERT_TRUE(waitForClaimAt("n1"));
     cluster.terminate("n1");
     ASSERT_TRUE(waitUntil([&] { return cluster.logOf("n1").contains("node_draining_claims"); }));
     cluster.kill("n2");
--- a/tests/HomeLedgerTest.cpp
+++ b/tests/HomeLedgerTest.cpp
@@ -146,9 +146,9 @@
     home.ledger->drain();
     EXPECT_EQ(home.issue(), "");
     EXPECT_EQ(home.claim(unclaimed, "2"), HomeVerdict::Refused);
-    EXPECT_EQ(home.ledger->holders().size(), 1U);
+    EXPECT_EQ(home.ledger->heldCount(), 1U);
     home.settle(claimed, "1", true);
-    EXPECT_EQ(home.ledger->holders().size(), 0U);
+    EXPECT_EQ(home.ledger->heldCount(), 0U);
     EXPECT_EQ(home.claim(claimed, "2"), HomeVerdict::Finished);
 }
 
