--- a/packages/node/Flow.cpp
+++ b/packages/node/Flow.cpp
@@ -110,7 +110,7 @@
         fail({ .status = 409, .type = "key_lost", .message = "this Idempotency-Key is too old or its home node has restarted; a request under it may have run, and none will be run again", .outcome = Outcome::Unknown });
         return;
     case ClaimOutcome::Foreign:
-        fail({ .status = 400, .type = "bad_idempotency_key", .message = "this Idempotency-Key is not one that this system made for this caller, so this request was not run", .outcome = Outcome::Unknown });
+        fail({ .status = 400, .type = "foreign_idempotency_key", .message = "this Idempotency-Key is not one that this system made for this caller, so this request was not run", .outcome = Outcome::Unknown });
         return;
     }
 }
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -13,6 +13,7 @@
 
 static constexpr Millis pumpInterval { 5 };
 static constexpr Millis stopCheckInterval { 20 };
+static constexpr Millis maxClaimDrain { 60000 }; // of a planned stop, for claims that other nodes run
 
 // Wall time in milliseconds, which operators can read. Peers take it as a name of this start only,
 // so a clock that is behind does no harm.
@@ -192,7 +193,8 @@
     const bool isLate = clock_() - stoppingSince_ >= settings_.shutdownTimeout;
     if (!isLate && (isListening_ || inFlight > 0))
         return;
-    if (!isLate && isClaimHeldElsewhere()) {
+    const bool isLateForClaims = clock_() - stoppingSince_ >= maxClaimDrain;
+    if (!isLate && !isLateForClaims && isClaimHeldElsewhere()) {
         if (!std::exchange(isDrainingClaims_, true))
             logInfo("node_draining_claims", { { "claims", std::to_string(homeLedger_.heldCount()) } });
         return;
--- a/tests/BoundKeyProcessTest.cpp
+++ b/tests/BoundKeyProcessTest.cpp
@@ -114,7 +114,7 @@
     QByteArray altered = key;
     altered[20] = altered[20] == 'A' ? 'B' : 'A';
     for (const QByteArray& bad : { altered, key.left(key.size() - 1), QByteArray("hemlockweir-1.AAAA.AAAA"), QByteArray("hemlockweir-1.") })
-        expectError(order("n2", bad), "bad_idempotency_key", "unknown");
+        expectError(order("n2", bad), "foreign_idempotency_key", "unknown");
     EXPECT_EQ(orders(), 0U);
 }
 
