Let one node of a failure domain write the claims of all, in batches

Cause: at the two-year size a node has too few keyed requests for its 4 ms batches to find company, so each claim and each completion is a call to the platform. Ruled out: longer batches at each node (at 0.55 keyed requests/s a node a batch would have to wait seconds for company). Change: from claim_sharing_nodes living nodes of a failure domain on, a node sends its batch to the one that rendezvous hashing picks, over the nodes' TCP port; that one writes what arrives within 50 ms in one call, each write by its own compare. No answer counts as a lost answer of the platform: the ledger sends the write again, directly, and knows its own claim by its token. A peer writes nothing but claims. Calls a second are not measured yet.

--- a/packages/config/Settings.h
+++ b/packages/config/Settings.h
@@ -48,6 +48,7 @@
     int maxConnections = 4096;
     int maxConnectionsPerAddress = 1024;
     int maxWaiting = 2000; // requests waiting for a slot
+    int claimSharingNodes = 8; // living nodes of a failure domain from which on they share calls for claims
     int maxRequestsPerCaller = 1000; // requests of one caller at this node, waiting and running
     int64_t replyBufferBytes = 1024 * 1024; // bytes that a slow reader may leave unread
 
--- a/packages/ledger/ClaimLedger.cpp
+++ b/packages/ledger/ClaimLedger.cpp
@@ -15,7 +15,7 @@
 
 static QByteArray keyOf(const ClaimRequest& request)
 {
-    return "/hemlockweir/claims/" + hashOf(QByteArray::fromStdString(request.caller) + '\n' + request.idempotencyKey);
+    return claimPrefix + hashOf(QByteArray::fromStdString(request.caller) + '\n' + request.idempotencyKey);
 }
 
 static QByteArray tokenIn(const KvEntry& entry)
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -7,6 +7,7 @@
 #include <QUrl>
 #include <algorithm>
 #include <chrono>
+#include <map>
 #include <set>
 
 namespace hemlockweir {
@@ -74,9 +75,11 @@
           .random = random_,
           .findReplicas = [this](const std::string& model) { return fleet_.findReplicas(model); } })
     , platform_(makePlatformOptions(settings_))
-    , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .clock = clock_, .random = random_ }, makeClaimStore(platform_))
+    , peerClient_({ .node = settings_.node, .incarnation = incarnation_, .clusterKey = QByteArray::fromStdString(settings_.clusterKey) })
+    , sharedWriter_(makeSharedWriterOptions())
+    , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .clock = clock_, .random = random_ }, makeSharedClaimStore())
     , homeLedger_({ .home = settings_.advertisedPeers.toString(), .start = random_(), .clusterKey = QByteArray::fromStdString(settings_.clusterKey), .clock = clock_, .random = random_ })
-    , homeLink_({ .node = settings_.node, .incarnation = incarnation_, .home = settings_.advertisedPeers.toString(), .clusterKey = QByteArray::fromStdString(settings_.clusterKey), .random = random_ }, homeLedger_)
+    , homeLink_({ .node = settings_.node, .home = settings_.advertisedPeers.toString(), .clusterKey = QByteArray::fromStdString(settings_.clusterKey), .random = random_ }, homeLedger_, peerClient_)
     , claims_(ledger_, homeLink_.client())
     , peerServer_(makePeerServerOptions())
     , peers_(makePeerOptions(settings_, incarnation_, clock_, random_))
@@ -125,7 +128,14 @@
 void Node::connectParts()
 {
     homeLink_.serveAt(peerServer_);
-    peerServer_.setHandler(MessageKind::ConfigRequest, [this](const Envelope& envelope) { return configServer_.answer(envelope); });
+    peerServer_.setHandler(MessageKind::ConfigRequest, [this](const Envelope& envelope, const PeerServer::Answer& answer) { answer(configServer_.answer(envelope)); });
+    peerServer_.setHandler(MessageKind::ClaimBatch, [this](const Envelope& envelope, const PeerServer::Answer& answer) {
+        const auto batch = decodeBody<ClaimBatch>(envelope.body);
+        if (batch.ok())
+            sharedWriter_.serveFor(*batch, [this, answer](const ClaimBatchAnswer& results) { answer(peerClient_.seal(results)); });
+        else
+            answer(std::nullopt);
+    });
     peers_.onMessage = [this](const Envelope& envelope) { takeMessage(envelope); };
     peers_.onPeerChanged = [this](const Peer& peer) {
         if (peer.alive)
@@ -267,6 +277,40 @@
         } };
 }
 
+SharedWriter::Options Node::makeSharedWriterOptions()
+{
+    return { .writeEach = makeClaimStore(platform_).writeEach,
+        .clock = clock_,
+        .random = random_,
+        .isShared = [this] { return livingNodesIn(settings_.domain).size() >= static_cast<size_t>(settings_.claimSharingNodes); },
+        .findSharer = [this] { return findClaimSharer(); },
+        .send = [this](const std::string& sharer, const ClaimBatch& batch, SharedWriter::Answer done) { peerClient_.ask<ClaimBatchAnswer>(sharer, batch, std::move(done)); } };
+}
+
+ClaimStore Node::makeSharedClaimStore()
+{
+    ClaimStore store = makeClaimStore(platform_);
+    store.writeEach = [this](const std::vector<KvWrite>& writes, Callback<std::vector<KvWriteResult>> done) { sharedWriter_.writeEach(writes, std::move(done)); };
+    return store;
+}
+
+// The node of this failure domain that writes the claims of all; empty: this one.
+std::string Node::findClaimSharer() const
+{
+    std::map<std::string, std::string> endpoints { { settings_.node, "" } };
+    std::vector<std::string> candidates;
+    if (!tables_.isStopping)
+        candidates.push_back(settings_.node);
+    for (const Peer& peer : peers_.peers()) {
+        if (!peer.alive || peer.heartbeat.leaving || peer.heartbeat.platformDown || peer.heartbeat.domain != settings_.domain)
+            continue;
+        candidates.push_back(peer.node);
+        endpoints[peer.node] = peer.heartbeat.peers;
+    }
+    const std::vector<std::string> first = pickByRendezvous(candidates, "claims of " + settings_.domain, 1);
+    return first.empty() ? "" : endpoints[first.front()];
+}
+
 PeerServer::Options Node::makePeerServerOptions() const
 {
     return { .address = QHostAddress(QString::fromStdString(settings_.peers.address)),
@@ -305,6 +349,7 @@
     metrics_.setGauge("hemlockweir_peer_messages_not_relayed_total", "Messages of peers that a relay left out to keep its budget", static_cast<double>(traffic.relayDropped));
     metrics_.setGauge("hemlockweir_configuration_bytes_sent_total", "Bytes of configurations sent to peers", static_cast<double>(configServer_.bytesSent()));
     metrics_.setGauge("hemlockweir_platform_calls_total", "Calls to the platform's key-value service", static_cast<double>(platform_.callsMade()));
+    metrics_.setGauge("hemlockweir_claim_writes_for_peers_total", "Writes of claims that this node made in the platform for others", static_cast<double>(sharedWriter_.writesServed()));
     metrics_.setGauge("hemlockweir_bound_keys_recorded", "Keys bound to this node that were claimed within their lifetime", static_cast<double>(homeLedger_.recordCount()));
     metrics_.setGauge("hemlockweir_bound_keys_held", "Those whose outcome is not told yet", static_cast<double>(homeLedger_.heldCount()));
     metrics_.setGauge("hemlockweir_bound_key_answer_bytes", "Bytes of answers kept under bound keys", static_cast<double>(homeLedger_.answerBytes()));
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -3,6 +3,7 @@
 #include "config/Settings.h"
 #include "fleet/FleetManager.h"
 #include "fleet/GroupExchange.h"
+#include "ledger/SharedWriter.h"
 #include "membership/PeerLink.h"
 #include "node/CallerApi.h"
 #include "node/HomeLink.h"
@@ -49,6 +50,9 @@
     ReportOptions makeReportOptions();
     ConfigServer::Options makeConfigServerOptions();
     PeerServer::Options makePeerServerOptions() const;
+    SharedWriter::Options makeSharedWriterOptions();
+    ClaimStore makeSharedClaimStore();
+    std::string findClaimSharer() const;
     bool isClaimHeldElsewhere() const;
     ConfigFollower::Options makeFollowerOptions();
     std::vector<ConfigSource> findConfigSources() const;
@@ -63,6 +67,8 @@
     Scheduler scheduler_;
     Metrics metrics_;
     KvClient platform_;
+    PeerClient peerClient_;
+    SharedWriter sharedWriter_;
     ClaimLedger ledger_;
     HomeLedger homeLedger_;
     HomeLink homeLink_;
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -33,6 +33,8 @@
     HomeClaim = 40,
     HomeSettle = 41,
     HomeAnswer = 42,
+    ClaimBatch = 43,
+    ClaimBatchAnswer = 44,
 };
 
 // Whether relays pass a message on to the other failure domains. Those that concern two nodes or
--- a/packages/wire/PeerExchange.cpp
+++ b/packages/wire/PeerExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "wire/Frame.h"
 
+#include <QPointer>
 #include <QUrl>
 #include <utility>
 
@@ -53,7 +54,18 @@
         return;
     const auto envelope = frame.ok() ? openEnvelope(**frame, options_.clusterKey) : frame.status();
     const auto handler = envelope.ok() ? handlers_.find(envelope->kind) : handlers_.end();
-    const std::optional<QByteArray> answer = handler == handlers_.end() ? std::nullopt : handler->second(*envelope);
+    if (handler == handlers_.end()) {
+        socket->abort();
+        return;
+    }
+    handler->second(*envelope, [socket = QPointer<QTcpSocket>(socket)](const std::optional<QByteArray>& answer) {
+        if (socket)
+            send(socket, answer);
+    });
+}
+
+void PeerServer::send(QTcpSocket* socket, const std::optional<QByteArray>& answer)
+{
     if (!answer) {
         socket->abort();
         return;
@@ -103,4 +115,20 @@
         this, [done = std::exchange(done_, nullptr), result] { done(result); }, Qt::QueuedConnection);
 }
 
+void PeerClient::call(const std::string& endpoint, const QByteArray& request, std::function<void(const absl::StatusOr<Envelope>&)> done)
+{
+    if (calls_ >= options_.maxCalls) {
+        done(absl::ResourceExhaustedError("too many requests to peers are in flight"));
+        return;
+    }
+    ++calls_;
+    auto* call = new PeerCall({ .clusterKey = options_.clusterKey, .timeout = options_.timeout });
+    call->setParent(this);
+    call->start(endpoint, request, [this, call, done](const absl::StatusOr<Envelope>& envelope) {
+        --calls_;
+        call->deleteLater();
+        done(envelope);
+    });
+}
+
 } // namespace hemlockweir
--- a/packages/wire/PeerExchange.h
+++ b/packages/wire/PeerExchange.h
@@ -31,8 +31,9 @@
         qsizetype maxRequestBytes = 80 * 1024; // of one request; larger ones are cut off
     };
 
-    // Returns the sealed answer; none closes the connection.
-    using Handler = std::function<std::optional<QByteArray>(const Envelope&)>;
+    // Takes a request and gives the sealed answer, at once or later; none closes the connection.
+    using Answer = std::function<void(const std::optional<QByteArray>&)>;
+    using Handler = std::function<void(const Envelope&, const Answer&)>;
 
     explicit PeerServer(Options options);
 
@@ -45,6 +46,7 @@
 private:
     void accept();
     void readRequest(QTcpSocket* socket, QByteArray& received);
+    static void send(QTcpSocket* socket, const std::optional<QByteArray>& answer);
 
     Options options_;
     QTcpServer server_;
@@ -79,4 +81,50 @@
     std::function<void(const absl::StatusOr<Envelope>&)> done_;
 };
 
+// Makes requests to peers, a bounded number at once.
+class PeerClient : public QObject {
+    Q_OBJECT
+public:
+    struct Options {
+        std::string node;
+        uint64_t incarnation = 0;
+        QByteArray clusterKey;
+        Millis timeout { 1000 }; // ms for one request and its answer
+        size_t maxCalls = 256; // in flight; more fail at once
+    };
+
+    explicit PeerClient(Options options)
+        : options_(std::move(options))
+    {
+    }
+
+    // Seals a message of this node.
+    template <typename Message>
+    QByteArray seal(const Message& message)
+    {
+        return sealMessage(message, { .node = options_.node, .incarnation = options_.incarnation, .sequence = ++sequence_ }, options_.clusterKey);
+    }
+
+    // Sends a message to ADDRESS:PORT and takes the answer; `done` is called once.
+    template <typename Reply, typename Message>
+    void ask(const std::string& endpoint, const Message& message, std::function<void(const absl::StatusOr<Reply>&)> done)
+    {
+        call(endpoint, seal(message), [done = std::move(done)](const absl::StatusOr<Envelope>& envelope) {
+            if (!envelope.ok())
+                done(envelope.status());
+            else if (envelope->kind != Reply::kind)
+                done(absl::InvalidArgumentError("another message than asked for"));
+            else
+                done(decodeBody<Reply>(envelope->body));
+        });
+    }
+
+private:
+    void call(const std::string& endpoint, const QByteArray& request, std::function<void(const absl::StatusOr<Envelope>&)> done);
+
+    Options options_;
+    uint64_t sequence_ = 0;
+    size_t calls_ = 0; // in flight
+};
+
 } // namespace hemlockweir
--- a/tests/ClaimLedgerTest.cpp
+++ b/tests/ClaimLedgerTest.cpp
@@ -1,6 +1,7 @@
 // The claim ledger against a small store in memory whose answers can be lost.
 
 #include "ledger/ClaimLedger.h"
+#include "ledger/SharedWriter.h"
 #include "support/Wait.h"
 
 #include <gtest/gtest.h>
@@ -239,4 +240,155 @@
     }));
 }
 
+namespace {
+
+    // Ledgers of nodes that write by way of the first one, over a network that loses requests and
+    // answers and lets some batches take effect late.
+    struct Domain {
+        enum class Loss {
+            None,
+            Request,
+            Answer,
+            Late, // the sender gives up; the sharer reads the batch afterwards
+        };
+
+        struct Member {
+            SharedWriter writer;
+            ClaimLedger ledger;
+
+            Member(const SharedWriter::Options& options, FakeStore& store, uint64_t seed)
+                : writer(options)
+                , ledger(makeOptions(store, seed), makeStore(store))
+            {
+            }
+
+            ClaimStore makeStore(FakeStore& store)
+            {
+                ClaimStore calls = store.calls();
+                calls.writeEach = [this](const std::vector<KvWrite>& writes, Callback<std::vector<KvWriteResult>> done) { writer.writeEach(writes, std::move(done)); };
+                return calls;
+            }
+        };
+
+        FakeStore store;
+        std::function<Loss()> nextLoss = [] { return Loss::None; };
+        std::vector<ClaimBatch> late;
+        std::vector<std::unique_ptr<Member>> members;
+
+        explicit Domain(size_t count, Millis distrust = Millis(0))
+        {
+            for (size_t i = 0; i < count; ++i)
+                members.push_back(std::make_unique<Member>(makeWriterOptions(i, distrust), store, i + 1));
+        }
+
+        SharedWriter::Options makeWriterOptions(size_t index, Millis distrust)
+        {
+            return { .writeEach = store.calls().writeEach,
+                .interval = Millis(0),
+                .distrust = distrust,
+                .clock = [this] { return store.now; },
+                .random = makeSeededRandom(index),
+                .isShared = [] { return true; },
+                .findSharer = [index] { return std::string(index == 0 ? "" : "sharer"); },
+                .send = [this](const std::string&, const ClaimBatch& batch, const SharedWriter::Answer& done) { send(batch, done); } };
+        }
+
+        void send(const ClaimBatch& batch, const SharedWriter::Answer& done)
+        {
+            const Loss loss = nextLoss();
+            if (loss == Loss::Late)
+                late.push_back(batch);
+            if (loss == Loss::Late || loss == Loss::Request) {
+                done(absl::UnavailableError("lost"));
+                return;
+            }
+            members[0]->writer.serveFor(batch, [loss, done](const ClaimBatchAnswer& answer) {
+                if (loss == Loss::Answer)
+                    done(absl::UnavailableError("lost"));
+                else
+                    done(answer);
+            });
+        }
+
+        void deliverLate()
+        {
+            for (const ClaimBatch& batch : std::exchange(late, {}))
+                members[0]->writer.serveFor(batch, [](const ClaimBatchAnswer&) {});
+        }
+    };
+
+} // namespace
+
+TEST(SharedWriterTest, GivesEachNodeItsOwnResults)
+{
+    Domain domain(3);
+    EXPECT_EQ(claim(domain.members[1]->ledger, makeRequest("k")).outcome, ClaimOutcome::Granted);
+    EXPECT_EQ(claim(domain.members[2]->ledger, makeRequest("k")).outcome, ClaimOutcome::Running);
+    EXPECT_EQ(claim(domain.members[0]->ledger, makeRequest("k")).outcome, ClaimOutcome::Running);
+    EXPECT_EQ(claim(domain.members[2]->ledger, makeRequest("other")).outcome, ClaimOutcome::Granted);
+    EXPECT_EQ(domain.members[0]->writer.writesServed(), 3U);
+}
+
+TEST(SharedWriterTest, WritesItselfWhenTheSharerDoesNotAnswer)
+{
+    Domain domain(2, Millis(5000));
+    domain.nextLoss = [] { return Domain::Loss::Request; };
+    EXPECT_EQ(claim(domain.members[1]->ledger, makeRequest("k")).outcome, ClaimOutcome::Granted);
+    domain.nextLoss = [] { return Domain::Loss::None; };
+    EXPECT_EQ(claim(domain.members[1]->ledger, makeRequest("early")).outcome, ClaimOutcome::Granted);
+    EXPECT_EQ(domain.members[0]->writer.writesServed(), 0U) << "it is not asked again for a time";
+    domain.store.now += Millis(5000);
+    EXPECT_EQ(claim(domain.members[1]->ledger, makeRequest("late")).outcome, ClaimOutcome::Granted);
+    EXPECT_EQ(domain.members[0]->writer.writesServed(), 1U);
+}
+
+TEST(SharedWriterTest, WritesNothingButClaimsForOthers)
+{
+    Domain domain(1);
+    ClaimBatchAnswer answer;
+    domain.members[0]->writer.serveFor({ .id = 1, .writes = { { .key = "/hemlockweir/configuration", .value = "{}" } } }, [&](const ClaimBatchAnswer& taken) { answer = taken; });
+    EXPECT_EQ(answer.id, 1U);
+    EXPECT_TRUE(answer.results.empty());
+    EXPECT_TRUE(domain.store.entries.empty());
+}
+
+TEST(SharedWriterTest, FindsAnAnswerThatIsTooLargeToPassOn)
+{
+    Domain domain(2, Millis(5000));
+    EXPECT_EQ(claim(domain.members[0]->ledger, makeRequest("k")).outcome, ClaimOutcome::Granted);
+    const StoredAnswer answer { .status = 200, .contentType = "text/plain", .body = QByteArray(60000, 'x') };
+    bool kept = false;
+    domain.members[0]->ledger.complete(makeRequest("k"), answer, [&](bool ok) { kept = ok; });
+    ASSERT_TRUE(waitUntil([&] { return kept; }));
+    EXPECT_EQ(claim(domain.members[1]->ledger, makeRequest("k")).answer, answer);
+}
+
+TEST(SharedWriterProperty, GrantsNoKeyTwice)
+{
+    EXPECT_TRUE(rc::check("no key is granted twice, whatever is lost or late on the way to the sharer", [] {
+        Domain domain(3);
+        const Random random = makeSeededRandom(*rc::gen::arbitrary<uint64_t>());
+        domain.nextLoss = [random] { return static_cast<Domain::Loss>(random() % 4); };
+        domain.store.nextFault = [random] { return random() % 5 == 0 ? Fault::LostAnswer : random() % 5 == 0 ? Fault::Down
+                                                                                                             : Fault::None; };
+        std::map<QByteArray, int> granted;
+        const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(rc::gen::inRange(0, 3), rc::gen::inRange(0, 3)));
+        for (const auto& [key, member] : steps) {
+            const ClaimRequest request = makeRequest(QByteArray::number(key));
+            ClaimLedger& ledger = domain.members[static_cast<size_t>(member)]->ledger;
+            if (claim(ledger, request).outcome == ClaimOutcome::Granted)
+                ++granted[request.idempotencyKey];
+            if (granted[request.idempotencyKey] > 0 && random() % 3 == 0) {
+                --granted[request.idempotencyKey];
+                for (const auto& each : domain.members)
+                    each->ledger.abandon(request);
+            }
+            if (random() % 2 == 0)
+                domain.deliverLate();
+        }
+        for (const auto& [key, count] : granted)
+            RC_ASSERT(count <= 1);
+    }));
+}
+
 } // namespace hemlockweir
--- /dev/null
+++ b/tests/SharedClaimsProcessTest.cpp
@@ -0,0 +1,163 @@
+// Nodes of a failure domain that share calls to the platform for their claims: orders run at most
+// once whatever becomes of the node that writes for the others, judged by the endpoint's log.
+
+#include "support/Cluster.h"
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace hemlockweir {
+
+class SharedClaims : public testing::Test {
+protected:
+    static constexpr int nodes = 3;
+    static constexpr char sharing[] = "[limits]\nclaim_sharing_nodes = 2\n";
+
+    void SetUp() override
+    {
+        cluster.startStore();
+        cluster.startService("o1", "a", "orders");
+        std::vector<std::string> links;
+        for (const std::string& node : names()) {
+            const std::string way = cluster.addressOf(node + ".in") + "," + cluster.addressOf(node + ".peers");
+            links.push_back(node + "-tcp," + way);
+            links.push_back(node + "-udp," + way + ",udp");
+        }
+        cluster.startProxy(links);
+        for (const std::string& node : names())
+            cluster.startNode({ .name = node, .domain = "a", .seeds = { "n1", "n2", "n3" }, .advertised = node + ".in", .settings = sharing });
+        ASSERT_EQ(cluster.publish(makeServiceFile(2)), 0);
+        for (const std::string& node : names())
+            ASSERT_TRUE(waitUntil([&] { return cluster.call("GET", cluster.urlOf(node) + "/orders", {}, { { "Authorization", "Bearer caller-key" } }).status == 200 && livingPeers(node) == nodes - 1; }));
+        sharer = findSharer();
+        ASSERT_FALSE(sharer.empty());
+        other = sharer == "n1" ? "n2" : "n1";
+    }
+
+    static std::vector<std::string> names() { return { "n1", "n2", "n3" }; }
+
+    int livingPeers(const std::string& node)
+    {
+        int living = 0;
+        for (const QJsonValue& peer : cluster.status(node)["peers"].toArray())
+            living += peer.toObject()["alive"].toBool() ? 1 : 0;
+        return living;
+    }
+
+    double metric(const std::string& node, const QByteArray& name)
+    {
+        for (const QByteArray& line : cluster.call("GET", cluster.urlOf(node) + "/metrics").body.split('\n')) {
+            if (line.startsWith(name + ' '))
+                return line.mid(name.size()).trimmed().toDouble();
+        }
+        return 0;
+    }
+
+    // Sends an order through each node; the one that wrote for the others is the sharer.
+    std::string findSharer()
+    {
+        for (const std::string& node : names())
+            EXPECT_EQ(order(node, "warm-up " + QByteArray::fromStdString(node)).status, 200);
+        std::string found;
+        EXPECT_TRUE(waitUntil([&] {
+            for (const std::string& node : names()) {
+                if (metric(node, "hemlockweir_claim_writes_for_peers_total") > 0)
+                    found = node;
+            }
+            return !found.empty();
+        }));
+        return found;
+    }
+
+    PendingAnswer startOrder(const std::string& node, const QByteArray& key)
+    {
+        return cluster.start("POST", cluster.urlOf(node) + "/orders", "{}", { { "Authorization", "Bearer caller-key" }, { "X-Deadline-Ms", "20000" }, { "Idempotency-Key", key } });
+    }
+
+    Answer order(const std::string& node, const QByteArray& key) { return startOrder(node, key).wait(); }
+
+    size_t orders(const QByteArray& key)
+    {
+        size_t count = 0;
+        for (const QJsonObject& effect : cluster.effects("o1", "order"))
+            count += effect["key"].toString().toLatin1() == key ? 1 : 0;
+        return count;
+    }
+
+    // The order runs once, whatever node it is sent to again.
+    void expectRunsOnce(const QByteArray& key, const std::vector<std::string>& through)
+    {
+        for (const std::string& node : through)
+            EXPECT_TRUE(waitUntil([&] { return order(node, key).status == 200; })) << node;
+        EXPECT_EQ(orders(key), 1U);
+    }
+
+    Cluster cluster;
+    std::string sharer;
+    std::string other;
+};
+
+TEST_F(SharedClaims, OneNodeWritesForAll)
+{
+    const double before = metric(sharer, "hemlockweir_claim_writes_for_peers_total");
+    expectRunsOnce("k", names());
+    EXPECT_TRUE(waitUntil([&] { return metric(sharer, "hemlockweir_claim_writes_for_peers_total") > before; }));
+    for (const std::string& node : names())
+        EXPECT_EQ(metric(node, "hemlockweir_claim_writes_for_peers_total") > 0, node == sharer) << node;
+}
+
+TEST_F(SharedClaims, WhenAllNodesRace)
+{
+    cluster.setFaults("o1", { { "delay_ms", 300 } });
+    std::vector<PendingAnswer> pending;
+    for (const std::string& node : names())
+        pending.push_back(startOrder(node, "k"));
+    std::multiset<int> statuses;
+    for (const PendingAnswer& answer : pending)
+        statuses.insert(answer.wait().status);
+    EXPECT_EQ(statuses, (std::multiset<int> { 200, 409, 409 }));
+    EXPECT_EQ(orders("k"), 1U);
+}
+
+TEST_F(SharedClaims, WhenTheSharerIsKilled)
+{
+    cluster.kill(sharer);
+    EXPECT_EQ(order(other, "k").status, 200) << "its own write, at once";
+    std::vector<std::string> living = names();
+    std::erase(living, sharer);
+    expectRunsOnce("k", living);
+}
+
+TEST_F(SharedClaims, WhenTheSharerIsPausedAndContinues)
+{
+    cluster.pause(sharer);
+    EXPECT_EQ(order(other, "k").status, 200);
+    cluster.resume(sharer);
+    // What the sharer still writes of the paused batch changes nothing.
+    expectRunsOnce("k", names());
+}
+
+TEST_F(SharedClaims, WhenTheSharersAnswersAreLost)
+{
+    cluster.setFaults("proxy", { { QString::fromStdString(sharer) + "-tcp.drop_answers", true } });
+    EXPECT_EQ(order(other, "k").status, 200) << "the claim that the sharer wrote is known again";
+    cluster.setFaults("proxy", { { QString::fromStdString(sharer) + "-tcp.drop_answers", false } });
+    expectRunsOnce("k", names());
+}
+
+TEST_F(SharedClaims, WhenThePlatformsAnswersToTheSharerAreLost)
+{
+    cluster.setFaults("store", { { "lose_answers", 1 } });
+    expectRunsOnce("k", { other, sharer });
+}
+
+TEST_F(SharedClaims, NotRunWhileThePlatformIsDown)
+{
+    cluster.setFaults("store", { { "down", true } });
+    EXPECT_EQ(order(other, "k").outcome(), "not_run");
+    EXPECT_EQ(orders("k"), 0U);
+    cluster.setFaults("store", { { "down", false } });
+    expectRunsOnce("k", { other, sharer });
+}
+
+} // namespace hemlockweir
