Part the claims' and the report's JSON from their decisions

Cause: ClaimLedger.cpp and CounterTable.cpp held decisions and formats; the report's prefix and the taking in of parts stood twice. No change of behaviour is meant.

--- a/packages/ctl/ReportCommand.cpp
+++ b/packages/ctl/ReportCommand.cpp
@@ -1,6 +1,7 @@
 // report.
 
 #include "ctl/Remote.h"
+#include "report/PartJson.h"
 #include "report/ReportView.h"
 
 #include <QDateTime>
@@ -8,7 +9,14 @@
 
 namespace hemlockweir {
 
-static constexpr char reportPrefix[] = "/hemlockweir/report/";
+// Takes a part in, or notes why it can not be read.
+static void takePart(const absl::StatusOr<ReportPart>& part, const std::string& where, CounterTable& table, ReportSource& source)
+{
+    if (part.ok())
+        table.merge(*part);
+    else
+        source.error = where + std::string(part.status().message());
+}
 
 static ReportSource readPlatform(const CommandLine& line, CounterTable& table)
 {
@@ -19,13 +27,8 @@
         source.error = std::string(range.status().message());
         return source;
     }
-    for (const KvEntry& entry : range->entries) {
-        const absl::StatusOr<ReportPart> part = parsePart(entry.value);
-        if (part.ok())
-            table.merge(*part);
-        else
-            source.error = entry.key.toStdString() + ": " + std::string(part.status().message());
-    }
+    for (const KvEntry& entry : range->entries)
+        takePart(parsePart(entry.value), entry.key.toStdString() + ": ", table, source);
     return source;
 }
 
@@ -37,13 +40,8 @@
         source.error = std::string(answer.status().message());
         return source;
     }
-    for (const QJsonValue& value : (*answer)["parts"].toArray()) {
-        const absl::StatusOr<ReportPart> part = parsePart(value.toObject());
-        if (part.ok())
-            table.merge(*part);
-        else
-            source.error = std::string(part.status().message());
-    }
+    for (const QJsonValue& value : (*answer)["parts"].toArray())
+        takePart(parsePart(value.toObject()), {}, table, source);
     return source;
 }
 
--- a/packages/ledger/BatchWriter.h
+++ b/packages/ledger/BatchWriter.h
@@ -11,9 +11,6 @@
 
 namespace hemlockweir {
 
-// Claims live under this prefix.
-inline constexpr char claimPrefix[] = "/hemlockweir/claims/";
-
 class BatchWriter : public QObject {
     Q_OBJECT
 public:
--- a/packages/ledger/ClaimLedger.cpp
+++ b/packages/ledger/ClaimLedger.cpp
@@ -2,27 +2,10 @@
 
 #include "base/Log.h"
 
-#include <QCryptographicHash>
-#include <QJsonDocument>
 #include <algorithm>
 
 namespace hemlockweir {
 
-static QByteArray hashOf(const QByteArray& bytes)
-{
-    return QCryptographicHash::hash(bytes, QCryptographicHash::Sha256).toHex();
-}
-
-static QByteArray keyOf(const ClaimRequest& request)
-{
-    return claimPrefix + hashOf(QByteArray::fromStdString(request.caller) + '\n' + request.idempotencyKey);
-}
-
-static QByteArray tokenIn(const KvEntry& entry)
-{
-    return QJsonDocument::fromJson(entry.value).object()["token"].toString().toLatin1();
-}
-
 ClaimStore makeClaimStore(KvClient& platform)
 {
     return {
@@ -40,15 +23,9 @@
 {
 }
 
-QByteArray ClaimLedger::valueOf(const Pending& pending) const
+ClaimValue ClaimLedger::valueOf(const ClaimRequest& request, const QByteArray& token) const
 {
-    const QJsonObject value {
-        { "token", QString::fromLatin1(pending.token) },
-        { "owner", QString::fromStdString(options_.owner) },
-        { "request", QString::fromLatin1(pending.request.requestHash.toHex()) },
-        { "state", "claimed" },
-    };
-    return QJsonDocument(value).toJson(QJsonDocument::Compact);
+    return { .token = token, .owner = options_.owner, .requestHash = request.requestHash, .state = ClaimState::Claimed, .answer = {} };
 }
 
 // Runs a step once a lease stands that outlives the retention of a claim made now.
@@ -76,7 +53,7 @@
 void ClaimLedger::claim(const ClaimRequest& request, std::function<void(const ClaimResult&)> done)
 {
     const Pending pending { .request = request,
-        .key = keyOf(request),
+        .key = claimKey(request),
         .token = QByteArray::fromStdString(makeRandomId(options_.random)),
         .triesLeft = options_.tries,
         .done = std::move(done) };
@@ -90,7 +67,7 @@
 
 void ClaimLedger::writeClaim(const Pending& pending)
 {
-    const KvWrite write { .key = pending.key, .value = valueOf(pending), .expectedModRevision = pending.expectedModRevision, .lease = lease_ };
+    const KvWrite write { .key = pending.key, .value = formatClaim(valueOf(pending.request, pending.token)), .expectedModRevision = pending.expectedModRevision, .lease = lease_ };
     writer_.write(write, [this, pending](const absl::StatusOr<KvWriteResult>& result) { takeWrite(pending, result); });
 }
 
@@ -116,8 +93,8 @@
 // Decides by the claim that stood in the way.
 void ClaimLedger::settle(Pending pending, const KvEntry& current)
 {
-    const QJsonObject value = QJsonDocument::fromJson(current.value).object();
-    const QByteArray token = tokenIn(current);
+    const ClaimValue value = parseClaim(current.value);
+    const QByteArray& token = value.token;
     // An earlier try of this very claim took effect although its answer was lost.
     if (token == pending.token) {
         grant(pending, current.modRevision);
@@ -134,20 +111,19 @@
             giveUp(pending);
         return;
     }
-    const QString state = value["state"].toString();
-    if (value["request"].toString().toLatin1() != pending.request.requestHash.toHex())
-        pending.done({ .outcome = ClaimOutcome::Mismatch, .answer = {} });
-    else if (state == "claimed")
-        pending.done({ .outcome = ClaimOutcome::Running, .answer = {} });
-    else if (!value.contains("body"))
-        pending.done({ .outcome = ClaimOutcome::NotKept, .answer = {} });
-    else
-        pending.done({ .outcome = ClaimOutcome::Finished,
-            .answer = {
-                .status = value["status"].toInt(),
-                .contentType = value["content_type"].toString().toUtf8(),
-                .body = QByteArray::fromBase64(value["body"].toString().toLatin1()),
-            } });
+    pending.done(judge(value, pending.request));
+}
+
+// What a claim of another attempt means for a request.
+ClaimResult ClaimLedger::judge(const ClaimValue& value, const ClaimRequest& request)
+{
+    if (value.requestHash != request.requestHash)
+        return { .outcome = ClaimOutcome::Mismatch, .answer = {} };
+    if (value.state == ClaimState::Claimed)
+        return { .outcome = ClaimOutcome::Running, .answer = {} };
+    if (!value.answer)
+        return { .outcome = ClaimOutcome::NotKept, .answer = {} };
+    return { .outcome = ClaimOutcome::Finished, .answer = *value.answer };
 }
 
 void ClaimLedger::grant(const Pending& pending, int64_t modRevision)
@@ -169,23 +145,17 @@
 
 void ClaimLedger::complete(const ClaimRequest& request, const StoredAnswer& answer, std::function<void(bool)> done)
 {
-    const auto held = held_.extract(keyOf(request));
+    const auto held = held_.extract(claimKey(request));
     if (held.empty()) {
         if (done)
             done(false);
         return;
     }
-    QJsonObject value {
-        { "token", QString::fromLatin1(held.mapped().token) },
-        { "owner", QString::fromStdString(options_.owner) },
-        { "request", QString::fromLatin1(request.requestHash.toHex()) },
-        { "state", "done" },
-        { "status", answer.status },
-        { "content_type", QString::fromUtf8(answer.contentType) },
-    };
+    ClaimValue value = valueOf(request, held.mapped().token);
+    value.state = ClaimState::Done;
     if (answer.body.size() <= options_.maxAnswerBytes)
-        value["body"] = QString::fromLatin1(answer.body.toBase64());
-    const KvWrite write { .key = held.key(), .value = QJsonDocument(value).toJson(QJsonDocument::Compact), .expectedModRevision = held.mapped().modRevision };
+        value.answer = answer;
+    const KvWrite write { .key = held.key(), .value = formatClaim(value), .expectedModRevision = held.mapped().modRevision };
     writeCompletion(write, 1, done);
 }
 
@@ -210,7 +180,7 @@
 
 void ClaimLedger::abandon(const ClaimRequest& request)
 {
-    const auto held = held_.extract(keyOf(request));
+    const auto held = held_.extract(claimKey(request));
     if (held.empty())
         return;
     abandoned_[held.key()] = held.mapped();
@@ -247,7 +217,7 @@
             return;
         }
         const auto entry = abandoned_.find(key);
-        const bool isOurs = !range->entries.empty() && tokenIn(range->entries.front()) == token;
+        const bool isOurs = !range->entries.empty() && parseClaim(range->entries.front().value).token == token;
         if (!isOurs || entry == abandoned_.end() || entry->second.token != token) {
             take(absl::OkStatus());
             return;
--- a/packages/ledger/ClaimLedger.h
+++ b/packages/ledger/ClaimLedger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ledger/BatchWriter.h"
+#include "ledger/ClaimValue.h"
 
 #include <map>
 
@@ -15,22 +16,6 @@
 
 namespace hemlockweir {
 
-// What a claim is made for.
-struct ClaimRequest {
-    std::string caller;
-    QByteArray idempotencyKey; // as the caller sent it
-    QByteArray requestHash; // SHA-256 of what would run
-};
-
-// The answer kept with a finished claim.
-struct StoredAnswer {
-    int status = 0; // HTTP status
-    QByteArray contentType;
-    QByteArray body;
-
-    bool operator==(const StoredAnswer&) const = default;
-};
-
 enum class ClaimOutcome {
     Granted, // run it; nobody else will
     Finished, // it ran; the answer is given
@@ -107,12 +92,13 @@
         int64_t modRevision = 0; // 0: not known, or perhaps not written
     };
 
-    QByteArray valueOf(const Pending& pending) const;
+    ClaimValue valueOf(const ClaimRequest& request, const QByteArray& token) const;
     void withLease(std::function<void(bool)> step);
     void takeLease(const absl::StatusOr<int64_t>& lease, Millis askedAt);
     void writeClaim(const Pending& pending);
     void takeWrite(Pending pending, const absl::StatusOr<KvWriteResult>& result);
     void settle(Pending pending, const KvEntry& current);
+    static ClaimResult judge(const ClaimValue& value, const ClaimRequest& request);
     void grant(const Pending& pending, int64_t modRevision);
     void giveUp(const Pending& pending);
     void writeCompletion(const KvWrite& write, int tries, const std::function<void(bool)>& done);
--- a/packages/ledger/SharedWriter.cpp
+++ b/packages/ledger/SharedWriter.cpp
@@ -1,5 +1,7 @@
 #include "ledger/SharedWriter.h"
 
+#include "ledger/ClaimValue.h"
+
 #include <algorithm>
 
 namespace hemlockweir {
--- a/packages/node/ReportKeeper.cpp
+++ b/packages/node/ReportKeeper.cpp
@@ -1,6 +1,7 @@
 #include "node/ReportKeeper.h"
 
 #include "base/Log.h"
+#include "report/PartJson.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -9,18 +10,11 @@
 
 namespace hemlockweir {
 
-static constexpr char reportPrefix[] = "/hemlockweir/report/";
-
 static int64_t wallMs()
 {
     return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
-std::string reportKey(const PartId& id)
-{
-    return reportPrefix + id.node + "/" + std::to_string(id.incarnation);
-}
-
 ReportKeeper::ReportKeeper(ReportOptions options, FleetTable& fleet, KvClient& platform)
     : options_(std::move(options))
     , fleet_(fleet)
--- a/packages/node/ReportKeeper.h
+++ b/packages/node/ReportKeeper.h
@@ -73,7 +73,4 @@
     size_t nextRepeat_ = 0;
 };
 
-// The platform's key of one part of the report.
-std::string reportKey(const PartId& id);
-
 } // namespace hemlockweir
--- a/packages/report/CounterTable.h
+++ b/packages/report/CounterTable.h
@@ -3,9 +3,6 @@
 #include "report/Metrics.h"
 #include "wire/Counters.h"
 
-#include <QByteArray>
-#include <QJsonObject>
-#include <absl/status/statusor.h>
 #include <map>
 #include <mutex>
 
@@ -38,11 +35,6 @@
 // Returns the larger of each figure. Commutative, associative and idempotent.
 ReportPart mergeParts(const ReportPart& a, const ReportPart& b);
 
-// Writes and reads one part as JSON; InvalidArgument names what is wrong.
-QJsonObject formatPart(const ReportPart& part);
-absl::StatusOr<ReportPart> parsePart(const QJsonObject& json);
-absl::StatusOr<ReportPart> parsePart(const QByteArray& json);
-
 class CounterTable {
 public:
     // Counts one finished request of this process under its part.
--- a/tests/CounterTableTest.cpp
+++ b/tests/CounterTableTest.cpp
@@ -1,5 +1,6 @@
 // The figures of the shared report merge by maximum, whatever the order and number of copies.
 
+#include "report/PartJson.h"
 #include "report/ReportView.h"
 
 #include <gtest/gtest.h>
