--- a/packages/report/PartJson.cpp
+++ b/packages/report/PartJson.cpp
@@ -33,70 +33,74 @@
         { "updated_ms", static_cast<double>(part.updatedMs) }, { "service", service }, { "waste", waste } };
 }
 
-// Reads the fields of one object and remembers the first that is wrong.
-class FieldReader {
-public:
-    explicit FieldReader(QJsonObject object)
-        : object_(std::move(object))
-    {
-    }
-
-    std::string text(const char* name)
-    {
-        const QJsonValue value = object_[QLatin1String(name)];
-        note(value.isString() && !value.toString().isEmpty(), name);
-        return value.toString().toStdString();
-    }
-
-    uint64_t count(const char* name)
-    {
-        constexpr double mostExact = 9007199254740992.0; // 2^53
-        const QJsonValue value = object_[QLatin1String(name)];
-        const double real = value.toDouble(-1);
-        const bool isCount = real >= 0 && real <= mostExact && std::floor(real) == real;
-        note(isCount, name);
-        return isCount ? static_cast<uint64_t>(real) : 0;
-    }
-
-    QJsonArray array(const char* name)
-    {
-        const QJsonValue value = object_[QLatin1String(name)];
-        note(value.isArray(), name);
-        return value.toArray();
-    }
-
-    void take(const absl::Status& status)
-    {
-        if (status_.ok())
-            status_ = status;
-    }
-
-    const absl::Status& status() const { return status_; }
-
-private:
-    void note(bool isRight, const char* name)
-    {
-        if (!isRight)
-            take(absl::InvalidArgumentError(std::string("a part of the report has no proper \"") + name + "\""));
-    }
-
-    QJsonObject object_;
-    absl::Status status_;
-};
+namespace {
+
+    // Reads the fields of one object and remembers the first that is wrong.
+    class PartFields {
+    public:
+        explicit PartFields(QJsonObject object)
+            : object_(std::move(object))
+        {
+        }
+
+        std::string text(const char* name)
+        {
+            const QJsonValue value = object_[QLatin1String(name)];
+            note(value.isString() && !value.toString().isEmpty(), name);
+            return value.toString().toStdString();
+        }
+
+        uint64_t count(const char* name)
+        {
+            constexpr double mostExact = 9007199254740992.0; // 2^53
+            const QJsonValue value = object_[QLatin1String(name)];
+            const double real = value.toDouble(-1);
+            const bool isCount = real >= 0 && real <= mostExact && std::floor(real) == real;
+            note(isCount, name);
+            return isCount ? static_cast<uint64_t>(real) : 0;
+        }
+
+        QJsonArray array(const char* name)
+        {
+            const QJsonValue value = object_[QLatin1String(name)];
+            note(value.isArray(), name);
+            return value.toArray();
+        }
+
+        void take(const absl::Status& status)
+        {
+            if (status_.ok())
+                status_ = status;
+        }
+
+        const absl::Status& status() const { return status_; }
+
+    private:
+        void note(bool isRight, const char* name)
+        {
+            if (!isRight)
+                take(absl::InvalidArgumentError(std::string("a part of the report has no proper \"") + name + "\""));
+        }
+
+        QJsonObject object_;
+        absl::Status status_;
+    };
+
+} // namespace
 
 absl::StatusOr<ReportPart> parsePart(const QJsonObject& json)
 {
-    FieldReader reader(json);
+    PartFields reader(json);
     ReportPart part;
     part.id = { .node = reader.text("node"), .incarnation = reader.count("incarnation") };
     part.updatedMs = static_cast<int64_t>(reader.count("updated_ms"));
     for (const QJsonValue& value : reader.array("service")) {
-        FieldReader fields(value.toObject());
+        PartFields fields(value.toObject());
         part = mergeParts(part, { .id = part.id, .updatedMs = 0, .service = { ServiceRow { .caller = fields.text("caller"), .priority = fields.text("priority"), .whole = fields.count("whole"), .late = fields.count("late"), .refused = fields.count("refused"), .failed = fields.count("failed"), .abandoned = fields.count("abandoned"), .tokens = fields.count("tokens") } }, .waste = {} });
         reader.take(fields.status());
     }
     for (const QJsonValue& value : reader.array("waste")) {
-        FieldReader fields(value.toObject());
+        PartFields fields(value.toObject());
         part = mergeParts(part, { .id = part.id, .updatedMs = 0, .service = {}, .waste = { WasteRow { .cause = fields.text("cause"), .strandedMs = fields.count("stranded_ms"), .downtimeMs = fields.count("downtime_ms") } } });
         reader.take(fields.status());
     }
--- a/packages/report/ReportView.h
+++ b/packages/report/ReportView.h
@@ -2,6 +2,8 @@
 
 #include "report/CounterTable.h"
 
+#include <QJsonObject>
+
 // The shared report as people read it: parts of many nodes added up, as a table, JSON or a page.
 
 namespace hemlockweir {
