--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -7,12 +7,14 @@
 #include <QUrl>
 #include <algorithm>
 #include <chrono>
+#include <map>
 #include <set>
 
 namespace hemlockweir {
 
 static constexpr Millis pumpInterval { 5 };
 static constexpr Millis stopCheckInterval { 20 };
+static constexpr Millis maxClaimDrain { 60000 }; // of a planned stop, for claims that other nodes run
 
 // Wall time in milliseconds, which operators can read. Peers take it as a name of this start only,
 // so a clock that is behind does no harm.
@@ -78,7 +80,13 @@
           .random = random_,
           .findReplicas = [this](const std::string& model) { return fleet_.findReplicas(model); } })
     , platform_(makePlatformOptions(settings_))
-    , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .clock = clock_, .random = random_ }, makeClaimStore(platform_))
+    , peerClient_({ .node = settings_.node, .incarnation = incarnation_, .clusterKey = QByteArray::fromStdString(settings_.clusterKey) })
+    , sharedWriter_(makeSharedWriterOptions())
+    , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .clock = clock_, .random = random_ }, makeSharedClaimStore())
+    , homeLedger_({ .home = settings_.advertisedPeers.toString(), .start = random_(), .clusterKey = QByteArray::fromStdString(settings_.clusterKey), .clock = clock_, .random = random_ })
+    , homeLink_({ .node = settings_.node, .home = settings_.advertisedPeers.toString(), .clusterKey = QByteArray::fromStdString(settings_.clusterKey), .random = random_ }, homeLedger_, peerClient_)
+    , claims_(ledger_, homeLink_.client())
+    , peerServer_(makePeerServerOptions())
     , peers_(makePeerOptions(settings_, incarnation_, clock_, random_))
     , usage_(scheduler_, peers_, metrics_)
     , configServer_(makeConfigServerOptions())
@@ -107,7 +115,8 @@
         .fleet = fleet_,
         .scheduler = scheduler_,
         .metrics = metrics_,
-        .ledger = ledger_,
+        .ledger = claims_,
+        .homeLedger = homeLedger_,
         .quarantine = quarantine_,
         .clock = clock_,
         .random = random_,
@@ -124,6 +133,15 @@
 
 void Node::connectParts()
 {
+    homeLink_.serveAt(peerServer_);
+    peerServer_.setHandler(MessageKind::ConfigRequest, [this](const Envelope& envelope, const PeerServer::Answer& answer) { answer(configServer_.answer(envelope)); });
+    peerServer_.setHandler(MessageKind::ClaimBatch, [this](const Envelope& envelope, const PeerServer::Answer& answer) {
+        const auto batch = decodeBody<ClaimBatch>(envelope.body);
+        if (batch.ok())
+            sharedWriter_.serveFor(*batch, [this, answer](const ClaimBatchAnswer& results) { answer(peerClient_.seal(results)); });
+        else
+            answer(std::nullopt);
+    });
     peers_.onMessage = [this](const Envelope& envelope) { takeMessage(envelope); };
     peers_.onPeerChanged = [this](const Peer& peer) {
         if (peer.alive)
@@ -149,7 +167,7 @@
     peers_.setHeartbeat(makeHeartbeat());
     if (const absl::Status status = peers_.start(); !status.ok())
         return status;
-    if (const absl::Status status = configServer_.start(); !status.ok())
+    if (const absl::Status status = peerServer_.start(); !status.ok())
         return status;
     if (const absl::Status status = server_.start(); !status.ok())
         return status;
@@ -189,6 +207,7 @@
     onStopped_ = std::move(onStopped);
     stoppingSince_ = clock_();
     manager_.release();
+    homeLedger_.drain();
     peers_.setHeartbeat(makeHeartbeat());
     stopTimer_.start(stopCheckInterval);
 }
@@ -212,11 +231,31 @@
     const bool isLate = clock_() - stoppingSince_ >= settings_.shutdownTimeout;
     if (!isLate && (isListening_ || inFlight > 0))
         return;
+    const bool isLateForClaims = clock_() - stoppingSince_ >= maxClaimDrain;
+    if (!isLate && !isLateForClaims && isClaimHeldElsewhere()) {
+        if (!std::exchange(isDrainingClaims_, true))
+            logInfo("node_draining_claims", { { "claims", std::to_string(homeLedger_.heldCount()) } });
+        return;
+    }
     stopTimer_.stop();
     logInfo("node_stopped", { { "in_flight", std::to_string(inFlight) } });
     report_.stop(onStopped_);
 }
 
+// Whether another node that lives may still tell the outcome of a claim that this one granted.
+bool Node::isClaimHeldElsewhere() const
+{
+    const std::vector<std::string> holders = homeLedger_.holders();
+    if (holders.empty())
+        return false;
+    std::set<std::string> dead { settings_.node };
+    for (const Peer& peer : peers_.peers()) {
+        if (!peer.alive)
+            dead.insert(peer.node);
+    }
+    return std::any_of(holders.begin(), holders.end(), [&](const std::string& node) { return !dead.contains(node); });
+}
+
 static std::vector<WasteRow> describeWaste(const StrandedTotals& totals)
 {
     return {
@@ -259,8 +298,6 @@
 {
     return { .node = settings_.node,
         .incarnation = incarnation_,
-        .address = QHostAddress(QString::fromStdString(settings_.peers.address)),
-        .port = settings_.peers.port,
         .clusterKey = QByteArray::fromStdString(settings_.clusterKey),
         .read = [this] {
             const ConfigSnapshot snapshot = config_.snapshot();
@@ -268,6 +305,47 @@
         } };
 }
 
+SharedWriter::Options Node::makeSharedWriterOptions()
+{
+    return { .writeEach = makeClaimStore(platform_).writeEach,
+        .clock = clock_,
+        .random = random_,
+        .isShared = [this] { return livingNodesIn(settings_.domain).size() >= static_cast<size_t>(settings_.claimSharingNodes); },
+        .findSharer = [this] { return findClaimSharer(); },
+        .send = [this](const std::string& sharer, const ClaimBatch& batch, SharedWriter::Answer done) { peerClient_.ask<ClaimBatchAnswer>(sharer, batch, std::move(done)); } };
+}
+
+ClaimStore Node::makeSharedClaimStore()
+{
+    ClaimStore store = makeClaimStore(platform_);
+    store.writeEach = [this](const std::vector<KvWrite>& writes, Callback<std::vector<KvWriteResult>> done) { sharedWriter_.writeEach(writes, std::move(done)); };
+    return store;
+}
+
+// The node of this failure domain that writes the claims of all; empty: this one.
+std::string Node::findClaimSharer() const
+{
+    std::map<std::string, std::string> endpoints { { settings_.node, "" } };
+    std::vector<std::string> candidates;
+    if (!tables_.isStopping)
+        candidates.push_back(settings_.node);
+    for (const Peer& peer : peers_.peers()) {
+        if (!peer.alive || peer.heartbeat.leaving || peer.heartbeat.platformDown || peer.heartbeat.domain != settings_.domain)
+            continue;
+        candidates.push_back(peer.node);
+        endpoints[peer.node] = peer.heartbeat.peers;
+    }
+    const std::vector<std::string> first = pickByRendezvous(candidates, "claims of " + settings_.domain, 1);
+    return first.empty() ? "" : endpoints[first.front()];
+}
+
+PeerServer::Options Node::makePeerServerOptions() const
+{
+    return { .address = QHostAddress(QString::fromStdString(settings_.peers.address)),
+        .port = settings_.peers.port,
+        .clusterKey = QByteArray::fromStdString(settings_.clusterKey) };
+}
+
 ConfigFollower::Options Node::makeFollowerOptions()
 {
     constexpr size_t watchersPerDomain = 2;
@@ -303,6 +381,10 @@
     }
     metrics_.setGauge("hemlockweir_configuration_bytes_sent_total", "Bytes of configurations sent to peers", static_cast<double>(configServer_.bytesSent()));
     metrics_.setGauge("hemlockweir_platform_calls_total", "Calls to the platform's key-value service", static_cast<double>(platform_.callsMade()));
+    metrics_.setGauge("hemlockweir_claim_writes_for_peers_total", "Writes of claims that this node made in the platform for others", static_cast<double>(sharedWriter_.writesServed()));
+    metrics_.setGauge("hemlockweir_bound_keys_recorded", "Keys bound to this node that were claimed within their lifetime", static_cast<double>(homeLedger_.recordCount()));
+    metrics_.setGauge("hemlockweir_bound_keys_held", "Those whose outcome is not told yet", static_cast<double>(homeLedger_.heldCount()));
+    metrics_.setGauge("hemlockweir_bound_key_answer_bytes", "Bytes of answers kept under bound keys", static_cast<double>(homeLedger_.answerBytes()));
     metrics_.setGauge("hemlockweir_configuration_watching", "Whether this node watches the platform for the configuration: 0 or 1", follower_.isWatching() ? 1 : 0);
 }
 
