--- a/standins/proxy.cpp
+++ b/standins/proxy.cpp
@@ -4,7 +4,9 @@
 // NAME.cut (bool: refuse and close), NAME.freeze (bool: hold every byte of all connections),
 // NAME.silence (count: connections open now go silent for good; new ones work; each change of the
 // number silences again), NAME.black_hole (count, as silence: not even the kernel answers on them
-// any more, as with a host that lost its power or a link that was cut), NAME.delay_ms, NAME.cut_from (text: ADDRESS:PORT,...; drops the datagrams of
+// any more, as with a host that lost its power or a link that was cut), NAME.delay_ms,
+// NAME.answer_delay_ms (towards the caller; default: the same), NAME.cut_from (text:
+// ADDRESS:PORT,...; drops the datagrams of
 // these senders, so that a cut may be one-way), NAME.drop_answers (bool: only towards the target).
 
 #include "StandIn.h"
@@ -46,6 +48,7 @@
     int silence = 0;
     int blackHole = 0;
     int delayMs = 0;
+    int answerDelayMs = 0;
     QStringList cutFrom; // UDP senders, ADDRESS:PORT
 };
 
@@ -96,7 +99,7 @@
             return;
         move(caller_, target_, faults.delayMs);
         if (!faults.dropAnswers)
-            move(target_, caller_, faults.delayMs);
+            move(target_, caller_, faults.answerDelayMs);
     }
 
 private:
@@ -251,12 +254,14 @@
             return 2;
         }
         auto faults = [&standIn, name = parts[0].toStdString()] {
+            const int delayMs = standIn.fault((name + ".delay_ms").c_str());
             return LinkFaults { .cut = standIn.hasFault((name + ".cut").c_str()),
                 .freeze = standIn.hasFault((name + ".freeze").c_str()),
                 .dropAnswers = standIn.hasFault((name + ".drop_answers").c_str()),
                 .silence = standIn.fault((name + ".silence").c_str()),
                 .blackHole = standIn.fault((name + ".black_hole").c_str()),
-                .delayMs = standIn.fault((name + ".delay_ms").c_str()),
+                .delayMs = delayMs,
+                .answerDelayMs = standIn.faults()[QString::fromStdString(name + ".answer_delay_ms")].toInt(delayMs),
                 .cutFrom = standIn.faults()[QString::fromStdString(name + ".cut_from")].toString().split(',', Qt::SkipEmptyParts) };
         };
         if (parts.size() > 3 && parts[3] == "udp")
