--- a/bench/hw-bench.cpp
+++ b/bench/hw-bench.cpp
@@ -1,4 +1,4 @@
-// Measures the decisions of real nodes in front of stand-in engines and prints two tables.
+// Measures the decisions of real nodes in front of stand-in engines and prints two tables for each scenario.
 //
 //   hw-bench --deployment kiriamu --seconds 8 --seed 1
 //   hw-bench --scenario batch_flood --policy full --compare-with OTHER_BUILD/bin/hemlockweir
@@ -72,19 +72,24 @@
 int run(const BenchOptions& bench)
 {
     Deployment deployment(bench.deployment);
-    std::vector<RunResult> results;
     bool isStanding = deployment.start();
+    bool doAddUp = true;
+    std::cout << describe(bench.deployment) << std::endl;
     for (int round = 0; round < bench.rounds; ++round) {
-        for (const Scenario& scenario : chosenScenarios(bench))
+        for (const Scenario& scenario : chosenScenarios(bench)) {
+            std::vector<RunResult> results;
             isStanding = isStanding && runInTurn(deployment, scenario, bench, bench.seed + static_cast<uint64_t>(round), results);
+            // A bench that is stopped leaves the figures that it has.
+            std::cout << std::endl;
+            printTable(results);
+            doAddUp = doAddUp && doCountsAddUp(results);
+        }
     }
-    std::cout << describe(bench.deployment) << "\n\n";
-    printTable(results);
     if (!isStanding) {
         std::cerr << "the deployment did not come up or was not mended\n";
         return 1;
     }
-    if (doCountsAddUp(results))
+    if (doAddUp)
         return 0;
     std::cerr << "the counts do not add up\n";
     return 1;
