--- a/packages/http/GuardedSocket.cpp
+++ b/packages/http/GuardedSocket.cpp
@@ -2,6 +2,9 @@
 
 #include "base/Log.h"
 
+#include <algorithm>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace hemlockweir {
@@ -10,6 +13,22 @@
 // connection, and the caller would lose the refusal.
 static constexpr Millis lingerTimeout { 2000 };
 
+// Lets the kernel cut a connection whose other machine answers nothing for a time: bytes that stay
+// unacknowledged tell, and on a connection with nothing to send, probes do. A machine that answers
+// without taking bytes for that long is cut as well.
+static void watchPeer(qintptr descriptor, Millis timeout)
+{
+    const auto set = [socket = static_cast<int>(descriptor)](int option, int value) {
+        if (::setsockopt(socket, IPPROTO_TCP, option, &value, sizeof value) != 0)
+            logWarning("socket_option_failed", { { "option", std::to_string(option) } });
+    };
+    constexpr Millis::rep probes = 3; // within the timeout
+    const int probeSeconds = static_cast<int>(std::max<Millis::rep>(1, timeout.count() / probes / 1000));
+    set(TCP_USER_TIMEOUT, static_cast<int>(timeout.count()));
+    set(TCP_KEEPIDLE, probeSeconds);
+    set(TCP_KEEPINTVL, probeSeconds);
+}
+
 ConnectionCount::ConnectionCount(int total, int perAddress)
     : totalLimit_(total)
     , perAddressLimit_(perAddress)
@@ -35,7 +54,7 @@
 }
 
 GuardedSocket::GuardedSocket(const HttpServerOptions& options, std::shared_ptr<ConnectionCount> connections, QObject* parent)
-    : QTcpSocket(parent)
+    : QSslSocket(parent)
     , options_(options)
     , connections_(std::move(connections))
     , scanner_(options.limits)
@@ -58,9 +77,12 @@
         return false;
     setSocketOption(QAbstractSocket::LowDelayOption, 1);
     setSocketOption(QAbstractSocket::KeepAliveOption, 1);
+    watchPeer(descriptor, options_.peerTimeout);
     // What a slow reader leaves unread in the kernel counts as well.
     setSocketOption(QAbstractSocket::SendBufferSizeSocketOption, options_.replyBufferBytes);
     peer_ = peerAddress().toString();
+    if (options_.tls)
+        startTls();
     counted_ = connections_->acquire(peer_);
     if (!counted_) {
         refuse(503, "too many connections; try again later");
@@ -70,6 +92,13 @@
     return true;
 }
 
+void GuardedSocket::startTls()
+{
+    connect(this, &QSslSocket::encrypted, this, &GuardedSocket::restartTimer);
+    setSslConfiguration(options_.tls());
+    startServerEncryption();
+}
+
 void GuardedSocket::watchServer()
 {
     connect(this, &QTcpSocket::readyRead, this, [this] { scannedLeft_ = bytesAvailable(); });
@@ -86,12 +115,12 @@
 
 void GuardedSocket::restartTimer()
 {
-    timer_.start(midRequest_ ? options_.requestTimeout : options_.idleTimeout);
+    timer_.start(midRequest_ || isHandshaking() ? options_.requestTimeout : options_.idleTimeout);
 }
 
 void GuardedSocket::checkDeadline()
 {
-    if (refused_)
+    if (refused_ || isHandshaking())
         abort();
     else if (midRequest_)
         refuse(408, "the request did not arrive whole in time");
@@ -159,7 +188,11 @@
         return;
     }
     connect(this, &QTcpSocket::readyRead, this, &GuardedSocket::discardArrived);
-    connect(this, &QTcpSocket::bytesWritten, this, &GuardedSocket::endWriting);
+    // Under TLS bytesWritten comes while what it encrypted is not yet counted as unsent.
+    if (options_.tls)
+        connect(this, &QSslSocket::encryptedBytesWritten, this, &GuardedSocket::endWriting);
+    else
+        connect(this, &QTcpSocket::bytesWritten, this, &GuardedSocket::endWriting);
     const QByteArray body = QByteArray("{\"error\":{\"message\":\"") + reason + "\",\"type\":\"refused\",\"outcome\":\"not_run\"}}";
     write("HTTP/1.1 " + QByteArray::number(status) + " Refused\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: "
         + QByteArray::number(body.size()) + "\r\n\r\n" + body);
@@ -178,7 +211,7 @@
 
 void GuardedSocket::endWriting()
 {
-    if (bytesToWrite() == 0)
+    if (unsentBytes() == 0 && !isHandshaking())
         ::shutdown(static_cast<int>(socketDescriptor()), SHUT_WR);
 }
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -7,12 +7,14 @@
 #include <QUrl>
 #include <algorithm>
 #include <chrono>
+#include <map>
 #include <set>
 
 namespace hemlockweir {
 
 static constexpr Millis pumpInterval { 5 };
 static constexpr Millis stopCheckInterval { 20 };
+static constexpr Millis maxClaimDrain { 60000 }; // of a planned stop, for claims that other nodes run
 
 // Wall time in milliseconds, which operators can read. Peers take it as a name of this start only,
 // so a clock that is behind does no harm.
@@ -46,17 +48,22 @@
     return options;
 }
 
-static HttpServerOptions makeServerOptions(const Settings& settings)
+static HttpServerOptions makeServerOptions(const Settings& settings, const TlsFiles& tls)
 {
-    return { .address = QHostAddress(QString::fromStdString(settings.callers.address)),
+    HttpServerOptions options { .address = QHostAddress(QString::fromStdString(settings.callers.address)),
         .port = settings.callers.port,
         .workers = settings.workers,
         .limits = { .headBytes = settings.headBytes, .bodyBytes = settings.bodyBytes },
         .requestTimeout = settings.requestTimeout,
         .idleTimeout = settings.idleTimeout,
+        .peerTimeout = settings.callerTimeout,
         .maxConnections = settings.maxConnections,
         .maxConnectionsPerAddress = settings.maxConnectionsPerAddress,
-        .replyBufferBytes = settings.replyBufferBytes };
+        .replyBufferBytes = settings.replyBufferBytes,
+        .tls = {} };
+    if (!settings.tlsCertificateFile.empty())
+        options.tls = [&tls] { return tls.configuration(); };
+    return options;
 }
 
 Node::Node(Settings settings)
@@ -73,7 +80,13 @@
           .random = random_,
           .findReplicas = [this](const std::string& model) { return fleet_.findReplicas(model); } })
     , platform_(makePlatformOptions(settings_))
-    , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .clock = clock_, .random = random_ }, makeClaimStore(platform_))
+    , peerClient_({ .node = settings_.node, .incarnation = incarnation_, .clusterKey = QByteArray::fromStdString(settings_.clusterKey) })
+    , sharedWriter_(makeSharedWriterOptions())
+    , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .clock = clock_, .random = random_ }, makeSharedClaimStore())
+    , homeLedger_({ .home = settings_.advertisedPeers.toString(), .start = random_(), .clusterKey = QByteArray::fromStdString(settings_.clusterKey), .clock = clock_, .random = random_ })
+    , homeLink_({ .node = settings_.node, .home = settings_.advertisedPeers.toString(), .clusterKey = QByteArray::fromStdString(settings_.clusterKey), .random = random_ }, homeLedger_, peerClient_)
+    , claims_(ledger_, homeLink_.client())
+    , peerServer_(makePeerServerOptions())
     , peers_(makePeerOptions(settings_, incarnation_, clock_, random_))
     , usage_(scheduler_, peers_, metrics_)
     , configServer_(makeConfigServerOptions())
@@ -96,20 +109,22 @@
                          .broadcast = [this](const Groups& message) { peers_.broadcast(message); },
                          .shouldShare = [this](const GroupCondition& group) { return shouldShare(group); } },
           fleet_)
-    , quarantine_({ .clock = clock_, .ownsGroup = [this](const std::string& group) { return ownsGroup(group); }, .onNews = [this] { QMetaObject::invokeMethod(this, [this] { suspects_.share(); }); } })
+    , quarantine_({ .node = settings_.node, .clock = clock_, .ownsGroup = [this](const std::string& group) { return ownsGroup(group); }, .onNews = [this] { QMetaObject::invokeMethod(this, [this] { suspects_.share(); }); } })
     , suspects_(quarantine_, [this](const Suspects& message) { peers_.broadcast(message); })
     , tables_ { .config = config_,
         .fleet = fleet_,
         .scheduler = scheduler_,
         .metrics = metrics_,
-        .ledger = ledger_,
+        .ledger = claims_,
+        .homeLedger = homeLedger_,
         .quarantine = quarantine_,
         .clock = clock_,
         .random = random_,
         .silenceTimeout = settings_.silenceTimeout }
     , report_(makeReportOptions(), fleet_, platform_)
     , api_({ .operatorKey = QByteArray::fromStdString(settings_.operatorKey), .maxRequestsPerCaller = settings_.maxRequestsPerCaller }, tables_, { .isReady = [this] { return isReady(); }, .status = [this] { return describe(); }, .report = &report_ })
-    , server_(makeServerOptions(settings_), [this](std::shared_ptr<Exchange> exchange) { api_.handle(std::move(exchange)); })
+    , tls_({ .certificateFile = settings_.tlsCertificateFile, .keyFile = settings_.tlsKeyFile })
+    , server_(makeServerOptions(settings_, tls_), [this](std::shared_ptr<Exchange> exchange) { api_.handle(std::move(exchange)); })
 {
     connectParts();
 }
@@ -118,6 +133,15 @@
 
 void Node::connectParts()
 {
+    homeLink_.serveAt(peerServer_);
+    peerServer_.setHandler(MessageKind::ConfigRequest, [this](const Envelope& envelope, const PeerServer::Answer& answer) { answer(configServer_.answer(envelope)); });
+    peerServer_.setHandler(MessageKind::ClaimBatch, [this](const Envelope& envelope, const PeerServer::Answer& answer) {
+        const auto batch = decodeBody<ClaimBatch>(envelope.body);
+        if (batch.ok())
+            sharedWriter_.serveFor(*batch, [this, answer](const ClaimBatchAnswer& results) { answer(peerClient_.seal(results)); });
+        else
+            answer(std::nullopt);
+    });
     peers_.onMessage = [this](const Envelope& envelope) { takeMessage(envelope); };
     peers_.onPeerChanged = [this](const Peer& peer) {
         if (peer.alive)
@@ -132,15 +156,18 @@
     };
     connect(&shareTimer_, &QTimer::timeout, this, &Node::shareTables);
     connect(&pumpTimer_, &QTimer::timeout, this, [this] { scheduler_.pump(); });
+    connect(&tlsTimer_, &QTimer::timeout, this, &Node::checkTlsFiles);
     connect(&stopTimer_, &QTimer::timeout, this, &Node::checkStopped);
 }
 
 absl::Status Node::start()
 {
+    if (const absl::Status status = startTls(); !status.ok())
+        return status;
     peers_.setHeartbeat(makeHeartbeat());
     if (const absl::Status status = peers_.start(); !status.ok())
         return status;
-    if (const absl::Status status = configServer_.start(); !status.ok())
+    if (const absl::Status status = peerServer_.start(); !status.ok())
         return status;
     if (const absl::Status status = server_.start(); !status.ok())
         return status;
@@ -153,6 +180,25 @@
     return absl::OkStatus();
 }
 
+absl::Status Node::startTls()
+{
+    if (settings_.tlsCertificateFile.empty())
+        return absl::OkStatus();
+    tlsTimer_.start(settings_.tlsCheckInterval);
+    return tls_.load();
+}
+
+// Open connections keep the certificate that they began with.
+void Node::checkTlsFiles()
+{
+    const int before = tls_.loads();
+    const absl::Status status = tls_.loadIfChanged();
+    if (!status.ok())
+        logWarning("tls_files_refused", { { "error", std::string(status.message()) }, { "action", "the former ones stay in use" } });
+    else if (tls_.loads() != before)
+        logInfo("tls_files_loaded", { { "certificate", settings_.tlsCertificateFile } });
+}
+
 void Node::stop(std::function<void()> onStopped)
 {
     if (tables_.isStopping.exchange(true))
@@ -161,6 +207,7 @@
     onStopped_ = std::move(onStopped);
     stoppingSince_ = clock_();
     manager_.release();
+    homeLedger_.drain();
     peers_.setHeartbeat(makeHeartbeat());
     stopTimer_.start(stopCheckInterval);
 }
@@ -184,11 +231,31 @@
     const bool isLate = clock_() - stoppingSince_ >= settings_.shutdownTimeout;
     if (!isLate && (isListening_ || inFlight > 0))
         return;
+    const bool isLateForClaims = clock_() - stoppingSince_ >= maxClaimDrain;
+    if (!isLate && !isLateForClaims && isClaimHeldElsewhere()) {
+        if (!std::exchange(isDrainingClaims_, true))
+            logInfo("node_draining_claims", { { "claims", std::to_string(homeLedger_.heldCount()) } });
+        return;
+    }
     stopTimer_.stop();
     logInfo("node_stopped", { { "in_flight", std::to_string(inFlight) } });
     report_.stop(onStopped_);
 }
 
+// Whether another node that lives may still tell the outcome of a claim that this one granted.
+bool Node::isClaimHeldElsewhere() const
+{
+    const std::vector<std::string> holders = homeLedger_.holders();
+    if (holders.empty())
+        return false;
+    std::set<std::string> dead { settings_.node };
+    for (const Peer& peer : peers_.peers()) {
+        if (!peer.alive)
+            dead.insert(peer.node);
+    }
+    return std::any_of(holders.begin(), holders.end(), [&](const std::string& node) { return !dead.contains(node); });
+}
+
 static std::vector<WasteRow> describeWaste(const StrandedTotals& totals)
 {
     return {
@@ -231,8 +298,6 @@
 {
     return { .node = settings_.node,
         .incarnation = incarnation_,
-        .address = QHostAddress(QString::fromStdString(settings_.peers.address)),
-        .port = settings_.peers.port,
         .clusterKey = QByteArray::fromStdString(settings_.clusterKey),
         .read = [this] {
             const ConfigSnapshot snapshot = config_.snapshot();
@@ -240,6 +305,47 @@
         } };
 }
 
+SharedWriter::Options Node::makeSharedWriterOptions()
+{
+    return { .writeEach = makeClaimStore(platform_).writeEach,
+        .clock = clock_,
+        .random = random_,
+        .isShared = [this] { return livingNodesIn(settings_.domain).size() >= static_cast<size_t>(settings_.claimSharingNodes); },
+        .findSharer = [this] { return findClaimSharer(); },
+        .send = [this](const std::string& sharer, const ClaimBatch& batch, SharedWriter::Answer done) { peerClient_.ask<ClaimBatchAnswer>(sharer, batch, std::move(done)); } };
+}
+
+ClaimStore Node::makeSharedClaimStore()
+{
+    ClaimStore store = makeClaimStore(platform_);
+    store.writeEach = [this](const std::vector<KvWrite>& writes, Callback<std::vector<KvWriteResult>> done) { sharedWriter_.writeEach(writes, std::move(done)); };
+    return store;
+}
+
+// The node of this failure domain that writes the claims of all; empty: this one.
+std::string Node::findClaimSharer() const
+{
+    std::map<std::string, std::string> endpoints { { settings_.node, "" } };
+    std::vector<std::string> candidates;
+    if (!tables_.isStopping)
+        candidates.push_back(settings_.node);
+    for (const Peer& peer : peers_.peers()) {
+        if (!peer.alive || peer.heartbeat.leaving || peer.heartbeat.platformDown || peer.heartbeat.domain != settings_.domain)
+            continue;
+        candidates.push_back(peer.node);
+        endpoints[peer.node] = peer.heartbeat.peers;
+    }
+    const std::vector<std::string> first = pickByRendezvous(candidates, "claims of " + settings_.domain, 1);
+    return first.empty() ? "" : endpoints[first.front()];
+}
+
+PeerServer::Options Node::makePeerServerOptions() const
+{
+    return { .address = QHostAddress(QString::fromStdString(settings_.peers.address)),
+        .port = settings_.peers.port,
+        .clusterKey = QByteArray::fromStdString(settings_.clusterKey) };
+}
+
 ConfigFollower::Options Node::makeFollowerOptions()
 {
     constexpr size_t watchersPerDomain = 2;
@@ -269,9 +375,17 @@
     metrics_.setGauge("hemlockweir_peer_datagrams_refused_total", "Datagrams refused: foreign, truncated, forged or old", static_cast<double>(traffic.refused));
     metrics_.setGauge("hemlockweir_peer_datagrams_relayed_total", "Datagrams passed on for other nodes", static_cast<double>(traffic.relayed));
     metrics_.setGauge("hemlockweir_peer_messages_not_relayed_total", "Messages of peers that a relay left out to keep its budget", static_cast<double>(traffic.relayDropped));
+    for (size_t i = 0; i < sendPurposes; ++i) {
+        const std::string name = std::string("hemlockweir_peer_bytes_sent_") + nameOf(static_cast<SendPurpose>(i)) + "_total";
+        metrics_.setGauge(name, "Bytes of datagrams sent to peers for this purpose, with headers", static_cast<double>(traffic.bytesSentFor[i]));
+    }
     metrics_.setGauge("hemlockweir_configuration_bytes_sent_total", "Bytes of configurations sent to peers", static_cast<double>(configServer_.bytesSent()));
     metrics_.setGauge("hemlockweir_platform_calls_total", "Calls to the platform's key-value service", static_cast<double>(platform_.callsMade()));
-    metrics_.setGauge("hemlockweir_configuration_watching", "1 while this node watches the platform for the configuration", follower_.isWatching() ? 1 : 0);
+    metrics_.setGauge("hemlockweir_claim_writes_for_peers_total", "Writes of claims that this node made in the platform for others", static_cast<double>(sharedWriter_.writesServed()));
+    metrics_.setGauge("hemlockweir_bound_keys_recorded", "Keys bound to this node that were claimed within their lifetime", static_cast<double>(homeLedger_.recordCount()));
+    metrics_.setGauge("hemlockweir_bound_keys_held", "Those whose outcome is not told yet", static_cast<double>(homeLedger_.heldCount()));
+    metrics_.setGauge("hemlockweir_bound_key_answer_bytes", "Bytes of answers kept under bound keys", static_cast<double>(homeLedger_.answerBytes()));
+    metrics_.setGauge("hemlockweir_configuration_watching", "Whether this node watches the platform for the configuration: 0 or 1", follower_.isWatching() ? 1 : 0);
 }
 
 bool Node::hasNodeIn(const std::string& domain) const
@@ -341,7 +455,7 @@
         if (peer.alive && !peer.heartbeat.leaving)
             nodes.push_back(peer.node);
     }
-    return rankAmong(nodes, "suspects of " + group) == 0;
+    return rankAmong(nodes, Quarantine::roleOf(group)) == 0;
 }
 
 bool Node::shouldShare(const GroupCondition& group) const
@@ -367,10 +481,9 @@
     suspects_.share();
     metrics_.setGauge("hemlockweir_endpoint_deaths_on_requests", "Deaths of endpoints counted against requests that were on them", static_cast<double>(quarantine_.rows().size()));
     if (clock_() >= nextShareAt_) {
-        const uint64_t before = peers_.traffic().bytesSent;
         groupExchange_.share();
         usage_.share();
-        nextShareAt_ = clock_() + peers_.pauseAfter(peers_.traffic().bytesSent - before);
+        nextShareAt_ = clock_() + peers_.sharePause();
     }
     exposeTraffic();
 }
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -3,8 +3,11 @@
 #include "config/Settings.h"
 #include "fleet/FleetManager.h"
 #include "fleet/GroupExchange.h"
+#include "http/TlsFiles.h"
+#include "ledger/SharedWriter.h"
 #include "membership/PeerLink.h"
 #include "node/CallerApi.h"
+#include "node/HomeLink.h"
 #include "node/UsageShare.h"
 #include "quarantine/SuspectShare.h"
 #include "rollout/ConfigExchange.h"
@@ -47,9 +50,16 @@
     Heartbeat makeHeartbeat() const;
     ReportOptions makeReportOptions();
     ConfigServer::Options makeConfigServerOptions();
+    PeerServer::Options makePeerServerOptions() const;
+    SharedWriter::Options makeSharedWriterOptions();
+    ClaimStore makeSharedClaimStore();
+    std::string findClaimSharer() const;
+    bool isClaimHeldElsewhere() const;
     ConfigFollower::Options makeFollowerOptions();
     std::vector<ConfigSource> findConfigSources() const;
     void exposeTraffic();
+    absl::Status startTls();
+    void checkTlsFiles();
 
     Settings settings_;
     Clock clock_;
@@ -60,7 +70,13 @@
     Scheduler scheduler_;
     Metrics metrics_;
     KvClient platform_;
+    PeerClient peerClient_;
+    SharedWriter sharedWriter_;
     ClaimLedger ledger_;
+    HomeLedger homeLedger_;
+    HomeLink homeLink_;
+    ClaimRouter claims_;
+    PeerServer peerServer_;
     PeerLink peers_;
     UsageShare usage_;
     ConfigServer configServer_;
@@ -72,13 +88,16 @@
     Tables tables_;
     ReportKeeper report_;
     CallerApi api_;
+    TlsFiles tls_;
     HttpServer server_;
     QTimer shareTimer_;
     QTimer pumpTimer_;
     QTimer stopTimer_;
+    QTimer tlsTimer_;
     Millis nextShareAt_ { 0 };
     Millis stoppingSince_ { 0 };
     bool isListening_ = true;
+    bool isDrainingClaims_ = false;
     std::function<void()> onStopped_;
 };
 
