--- a/bench/capacity/claims.cpp
+++ b/bench/capacity/claims.cpp
@@ -122,7 +122,7 @@
     void claimLater(size_t node)
     {
         const double uniform = (static_cast<double>(random_() >> 11) + 1) / 9007199254740993.0;
-        QTimer::singleShot(static_cast<int>(-std::log(uniform) / parameters_.rate * 1000), [this, node] {
+        QTimer::singleShot(static_cast<int>(-std::log(uniform) / parameters_.rate * 1000), &timers_, [this, node] {
             if (!isRunning_)
                 return;
             claim(node);
@@ -183,6 +183,7 @@
     size_t failed_ = 0;
     int serial_ = 0;
     bool isRunning_ = false;
+    QObject timers_; // ends them with this measurement
 };
 
 } // namespace
