--- a/packages/fleet/FleetManager.cpp
+++ b/packages/fleet/FleetManager.cpp
@@ -12,6 +12,16 @@
 // Two read the drains of a domain besides its planner, so that the death of one leaves no gap.
 static constexpr size_t drainReadersPerDomain = 2;
 
+// Of the freshness period: how often an observer speaks, when an answer is late, and when the next
+// in rank look too.
+static constexpr int freshnessParts = 20;
+static constexpr int vouchParts = 12;
+static constexpr int lateParts = 9;
+static constexpr int staleSoonParts = 17;
+// Of an instance that has been silent for so many freshness periods nothing is to be expected.
+static constexpr int stalePeriods = 4;
+static constexpr Millis shareTick { 50 };
+
 static QUrl urlOf(const std::string& address, const char* path)
 {
     return QUrl(QString::fromStdString("http://" + address + path));
@@ -22,10 +32,23 @@
     , table_(table)
     , platform_(platform)
     , drains_({ .interval = options_.listInterval, .shouldRead = [this] { return isPlanning(options_.domain) || options_.rankFor(options_.domain) < drainReadersPerDomain; } }, table, platform)
+    , poller_({ .interval = options_.statusInterval,
+          .answerTimeout = options_.statusFreshness,
+          .clock = options_.clock,
+          .onStatus = [this](const std::string& id, const InstanceStatus& status, Millis askedAt) { takeStatus(id, status, askedAt); },
+          .onUnreachable = [this](const std::string& id) { takeUnreachable(id); } })
+    , roles_({ .clock = options_.clock, .rank = [this](const std::vector<std::string>& nodes, const std::string& instance) { return options_.rankAmong(nodes, "observer of " + instance); } })
+    , publisher_({ .vouchInterval = options_.statusFreshness * vouchParts / freshnessParts,
+          .lateAfter = options_.statusFreshness * lateParts / freshnessParts,
+          .clock = options_.clock,
+          .broadcast = options_.broadcastStatuses,
+          .sendsLoad = [this](const std::string& id) { return roles_.isFirstFor(id); } })
+    , heard_({ .clock = options_.clock, .broadcast = options_.broadcastWanted }, table_)
 {
     connect(&listTimer_, &QTimer::timeout, this, &FleetManager::readInstances);
-    connect(&pollTimer_, &QTimer::timeout, this, [this] {
-        pollInstances();
+    connect(&shareTimer_, &QTimer::timeout, this, &FleetManager::shareStatuses);
+    connect(&planTimer_, &QTimer::timeout, this, [this] {
+        chooseTargets();
         planDomains();
     });
 }
@@ -33,7 +56,7 @@
 void FleetManager::start()
 {
     listTimer_.start(options_.listInterval);
-    pollTimer_.start(options_.statusInterval);
+    planTimer_.start(options_.statusInterval);
     drains_.start();
     readInstances();
 }
@@ -62,40 +85,88 @@
             return;
         const absl::StatusOr<std::vector<Instance>> instances = parseInstances(result.body);
         if (instances.ok())
-            table_.setInstances(*instances);
+            setInstances(*instances);
         else
             logWarning("instance_list_malformed", { { "error", std::string(instances.status().message()) } }); } });
 }
 
-void FleetManager::pollInstances()
+void FleetManager::setInstances(const std::vector<Instance>& instances)
 {
-    std::set<std::string> observed;
-    for (const InstanceView& view : table_.instances()) {
-        if (!options_.shouldObserve(view.instance))
+    table_.setInstances(instances);
+    chooseTargets();
+}
+
+void FleetManager::chooseTargets()
+{
+    const Millis freshness = options_.statusFreshness;
+    roles_.setNodes(options_.nodesOfDomain());
+    if (roles_.isSharing())
+        roles_.setStale(table_.findStale(freshness * staleSoonParts / freshnessParts, freshness * stalePeriods), table_.findStale(freshness, freshness * stalePeriods));
+    std::vector<Instance> targets;
+    std::set<std::string> told;
+    const auto listed = table_.listed();
+    for (const Instance& instance : *listed) {
+        if (!options_.shouldObserve(instance))
             continue;
-        observed.insert(view.instance.id);
-        if (!polls_.contains(view.instance.id))
-            pollInstance(view.instance);
+        const ObserverRole role = options_.isShared(instance) ? roles_.roleFor(instance.id) : ObserverRole::Itself;
+        if (role != ObserverRole::None)
+            targets.push_back(instance);
+        if (role == ObserverRole::Teller)
+            told.insert(instance.id);
+    }
+    if (told != told_) {
+        told_ = std::move(told);
+        publisher_.keepOnly(told_);
     }
+    if (targets != targets_)
+        replaceTargets(targets);
+    if (!roles_.isSharing())
+        shareTimer_.stop();
+    else if (!shareTimer_.isActive())
+        shareTimer_.start(shareTick);
+}
+
+void FleetManager::replaceTargets(const std::vector<Instance>& targets)
+{
+    std::set<std::string> observed;
+    for (const Instance& instance : targets)
+        observed.insert(instance.id);
     table_.setObserved(observed);
+    poller_.setTargets(targets);
+    targets_ = targets;
 }
 
-void FleetManager::pollInstance(const Instance& instance)
+void FleetManager::takeStatus(const std::string& id, const InstanceStatus& status, Millis askedAt)
 {
-    const Millis askedAt = options_.clock();
-    CallOptions call { .method = "GET", .url = urlOf(instance.address, "/status"), .headers = {}, .body = {}, .firstByteTimeout = options_.statusFreshness, .silenceTimeout = options_.statusFreshness };
-    polls_[instance.id] = client_.start(call, { .onHead = {}, .onData = {}, .onDone = [this, id = instance.id, askedAt](const CallResult& result) {
-        const auto keep = polls_.extract(id);
-        if (result.end == CallEnd::NotSent || result.end == CallEnd::Broken) {
-            table_.dropStatus(id);
-            return;
-        }
-        if (!result.isSuccess())
-            return;
-        const absl::StatusOr<InstanceStatus> status = parseInstanceStatus(result.body);
-        // An address may have been taken over by another instance than the one listed there.
-        if (status.ok() && status->id == id)
-            table_.setStatus(id, *status, askedAt); } });
+    table_.setStatus(id, status, askedAt);
+    if (told_.contains(id))
+        publisher_.noteStatus(id, status, askedAt);
+}
+
+void FleetManager::takeUnreachable(const std::string& id)
+{
+    table_.dropStatus(id);
+    if (told_.contains(id))
+        publisher_.noteUnreachable(id);
+}
+
+void FleetManager::shareStatuses()
+{
+    publisher_.tick();
+    heard_.tick();
+}
+
+void FleetManager::takeMessage(const Envelope& envelope)
+{
+    if (envelope.kind == MessageKind::Statuses) {
+        const absl::StatusOr<Statuses> statuses = decodeBody<Statuses>(envelope.body);
+        if (statuses.ok())
+            heard_.take(envelope.sender, *statuses);
+    } else if (envelope.kind == MessageKind::StatusesWanted) {
+        const absl::StatusOr<StatusesWanted> wanted = decodeBody<StatusesWanted>(envelope.body);
+        if (wanted.ok() && std::find(wanted->observers.begin(), wanted->observers.end(), options_.node) != wanted->observers.end())
+            publisher_.requestWhole();
+    }
 }
 
 void FleetManager::planDomains()
--- a/packages/fleet/FleetManager.h
+++ b/packages/fleet/FleetManager.h
@@ -3,6 +3,10 @@
 #include "fleet/DomainLease.h"
 #include "fleet/DrainList.h"
 #include "fleet/GroupPlanner.h"
+#include "fleet/HeardStatuses.h"
+#include "fleet/ObserverRoles.h"
+#include "fleet/StatusPublisher.h"
+#include "fleet/StatusPoller.h"
 #include "fleet/StrandedTime.h"
 
 #include <deque>
@@ -30,7 +34,12 @@
     std::function<double(const Model&)> demand; // see PlannerOptions
     std::function<std::vector<std::string>()> domainsToPlan; // this node's, and those without a node
     std::function<size_t(const std::string& domain)> rankFor; // this node's place among those that may plan it
-    std::function<bool(const Instance&)> shouldObserve; // whether this node polls the instance
+    std::function<bool(const Instance&)> shouldObserve; // whether it is this failure domain's to look at the instance
+    std::function<bool(const Instance&)> isShared; // whether the nodes of this failure domain share the looks at it
+    std::function<std::vector<std::string>()> nodesOfDomain; // living, this one included
+    std::function<size_t(const std::vector<std::string>& nodes, const std::string& role)> rankAmong; // of this node
+    std::function<void(const Statuses&)> broadcastStatuses; // to the nodes of this failure domain
+    std::function<void(const StatusesWanted&)> broadcastWanted;
 };
 
 class FleetManager : public QObject {
@@ -41,6 +50,9 @@
     // Starts polling and planning.
     void start();
 
+    // Takes what another node of this failure domain says of instances; other kinds are ignored.
+    void takeMessage(const Envelope& envelope);
+
     // Gives up the leases, so that another node can take over at once.
     void release();
 
@@ -62,8 +74,12 @@
     };
 
     void readInstances();
-    void pollInstances();
-    void pollInstance(const Instance& instance);
+    void setInstances(const std::vector<Instance>& instances);
+    void chooseTargets();
+    void replaceTargets(const std::vector<Instance>& targets);
+    void takeStatus(const std::string& id, const InstanceStatus& status, Millis askedAt);
+    void takeUnreachable(const std::string& id);
+    void shareStatuses();
     void planDomains();
     void planDomain(const std::string& domain);
     PlannerOptions makePlannerOptions(DomainLease& lease) const;
@@ -77,9 +93,15 @@
     DrainList drains_;
     HttpClient client_;
     QTimer listTimer_;
-    QTimer pollTimer_;
+    QTimer planTimer_;
+    QTimer shareTimer_; // runs while looks are shared
+    StatusPoller poller_;
+    ObserverRoles roles_;
+    StatusPublisher publisher_;
+    HeardStatuses heard_;
+    std::set<std::string> told_; // instances of which this node tells the others
+    std::vector<Instance> targets_; // of the poller
     std::shared_ptr<HttpCall> listCall_;
-    std::map<std::string, std::shared_ptr<HttpCall>> polls_; // by instance
     std::map<uint64_t, std::shared_ptr<HttpCall>> orderCalls_;
     std::map<std::string, DomainPlan> plans_; // by domain
     StrandedTime stranded_;
--- a/packages/fleet/FleetTable.cpp
+++ b/packages/fleet/FleetTable.cpp
@@ -22,17 +22,41 @@
 void FleetTable::setInstances(const std::vector<Instance>& instances)
 {
     std::lock_guard lock(mutex_);
-    std::set<std::string> listed;
-    for (const Instance& instance : instances) {
-        listed.insert(instance.id);
-        instances_[instance.id].view.instance = instance;
-    }
-    std::erase_if(instances_, [&](const auto& entry) { return !listed.contains(entry.first); });
+    if (*listed_ != instances)
+        replaceList(instances);
     const Millis now = options_.clock();
     remote_.prune(now);
     std::erase_if(suspectedAt_, [&](const auto& entry) { return now - entry.second > suspicionMemory; });
 }
 
+void FleetTable::replaceList(const std::vector<Instance>& instances)
+{
+    listed_ = std::make_shared<std::vector<Instance>>(instances);
+    domains_.clear();
+    std::set<std::string> ids;
+    for (const Instance& instance : instances) {
+        ids.insert(instance.id);
+        domains_.insert(instance.domain);
+        const auto [entry, isNew] = instances_.try_emplace(instance.id);
+        entry->second.view.instance = instance;
+        if (isNew)
+            entry->second.listedAt = options_.clock();
+    }
+    std::erase_if(instances_, [&](const auto& entry) { return !ids.contains(entry.first); });
+}
+
+std::shared_ptr<const std::vector<Instance>> FleetTable::listed() const
+{
+    std::lock_guard lock(mutex_);
+    return listed_;
+}
+
+std::set<std::string> FleetTable::domains() const
+{
+    std::lock_guard lock(mutex_);
+    return domains_;
+}
+
 void FleetTable::setObserved(const std::set<std::string>& ids)
 {
     std::lock_guard lock(mutex_);
@@ -64,6 +88,76 @@
     found->second.failedAt = options_.clock();
 }
 
+// Whether only this node's own looks at an instance count.
+bool FleetTable::decidesAlone(const Entry& entry) const
+{
+    return entry.isObserved && options_.clock() - entry.observedSince > options_.freshness;
+}
+
+void FleetTable::takeHeard(Entry& entry, const InstanceStatus& status, Millis askedAt) const
+{
+    InstanceView& view = entry.view;
+    const bool isNewer = askedAt > view.seenAt && askedAt > entry.failedAt;
+    if (!isNewer || decidesAlone(entry))
+        return;
+    if (!view.status || !isSameButLoad(*view.status, status))
+        view.status = status;
+    view.seenAt = askedAt;
+}
+
+void FleetTable::setHeardStatus(const std::string& id, const InstanceStatus& status, Millis askedAt)
+{
+    std::lock_guard lock(mutex_);
+    if (const auto found = instances_.find(id); found != instances_.end())
+        takeHeard(found->second, status, askedAt);
+}
+
+void FleetTable::dropHeardStatus(const std::string& id, Millis failedAt)
+{
+    std::lock_guard lock(mutex_);
+    const auto found = instances_.find(id);
+    if (found == instances_.end() || decidesAlone(found->second))
+        return;
+    Entry& entry = found->second;
+    entry.failedAt = std::max(entry.failedAt, failedAt);
+    if (entry.view.seenAt <= failedAt)
+        entry.view.status.reset();
+}
+
+void FleetTable::vouch(const std::map<std::string, InstanceStatus>& statuses, Millis askedAt)
+{
+    std::lock_guard lock(mutex_);
+    for (const auto& [id, status] : statuses) {
+        if (const auto found = instances_.find(id); found != instances_.end())
+            takeHeard(found->second, status, askedAt);
+    }
+}
+
+void FleetTable::setHeardLoad(const std::string& id, const InstanceLoad& load)
+{
+    std::lock_guard lock(mutex_);
+    const auto found = instances_.find(id);
+    if (found == instances_.end() || !found->second.view.status || decidesAlone(found->second))
+        return;
+    InstanceStatus& status = *found->second.view.status;
+    status.running = load.running;
+    status.waiting = load.waiting;
+    status.stepMs = load.stepMs;
+}
+
+std::set<std::string> FleetTable::findStale(Millis from, Millis to) const
+{
+    std::lock_guard lock(mutex_);
+    const Millis now = options_.clock();
+    std::set<std::string> stale;
+    for (const auto& [id, entry] : instances_) {
+        const Millis age = now - std::max(entry.view.seenAt, entry.listedAt);
+        if (age > from && age <= to)
+            stale.insert(id);
+    }
+    return stale;
+}
+
 void FleetTable::setRemoteGroup(const RemoteGroup& row)
 {
     std::lock_guard lock(mutex_);
--- a/packages/fleet/FleetTable.h
+++ b/packages/fleet/FleetTable.h
@@ -4,6 +4,7 @@
 #include "fleet/RemoteGroups.h"
 
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -65,12 +66,32 @@
     // Replaces the list of instances; reports of instances that are gone are dropped.
     void setInstances(const std::vector<Instance>& instances);
 
+    // The list as last set, and the failure domains in it.
+    std::shared_ptr<const std::vector<Instance>> listed() const;
+    std::set<std::string> domains() const;
+
     // Takes one instance's own report, as of `seenAt`.
     void setStatus(const std::string& id, const InstanceStatus& status, Millis seenAt);
 
     // Forgets an instance's report at once, after it failed.
     void dropStatus(const std::string& id);
 
+    // Take what an observer in this failure domain heard from an instance or failed to. A report
+    // counts if it is newer than what is known; not when this node looks at the instance itself and
+    // has for a freshness period.
+    void setHeardStatus(const std::string& id, const InstanceStatus& status, Millis askedAt);
+    void dropHeardStatus(const std::string& id, Millis failedAt);
+
+    // Takes it that all these instances were asked at `askedAt` or later and reported this.
+    void vouch(const std::map<std::string, InstanceStatus>& statuses, Millis askedAt);
+
+    // Takes an instance's load from an observer.
+    void setHeardLoad(const std::string& id, const InstanceLoad& load);
+
+    // Instances whose last report, or their listing if there was none, is older than `from` and not
+    // older than `to`.
+    std::set<std::string> findStale(Millis from, Millis to) const;
+
     // Says which instances this node polls. Of these it trusts its own view over any peer's.
     void setObserved(const std::set<std::string>& ids);
 
@@ -105,6 +126,7 @@
     // An instance, and what this node's own polls of it came to.
     struct Entry {
         InstanceView view;
+        Millis listedAt { 0 };
         Millis observedSince { 0 };
         Millis failedAt { 0 }; // the last time it could not be reached
         bool isObserved = false;
@@ -114,6 +136,9 @@
         Millis saidAt { 0 };
     };
 
+    void replaceList(const std::vector<Instance>& instances);
+    void takeHeard(Entry& entry, const InstanceStatus& status, Millis askedAt) const;
+    bool decidesAlone(const Entry& entry) const;
     bool isDraining(const std::string& id) const;
     bool isSuspect(const std::string& group, uint64_t epoch, Millis reportedAt) const;
     std::string checkMember(const std::string& id, const InstanceStatus& claim, Millis now) const;
@@ -127,6 +152,8 @@
     Options options_;
     mutable std::mutex mutex_;
     std::map<std::string, Entry> instances_; // by id
+    std::shared_ptr<const std::vector<Instance>> listed_ = std::make_shared<std::vector<Instance>>();
+    std::set<std::string> domains_;
     RemoteGroups remote_;
     std::set<std::string> draining_;
     std::map<std::string, RemoteDraining> remoteDraining_; // by observer
--- a/packages/fleet/Instance.cpp
+++ b/packages/fleet/Instance.cpp
@@ -30,6 +30,11 @@
     return group == other.group && epoch == other.epoch && model == other.model && members == other.members;
 }
 
+bool isSameButLoad(const InstanceStatus& a, const InstanceStatus& b)
+{
+    return a.id == b.id && a.incarnation == b.incarnation && a.state == b.state && a.isInGroupOf(b) && a.slots == b.slots && a.leaving == b.leaving;
+}
+
 static EngineState parseState(const std::string& name)
 {
     for (const EngineState state : { EngineState::Idle, EngineState::Loading, EngineState::Ready }) {
--- a/packages/fleet/Instance.h
+++ b/packages/fleet/Instance.h
@@ -54,6 +54,18 @@
     auto operator<=>(const InstanceStatus&) const = default;
 };
 
+// What of a status changes all the time.
+struct InstanceLoad {
+    uint32_t running = 0;
+    uint32_t waiting = 0;
+    double stepMs = 0; // ms
+
+    auto operator<=>(const InstanceLoad&) const = default;
+};
+
+// Whether two statuses say the same, whatever their load.
+bool isSameButLoad(const InstanceStatus& a, const InstanceStatus& b);
+
 // Reads the platform's list: {"instances":[{"id","address","domain","fabric","pool","state"}]}.
 absl::StatusOr<std::vector<Instance>> parseInstances(const QByteArray& json);
 
--- /dev/null
+++ b/packages/fleet/StatusConnection.cpp
@@ -0,0 +1,133 @@
+#include "fleet/StatusConnection.h"
+
+#include <QHostAddress>
+#include <QNetworkProxy>
+
+namespace hemlockweir {
+
+static constexpr uint64_t maxStatusBytes = 64 * 1024;
+
+StatusConnection::StatusConnection(Options options)
+    : options_(std::move(options))
+    , url_(QString::fromStdString("http://" + options_.address))
+    , request_(QByteArray::fromStdString("GET /status HTTP/1.1\r\nHost: " + options_.address + "\r\nAccept: application/json\r\n\r\n"))
+{
+}
+
+void StatusConnection::ask()
+{
+    const Millis now = options_.clock();
+    const Millis limit = isKept_ ? options_.keptTimeout : options_.answerTimeout;
+    if (isAsking_ && now - askedAt_ < limit)
+        return;
+    const bool canReuse = isConnected_ && !isAsking_;
+    isAsking_ = true;
+    askedAt_ = now;
+    if (canReuse)
+        send();
+    else
+        open();
+}
+
+void StatusConnection::open()
+{
+    close();
+    socket_ = std::make_unique<QTcpSocket>();
+    socket_->setProxy(QNetworkProxy::NoProxy);
+    connect(socket_.get(), &QTcpSocket::connected, this, [this] {
+        isConnected_ = true;
+        send();
+    });
+    connect(socket_.get(), &QTcpSocket::readyRead, this, &StatusConnection::readAnswer);
+    connect(socket_.get(), &QTcpSocket::disconnected, this, &StatusConnection::noteClosed);
+    connect(socket_.get(), &QTcpSocket::errorOccurred, this, [this] {
+        // One that was open ends with disconnected().
+        if (!isConnected_)
+            fail();
+    });
+    socket_->connectToHost(QHostAddress(url_.host()), static_cast<quint16>(url_.port()));
+}
+
+// May run inside a signal of the socket.
+void StatusConnection::close()
+{
+    isConnected_ = false;
+    isKept_ = false;
+    unread_.clear();
+    parser_.reset();
+    if (!socket_)
+        return;
+    socket_->disconnect(this);
+    socket_->abort();
+    socket_.release()->deleteLater();
+}
+
+void StatusConnection::send()
+{
+    parser_.emplace();
+    parser_->body_limit(maxStatusBytes);
+    parser_->eager(true);
+    socket_->write(request_);
+}
+
+void StatusConnection::readAnswer()
+{
+    unread_ += socket_->readAll();
+    if (!isAsking_ || !parser_)
+        return;
+    boost::system::error_code error;
+    const size_t used = parser_->put(boost::asio::buffer(unread_.constData(), static_cast<size_t>(unread_.size())), error);
+    unread_.remove(0, static_cast<qsizetype>(used));
+    if (error && error != boost::beast::http::error::need_more)
+        fail();
+    else if (parser_->is_done())
+        finish();
+}
+
+void StatusConnection::noteClosed()
+{
+    if (!isAsking_) {
+        close();
+        options_.onClosed();
+        return;
+    }
+    // An answer without a length ends with its connection.
+    boost::system::error_code error;
+    if (parser_ && parser_->is_header_done() && !parser_->is_done())
+        parser_->put_eof(error);
+    if (parser_ && parser_->is_done() && !error)
+        finish();
+    else
+        fail();
+}
+
+void StatusConnection::finish()
+{
+    isAsking_ = false;
+    const bool isSuccess = parser_->get().result() == boost::beast::http::status::ok;
+    const bool keepsAlive = parser_->get().keep_alive();
+    const std::string body = std::move(parser_->get().body());
+    parser_.reset();
+    if (!keepsAlive || socket_->state() != QAbstractSocket::ConnectedState)
+        close();
+    else
+        isKept_ = true;
+    if (isSuccess)
+        options_.onAnswer(body, askedAt_);
+}
+
+void StatusConnection::fail()
+{
+    if (!isAsking_)
+        return;
+    if (isKept_) {
+        askedAt_ = options_.clock();
+        open();
+        return;
+    }
+    isAsking_ = false;
+    close();
+    options_.onUnreachable();
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/fleet/StatusPublisher.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "fleet/Instance.h"
+#include "wire/InstanceMessages.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+
+// The observer's side of sharing looks at instances within a failure domain: tells the other nodes
+// what the instances that this node looks at report. Pure: the clock and the sending are hooks.
+//
+// A change is sent with the next tick. While nothing changes, one small message vouches for the
+// whole table: every instance in it was asked, and answered the same, no longer ago than the
+// message says. An instance that answers late is withdrawn, so that it does not hold the rest back.
+
+namespace hemlockweir {
+
+class StatusPublisher {
+public:
+    struct Options {
+        Millis vouchInterval { 900 }; // ms, between two messages at most
+        Millis lateAfter { 700 }; // ms since it was asked, until an instance without an answer is withdrawn
+        Millis wholeInterval { 5000 }; // ms, between two sendings of the whole table at least
+        Clock clock;
+        std::function<void(const Statuses&)> broadcast;
+        std::function<bool(const std::string& id)> sendsLoad; // whether this node tells the instance's load; unset: always
+    };
+
+    explicit StatusPublisher(Options options);
+
+    // Takes what came of a look.
+    void noteStatus(const std::string& id, const InstanceStatus& status, Millis askedAt);
+    void noteUnreachable(const std::string& id);
+
+    // Withdraws instances that this node does not observe any more.
+    void keepOnly(const std::set<std::string>& observed);
+
+    // The whole table is wanted.
+    void requestWhole() { isWholeWanted_ = true; }
+
+    // Sends what is due. Call every 50 ms or so.
+    void tick();
+
+    // Instances vouched for.
+    size_t size() const { return table_.size(); }
+
+private:
+    struct Row {
+        InstanceStatus status;
+        Millis askedAt { 0 };
+        std::optional<LoadRow> sentLoad; // as the others know it; its place is not used
+    };
+
+    void withdrawLate(Millis now);
+    void withdraw(const std::string& id, StatusNews news);
+    void sendWhole(Millis now);
+    void sendNews(Millis now, bool startsAnew);
+    void sendVouch(Millis now);
+    std::vector<LoadRow> changedLoads();
+    Millis oldestAge(Millis now) const;
+    void send(Statuses& message, Millis now);
+
+    Options options_;
+    std::map<std::string, Row> table_; // by instance: what the others were told
+    std::map<std::string, StatusRow> news_; // by instance: not sent yet
+    std::set<std::string> unreachable_; // told, and not answered since
+    uint32_t version_ = 0;
+    Millis nextVouchAt_ { 0 };
+    Millis nextWholeAt_ { 0 };
+    size_t repairAt_ = 0; // place of the load that the next message repeats
+    bool isWholeWanted_ = false;
+};
+
+// Returns the row that tells of a status.
+StatusRow makeStatusRow(const InstanceStatus& status);
+
+// Returns the status that a row tells of, without its load.
+InstanceStatus readStatusRow(const StatusRow& row);
+
+// Returns the load of a status as it is sent.
+LoadRow makeLoadRow(const InstanceStatus& status);
+
+} // namespace hemlockweir
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -11,7 +11,8 @@
 
 namespace hemlockweir {
 
-static constexpr Millis pumpInterval { 5 };
+static constexpr Millis pumpInterval { 5 }; // while jobs wait
+static constexpr Millis idlePumpInterval { 100 };
 static constexpr Millis stopCheckInterval { 20 };
 
 // Wall time in milliseconds, which operators can read. Peers take it as a name of this start only,
@@ -71,7 +72,8 @@
           .domain = settings_.domain,
           .clock = clock_,
           .random = random_,
-          .findReplicas = [this](const std::string& model) { return fleet_.findReplicas(model); } })
+          .findReplicas = [this](const std::string& model) { return fleet_.findReplicas(model); },
+          .onWaiting = [this] { QMetaObject::invokeMethod(this, [this] { pumpEvery(pumpInterval); }); } })
     , platform_(makePlatformOptions(settings_))
     , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .clock = clock_, .random = random_ }, makeClaimStore(platform_))
     , peers_(makePeerOptions(settings_, incarnation_, clock_, random_))
@@ -90,7 +92,12 @@
                    .models = [this] { return config_.snapshot().configuration->models; },
                    .domainsToPlan = [this] { return domainsToPlan(); },
                    .rankFor = [this](const std::string& domain) { return rankFor(domain); },
-                   .shouldObserve = [this](const Instance& instance) { return shouldObserve(instance); } },
+                   .shouldObserve = [this](const Instance& instance) { return shouldObserve(instance); },
+                   .isShared = [this](const Instance& instance) { return instance.domain == settings_.domain && isEngine(instance); },
+                   .nodesOfDomain = [this] { return livingNodesIn(settings_.domain); },
+                   .rankAmong = [this](const std::vector<std::string>& nodes, const std::string& role) { return rankAmong(nodes, role); },
+                   .broadcastStatuses = [this](const Statuses& message) { peers_.broadcast(message); },
+                   .broadcastWanted = [this](const StatusesWanted& message) { peers_.broadcast(message); } },
           fleet_, platform_)
     , groupExchange_({ .clock = clock_,
                          .broadcast = [this](const Groups& message) { peers_.broadcast(message); },
@@ -131,7 +138,7 @@
         peers_.announce();
     };
     connect(&shareTimer_, &QTimer::timeout, this, &Node::shareTables);
-    connect(&pumpTimer_, &QTimer::timeout, this, [this] { scheduler_.pump(); });
+    connect(&pumpTimer_, &QTimer::timeout, this, &Node::pump);
     connect(&stopTimer_, &QTimer::timeout, this, &Node::checkStopped);
 }
 
@@ -148,11 +155,24 @@
     manager_.start();
     report_.start();
     shareTimer_.start(settings_.heartbeatInterval);
-    pumpTimer_.start(pumpInterval);
+    pumpTimer_.start(idlePumpInterval);
     logInfo("node_started", { { "node", settings_.node }, { "incarnation", std::to_string(incarnation_) }, { "domain", settings_.domain }, { "callers", settings_.callers.toString() } });
     return absl::OkStatus();
 }
 
+void Node::pump()
+{
+    scheduler_.pump();
+    pumpEvery(scheduler_.waitingCount() > 0 ? pumpInterval : idlePumpInterval);
+}
+
+// A running timer is not started anew: in a flood of requests it would never fire.
+void Node::pumpEvery(Millis interval)
+{
+    if (pumpTimer_.intervalAsDuration() != interval)
+        pumpTimer_.start(interval);
+}
+
 void Node::stop(std::function<void()> onStopped)
 {
     if (tables_.isStopping.exchange(true))
@@ -284,9 +304,8 @@
 
 std::vector<std::string> Node::domainsToPlan() const
 {
-    std::set<std::string> domains { settings_.domain };
-    for (const InstanceView& view : fleet_.instances())
-        domains.insert(view.instance.domain);
+    std::set<std::string> domains = fleet_.domains();
+    domains.insert(settings_.domain);
     std::erase_if(domains, [&](const std::string& domain) { return domain != settings_.domain && hasNodeIn(domain); });
     return { domains.begin(), domains.end() };
 }
@@ -304,12 +323,16 @@
     return rankAmong(candidates, "planner of " + domain);
 }
 
-bool Node::shouldObserve(const Instance& instance) const
+bool Node::isEngine(const Instance& instance) const
 {
     const ConfigSnapshot config = config_.snapshot();
     const auto& models = config.configuration->models;
-    const bool isEngine = std::any_of(models.begin(), models.end(), [&](const Model& model) { return model.pool == instance.pool; });
-    return !isEngine || instance.domain == settings_.domain || !hasNodeIn(instance.domain);
+    return std::any_of(models.begin(), models.end(), [&](const Model& model) { return model.pool == instance.pool; });
+}
+
+bool Node::shouldObserve(const Instance& instance) const
+{
+    return instance.domain == settings_.domain || !isEngine(instance) || !hasNodeIn(instance.domain);
 }
 
 std::vector<std::string> Node::livingNodesIn(const std::string& domain) const
@@ -353,6 +376,7 @@
 
 void Node::takeMessage(const Envelope& envelope)
 {
+    manager_.takeMessage(envelope);
     groupExchange_.take(envelope);
     suspects_.take(envelope);
     if (envelope.kind == MessageKind::Usage)
@@ -380,23 +404,23 @@
     return !tables_.isStopping && config_.snapshot().revision > 0;
 }
 
-static QJsonObject describeGroup(const GroupCondition& group)
+static QJsonObject describeGroup(const GroupCondition& group, Millis now)
 {
     QJsonArray members;
     for (const std::string& member : group.members)
         members.append(QString::fromStdString(member));
     return { { "group", QString::fromStdString(group.group) }, { "epoch", static_cast<double>(group.epoch) },
         { "model", QString::fromStdString(group.model) }, { "domain", QString::fromStdString(group.domain) }, { "members", members },
-        { "whole", group.whole }, { "reason", QString::fromStdString(group.reason) }, { "observer", QString::fromStdString(group.observer) } };
+        { "whole", group.whole }, { "age_ms", static_cast<double>(group.whole ? (now - group.replica.reportedAt).count() : 0) }, { "reason", QString::fromStdString(group.reason) }, { "observer", QString::fromStdString(group.observer) } };
 }
 
 QJsonObject Node::describe() const
 {
     QJsonArray groups;
     for (const GroupCondition& group : fleet_.groups())
-        groups.append(describeGroup(group));
+        groups.append(describeGroup(group, clock_()));
     for (const GroupCondition& group : fleet_.remoteGroups())
-        groups.append(describeGroup(group));
+        groups.append(describeGroup(group, clock_()));
     QJsonArray peers;
     for (const Peer& peer : peers_.peers()) {
         peers.append(QJsonObject { { "node", QString::fromStdString(peer.node) }, { "domain", QString::fromStdString(peer.heartbeat.domain) },
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -32,11 +32,14 @@
     void connectParts();
     void takeMessage(const Envelope& envelope);
     void shareTables();
+    void pump();
+    void pumpEvery(Millis interval);
     void checkStopped();
     bool mayCloseDoor() const;
     bool hasNodeIn(const std::string& domain) const;
     std::vector<std::string> domainsToPlan() const;
     size_t rankFor(const std::string& domain) const;
+    bool isEngine(const Instance& instance) const;
     bool shouldObserve(const Instance& instance) const;
     std::vector<std::string> livingNodesIn(const std::string& domain) const;
     size_t rankAmong(std::vector<std::string> candidates, const std::string& role) const;
--- a/packages/schedule/Scheduler.cpp
+++ b/packages/schedule/Scheduler.cpp
@@ -83,6 +83,7 @@
 void Scheduler::submit(const Job& job, JobHooks hooks)
 {
     Calls calls;
+    bool isWaiting = false;
     {
         std::lock_guard lock(mutex_);
         const Millis now = options_.clock();
@@ -95,9 +96,12 @@
             enqueue(job, pool, now);
             waiting_[job.id] = { .job = job, .hooks = std::move(hooks) };
             grantAll(job.model, pool, now, calls);
+            isWaiting = waiting_.contains(job.id);
         }
     }
     calls.run();
+    if (isWaiting && options_.onWaiting)
+        options_.onWaiting();
 }
 
 void Scheduler::enqueue(const Job& job, Pool& pool, Millis now)
--- a/packages/schedule/Scheduler.h
+++ b/packages/schedule/Scheduler.h
@@ -41,6 +41,7 @@
     Clock clock;
     Random random;
     std::function<std::vector<Replica>(const std::string& model)> findReplicas;
+    std::function<void()> onWaiting; // a job was left waiting, so pump() is needed soon; any thread
 };
 
 // Tokens granted lately to one caller for one model and priority.
@@ -87,7 +88,8 @@
     // Frees the slot of a granted job.
     void finish(uint64_t jobId);
 
-    // Grants and refuses what time and new reports allow. Call at least every 10 ms.
+    // Grants and refuses what time and new reports allow. Call at least every 10 ms while jobs
+    // wait, and every 100 ms otherwise.
     void pump();
 
     // Takes what a peer uses, and forgets a peer. One that is not heard of for two seconds is
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -30,6 +30,8 @@
     ChallengeAnswer = 20,
     Wanted = 21,
     Relayed = 22,
+    Statuses = 32,
+    StatusesWanted = 33,
 };
 
 // Whether relays pass a message on to the other failure domains. Those that concern two nodes or
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -113,6 +113,19 @@
     publishInstances();
 }
 
+void Cluster::startFleet(const FleetOptions& options)
+{
+    // Addresses asked for one after the other have ports one after the other.
+    std::vector<std::string> addresses;
+    for (int i = 0; i < options.count; ++i) {
+        const std::string id = options.prefix + std::to_string(i);
+        addresses.push_back(addressOf(id));
+        instances_.push_back({ .id = id, .address = addresses.back(), .domain = options.domain, .fabric = options.domain, .pool = "models" });
+    }
+    startProcess(options.prefix + "0", "standin-fleet", { "--listen", QString::fromStdString(addresses.front()), "--prefix", QString::fromStdString(options.prefix), "--count", QString::number(options.count), "--members", QString::number(options.members) });
+    publishInstances();
+}
+
 void Cluster::startService(const std::string& id, const std::string& domain, const std::string& pool)
 {
     startProcess(id, "standin-service", { "--listen", QString::fromStdString(addressOf(id)), "--id", QString::fromStdString(id) });
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -66,6 +66,14 @@
     std::string settings; // more TOML: sections [limits] and [timing]
 };
 
+// Many engines in one process, in groups that serve; see standins/fleet.cpp.
+struct FleetOptions {
+    int count = 64;
+    int members = 4; // of a group
+    std::string domain = "a";
+    std::string prefix = "e"; // of the ids
+};
+
 // What a caller asks of a model.
 struct AskOptions {
     std::string key = "caller-key";
@@ -85,6 +93,7 @@
     void startStore();
     void startEngines(const EngineGroupOptions& options);
     void startEngine(const Instance& instance, const QStringList& arguments);
+    void startFleet(const FleetOptions& options);
     void startService(const std::string& id, const std::string& domain, const std::string& pool);
     void startNode(const NodeOptions& options);
     // Starts the proxy with links "NAME,LISTEN,TARGET[,udp]"; LISTEN as addressOf(NAME).
