Close an instance's socket before its connection is destroyed

Cause: a QTcpSocket that is destroyed emits disconnected(), and the handler released it a second time: heap corruption in 2 of 5 nodes when roles changed (capacity-observers, 5 nodes, 64 engines).

--- a/bench/capacity/observers.cpp
+++ b/bench/capacity/observers.cpp
@@ -144,6 +144,8 @@
             const std::vector<double> known = readAges(nameOf(i));
             ages.insert(ages.end(), known.begin(), known.end());
             whole += known.size();
+            if (known.size() < groups())
+                std::cerr << nameOf(i) << " sees " << known.size() << " groups; its log:\n" << cluster_.logOf(nameOf(i)).toStdString() << '\n';
         }
         std::sort(ages.begin(), ages.end());
         std::cout << " whole=" << whole << '/' << groups() * static_cast<size_t>(parameters_.nodes);
--- a/packages/fleet/StatusConnection.cpp
+++ b/packages/fleet/StatusConnection.cpp
@@ -14,6 +14,12 @@
 {
 }
 
+// A socket that is destroyed says that it is disconnected, to an object that is half gone.
+StatusConnection::~StatusConnection()
+{
+    close();
+}
+
 void StatusConnection::ask()
 {
     const Millis now = options_.clock();
--- a/packages/fleet/StatusConnection.h
+++ b/packages/fleet/StatusConnection.h
@@ -29,6 +29,7 @@
     };
 
     explicit StatusConnection(Options options);
+    ~StatusConnection() override;
 
     // Asks, unless an answer is on its way in time.
     void ask();
