Test shared looks with real processes and a property

Five nodes, two of them looking at each instance: a member killed or paused, its observers killed or paused.

--- a/packages/fleet/FleetTable.cpp
+++ b/packages/fleet/FleetTable.cpp
@@ -68,6 +68,17 @@
     }
 }
 
+std::vector<std::string> FleetTable::observed() const
+{
+    std::lock_guard lock(mutex_);
+    std::vector<std::string> ids;
+    for (const auto& [id, entry] : instances_) {
+        if (entry.isObserved)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
 void FleetTable::setStatus(const std::string& id, const InstanceStatus& status, Millis seenAt)
 {
     std::lock_guard lock(mutex_);
--- a/packages/fleet/FleetTable.h
+++ b/packages/fleet/FleetTable.h
@@ -95,6 +95,8 @@
     // Says which instances this node polls. Of these it trusts its own view over any peer's.
     void setObserved(const std::set<std::string>& ids);
 
+    std::vector<std::string> observed() const;
+
     // Takes what another node says of a group.
     void setRemoteGroup(const RemoteGroup& row);
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -421,6 +421,9 @@
         groups.append(describeGroup(group, clock_()));
     for (const GroupCondition& group : fleet_.remoteGroups())
         groups.append(describeGroup(group, clock_()));
+    QJsonArray observed;
+    for (const std::string& instance : fleet_.observed())
+        observed.append(QString::fromStdString(instance));
     QJsonArray peers;
     for (const Peer& peer : peers_.peers()) {
         peers.append(QJsonObject { { "node", QString::fromStdString(peer.node) }, { "domain", QString::fromStdString(peer.heartbeat.domain) },
@@ -428,7 +431,7 @@
     }
     return { { "node", QString::fromStdString(settings_.node) }, { "incarnation", static_cast<double>(incarnation_) },
         { "domain", QString::fromStdString(settings_.domain) }, { "revision", static_cast<double>(config_.snapshot().revision) },
-        { "ready", isReady() }, { "waiting", static_cast<int>(scheduler_.waitingCount()) }, { "groups", groups }, { "peers", peers } };
+        { "ready", isReady() }, { "waiting", static_cast<int>(scheduler_.waitingCount()) }, { "groups", groups }, { "observed", observed }, { "peers", peers } };
 }
 
 } // namespace hemlockweir
--- /dev/null
+++ b/tests/SharedLooksProcessTest.cpp
@@ -0,0 +1,108 @@
+// Nodes of a failure domain that share their looks at instances, with real processes: a group that
+// lost a member is unserved at every node, also at those that never look at the member, and the
+// loss of observers leaves groups served. Leaders never notice a missing member themselves.
+
+#include "support/Cluster.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace hemlockweir {
+
+class SharedLooks : public testing::Test {
+protected:
+    void SetUp() override
+    {
+        cluster.startStore();
+        cluster.startEngines({ .count = 2, .arguments = { "--checks-members", "0" } });
+        for (const std::string& node : nodes)
+            cluster.startNode({ .name = node, .seeds = { "n1", "n2" } });
+        ASSERT_EQ(cluster.publish(makeServiceFile(2)), 0);
+        ASSERT_TRUE(waitForWhole(nodes, true));
+        // Two look at each instance; the others hear.
+        ASSERT_TRUE(waitUntil([this] { return observersOf("a1-2").size() == 2; }));
+    }
+
+    std::vector<std::string> observersOf(const std::string& instance)
+    {
+        std::vector<std::string> observers;
+        for (const std::string& node : nodes) {
+            if (cluster.status(node)["observed"].toArray().contains(QString::fromStdString(instance)))
+                observers.push_back(node);
+        }
+        return observers;
+    }
+
+    bool waitForWhole(const std::vector<std::string>& some, bool isWhole)
+    {
+        return waitUntil([&] {
+            return std::all_of(some.begin(), some.end(), [&](const std::string& node) { return cluster.wholeGroups(node).empty() != isWhole; });
+        });
+    }
+
+    // Sends requests through each node; none may start on an engine.
+    void expectNoStart(const std::vector<std::string>& some)
+    {
+        const std::string leader = "a1-1";
+        const size_t before = cluster.effects(leader, "run_started").size();
+        for (const std::string& node : some)
+            (void)cluster.ask(node, { .maxTokens = 1, .headers = { { "X-Deadline-Ms", "200" } } });
+        EXPECT_EQ(cluster.effects(leader, "run_started").size(), before);
+    }
+
+    std::vector<std::string> without(const std::vector<std::string>& gone) const
+    {
+        std::vector<std::string> left;
+        std::copy_if(nodes.begin(), nodes.end(), std::back_inserter(left), [&](const std::string& node) { return std::find(gone.begin(), gone.end(), node) == gone.end(); });
+        return left;
+    }
+
+    Cluster cluster;
+    std::vector<std::string> nodes { "n1", "n2", "n3", "n4", "n5" };
+};
+
+TEST_F(SharedLooks, AKilledMemberMakesItsGroupUnservedAtEveryNode)
+{
+    cluster.kill("a1-2");
+    EXPECT_TRUE(waitForWhole(nodes, false));
+    expectNoStart(nodes);
+}
+
+TEST_F(SharedLooks, APausedMemberMakesItsGroupUnservedAtEveryNode)
+{
+    cluster.pause("a1-2");
+    EXPECT_TRUE(waitForWhole(nodes, false));
+    expectNoStart(nodes);
+    cluster.resume("a1-2");
+    EXPECT_TRUE(waitForWhole(nodes, true));
+}
+
+TEST_F(SharedLooks, OthersTakeOverFromKilledObservers)
+{
+    const std::vector<std::string> observers = observersOf("a1-2");
+    for (const std::string& node : observers)
+        cluster.kill(node);
+    nodes = without(observers);
+    EXPECT_TRUE(waitUntil([&] { return !observersOf("a1-2").empty(); }));
+    EXPECT_TRUE(waitForWhole(nodes, true));
+    cluster.kill("a1-2");
+    EXPECT_TRUE(waitForWhole(nodes, false));
+    expectNoStart(nodes);
+}
+
+TEST_F(SharedLooks, PausedObserversDoNotHideAKilledMember)
+{
+    const std::vector<std::string> observers = observersOf("a1-2");
+    for (const std::string& node : observers)
+        cluster.pause(node);
+    cluster.kill("a1-2");
+    nodes = without(observers);
+    EXPECT_TRUE(waitForWhole(nodes, false));
+    expectNoStart(nodes);
+    for (const std::string& node : observers)
+        cluster.resume(node);
+    EXPECT_TRUE(waitForWhole(observers, false));
+    expectNoStart(observers);
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/tests/SharedStatusesTest.cpp
@@ -0,0 +1,264 @@
+// Sharing looks at instances: what an observer tells and what its receivers make of it.
+
+#include "fleet/HeardStatuses.h"
+#include "fleet/ObserverRoles.h"
+#include "fleet/StatusPublisher.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace hemlockweir {
+
+static constexpr Millis freshness { 1500 };
+// TransitDelay lets clocks drift by 0.2 ms a second; the property runs for at most 24 s.
+static constexpr Millis driftAllowance { 6 };
+
+static InstanceStatus makeStatus(const std::string& id, uint64_t epoch, const std::vector<std::string>& members)
+{
+    return { .id = id, .incarnation = "1", .state = EngineState::Ready, .group = "g" + std::to_string(epoch), .epoch = epoch, .model = "m", .members = members, .slots = 4 };
+}
+
+class SharedStatusesTest : public testing::Test {
+protected:
+    void SetUp() override
+    {
+        table.setInstances({ makeInstance("i1"), makeInstance("i2") });
+        // The first message of a sender has nothing that its time on the way could be held against.
+        deliver({ .sentAtMs = static_cast<uint64_t>(now.count()) });
+    }
+
+    static Instance makeInstance(const std::string& id) { return { .id = id, .address = id + ":1", .domain = "a", .fabric = "a1", .pool = "models" }; }
+
+    void deliver(const Statuses& message) { heard.take({ .node = "n2", .incarnation = 1 }, message); }
+
+    void look()
+    {
+        for (const char* id : { "i1", "i2" })
+            publisher.noteStatus(id, makeStatus(id, 5, { "i1", "i2" }), now);
+    }
+
+    // Sends what is due, and delivers it unless it is lost.
+    void exchange(bool isLost = false)
+    {
+        sent.clear();
+        publisher.tick();
+        for (const Statuses& message : sent) {
+            if (!isLost)
+                deliver(message);
+        }
+    }
+
+    size_t servable() const { return table.findReplicas("m").size(); }
+
+    Millis now { 100000 };
+    Clock clock { [this] { return now; } };
+    FleetTable table { { .freshness = freshness, .clock = clock } };
+    std::vector<Statuses> sent;
+    std::vector<StatusesWanted> wanted;
+    StatusPublisher publisher { { .clock = clock, .broadcast = [this](const Statuses& message) { sent.push_back(message); } } };
+    HeardStatuses heard { { .clock = clock, .broadcast = [this](const StatusesWanted& message) { wanted.push_back(message); } }, table };
+};
+
+TEST_F(SharedStatusesTest, ServesAGroupOnItsMembersWordsAsAnObserverTellsThem)
+{
+    look();
+    exchange();
+    EXPECT_EQ(servable(), 1U);
+}
+
+TEST_F(SharedStatusesTest, VouchesForAnUnchangedTableWithoutRows)
+{
+    look();
+    exchange();
+    for (int i = 0; i < 20; ++i) {
+        now += Millis(300);
+        look();
+        exchange();
+        EXPECT_EQ(servable(), 1U);
+    }
+    EXPECT_TRUE(sent.empty() || sent.back().rows.empty());
+}
+
+TEST_F(SharedStatusesTest, StopsServingWithTheFirstWordOfAnUnreachableMember)
+{
+    look();
+    exchange();
+    now += Millis(10);
+    publisher.noteUnreachable("i2");
+    exchange();
+    EXPECT_EQ(servable(), 0U);
+}
+
+TEST_F(SharedStatusesTest, DoesNotVouchForAMemberThatStoppedAnswering)
+{
+    look();
+    exchange();
+    for (int i = 0; i < 6; ++i) {
+        now += Millis(300);
+        publisher.noteStatus("i1", makeStatus("i1", 5, { "i1", "i2" }), now);
+        exchange();
+    }
+    EXPECT_EQ(servable(), 0U);
+}
+
+TEST_F(SharedStatusesTest, AVouchCountsForNothingAfterALostChange)
+{
+    look();
+    exchange();
+    now += Millis(300);
+    publisher.noteStatus("i1", makeStatus("i1", 5, { "i1", "i2" }), now);
+    publisher.noteStatus("i2", makeStatus("i2", 6, { "i2" }), now);
+    exchange(true);
+    for (int i = 0; i < 5; ++i) {
+        now += Millis(300);
+        publisher.noteStatus("i1", makeStatus("i1", 5, { "i1", "i2" }), now);
+        publisher.noteStatus("i2", makeStatus("i2", 6, { "i2" }), now);
+        exchange();
+    }
+    EXPECT_TRUE(std::none_of(sent.begin(), sent.end(), [](const Statuses& message) { return !message.rows.empty(); }));
+    EXPECT_EQ(table.findReplica("g5", 5), std::nullopt);
+}
+
+TEST_F(SharedStatusesTest, AsksForTheTableAfterAGapAndGoesOnWithIt)
+{
+    look();
+    exchange(true);
+    now += Millis(1000);
+    look();
+    exchange();
+    heard.tick();
+    ASSERT_EQ(wanted.size(), 1U);
+    EXPECT_EQ(wanted.front().observers, std::vector<std::string> { "n2" });
+    EXPECT_EQ(servable(), 0U);
+    publisher.requestWhole();
+    exchange();
+    EXPECT_EQ(servable(), 1U);
+}
+
+TEST_F(SharedStatusesTest, TellsChangesOfLoad)
+{
+    look();
+    exchange();
+    InstanceStatus busy = makeStatus("i1", 5, { "i1", "i2" });
+    busy.running = 3;
+    now += Millis(1000);
+    look();
+    publisher.noteStatus("i1", busy, now);
+    exchange();
+    ASSERT_EQ(servable(), 1U);
+    EXPECT_EQ(table.findReplicas("m").front().running, 3U);
+}
+
+TEST(ObserverRoles, ReservesLookBeforeAReportIsTooOldAndEveryoneAfter)
+{
+    Millis now { 1000 };
+    size_t rank = 0;
+    ObserverRoles roles({ .hold = Millis(10000), .clock = [&] { return now; }, .rank = [&](const auto&, const std::string&) { return rank; } });
+    auto roleAt = [&](size_t place, const std::vector<std::string>& nodes) {
+        rank = place;
+        roles.setNodes({});
+        roles.setNodes(nodes);
+        return roles.roleFor("i1");
+    };
+    const std::vector<std::string> few { "n1", "n2", "n3" };
+    const std::vector<std::string> many { "n1", "n2", "n3", "n4", "n5", "n6" };
+    EXPECT_EQ(roleAt(2, few), ObserverRole::Itself);
+    EXPECT_EQ(roleAt(1, many), ObserverRole::Teller);
+    EXPECT_EQ(roleAt(2, many), ObserverRole::None);
+    roles.setStale({ "i1" }, {});
+    EXPECT_EQ(roleAt(2, many), ObserverRole::Teller);
+    now += Millis(10001);
+    roles.setStale({}, {});
+    EXPECT_EQ(roleAt(4, many), ObserverRole::None);
+    roles.setStale({ "i1" }, { "i1" });
+    EXPECT_EQ(roleAt(4, many), ObserverRole::Itself);
+}
+
+// Two observers, one receiver, and two members that restart, pause and change their group at
+// random; messages are lost, delayed and overtake each other, and observers restart.
+RC_GTEST_PROP(SharedStatuses, NeverServesAGroupAgainstAMembersWordOlderThanTheFreshness, ())
+{
+    Millis now { 100000 };
+    const Clock clock = [&] { return now; };
+    const std::vector<std::string> ids { "i1", "i2" };
+    struct Member {
+        uint64_t epoch = 5;
+        bool isPaused = false;
+        Millis inGroupUntil { 0 }; // the last time that it would have said that it is ready in group 5
+    };
+    struct Post {
+        size_t observer = 0;
+        uint64_t incarnation = 1;
+        Statuses message;
+        Millis at { 0 };
+    };
+    std::map<std::string, Member> members { { "i1", {} }, { "i2", {} } };
+    std::vector<Post> posts;
+    FleetTable table({ .freshness = freshness, .clock = clock });
+    table.setInstances({ { .id = "i1", .address = "i1:1", .domain = "a" }, { .id = "i2", .address = "i2:1", .domain = "a" } });
+    HeardStatuses heard({ .clock = clock, .broadcast = [](const StatusesWanted&) {} }, table);
+    std::vector<uint64_t> incarnations { 1, 1 };
+    std::vector<std::unique_ptr<StatusPublisher>> observers(2);
+    auto start = [&](size_t i) {
+        observers[i] = std::make_unique<StatusPublisher>(StatusPublisher::Options { .clock = clock, .broadcast = [&, i](const Statuses& message) {
+            if (*rc::gen::inRange(0, 10) > 0)
+                posts.push_back({ i, incarnations[i], message, now + Millis(*rc::gen::element(0, 0, 0, 20, 400, 2500)) });
+        } });
+        // Shows the receiver the way's shortest time; see TransitDelay.
+        heard.take({ .node = "o" + std::to_string(i), .incarnation = incarnations[i] }, { .sentAtMs = static_cast<uint64_t>(now.count()) });
+    };
+    start(0);
+    start(1);
+    const int steps = *rc::gen::inRange(10, 120);
+    for (int step = 0; step < steps; ++step) {
+        now += Millis(*rc::gen::inRange(10, 200));
+        Member& changed = members[*rc::gen::elementOf(ids)];
+        switch (*rc::gen::inRange(0, 16)) {
+        case 0:
+            changed.epoch = changed.epoch == 5 ? 6 : 5;
+            break;
+        case 1:
+            changed.isPaused = !changed.isPaused;
+            break;
+        case 2: {
+            const size_t i = *rc::gen::inRange<size_t>(0, 2);
+            ++incarnations[i];
+            start(i);
+            break;
+        }
+        case 3:
+            observers[*rc::gen::inRange<size_t>(0, 2)]->requestWhole();
+            break;
+        default:
+            break;
+        }
+        for (auto& [id, member] : members) {
+            if (member.epoch == 5 && !member.isPaused)
+                member.inGroupUntil = now;
+        }
+        for (auto& observer : observers) {
+            for (auto& [id, member] : members) {
+                if (!member.isPaused && *rc::gen::inRange(0, 3) > 0)
+                    observer->noteStatus(id, makeStatus(id, member.epoch, member.epoch == 5 ? ids : std::vector<std::string> { id }), now);
+                else if (*rc::gen::inRange(0, 20) == 0)
+                    observer->noteUnreachable(id);
+            }
+            observer->tick();
+        }
+        std::vector<Post> later;
+        for (const Post& post : posts) {
+            if (post.at > now)
+                later.push_back(post);
+            else if (post.incarnation == incarnations[post.observer])
+                heard.take({ .node = "o" + std::to_string(post.observer), .incarnation = post.incarnation }, post.message);
+        }
+        posts = later;
+        if (table.findReplica("g5", 5)) {
+            for (const auto& [id, member] : members)
+                RC_ASSERT(now - member.inGroupUntil <= freshness + driftAllowance);
+        }
+    }
+}
+
+} // namespace hemlockweir
