Bound the looks that a shortage of news brings

Cause: 31 nodes with 492 engines on a machine at a load of 25 to 50: no node saw a group at the end, 39 KB/s and 5 % of a core a node. With late answers every node looked at every engine, which made the answers later still. Each node now looks at 32 at most for want of news.

--- a/packages/fleet/ObserverRoles.cpp
+++ b/packages/fleet/ObserverRoles.cpp
@@ -21,10 +21,16 @@
     std::erase_if(heldUntil_, [&](const auto& entry) { return entry.second <= time; });
     for (const std::string& instance : soon) {
         if (rankFor(instance) < options_.observers + options_.reserves)
-            heldUntil_.try_emplace(instance, time + options_.hold);
+            hold(instance, time + options_.hold);
     }
     for (const std::string& instance : now)
-        heldUntil_.try_emplace(instance, time + options_.hold);
+        hold(instance, time + options_.hold);
+}
+
+void ObserverRoles::hold(const std::string& instance, Millis until)
+{
+    if (heldUntil_.size() < options_.mostHeld)
+        heldUntil_.try_emplace(instance, until);
 }
 
 size_t ObserverRoles::rankFor(const std::string& instance)
--- a/packages/fleet/ObserverRoles.h
+++ b/packages/fleet/ObserverRoles.h
@@ -12,7 +12,8 @@
 //
 // The first in rank for an instance look at it always. The next ones do while nothing fresh is
 // heard of it, before its last report is too old to count; and when that did not help, every node
-// does, so that a node that hears nobody still serves what it can reach.
+// does, for a few instances at a time: a node that hears nobody serves some groups until it knows
+// that it is alone.
 
 namespace hemlockweir {
 
@@ -29,6 +30,7 @@
         size_t reserves = 2; // nodes next in rank
         size_t fewNodes = 3; // up to so many each looks at every instance and tells nobody
         Millis hold { 10000 }; // ms, for which a look that was started for want of news goes on
+        size_t mostHeld = 32; // instances looked at for want of news at once, so that a shortage of news brings no flood of looks
         Clock clock;
         std::function<size_t(const std::vector<std::string>& nodes, const std::string& instance)> rank; // of this node
     };
@@ -50,6 +52,7 @@
     bool isFirstFor(const std::string& instance) { return rankFor(instance) == 0; }
 
 private:
+    void hold(const std::string& instance, Millis until);
     size_t rankFor(const std::string& instance);
 
     Options options_;
--- a/tests/SharedStatusesTest.cpp
+++ b/tests/SharedStatusesTest.cpp
@@ -175,6 +175,15 @@
     EXPECT_EQ(roleAt(4, many), ObserverRole::Itself);
 }
 
+TEST(ObserverRoles, AShortageOfNewsBringsNoFloodOfLooks)
+{
+    ObserverRoles roles({ .mostHeld = 2, .clock = [] { return Millis(1000); }, .rank = [](const auto&, const std::string&) { return size_t { 9 }; } });
+    roles.setNodes({ "n1", "n2", "n3", "n4", "n5" });
+    const std::set<std::string> stale { "i1", "i2", "i3", "i4" };
+    roles.setStale(stale, stale);
+    EXPECT_EQ(std::count_if(stale.begin(), stale.end(), [&](const std::string& id) { return roles.roleFor(id) == ObserverRole::Itself; }), 2);
+}
+
 // Two observers, one receiver, and two members that restart, pause and change their group at
 // random; messages are lost, delayed and overtake each other, and observers restart.
 RC_GTEST_PROP(SharedStatuses, NeverServesAGroupAgainstAMembersWordOlderThanTheFreshness, ())
