--- a/packages/fleet/FleetManager.h
+++ b/packages/fleet/FleetManager.h
@@ -5,8 +5,8 @@
 #include "fleet/GroupPlanner.h"
 #include "fleet/HeardStatuses.h"
 #include "fleet/ObserverRoles.h"
-#include "fleet/StatusPublisher.h"
 #include "fleet/StatusPoller.h"
+#include "fleet/StatusPublisher.h"
 #include "fleet/StrandedTime.h"
 
 #include <deque>
--- a/tests/SharedStatusesTest.cpp
+++ b/tests/SharedStatusesTest.cpp
@@ -211,9 +211,9 @@
     std::vector<std::unique_ptr<StatusPublisher>> observers(2);
     auto start = [&](size_t i) {
         observers[i] = std::make_unique<StatusPublisher>(StatusPublisher::Options { .clock = clock, .broadcast = [&, i](const Statuses& message) {
-            if (*rc::gen::inRange(0, 10) > 0)
-                posts.push_back({ i, incarnations[i], message, now + Millis(*rc::gen::element(0, 0, 0, 20, 400, 2500)) });
-        } });
+                                                                                       if (*rc::gen::inRange(0, 10) > 0)
+                                                                                           posts.push_back({ i, incarnations[i], message, now + Millis(*rc::gen::element(0, 0, 0, 20, 400, 2500)) });
+                                                                                   } });
         // Shows the receiver the way's shortest time; see TransitDelay.
         heard.take({ .node = "o" + std::to_string(i), .incarnation = incarnations[i] }, { .sentAtMs = static_cast<uint64_t>(now.count()) });
     };
