--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -47,17 +47,22 @@
     return options;
 }
 
-static HttpServerOptions makeServerOptions(const Settings& settings)
+static HttpServerOptions makeServerOptions(const Settings& settings, const TlsFiles& tls)
 {
-    return { .address = QHostAddress(QString::fromStdString(settings.callers.address)),
+    HttpServerOptions options { .address = QHostAddress(QString::fromStdString(settings.callers.address)),
         .port = settings.callers.port,
         .workers = settings.workers,
         .limits = { .headBytes = settings.headBytes, .bodyBytes = settings.bodyBytes },
         .requestTimeout = settings.requestTimeout,
         .idleTimeout = settings.idleTimeout,
+        .peerTimeout = settings.callerTimeout,
         .maxConnections = settings.maxConnections,
         .maxConnectionsPerAddress = settings.maxConnectionsPerAddress,
-        .replyBufferBytes = settings.replyBufferBytes };
+        .replyBufferBytes = settings.replyBufferBytes,
+        .tls = {} };
+    if (!settings.tlsCertificateFile.empty())
+        options.tls = [&tls] { return tls.configuration(); };
+    return options;
 }
 
 Node::Node(Settings settings)
@@ -103,7 +108,7 @@
                          .broadcast = [this](const Groups& message) { peers_.broadcast(message); },
                          .shouldShare = [this](const GroupCondition& group) { return shouldShare(group); } },
           fleet_)
-    , quarantine_({ .clock = clock_, .ownsGroup = [this](const std::string& group) { return ownsGroup(group); }, .onNews = [this] { QMetaObject::invokeMethod(this, [this] { suspects_.share(); }); } })
+    , quarantine_({ .node = settings_.node, .clock = clock_, .ownsGroup = [this](const std::string& group) { return ownsGroup(group); }, .onNews = [this] { QMetaObject::invokeMethod(this, [this] { suspects_.share(); }); } })
     , suspects_(quarantine_, [this](const Suspects& message) { peers_.broadcast(message); })
     , tables_ { .config = config_,
         .fleet = fleet_,
@@ -116,7 +121,8 @@
         .silenceTimeout = settings_.silenceTimeout }
     , report_(makeReportOptions(), fleet_, platform_)
     , api_({ .operatorKey = QByteArray::fromStdString(settings_.operatorKey), .maxRequestsPerCaller = settings_.maxRequestsPerCaller }, tables_, { .isReady = [this] { return isReady(); }, .status = [this] { return describe(); }, .report = &report_ })
-    , server_(makeServerOptions(settings_), [this](std::shared_ptr<Exchange> exchange) { api_.handle(std::move(exchange)); })
+    , tls_({ .certificateFile = settings_.tlsCertificateFile, .keyFile = settings_.tlsKeyFile })
+    , server_(makeServerOptions(settings_, tls_), [this](std::shared_ptr<Exchange> exchange) { api_.handle(std::move(exchange)); })
 {
     connectParts();
 }
@@ -139,11 +145,14 @@
     };
     connect(&shareTimer_, &QTimer::timeout, this, &Node::shareTables);
     connect(&pumpTimer_, &QTimer::timeout, this, &Node::pump);
+    connect(&tlsTimer_, &QTimer::timeout, this, &Node::checkTlsFiles);
     connect(&stopTimer_, &QTimer::timeout, this, &Node::checkStopped);
 }
 
 absl::Status Node::start()
 {
+    if (const absl::Status status = startTls(); !status.ok())
+        return status;
     peers_.setHeartbeat(makeHeartbeat());
     if (const absl::Status status = peers_.start(); !status.ok())
         return status;
@@ -173,6 +182,25 @@
         pumpTimer_.start(interval);
 }
 
+absl::Status Node::startTls()
+{
+    if (settings_.tlsCertificateFile.empty())
+        return absl::OkStatus();
+    tlsTimer_.start(settings_.tlsCheckInterval);
+    return tls_.load();
+}
+
+// Open connections keep the certificate that they began with.
+void Node::checkTlsFiles()
+{
+    const int before = tls_.loads();
+    const absl::Status status = tls_.loadIfChanged();
+    if (!status.ok())
+        logWarning("tls_files_refused", { { "error", std::string(status.message()) }, { "action", "the former ones stay in use" } });
+    else if (tls_.loads() != before)
+        logInfo("tls_files_loaded", { { "certificate", settings_.tlsCertificateFile } });
+}
+
 void Node::stop(std::function<void()> onStopped)
 {
     if (tables_.isStopping.exchange(true))
@@ -289,9 +317,13 @@
     metrics_.setGauge("hemlockweir_peer_datagrams_refused_total", "Datagrams refused: foreign, truncated, forged or old", static_cast<double>(traffic.refused));
     metrics_.setGauge("hemlockweir_peer_datagrams_relayed_total", "Datagrams passed on for other nodes", static_cast<double>(traffic.relayed));
     metrics_.setGauge("hemlockweir_peer_messages_not_relayed_total", "Messages of peers that a relay left out to keep its budget", static_cast<double>(traffic.relayDropped));
+    for (size_t i = 0; i < sendPurposes; ++i) {
+        const std::string name = std::string("hemlockweir_peer_bytes_sent_") + nameOf(static_cast<SendPurpose>(i)) + "_total";
+        metrics_.setGauge(name, "Bytes of datagrams sent to peers for this purpose, with headers", static_cast<double>(traffic.bytesSentFor[i]));
+    }
     metrics_.setGauge("hemlockweir_configuration_bytes_sent_total", "Bytes of configurations sent to peers", static_cast<double>(configServer_.bytesSent()));
     metrics_.setGauge("hemlockweir_platform_calls_total", "Calls to the platform's key-value service", static_cast<double>(platform_.callsMade()));
-    metrics_.setGauge("hemlockweir_configuration_watching", "1 while this node watches the platform for the configuration", follower_.isWatching() ? 1 : 0);
+    metrics_.setGauge("hemlockweir_configuration_watching", "Whether this node watches the platform for the configuration: 0 or 1", follower_.isWatching() ? 1 : 0);
 }
 
 bool Node::hasNodeIn(const std::string& domain) const
@@ -364,7 +396,7 @@
         if (peer.alive && !peer.heartbeat.leaving)
             nodes.push_back(peer.node);
     }
-    return rankAmong(nodes, "suspects of " + group) == 0;
+    return rankAmong(nodes, Quarantine::roleOf(group)) == 0;
 }
 
 bool Node::shouldShare(const GroupCondition& group) const
@@ -391,10 +423,9 @@
     suspects_.share();
     metrics_.setGauge("hemlockweir_endpoint_deaths_on_requests", "Deaths of endpoints counted against requests that were on them", static_cast<double>(quarantine_.rows().size()));
     if (clock_() >= nextShareAt_) {
-        const uint64_t before = peers_.traffic().bytesSent;
         groupExchange_.share();
         usage_.share();
-        nextShareAt_ = clock_() + peers_.pauseAfter(peers_.traffic().bytesSent - before);
+        nextShareAt_ = clock_() + peers_.sharePause();
     }
     exposeTraffic();
 }
