Name late instances in the vouching message instead of withdrawing them

Cause: 31 nodes with 492 engines at a load of 27 to 45: 92 of 123 groups at each node and 92 KB/s a node: instances that answered late were withdrawn and told anew again and again. Also a kept connection is given up after nearly two intervals instead of one. Not run again at that size.

--- a/packages/fleet/FleetTable.cpp
+++ b/packages/fleet/FleetTable.cpp
@@ -135,11 +135,13 @@
         entry.view.status.reset();
 }
 
-void FleetTable::vouch(const std::map<std::string, InstanceStatus>& statuses, Millis askedAt)
+void FleetTable::vouch(const std::map<std::string, InstanceStatus>& statuses, const std::vector<uint16_t>& late, Millis askedAt)
 {
     std::lock_guard lock(mutex_);
+    size_t place = 0;
     for (const auto& [id, status] : statuses) {
-        if (const auto found = instances_.find(id); found != instances_.end())
+        const bool isLate = std::find(late.begin(), late.end(), place++) != late.end();
+        if (const auto found = instances_.find(id); found != instances_.end() && !isLate)
             takeHeard(found->second, status, askedAt);
     }
 }
--- a/packages/fleet/FleetTable.h
+++ b/packages/fleet/FleetTable.h
@@ -82,8 +82,9 @@
     void setHeardStatus(const std::string& id, const InstanceStatus& status, Millis askedAt);
     void dropHeardStatus(const std::string& id, Millis failedAt);
 
-    // Takes it that all these instances were asked at `askedAt` or later and reported this.
-    void vouch(const std::map<std::string, InstanceStatus>& statuses, Millis askedAt);
+    // Takes it that these instances, besides those at the places `late`, were asked at `askedAt` or
+    // later and reported this.
+    void vouch(const std::map<std::string, InstanceStatus>& statuses, const std::vector<uint16_t>& late, Millis askedAt);
 
     // Takes an instance's load from an observer.
     void setHeardLoad(const std::string& id, const InstanceLoad& load);
--- a/packages/fleet/HeardStatuses.cpp
+++ b/packages/fleet/HeardStatuses.cpp
@@ -80,9 +80,10 @@
     const Millis sentAt = now - delay.value_or(Millis(0));
     for (const StatusRow& row : message.rows)
         takeRow(copy, row, sentAt, delay.has_value());
-    if (!copy.isCurrent || !delay)
+    // Places count in the whole table, which further messages with rows may still complete.
+    if (!copy.isCurrent || !delay || !message.rows.empty())
         return;
-    table_.vouch(copy.statuses, sentAt - Millis(message.ageMs));
+    table_.vouch(copy.statuses, message.late, sentAt - Millis(message.ageMs));
     takeLoads(copy, message.loads);
 }
 
--- a/packages/fleet/StatusConnection.h
+++ b/packages/fleet/StatusConnection.h
@@ -20,7 +20,7 @@
 public:
     struct Options {
         std::string address; // ADDRESS:PORT
-        Millis keptTimeout { 300 }; // ms without an answer after which a kept connection is replaced
+        Millis keptTimeout { 550 }; // ms without an answer after which a kept connection is replaced
         Millis answerTimeout { 1500 }; // ms without an answer after which a new one is
         Clock clock;
         std::function<void(const std::string& body, Millis askedAt)> onAnswer; // status 200, whole
--- a/packages/fleet/StatusPoller.cpp
+++ b/packages/fleet/StatusPoller.cpp
@@ -36,8 +36,8 @@
 std::unique_ptr<StatusConnection> StatusPoller::connectTo(const Instance& instance)
 {
     auto connection = std::make_unique<StatusConnection>(StatusConnection::Options { .address = instance.address,
-        // Less than an interval, so that the next turn finds it passed.
-        .keptTimeout = options_.interval - options_.interval / turns,
+        // Less than two intervals, so that the second turn finds it passed.
+        .keptTimeout = 2 * options_.interval - options_.interval / turns,
         .answerTimeout = options_.answerTimeout,
         .clock = options_.clock,
         .onAnswer = [this, id = instance.id](const std::string& body, Millis askedAt) { takeAnswer(id, body, askedAt); },
--- a/packages/fleet/StatusPublisher.cpp
+++ b/packages/fleet/StatusPublisher.cpp
@@ -102,29 +102,33 @@
         withdraw(id, StatusNews::Withdrawn);
 }
 
-void StatusPublisher::withdrawLate(Millis now)
+Millis StatusPublisher::oldestAge(Millis now) const
 {
-    std::vector<std::string> late;
+    Millis oldest { 0 };
     for (const auto& [id, row] : table_) {
-        if (now - row.askedAt > options_.lateAfter)
-            late.push_back(id);
+        if (!isLate(row, now))
+            oldest = std::max(oldest, now - row.askedAt);
     }
-    for (const std::string& id : late)
-        withdraw(id, StatusNews::Withdrawn);
+    return oldest;
 }
 
-Millis StatusPublisher::oldestAge(Millis now) const
+std::vector<uint16_t> StatusPublisher::latePlaces(Millis now) const
 {
-    Millis oldest { 0 };
-    for (const auto& [id, row] : table_)
-        oldest = std::max(oldest, now - row.askedAt);
-    return oldest;
+    std::vector<uint16_t> places;
+    uint16_t place = 0;
+    for (const auto& [id, row] : table_) {
+        if (isLate(row, now) && places.size() < maxLatePerMessage)
+            places.push_back(place);
+        ++place;
+    }
+    return places;
 }
 
 void StatusPublisher::send(Statuses& message, Millis now)
 {
     message.sentAtMs = static_cast<uint64_t>(now.count());
     message.version = version_;
+    message.late = latePlaces(now);
     message.ageMs = clampTo<uint16_t>(static_cast<double>(oldestAge(now).count()));
     options_.broadcast(message);
 }
@@ -187,7 +191,6 @@
 void StatusPublisher::tick()
 {
     const Millis now = options_.clock();
-    withdrawLate(now);
     if (isWholeWanted_ && now >= nextWholeAt_)
         sendWhole(now);
     if (!news_.empty())
--- a/packages/fleet/StatusPublisher.h
+++ b/packages/fleet/StatusPublisher.h
@@ -13,7 +13,7 @@
 //
 // A change is sent with the next tick. While nothing changes, one small message vouches for the
 // whole table: every instance in it was asked, and answered the same, no longer ago than the
-// message says. An instance that answers late is withdrawn, so that it does not hold the rest back.
+// message says. It names those that answer late, so that they do not hold the rest back.
 
 namespace hemlockweir {
 
@@ -21,7 +21,7 @@
 public:
     struct Options {
         Millis vouchInterval { 900 }; // ms, between two messages at most
-        Millis lateAfter { 700 }; // ms since it was asked, until an instance without an answer is withdrawn
+        Millis lateAfter { 700 }; // ms since it was asked, until an instance without an answer is not vouched for
         Millis wholeInterval { 5000 }; // ms, between two sendings of the whole table at least
         Clock clock;
         std::function<void(const Statuses&)> broadcast;
@@ -53,13 +53,14 @@
         std::optional<LoadRow> sentLoad; // as the others know it; its place is not used
     };
 
-    void withdrawLate(Millis now);
     void withdraw(const std::string& id, StatusNews news);
     void sendWhole(Millis now);
     void sendNews(Millis now, bool startsAnew);
     void sendVouch(Millis now);
     std::vector<LoadRow> changedLoads();
+    bool isLate(const Row& row, Millis now) const { return now - row.askedAt > options_.lateAfter; }
     Millis oldestAge(Millis now) const;
+    std::vector<uint16_t> latePlaces(Millis now) const;
     void send(Statuses& message, Millis now);
 
     Options options_;
--- a/packages/wire/InstanceMessages.h
+++ b/packages/wire/InstanceMessages.h
@@ -7,11 +7,13 @@
 
 namespace hemlockweir {
 
+inline constexpr uint32_t maxLatePerMessage = 1024;
+
 // What an observer has to say of an instance.
 enum class StatusNews : uint8_t {
     Reported = 0, // it reports what the row holds
     Unreachable = 1, // it refused a connection, or lost it before it answered
-    Withdrawn = 2, // it has not answered in time, or the sender observes it no more
+    Withdrawn = 2, // the sender observes it no more
 };
 
 // What one instance reported, without its load.
@@ -65,12 +67,13 @@
     bool startsAnew = false; // all rows of before are void
     uint16_t ageMs = 0; // ms, age of the oldest report vouched for
     std::vector<StatusRow> rows;
+    std::vector<uint16_t> late; // places of instances that have not answered in time: not vouched for
     std::vector<LoadRow> loads;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(sentAtMs, version, startsAnew, ageMs, bounded(rows, maxRowsPerMessage), bounded(loads, maxRowsPerMessage));
+        archive(sentAtMs, version, startsAnew, ageMs, bounded(rows, maxRowsPerMessage), bounded(late, maxLatePerMessage), bounded(loads, maxRowsPerMessage));
     }
     auto operator<=>(const Statuses&) const = default;
 };
