--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -32,6 +32,11 @@
     Relayed = 22,
     Statuses = 32,
     StatusesWanted = 33,
+    HomeClaim = 40,
+    HomeSettle = 41,
+    HomeAnswer = 42,
+    ClaimBatch = 43,
+    ClaimBatchAnswer = 44,
 };
 
 // Whether relays pass a message on to the other failure domains. Those that concern two nodes or
