--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -75,7 +75,7 @@
     , platform_(makePlatformOptions(settings_))
     , ledger_({ .owner = settings_.node + "/" + std::to_string(incarnation_), .clock = clock_, .random = random_ }, makeClaimStore(platform_))
     , peers_(makePeerOptions(settings_, incarnation_, clock_, random_))
-    , usage_(scheduler_, peers_, metrics_)
+    , usage_({ .domain = settings_.domain, .clock = clock_ }, scheduler_, peers_, metrics_)
     , configServer_(makeConfigServerOptions())
     , follower_(makeFollowerOptions(), config_, platform_)
     , manager_({ .node = settings_.node,
@@ -122,7 +122,7 @@
     peers_.onPeerChanged = [this](const Peer& peer) {
         if (peer.alive)
             return;
-        scheduler_.dropPeer(peer.node);
+        usage_.dropPeer(peer.node);
         quarantine_.dropPeer(peer.node);
     };
     metrics_.onRequest = [this](const RequestRecord& record) { report_.record(record); };
@@ -359,9 +359,8 @@
 {
     groupExchange_.take(envelope);
     suspects_.take(envelope);
-    if (envelope.kind == MessageKind::Usage)
-        usage_.take(envelope);
-    else if (envelope.kind == MessageKind::Counters)
+    usage_.take(envelope);
+    if (envelope.kind == MessageKind::Counters)
         report_.takeCounters(envelope);
 }
 
@@ -370,6 +369,7 @@
     peers_.setHeartbeat(makeHeartbeat());
     suspects_.share();
     metrics_.setGauge("hemlockweir_endpoint_deaths_on_requests", "Deaths of endpoints counted against requests that were on them", static_cast<double>(quarantine_.rows().size()));
+    usage_.refresh();
     if (clock_() >= nextShareAt_) {
         groupExchange_.share();
         usage_.share();
--- a/packages/node/UsageShare.h
+++ b/packages/node/UsageShare.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "membership/PeerLink.h"
+#include "node/CallerSums.h"
 #include "report/Metrics.h"
 #include "schedule/Scheduler.h"
 
@@ -11,20 +12,36 @@
 
 class UsageShare {
 public:
-    UsageShare(Scheduler& scheduler, PeerLink& peers, Metrics& metrics);
+    struct Options {
+        std::string domain; // of this node
+        Clock clock;
+    };
 
-    // Tells the peers, and sets the queues' gauges. Call once in a heartbeat interval.
+    UsageShare(Options options, Scheduler& scheduler, PeerLink& peers, Metrics& metrics);
+
+    // Tells the peers, as often as the budget of broadcasts allows.
     void share();
 
-    // Takes a peer's Usage message.
+    // Keeps the sums of other domains in the scheduler, and sets the queues' gauges. Call once in a
+    // heartbeat interval.
+    void refresh();
+
+    // Takes a peer's message, whatever its kind; others than Usage and DomainUse are ignored.
     void take(const Envelope& envelope);
 
+    // Forgets what a silent peer used.
+    void dropPeer(const std::string& node);
+
 private:
+    void takeUsage(const Envelope& envelope);
     void setGauges();
 
+    Options options_;
+
     Scheduler& scheduler_;
     PeerLink& peers_;
     Metrics& metrics_;
+    CallerSums sums_;
 };
 
 // The message for a node's use, cut to the rows that fit.
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -23,6 +23,7 @@
     Usage = 4,
     Suspects = 5,
     Counters = 6,
+    DomainUse = 12,
     ConfigRequest = 16,
     ConfigDocument = 17,
     Digest = 18,
@@ -139,4 +140,18 @@
     auto operator<=>(const Usage&) const = default;
 };
 
+// What the nodes of one failure domain together granted to callers, for the other domains.
+struct DomainUse {
+    static constexpr MessageKind kind = MessageKind::DomainUse;
+    std::string domain;
+    std::vector<CallerUse> callers;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(bounded(domain, maxNameLength), bounded(callers, maxRowsPerMessage));
+    }
+    auto operator<=>(const DomainUse&) const = default;
+};
+
 } // namespace hemlockweir
