--- a/packages/config/Settings.cpp
+++ b/packages/config/Settings.cpp
@@ -101,6 +101,17 @@
     return Millis(reader.readInteger(key, fallback.count(), least, dayMs));
 }
 
+static void readTls(TableReader& reader, Settings& settings)
+{
+    settings.tlsCertificateFile = reader.readString("certificate_file", "");
+    settings.tlsKeyFile = reader.readString("key_file", "");
+    settings.tlsCheckInterval = readMillis(reader, "check_interval_ms", settings.tlsCheckInterval, 10);
+    if (settings.tlsCertificateFile.empty() && !settings.tlsKeyFile.empty())
+        reader.noteError("certificate_file", "is missing beside key_file; write the path of the PEM certificate, or leave both out for plain HTTP");
+    if (!settings.tlsCertificateFile.empty() && settings.tlsKeyFile.empty())
+        reader.noteError("key_file", "is missing beside certificate_file; write the path of the PEM private key, or leave both out for plain HTTP");
+}
+
 static void readLimits(TableReader& reader, Settings& settings)
 {
     settings.headBytes = static_cast<size_t>(reader.readInteger("head_bytes", static_cast<int64_t>(settings.headBytes), 1024, 1024 * 1024));
@@ -114,14 +125,16 @@
         reader.noteError("max_connections_per_address", "is above max_connections and never reached; write at most " + std::to_string(settings.maxConnections));
     settings.maxWaiting = static_cast<int>(reader.readInteger("max_waiting", settings.maxWaiting, 0, 1000000));
     settings.maxRequestsPerCaller = static_cast<int>(reader.readInteger("max_requests_per_caller", settings.maxRequestsPerCaller, 1, 1000000));
+    settings.claimSharingNodes = static_cast<int>(reader.readInteger("claim_sharing_nodes", settings.claimSharingNodes, 2, 1000000));
     settings.replyBufferBytes = reader.readInteger("reply_buffer_bytes", settings.replyBufferBytes, 1024, 1024 * 1024 * 1024);
 }
 
 static void readSchedule(TableReader& reader, Settings& settings)
 {
     settings.schedulePolicy = reader.readString("policy", settings.schedulePolicy);
-    if (settings.schedulePolicy != "full" && settings.schedulePolicy != "round_robin" && settings.schedulePolicy != "least_in_flight")
-        reader.noteError("policy", "write \"full\", \"round_robin\" or \"least_in_flight\"");
+    static const std::set<std::string> policies { "full", "no_admission", "round_robin", "least_in_flight" };
+    if (!policies.contains(settings.schedulePolicy))
+        reader.noteError("policy", "write \"full\", \"no_admission\", \"round_robin\" or \"least_in_flight\"");
 }
 
 static void readTiming(TableReader& reader, Settings& settings)
@@ -131,6 +144,7 @@
     settings.statusFreshness = readMillis(reader, "status_freshness_ms", settings.statusFreshness, 20);
     settings.leaseTtl = readMillis(reader, "lease_ttl_ms", settings.leaseTtl, 1000);
     settings.silenceTimeout = readMillis(reader, "silence_timeout_ms", settings.silenceTimeout, 10);
+    settings.callerTimeout = readMillis(reader, "caller_timeout_ms", settings.callerTimeout, 1000);
     settings.reportShareInterval = readMillis(reader, "report_share_interval_ms", settings.reportShareInterval, 10);
     settings.reportFlushInterval = readMillis(reader, "report_flush_interval_ms", settings.reportFlushInterval, 10);
     settings.shutdownQuiet = readMillis(reader, "shutdown_quiet_ms", settings.shutdownQuiet, 0);
@@ -160,6 +174,7 @@
     };
     readSection("node", readNode);
     readSection("platform", readPlatform);
+    readSection("tls", readTls);
     readSection("limits", readLimits);
     readSection("schedule", readSchedule);
     readSection("timing", readTiming);
--- a/packages/config/Settings.h
+++ b/packages/config/Settings.h
@@ -36,6 +36,11 @@
     std::string operatorKey; // secret that operators send to /operator/*
     int workers = 2; // threads that serve callers
 
+    // [tls]
+    std::string tlsCertificateFile; // PEM chain shown to callers and operators; empty: plain HTTP
+    std::string tlsKeyFile; // PEM private key
+    Millis tlsCheckInterval { 5000 }; // ms, between two looks whether the files changed
+
     // [platform]
     std::vector<std::string> platformUrls; // http://ADDRESS:PORT of the key-value service
     std::string instancesUrl; // http://ADDRESS:PORT/path of the instance list
@@ -48,11 +53,12 @@
     int maxConnections = 4096;
     int maxConnectionsPerAddress = 1024;
     int maxWaiting = 2000; // requests waiting for a slot
+    int claimSharingNodes = 8; // living nodes of a failure domain from which on they share calls for claims
     int maxRequestsPerCaller = 1000; // requests of one caller at this node, waiting and running
     int64_t replyBufferBytes = 1024 * 1024; // bytes that a slow reader may leave unread
 
     // [schedule]
-    std::string schedulePolicy = "full"; // "full"; "round_robin" and "least_in_flight" only to compare with
+    std::string schedulePolicy = "full"; // "full"; the others only to compare with
 
     // [timing]
     Millis heartbeatInterval { 200 }; // ms, between nodes
@@ -60,6 +66,7 @@
     Millis statusFreshness { 1500 }; // ms, oldest report that still counts
     Millis leaseTtl { 5000 }; // ms, right to form groups in a failure domain
     Millis silenceTimeout { 2000 }; // ms without a token before a stream is given up
+    Millis callerTimeout { 15000 }; // ms without an answer from a caller's machine before its requests are cancelled
     Millis reportShareInterval { 1000 }; // ms, between two tellings of figures to peers
     Millis reportFlushInterval { 30000 }; // ms, between two writes of figures to the platform
     Millis shutdownQuiet { 3000 }; // ms without a new request before a planned stop closes the door
