--- a/packages/membership/PeerLink.cpp
+++ b/packages/membership/PeerLink.cpp
@@ -15,7 +15,7 @@
 static constexpr uint32_t ticksPerGreeting = 5;
 static constexpr double msPerSecond = 1000.0;
 // Seconds of a budget that may be saved up. A node that starts or heals a partition answers many.
-static constexpr double savedSeconds = 0.4;
+static constexpr double savedSeconds = 1.0;
 static constexpr double savedAnswerSeconds = 20.0;
 // Peers up to which budgets of broadcasts are not needed.
 static constexpr size_t fewPeers = 8;
@@ -58,25 +58,6 @@
     return table_.all();
 }
 
-std::optional<Peer> PeerLink::find(const std::string& node) const
-{
-    std::lock_guard lock(mutex_);
-    const Peer* peer = table_.find(node);
-    return peer ? std::optional<Peer>(*peer) : std::nullopt;
-}
-
-bool PeerLink::tellsSums() const
-{
-    std::lock_guard lock(mutex_);
-    return table_.size() > fewPeers;
-}
-
-// Call under the lock. Among many, a domain's use goes on as one sum.
-bool PeerLink::goesFar(MessageKind kind) const
-{
-    return isRelayed(kind) && (kind != MessageKind::Usage || table_.size() <= fewPeers);
-}
-
 bool PeerLink::isFirstFor(std::string_view role, size_t count) const
 {
     std::vector<std::string> able;
@@ -137,7 +118,7 @@
     {
         std::lock_guard lock(mutex_);
         near = table_.near();
-        if (goesFar(kind) && table_.isRelay())
+        if (isRelayed(kind) && table_.isRelay())
             far = table_.farRelays();
     }
     sharedBudget_.spend((near.size() + far.size()) * (static_cast<size_t>(bytes.size()) + datagramHeaderBytes), options_.clock());
@@ -381,7 +362,7 @@
     {
         std::lock_guard lock(mutex_);
         const Peer* from = table_.find(fromNode);
-        if (!from || !table_.isRelay() || !goesFar(envelope.kind))
+        if (!from || !table_.isRelay())
             return;
         const bool isFromHere = from->heartbeat.domain == heartbeat_.domain;
         if (isFromHere && wasRelayed)
@@ -404,7 +385,7 @@
 {
     {
         std::lock_guard lock(mutex_);
-        if ((kind != MessageKind::Groups && kind != MessageKind::Usage && kind != MessageKind::DomainUse) || table_.size() <= fewPeers)
+        if ((kind != MessageKind::Groups && kind != MessageKind::Usage) || table_.size() <= fewPeers)
             return true;
     }
     return relayedBudget_.take(bytes, options_.clock());
--- a/packages/membership/PeerLink.h
+++ b/packages/membership/PeerLink.h
@@ -75,12 +75,6 @@
     // All peers heard of within the forget timeout. Thread-safe.
     std::vector<Peer> peers() const;
 
-    // What is known of one peer. Thread-safe.
-    std::optional<Peer> find(const std::string& node) const;
-
-    // Whether there are so many peers that other domains are told sums in place of each node's use.
-    bool tellsSums() const;
-
     // The nodes of this failure domain, this one included, that are first in line for a role;
     // those that can not reach the platform only if too few others are left. Thread-safe.
     bool isFirstFor(std::string_view role, size_t count) const;
@@ -123,7 +117,6 @@
     void handle(const Envelope& envelope, const QByteArray& bytes);
     void takeRelayed(const Envelope& envelope);
     void relay(const Envelope& envelope, const QByteArray& bytes, const std::string& fromNode, bool wasRelayed);
-    bool goesFar(MessageKind kind) const;
     bool takeRelayBudget(MessageKind kind, size_t bytes);
     void takeDigest(const Envelope& envelope);
     void takeWanted(const Envelope& envelope);
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -88,7 +88,7 @@
     , claims_(ledger_, homeLink_.client())
     , peerServer_(makePeerServerOptions())
     , peers_(makePeerOptions(settings_, incarnation_, clock_, random_))
-    , usage_({ .domain = settings_.domain, .clock = clock_ }, scheduler_, peers_, metrics_)
+    , usage_(scheduler_, peers_, metrics_)
     , configServer_(makeConfigServerOptions())
     , follower_(makeFollowerOptions(), config_, platform_)
     , manager_({ .node = settings_.node,
@@ -146,7 +146,7 @@
     peers_.onPeerChanged = [this](const Peer& peer) {
         if (peer.alive)
             return;
-        usage_.dropPeer(peer.node);
+        scheduler_.dropPeer(peer.node);
         quarantine_.dropPeer(peer.node);
     };
     metrics_.onRequest = [this](const RequestRecord& record) { report_.record(record); };
@@ -469,8 +469,9 @@
 {
     groupExchange_.take(envelope);
     suspects_.take(envelope);
-    usage_.take(envelope);
-    if (envelope.kind == MessageKind::Counters)
+    if (envelope.kind == MessageKind::Usage)
+        usage_.take(envelope);
+    else if (envelope.kind == MessageKind::Counters)
         report_.takeCounters(envelope);
 }
 
@@ -479,7 +480,6 @@
     peers_.setHeartbeat(makeHeartbeat());
     suspects_.share();
     metrics_.setGauge("hemlockweir_endpoint_deaths_on_requests", "Deaths of endpoints counted against requests that were on them", static_cast<double>(quarantine_.rows().size()));
-    usage_.refresh();
     if (clock_() >= nextShareAt_) {
         groupExchange_.share();
         usage_.share();
--- a/packages/node/UsageShare.cpp
+++ b/packages/node/UsageShare.cpp
@@ -34,35 +34,16 @@
     return use;
 }
 
-// The name under which the scheduler holds the sum of a domain; node names have no slash before them.
-static std::string sumName(const std::string& domain)
-{
-    return "/domain/" + domain;
-}
-
-UsageShare::UsageShare(Options options, Scheduler& scheduler, PeerLink& peers, Metrics& metrics)
-    : options_(std::move(options))
-    , scheduler_(scheduler)
+UsageShare::UsageShare(Scheduler& scheduler, PeerLink& peers, Metrics& metrics)
+    : scheduler_(scheduler)
     , peers_(peers)
     , metrics_(metrics)
-    , sums_({ .domain = options_.domain })
 {
 }
 
 void UsageShare::share()
 {
-    const Usage usage = makeUsage(scheduler_.use());
-    peers_.broadcast(usage);
-    if (peers_.tellsSums() && peers_.isFirstFor("sum of use", 1))
-        peers_.broadcast(sums_.make(usage.callers, options_.clock()));
-}
-
-void UsageShare::refresh()
-{
-    const Millis now = options_.clock();
-    sums_.prune(now);
-    for (const DomainUse& sum : sums_.current(now))
-        scheduler_.setPeerUse(sumName(sum.domain), readUsage({ .groups = {}, .callers = sum.callers }));
+    peers_.broadcast(makeUsage(scheduler_.use()));
     setGauges();
 }
 
@@ -81,36 +62,10 @@
 }
 
 void UsageShare::take(const Envelope& envelope)
-{
-    if (envelope.kind == MessageKind::Usage)
-        takeUsage(envelope);
-    if (envelope.kind != MessageKind::DomainUse)
-        return;
-    const absl::StatusOr<DomainUse> sum = decodeBody<DomainUse>(envelope.body);
-    if (sum.ok())
-        sums_.take(*sum, envelope.sender, options_.clock());
-}
-
-void UsageShare::takeUsage(const Envelope& envelope)
 {
     const absl::StatusOr<Usage> usage = decodeBody<Usage>(envelope.body);
-    if (!usage.ok())
-        return;
-    const std::string& node = envelope.sender.node;
-    const Millis now = options_.clock();
-    const std::optional<Peer> peer = peers_.find(node);
-    if (peer && peer->heartbeat.domain == options_.domain)
-        sums_.noteNode(node, usage->callers, now);
-    // While the number of peers grows over the limit, one domain may tell rows and sums: not both count.
-    else if (peer && sums_.covers(peer->heartbeat.domain, now))
-        return;
-    scheduler_.setPeerUse(node, readUsage(*usage));
-}
-
-void UsageShare::dropPeer(const std::string& node)
-{
-    sums_.dropNode(node);
-    scheduler_.dropPeer(node);
+    if (usage.ok())
+        scheduler_.setPeerUse(envelope.sender.node, readUsage(*usage));
 }
 
 } // namespace hemlockweir
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -23,7 +23,6 @@
     Usage = 4,
     Suspects = 5,
     Counters = 6,
-    DomainUse = 12,
     ConfigRequest = 16,
     ConfigDocument = 17,
     Digest = 18,
@@ -145,18 +144,4 @@
     auto operator<=>(const Usage&) const = default;
 };
 
-// What the nodes of one failure domain together granted to callers, for the other domains.
-struct DomainUse {
-    static constexpr MessageKind kind = MessageKind::DomainUse;
-    std::string domain;
-    std::vector<CallerUse> callers;
-
-    template <class Archive>
-    void serialize(Archive& archive)
-    {
-        archive(bounded(domain, maxNameLength), bounded(callers, maxRowsPerMessage));
-    }
-    auto operator<=>(const DomainUse&) const = default;
-};
-
 } // namespace hemlockweir
--- a/tests/PeerLinkTest.cpp
+++ b/tests/PeerLinkTest.cpp
@@ -23,11 +23,8 @@
         bool isCut = false;
         std::vector<QByteArray> passed; // what came in
         std::vector<std::string> heard; // groups told by broadcasts
-        std::vector<MessageKind> kinds; // of all messages
     };
 
-    int budgetFactor = 1; // ten: budgets for beats of 20 ms in place of 200
-
     Member& start(const std::string& node, const std::string& domain, const std::vector<std::string>& seeds, uint64_t incarnation = 1)
     {
         Member& member = members_[node];
@@ -39,13 +36,12 @@
         endpoints.reserve(seeds.size());
         for (const std::string& seed : seeds)
             endpoints.push_back(endpointOf(seed));
-        member.link = std::make_unique<PeerLink>(PeerLinkOptions { .node = node, .incarnation = incarnation, .address = QHostAddress::LocalHost, .port = port, .seeds = endpoints, .clusterKey = key, .heartbeatInterval = Millis(20), .aliveTimeout = Millis(400), .nearBytesPerSecond = 3000 * budgetFactor, .farBytesPerSecond = 1500 * budgetFactor, .answerBytesPerSecond = 1000 * budgetFactor, .clock = makeSteadyClock(), .random = makeSeededRandom(stableHash(node)) });
+        member.link = std::make_unique<PeerLink>(PeerLinkOptions { .node = node, .incarnation = incarnation, .address = QHostAddress::LocalHost, .port = port, .seeds = endpoints, .clusterKey = key, .heartbeatInterval = Millis(20), .aliveTimeout = Millis(400), .clock = makeSteadyClock(), .random = makeSeededRandom(stableHash(node)) });
         ports_[node] = port;
         member.link->setHeartbeat({ .domain = domain, .peers = endpointOf(node) });
         member.link->onMessage = [&member](const Envelope& envelope) {
             if (const auto groups = decodeBody<Groups>(envelope.body); envelope.kind == MessageKind::Groups && groups.ok())
                 member.heard.push_back(groups->rows.front().group);
-            member.kinds.push_back(envelope.kind);
         };
         EXPECT_TRUE(member.link->start().ok());
         return member;
@@ -231,38 +227,6 @@
     EXPECT_TRUE(links.waitForKnown("n1", "n3"));
 }
 
-TEST(PeerLink, AmongManyOnlySumsOfUseLeaveTheDomain)
-{
-    Links links;
-    links.budgetFactor = 10;
-    constexpr int nodesPerDomain = 10; // 9 near alone are more peers than a few
-    std::vector<std::string> far;
-    std::vector<std::string> nodes;
-    for (int i = 1; i <= nodesPerDomain; ++i) {
-        far.push_back("b" + std::to_string(i));
-        nodes.push_back("a" + std::to_string(i));
-        nodes.push_back(far.back());
-        links.start("a" + std::to_string(i), "a", i == 1 ? std::vector<std::string> {} : std::vector<std::string> { "a1" });
-        links.start(far.back(), "b", { "a1" });
-    }
-    const auto tellsSums = [&](const std::string& node) { return links[node].link->tellsSums(); };
-    ASSERT_TRUE(waitUntil([&] { return std::all_of(nodes.begin(), nodes.end(), tellsSums); }));
-    for (const std::string& node : far)
-        links[node].kinds.clear();
-    const auto hasHeard = [&](const std::string& node, MessageKind kind) {
-        const auto& kinds = links[node].kinds;
-        return std::find(kinds.begin(), kinds.end(), kind) != kinds.end();
-    };
-    EXPECT_TRUE(waitUntil([&] {
-        links["a1"].link->broadcast(Usage {});
-        links["a1"].link->broadcast(DomainUse { .domain = "a" });
-        return std::all_of(far.begin(), far.end(), [&](const std::string& node) { return hasHeard(node, MessageKind::DomainUse); });
-    }));
-    for (const std::string& node : far)
-        EXPECT_FALSE(hasHeard(node, MessageKind::Usage)) << node;
-    EXPECT_TRUE(hasHeard("a2", MessageKind::Usage)) << "within the domain each node's use is told";
-}
-
 TEST(PeerLink, AnotherRelayTakesOverFromADeadOne)
 {
     Links links;
