Mend what the linter found in the merged tests and bench

A member's parameter hid a field, and strings were joined and rows appended in the ways that the linter refuses.

--- a/bench/capacity/observers.cpp
+++ b/bench/capacity/observers.cpp
@@ -115,6 +115,7 @@
     std::vector<NodeUsage> readAll()
     {
         std::vector<NodeUsage> all;
+        all.reserve(static_cast<size_t>(parameters_.nodes));
         for (int i = 0; i < parameters_.nodes; ++i)
             all.push_back(readUsage(cluster_, nameOf(i)));
         return all;
--- a/tests/ClaimLedgerTest.cpp
+++ b/tests/ClaimLedgerTest.cpp
@@ -256,15 +256,15 @@
             SharedWriter writer;
             ClaimLedger ledger;
 
-            Member(const SharedWriter::Options& options, FakeStore& store, uint64_t seed)
+            Member(const SharedWriter::Options& options, FakeStore& platform, uint64_t seed)
                 : writer(options)
-                , ledger(makeOptions(store, seed), makeStore(store))
+                , ledger(makeOptions(platform, seed), makeStore(platform))
             {
             }
 
-            ClaimStore makeStore(FakeStore& store)
+            ClaimStore makeStore(FakeStore& platform)
             {
-                ClaimStore calls = store.calls();
+                ClaimStore calls = platform.calls();
                 calls.writeEach = [this](const std::vector<KvWrite>& writes, Callback<std::vector<KvWriteResult>> done) { writer.writeEach(writes, std::move(done)); };
                 return calls;
             }
--- a/tests/SharedClaimsProcessTest.cpp
+++ b/tests/SharedClaimsProcessTest.cpp
@@ -3,6 +3,7 @@
 
 #include "support/Cluster.h"
 
+#include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 #include <set>
 
@@ -19,9 +20,9 @@
         cluster.startService("o1", "a", "orders");
         std::vector<std::string> links;
         for (const std::string& node : names()) {
-            const std::string way = cluster.addressOf(node + ".in") + "," + cluster.addressOf(node + ".peers");
-            links.push_back(node + "-tcp," + way);
-            links.push_back(node + "-udp," + way + ",udp");
+            const std::string way = absl::StrCat(cluster.addressOf(node + ".in"), ",", cluster.addressOf(node + ".peers"));
+            links.push_back(absl::StrCat(node, "-tcp,", way));
+            links.push_back(absl::StrCat(node, "-udp,", way, ",udp"));
         }
         cluster.startProxy(links);
         for (const std::string& node : names())
