Read a process's use in one place in the capacity benches

Ruled out: sharing the main functions as well, whose options differ in each. Only these two benches changed, so the test suites were not run again.

--- a/bench/capacity/nodes.cpp
+++ b/bench/capacity/nodes.cpp
@@ -7,6 +7,7 @@
 // CPU, resident memory, calls to the platform a second, and the time from a publish until the
 // configuration was in force on the first and on the last node.
 
+#include "NodeUsage.h"
 #include "support/Cluster.h"
 
 #include "ctl/Publish.h"
@@ -14,14 +15,12 @@
 
 #include <QCoreApplication>
 #include <QElapsedTimer>
-#include <QFile>
 #include <algorithm>
 #include <array>
 #include <boost/program_options.hpp>
 #include <gtest/gtest.h>
 #include <iostream>
 #include <numeric>
-#include <unistd.h>
 
 namespace options = boost::program_options;
 using namespace hemlockweir;
@@ -49,38 +48,6 @@
     std::array<double, sendPurposes> bytesSentFor {};
 };
 
-double readMetric(const QByteArray& metrics, const char* name)
-{
-    for (const QByteArray& line : metrics.split('\n')) {
-        if (line.startsWith(QByteArray(name) + " "))
-            return line.split(' ').last().toDouble();
-    }
-    return 0;
-}
-
-QByteArray readProc(qint64 pid, const char* file)
-{
-    QFile proc(QString("/proc/%1/%2").arg(pid).arg(file));
-    return proc.open(QIODevice::ReadOnly) ? proc.readAll() : QByteArray();
-}
-
-double readCpuSeconds(qint64 pid)
-{
-    constexpr int userTimeField = 11; // after the name in brackets
-    const QByteArray stat = readProc(pid, "stat");
-    const QList<QByteArray> fields = stat.mid(stat.lastIndexOf(')') + 2).split(' ');
-    if (fields.size() <= userTimeField + 1)
-        return 0;
-    return (fields[userTimeField].toDouble() + fields[userTimeField + 1].toDouble()) / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
-double readResidentMb(qint64 pid)
-{
-    constexpr double bytesPerMb = 1024.0 * 1024.0;
-    const QList<QByteArray> fields = readProc(pid, "statm").split(' ');
-    return fields.size() < 2 ? 0 : fields[1].toDouble() * static_cast<double>(sysconf(_SC_PAGESIZE)) / bytesPerMb;
-}
-
 class Run {
 public:
     explicit Run(const Parameters& parameters)
--- a/bench/capacity/requests.cpp
+++ b/bench/capacity/requests.cpp
@@ -7,17 +7,16 @@
 // runs with few and with many tokens a request part the two costs. The second prints the calls to
 // the platform for each claim at several sizes of a burst.
 
+#include "NodeUsage.h"
 #include "support/Cluster.h"
 
 #include "ledger/ClaimLedger.h"
 
 #include <QCoreApplication>
 #include <QElapsedTimer>
-#include <QFile>
 #include <boost/program_options.hpp>
 #include <gtest/gtest.h>
 #include <iostream>
-#include <unistd.h>
 
 namespace options = boost::program_options;
 using namespace hemlockweir;
@@ -33,17 +32,6 @@
     int idleEngines = 0; // more engines that the node looks at
 };
 
-double readCpuSeconds(qint64 pid)
-{
-    constexpr int userTimeField = 11; // after the name in brackets
-    QFile file(QString("/proc/%1/stat").arg(pid));
-    if (!file.open(QIODevice::ReadOnly))
-        return 0;
-    const QByteArray stat = file.readAll();
-    const QList<QByteArray> fields = stat.mid(stat.lastIndexOf(')') + 2).split(' ');
-    return (fields[userTimeField].toDouble() + fields[userTimeField + 1].toDouble()) / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
 class Load {
 public:
     explicit Load(const Parameters& parameters)
