--- a/packages/config/FieldReader.cpp
+++ b/packages/config/FieldReader.cpp
@@ -14,7 +14,7 @@
 
 std::string FieldReader::requireText(const char* name)
 {
-    const QJsonValue value = object_[QLatin1String(name)];
+    const QJsonValue value = object_.value(QLatin1String(name));
     if (!value.isString() || value.toString().isEmpty())
         note(name, "is required and is a string");
     return value.toString().toStdString();
@@ -22,7 +22,7 @@
 
 std::string FieldReader::readText(const char* name)
 {
-    const QJsonValue value = object_[QLatin1String(name)];
+    const QJsonValue value = object_.value(QLatin1String(name));
     if (!value.isUndefined() && !value.isString())
         note(name, "is a string");
     return value.toString().toStdString();
@@ -30,7 +30,7 @@
 
 double FieldReader::readNumber(const char* name, double fallback, double least, double most)
 {
-    const QJsonValue value = object_[QLatin1String(name)];
+    const QJsonValue value = object_.value(QLatin1String(name));
     if (value.isUndefined())
         return fallback;
     if (!value.isDouble() || !(value.toDouble() >= least && value.toDouble() <= most))
@@ -55,7 +55,7 @@
 
 bool FieldReader::readBool(const char* name, bool fallback)
 {
-    const QJsonValue value = object_[QLatin1String(name)];
+    const QJsonValue value = object_.value(QLatin1String(name));
     if (!value.isUndefined() && !value.isBool())
         note(name, "is true or false");
     return value.toBool(fallback);
@@ -64,7 +64,7 @@
 std::vector<std::string> FieldReader::readTexts(const char* name, size_t most)
 {
     std::vector<std::string> texts;
-    const QJsonValue value = object_[QLatin1String(name)];
+    const QJsonValue value = object_.value(QLatin1String(name));
     if (!value.isUndefined() && !value.isArray())
         note(name, "is an array");
     for (const QJsonValue& element : value.toArray()) {
@@ -79,7 +79,7 @@
 std::vector<FieldReader> FieldReader::readObjects(const char* name)
 {
     std::vector<FieldReader> readers;
-    const QJsonValue value = object_[QLatin1String(name)];
+    const QJsonValue value = object_.value(QLatin1String(name));
     if (!value.isArray())
         note(name, "is required and is an array");
     for (const QJsonValue& element : value.toArray()) {
--- /dev/null
+++ b/packages/gateway/EngineOrders.cpp
@@ -0,0 +1,40 @@
+#include "gateway/EngineOrders.h"
+
+namespace hemlockweir {
+
+EngineOrders::EngineOrders(boost::asio::io_context& context, Options options, const PlatformAdapter& adapter, DecisionLog& log, ProxyMetrics& metrics)
+    : context_(context)
+    , options_(std::move(options))
+    , adapter_(adapter)
+    , log_(log)
+    , metrics_(metrics)
+    , pool_(context, { .clock = options_.clock, .idlePerServer = 1 })
+{
+}
+
+void EngineOrders::send(const EngineOrder& order)
+{
+    const Millis sentAt = options_.clock();
+    // An order on a kept connection that is dead would look as if it may have been taken.
+    callServer(context_, pool_, { .address = order.address, .port = order.port, .request = adapter_.formatOrder(order), .timeout = options_.orderTimeout, .mayReuse = false },
+        [this, order, sentAt](const absl::StatusOr<CallAnswer>& answer) {
+            OrderResult result = OrderResult::Unknown;
+            if (answer.ok())
+                result = adapter_.readOrderResult(answer->status);
+            else if (absl::IsUnavailable(answer.status()))
+                result = OrderResult::Unreachable;
+            const std::string kind(orderKindName(order.kind));
+            const std::string name(orderResultName(result));
+            metrics_.countOrder(kind, name);
+            log_.noteImportant("engine_order", { { "order", kind }, { "engine", order.engine }, { "group", order.group }, { "epoch", std::to_string(order.epoch) }, { "model", order.model }, { "result", name }, { "took_ms", std::to_string((options_.clock() - sentAt).count()) }, { "term", std::to_string(order.fencingToken) } });
+            options_.onResult(order, result);
+        });
+}
+
+void EngineOrders::probe(const EndpointInfo& engine)
+{
+    callServer(context_, pool_, { .address = engine.address, .port = engine.port, .request = adapter_.formatReportRequest(engine.address, engine.port), .timeout = options_.probeTimeout, .mayReuse = false },
+        [this, id = engine.id](const absl::StatusOr<CallAnswer>& answer) { options_.onProbed(id, answer.ok()); });
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/gateway/Gateway.cpp
@@ -0,0 +1,278 @@
+#include "gateway/Gateway.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace hemlockweir {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+// How exactly time limits of requests are kept.
+static constexpr Millis tickInterval { 20 };
+static constexpr Millis sweepInterval { 500 };
+// The list of engines is read more often by the node that gives them orders.
+static constexpr Millis plannerListInterval { 250 };
+static constexpr Millis listInterval { 600 };
+// The balancer asks once a second and takes a node out after two misses; new connections come until then.
+static constexpr Millis doorTime { 3500 };
+// Left of the grace for the process to end.
+static constexpr Millis graceMargin { 500 };
+
+Gateway::Gateway(asio::io_context& context, GatewaySettings settings, const MakeAdapter& makeAdapter)
+    : context_(context)
+    , settings_(std::move(settings))
+    , clock_(makeSteadyClock())
+    , random_(makeSystemRandom())
+    , log_({ .clock = clock_ })
+    , adapter_(makeAdapter(context, settings_, clock_, log_))
+    , dispatcher_({ .clock = clock_, .domain = settings_.domain, .onSuspect = [this](const Target& target) { takeSuspect(target); } })
+    , pool_(context, { .clock = clock_ })
+    , retries_({ .clock = clock_, .window = settings_.retryWindow, .perRequest = settings_.retriesPerRequest, .allowance = settings_.retryAllowance })
+    , shared_ { .clock = clock_, .random = random_, .headers = adapter_.headers, .dispatcher = dispatcher_, .pool = pool_, .retries = retries_, .log = log_, .metrics = metrics_ }
+    , proxy_(context, { .address = settings_.callers.address, .port = settings_.callers.port, .clock = clock_ }, shared_)
+    , configuration_(context, { .clock = clock_, .onConfiguration = [this](std::shared_ptr<const RouteTable> routes, const std::string&) { takeConfiguration(std::move(routes)); } }, adapter_, log_)
+    , endpoints_(context, { .clock = clock_, .interval = listInterval, .onChange = [this] { takeEndpoints(); } }, adapter_, log_)
+    , presence_(context,
+          {
+              .clock = clock_,
+              .node = settings_.node,
+              .address = settings_.control.toString(),
+              .boot = settings_.node + "-" + makeRandomId(random_),
+              .onRole = [this](bool isPlanner, uint64_t term) { takeRole(isPlanner, term); },
+          },
+          adapter_, log_)
+    , orders_(context,
+          {
+              .clock = clock_,
+              .onResult = [this](const EngineOrder& order, OrderResult result) { takeOrderResult(order, result); },
+              .onProbed = [this](const std::string& engine, bool isAlive) { takeProbe(engine, isAlive); },
+          },
+          adapter_, log_, metrics_)
+    , readyAcceptor_(context)
+    , controlAcceptor_(context)
+    , controlLimits_(std::make_shared<ServerLimits>())
+    , tickTimer_(context, [this] { tick(); })
+    , sweepTimer_(context, [this] { sweep(); })
+{
+}
+
+absl::Status Gateway::start()
+{
+    if (const absl::Status status = proxy_.start(); !status.ok())
+        return status;
+    if (const absl::Status status = listenTo(settings_.ready, readyAcceptor_); !status.ok())
+        return status;
+    if (const absl::Status status = listenTo(settings_.control, controlAcceptor_); !status.ok())
+        return status;
+    log_.noteImportant("gateway_started", { { "node", settings_.node }, { "domain", settings_.domain }, { "callers", settings_.callers.toString() }, { "control", settings_.control.toString() }, { "store", settings_.store.toString() }, { "first_start", settings_.isFirstStart ? "true" : "false" } });
+    configuration_.start();
+    endpoints_.start();
+    presence_.start();
+    tick();
+    sweep();
+    return absl::OkStatus();
+}
+
+absl::Status Gateway::listenTo(const Endpoint& endpoint, asio::ip::tcp::acceptor& acceptor)
+{
+    error_code error;
+    const asio::ip::tcp::endpoint address(asio::ip::make_address(endpoint.address, error), endpoint.port);
+    if (!error)
+        acceptor.open(address.protocol(), error);
+    if (!error)
+        acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(address, error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return absl::UnavailableError(absl::StrCat("can't listen on ", endpoint.toString(), ": ", error.message()));
+    acceptControl(acceptor);
+    return absl::OkStatus();
+}
+
+void Gateway::acceptControl(asio::ip::tcp::acceptor& acceptor)
+{
+    acceptor.async_accept([this, &acceptor](const error_code& error, SocketWriter::Socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        if (!error) {
+            const auto connection = std::make_shared<ServerConnection>(std::move(socket),
+                ServerConnection::Options {
+                    .limits = controlLimits_,
+                    .clock = clock_,
+                    .onRequest = [this](const std::shared_ptr<ServerConnection>& from, const ServerRequest& request) { answerControl(from, request); },
+                    .onClosed = [this](const std::shared_ptr<ServerConnection>& closed) { controlConnections_.erase(closed); },
+                });
+            controlConnections_.insert(connection);
+            connection->start();
+        }
+        acceptControl(acceptor);
+    });
+}
+
+void Gateway::answerControl(const std::shared_ptr<ServerConnection>& connection, const ServerRequest& request)
+{
+    const std::string path = request.target.substr(0, request.target.find('?'));
+    if (path == adapter_.readyPath || path == "/readyz")
+        connection->answer(isReady() ? 200 : 503, {}, {});
+    else if (path == "/metrics")
+        connection->answer(200, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics_.expose());
+    else
+        connection->answer(404, {}, {});
+}
+
+bool Gateway::isReady() const
+{
+    return !isStopping_ && proxy_.routes() && endpoints_.hasRead();
+}
+
+void Gateway::takeConfiguration(std::shared_ptr<const RouteTable> routes)
+{
+    proxy_.setRoutes(std::move(routes));
+    for (const EndpointService& service : proxy_.routes()->configuration().services) {
+        if (service.engines)
+            planners_.try_emplace(service.name, ReplicaPlanner::Options { .clock = clock_ });
+    }
+    updateTargets();
+    runPlanner();
+}
+
+void Gateway::takeEndpoints()
+{
+    updateTargets();
+    runPlanner();
+}
+
+void Gateway::updateTargets()
+{
+    if (!proxy_.routes())
+        return;
+    for (const EndpointService& service : proxy_.routes()->configuration().services)
+        dispatcher_.setTargets(service.name, findTargets(endpoints_.endpoints(), service));
+}
+
+void Gateway::takeRole(bool isPlanner, uint64_t)
+{
+    endpoints_.setInterval(isPlanner ? plannerListInterval : listInterval);
+    if (isPlanner)
+        runPlanner();
+}
+
+void Gateway::runPlanner()
+{
+    isPlanRequested_ = false;
+    if (!proxy_.routes() || !endpoints_.hasRead() || !presence_.isPlanner())
+        return;
+    for (auto& [name, planner] : planners_) {
+        const EndpointService* service = proxy_.routes()->configuration().findService(name);
+        if (!service || !service->engines)
+            continue;
+        std::vector<EndpointInfo> engines;
+        std::copy_if(endpoints_.endpoints().begin(), endpoints_.endpoints().end(), std::back_inserter(engines), [&](const EndpointInfo& endpoint) { return endpoint.service == name; });
+        planner.setEngines(engines, *service->engines, true);
+        if (proxy_.hasServed() || !settings_.isFirstStart)
+            planner.noteTraffic();
+        for (EngineOrder& order : planner.plan()) {
+            order.fencingToken = presence_.term();
+            orders_.send(order);
+        }
+    }
+}
+
+void Gateway::requestPlan()
+{
+    if (isPlanRequested_)
+        return;
+    isPlanRequested_ = true;
+    asio::post(context_, [this] { runPlanner(); });
+}
+
+void Gateway::takeSuspect(const Target& target)
+{
+    if (target.model.empty() || !presence_.isPlanner())
+        return;
+    const auto planner = planners_.find(target.service);
+    if (planner == planners_.end())
+        return;
+    const std::vector<std::string> members = planner->second.membersOfHead(target.id);
+    for (const EndpointInfo& endpoint : endpoints_.endpoints()) {
+        if (std::find(members.begin(), members.end(), endpoint.id) != members.end())
+            orders_.probe(endpoint);
+    }
+}
+
+void Gateway::takeProbe(const std::string& engine, bool isAlive)
+{
+    for (auto& [name, planner] : planners_)
+        isAlive ? planner.noteAlive(engine) : planner.noteDead(engine);
+    if (isAlive)
+        return;
+    log_.noteImportant("engine_dead", { { "engine", engine }, { "list_age_ms", std::to_string((clock_() - endpoints_.readAt()).count()) } });
+    requestPlan();
+}
+
+void Gateway::takeOrderResult(const EngineOrder& order, OrderResult result)
+{
+    for (auto& [name, planner] : planners_)
+        planner.noteResult(order, result);
+    requestPlan();
+}
+
+void Gateway::tick()
+{
+    proxy_.tick();
+    if (isStopping_)
+        checkStop();
+    tickTimer_.callAfter(tickInterval);
+}
+
+void Gateway::sweep()
+{
+    proxy_.sweep();
+    orders_.sweep();
+    const auto connections = controlConnections_;
+    for (const auto& connection : connections)
+        connection->checkTimeouts();
+    retries_.setNodeCount(presence_.peers().size() + 1);
+    metrics_.setGauge("hemlockweir_proxy_waiting", "Requests that wait for a place", static_cast<double>(dispatcher_.waitingCount()));
+    metrics_.setGauge("hemlockweir_proxy_flows", "Requests at work", static_cast<double>(proxy_.flowCount()));
+    metrics_.setGauge("hemlockweir_proxy_connections", "Open connections of callers", static_cast<double>(proxy_.connectionCount()));
+    metrics_.setGauge("hemlockweir_endpoint_list_age_seconds", "Since the list of endpoints was read", std::chrono::duration<double>(clock_() - endpoints_.readAt()).count());
+    metrics_.setGauge("hemlockweir_configuration_age_seconds", "Since the store last answered for the configuration", std::chrono::duration<double>(clock_() - configuration_.heardAt()).count());
+    log_.tellOmitted();
+    sweepTimer_.callAfter(sweepInterval);
+}
+
+void Gateway::stop(std::function<void()> onStopped)
+{
+    if (isStopping_)
+        return;
+    log_.noteImportant("gateway_stopping", { { "requests", std::to_string(proxy_.flowCount()) }, { "connections", std::to_string(proxy_.connectionCount()) } });
+    isStopping_ = true;
+    stopBegunAt_ = clock_();
+    onStopped_ = std::move(onStopped);
+    presence_.resign();
+    proxy_.startStop();
+}
+
+// Ends once the balancer has taken the node out and all requests are answered, or the grace is over.
+void Gateway::checkStop()
+{
+    const Millis since = clock_() - stopBegunAt_;
+    if (since < std::min(doorTime, settings_.grace / 2))
+        return;
+    if (!isDoorClosed_) {
+        isDoorClosed_ = true;
+        proxy_.closeDoor();
+    }
+    const bool isOver = since >= settings_.grace - graceMargin;
+    if ((!proxy_.isIdle() && !isOver) || !onStopped_)
+        return;
+    log_.noteImportant("gateway_stopped", { { "requests_left", std::to_string(proxy_.flowCount()) }, { "took_ms", std::to_string(since.count()) } });
+    log_.tellOmitted();
+    std::exchange(onStopped_, {})();
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/gateway/Gateway.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "gateway/ConfigurationFollower.h"
+#include "gateway/EndpointFollower.h"
+#include "gateway/EngineOrders.h"
+#include "gateway/GatewaySettings.h"
+#include "gateway/Presence.h"
+#include "proxy/Proxy.h"
+#include "replicas/ReplicaPlanner.h"
+
+// A node that serves before a platform's engines: assembles the proxy, the followers of the platform's
+// store, the presence among the other nodes and the planner of replicas. One thread runs it all.
+
+namespace hemlockweir {
+
+class Gateway {
+public:
+    // `makeAdapter` fills the hooks for the platform of this deployment.
+    using MakeAdapter = std::function<PlatformAdapter(boost::asio::io_context&, const GatewaySettings&, const Clock&, DecisionLog&)>;
+
+    Gateway(boost::asio::io_context& context, GatewaySettings settings, const MakeAdapter& makeAdapter);
+
+    absl::Status start();
+
+    // Stops as planned: first the balancer is told, then requests at work finish, then onStopped.
+    void stop(std::function<void()> onStopped);
+
+private:
+    absl::Status listenTo(const Endpoint& endpoint, boost::asio::ip::tcp::acceptor& acceptor);
+    void acceptControl(boost::asio::ip::tcp::acceptor& acceptor);
+    void answerControl(const std::shared_ptr<ServerConnection>& connection, const ServerRequest& request);
+    bool isReady() const;
+
+    void takeConfiguration(std::shared_ptr<const RouteTable> routes);
+    void takeEndpoints();
+    void updateTargets();
+    void runPlanner();
+    void takeRole(bool isPlanner, uint64_t term);
+    void takeSuspect(const Target& target);
+    void takeOrderResult(const EngineOrder& order, OrderResult result);
+    void takeProbe(const std::string& engine, bool isAlive);
+    void requestPlan();
+    void tick();
+    void sweep();
+    void checkStop();
+
+    boost::asio::io_context& context_;
+    GatewaySettings settings_;
+    Clock clock_;
+    Random random_;
+    DecisionLog log_;
+    PlatformAdapter adapter_;
+    ProxyMetrics metrics_;
+    Dispatcher dispatcher_;
+    ConnectionPool pool_;
+    RetryWindow retries_;
+    ProxyContext shared_;
+    Proxy proxy_;
+    ConfigurationFollower configuration_;
+    EndpointFollower endpoints_;
+    Presence presence_;
+    EngineOrders orders_;
+    std::map<std::string, ReplicaPlanner> planners_; // by service
+    boost::asio::ip::tcp::acceptor readyAcceptor_;
+    boost::asio::ip::tcp::acceptor controlAcceptor_;
+    std::shared_ptr<const ServerLimits> controlLimits_;
+    std::unordered_set<std::shared_ptr<ServerConnection>> controlConnections_;
+    RepeatingTimer tickTimer_;
+    RepeatingTimer sweepTimer_;
+    std::function<void()> onStopped_;
+    Millis stopBegunAt_ { 0 };
+    bool isStopping_ = false;
+    bool isPlanRequested_ = false;
+    bool isDoorClosed_ = false;
+};
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/gateway/Presence.cpp
@@ -0,0 +1,154 @@
+#include "gateway/Presence.h"
+
+namespace hemlockweir {
+
+static const std::string keyPrefix = "hemlockweir/";
+static const std::string nodePrefix = keyPrefix + "nodes/";
+static const std::string plannerKey = keyPrefix + "planner";
+
+Presence::Presence(boost::asio::io_context& context, Options options, const PlatformAdapter& adapter, DecisionLog& log)
+    : options_(std::move(options))
+    , adapter_(adapter)
+    , log_(log)
+    , timer_(context, [this] { step(); })
+{
+}
+
+bool Presence::isPlanner() const
+{
+    return isPlanner_ && options_.clock() < leaseEndsAt_ - options_.callMargin;
+}
+
+void Presence::step()
+{
+    if (isResigned_)
+        return;
+    if (isPlanner_ && !isPlanner())
+        setRole(false, term_);
+    if (lease_ == 0)
+        grant();
+    else
+        renew();
+}
+
+void Presence::grant()
+{
+    const Millis askedAt = options_.clock();
+    adapter_.store.grantLease(options_.leaseTtl, [this, askedAt](absl::StatusOr<uint64_t> lease) {
+        if (!lease.ok()) {
+            timer_.callAfter(options_.renewInterval);
+            return;
+        }
+        lease_ = *lease;
+        isAnnounced_ = false;
+        noteRenewed(askedAt);
+        look();
+    });
+}
+
+// The lease runs from the arrival of the call, which is not before it was sent.
+void Presence::noteRenewed(Millis askedAt)
+{
+    leaseEndsAt_ = askedAt + options_.leaseTtl;
+}
+
+void Presence::renew()
+{
+    const Millis askedAt = options_.clock();
+    adapter_.store.renewLease(lease_, [this, askedAt](absl::StatusOr<Millis> ttl) {
+        if (ttl.ok()) {
+            noteRenewed(askedAt);
+        } else if (absl::IsNotFound(ttl.status())) {
+            log_.noteImportant("lease_lost", { { "lease", std::to_string(lease_) } });
+            lease_ = 0;
+            setRole(false, term_);
+            grant();
+            return;
+        }
+        look();
+    });
+}
+
+void Presence::look()
+{
+    adapter_.store.list(keyPrefix, false, [this](const absl::StatusOr<KvItems>& items) {
+        if (items.ok())
+            takeKeys(*items);
+        timer_.callAfter(options_.renewInterval);
+    });
+}
+
+void Presence::takeKeys(const KvItems& items)
+{
+    if (isResigned_)
+        return;
+    peers_.clear();
+    bool isAnnounced = false;
+    const KvItem* planner = nullptr;
+    for (const KvItem& item : items.items) {
+        if (item.key == plannerKey)
+            planner = &item;
+        if (!item.key.starts_with(nodePrefix))
+            continue;
+        const std::string node = item.key.substr(nodePrefix.size());
+        if (node == options_.node)
+            isAnnounced = item.lease == lease_;
+        else
+            peers_.push_back({ .node = node, .address = item.value });
+    }
+    if (!isAnnounced)
+        announce();
+    const bool isMine = planner && planner->value == options_.boot && planner->lease == lease_;
+    if (isMine)
+        setRole(true, planner->revision);
+    else
+        setRole(false, planner ? planner->revision : term_);
+    if (!planner)
+        claim();
+}
+
+void Presence::announce()
+{
+    KvTransaction transaction;
+    transaction.puts.push_back({ .key = nodePrefix + options_.node, .value = options_.address, .lease = lease_ });
+    adapter_.store.commit(transaction, [](const absl::StatusOr<uint64_t>&) {
+        // The next look shows whether it took effect.
+    });
+}
+
+void Presence::claim()
+{
+    KvTransaction transaction;
+    transaction.conditions.push_back({ .key = plannerKey, .revision = 0 });
+    transaction.puts.push_back({ .key = plannerKey, .value = options_.boot, .lease = lease_ });
+    adapter_.store.commit(transaction, [this](absl::StatusOr<uint64_t> revision) {
+        // Without an answer the next look shows whose the key is.
+        if (revision.ok())
+            setRole(true, *revision);
+    });
+}
+
+void Presence::setRole(bool isPlanner, uint64_t term)
+{
+    if (isPlanner == isPlanner_ && term == term_)
+        return;
+    const bool isChange = isPlanner != isPlanner_;
+    isPlanner_ = isPlanner;
+    term_ = term;
+    if (!isChange)
+        return;
+    log_.noteImportant(isPlanner ? "planner_started" : "planner_stopped", { { "term", std::to_string(term) }, { "lease", std::to_string(lease_) }, { "lease_left_ms", std::to_string((leaseEndsAt_ - options_.clock()).count()) } });
+    options_.onRole(isPlanner, term);
+}
+
+void Presence::resign()
+{
+    isResigned_ = true;
+    timer_.stop();
+    setRole(false, term_);
+    if (lease_ != 0)
+        adapter_.store.endLease(lease_);
+    lease_ = 0;
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/gateway/Presence.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "base/DecisionLog.h"
+#include "gateway/PlatformAdapter.h"
+#include "gateway/RepeatingTimer.h"
+
+// Tells the other nodes of this one, learns of them, and agrees on the one node that gives orders to
+// engines. Everything stands in the platform's store under keys bound to a lease: a node that is gone
+// takes its keys with it. The holder of the planner's key stops on its own once it can not be sure that
+// its lease still runs.
+
+namespace hemlockweir {
+
+class Presence {
+public:
+    struct Options {
+        Clock clock;
+        std::string node; // unique name
+        std::string address; // where other nodes reach this one
+        std::string boot; // unique to this process
+        Millis leaseTtl { 2400 }; // ms; how soon a dead planner is replaced
+        Millis renewInterval { 700 }; // ms, well within the ttl
+        Millis callMargin { 300 }; // ms of its lease that a planner doesn't use
+        std::function<void(bool isPlanner, uint64_t term)> onRole;
+    };
+
+    struct Peer {
+        std::string node;
+        std::string address;
+    };
+
+    Presence(boost::asio::io_context& context, Options options, const PlatformAdapter& adapter, DecisionLog& log);
+
+    void start() { step(); }
+
+    // Gives up the planner's key and the presence, so that another node takes over at once.
+    void resign();
+
+    bool isPlanner() const;
+
+    // Rises with each change of planner; orders carry it.
+    uint64_t term() const { return term_; }
+
+    // The other nodes, as last read.
+    const std::vector<Peer>& peers() const { return peers_; }
+
+private:
+    void step();
+    void grant();
+    void renew();
+    void announce();
+    void look();
+    void takeKeys(const KvItems& items);
+    void claim();
+    void setRole(bool isPlanner, uint64_t term);
+    void noteRenewed(Millis askedAt);
+
+    Options options_;
+    const PlatformAdapter& adapter_;
+    DecisionLog& log_;
+    RepeatingTimer timer_;
+    std::vector<Peer> peers_;
+    uint64_t lease_ = 0;
+    Millis leaseEndsAt_ { 0 };
+    uint64_t term_ = 0;
+    bool isAnnounced_ = false;
+    bool isPlanner_ = false;
+    bool isResigned_ = false;
+};
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/http/ClientConnection.cpp
@@ -0,0 +1,268 @@
+#include "http/ClientConnection.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <cctype>
+#include <charconv>
+#include <glog/logging.h>
+#include <limits>
+
+namespace hemlockweir {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+// How long a connection may idle when the server doesn't say; RFC 9112 leaves it open.
+static constexpr Millis defaultKeepFor { 4000 };
+// Taken off what the server says, for the time that a request is on its way.
+static constexpr Millis keepMargin { 1000 };
+static constexpr size_t readBufferBytes = 64 * 1024;
+
+bool isSameHeaderName(std::string_view one, std::string_view other)
+{
+    const auto isSame = [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); };
+    return one.size() == other.size() && std::equal(one.begin(), one.end(), other.begin(), isSame);
+}
+
+std::optional<std::string_view> findHeader(const std::vector<HeaderLine>& headers, std::string_view name)
+{
+    const auto found = std::find_if(headers.begin(), headers.end(), [&](const HeaderLine& header) { return isSameHeaderName(header.name, name); });
+    if (found == headers.end())
+        return std::nullopt;
+    return found->value;
+}
+
+ClientConnection::ClientConnection(asio::io_context& context, Options options)
+    : options_(std::move(options))
+    , socket_(context)
+    , writer_(socket_)
+    , keepFor_(defaultKeepFor)
+{
+}
+
+void ClientConnection::exchange(std::string request, Hooks hooks)
+{
+    CHECK(!isExchanging_ && !isClosed_) << "an exchange was started on a connection that is busy or closed";
+    hooks_ = std::move(hooks);
+    request_ = std::move(request);
+    isExchanging_ = true;
+    hasHead_ = false;
+    ++exchanges_;
+    startParser();
+    if (request_.starts_with("HEAD "))
+        parser_->skip(true);
+    if (isConnected_)
+        sendRequest();
+    else
+        connect();
+}
+
+void ClientConnection::startParser()
+{
+    parser_.emplace();
+    parser_->header_limit(static_cast<uint32_t>(options_.headBytes));
+    parser_->body_limit(std::numeric_limits<uint64_t>::max());
+}
+
+void ClientConnection::connect()
+{
+    error_code addressError;
+    const auto address = asio::ip::make_address(options_.address, addressError);
+    if (addressError) {
+        // Never from within the caller's own call.
+        asio::post(socket_.get_executor(), [self = shared_from_this()] { self->end(ExchangeEnd::NotConnected); });
+        return;
+    }
+    socket_.async_connect({ address, options_.port }, [self = shared_from_this()](const error_code& error) {
+        if (self->isClosed_)
+            return;
+        if (error) {
+            self->end(ExchangeEnd::NotConnected);
+            return;
+        }
+        error_code ignored; // an option that can not be set costs latency, nothing else
+        self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+        self->socket_.non_blocking(true, ignored);
+        self->isConnected_ = true;
+        self->wasConnected_ = true;
+        self->waitForBytes();
+        self->sendRequest();
+    });
+}
+
+void ClientConnection::sendRequest()
+{
+    const std::string request = std::exchange(request_, {});
+    writer_.write(request, shared_from_this());
+}
+
+void ClientConnection::waitForBytes()
+{
+    socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
+        if (!error && !self->isClosed_)
+            self->readBytes();
+    });
+}
+
+void ClientConnection::readBytes()
+{
+    static thread_local std::array<char, readBufferBytes> buffer;
+    error_code error;
+    const size_t size = socket_.read_some(asio::buffer(buffer), error);
+    if (error == asio::error::would_block) {
+        waitForBytes();
+        return;
+    }
+    if (error) {
+        finishAtClose(error == asio::error::eof);
+        return;
+    }
+    // Bytes that no request asked for belong to nobody.
+    if (!isExchanging_) {
+        close();
+        return;
+    }
+    const std::shared_ptr<ClientConnection> self = shared_from_this();
+    size_t used = 0;
+    bool goesOn = false;
+    if (unread_.empty()) {
+        goesOn = parse(buffer.data(), size, used);
+        if (goesOn)
+            unread_.assign(buffer.data() + used, size - used);
+    } else {
+        std::string pending = std::exchange(unread_, {});
+        pending.append(buffer.data(), size);
+        goesOn = parse(pending.data(), pending.size(), used);
+        if (goesOn)
+            unread_ = pending.substr(used);
+    }
+    if (goesOn && !isClosed_)
+        waitForBytes();
+}
+
+// Takes what is there; false once the connection is done with.
+bool ClientConnection::parse(const char* data, size_t size, size_t& used)
+{
+    std::array<char, readBufferBytes> body;
+    while (isExchanging_ && used < size) {
+        error_code error;
+        parser_->get().body().data = body.data();
+        parser_->get().body().size = body.size();
+        parser_->get().body().more = true;
+        const size_t taken = parser_->put(asio::buffer(data + used, size - used), error);
+        used += taken;
+        if (error == http::error::need_buffer)
+            error = {};
+        if (error && error != http::error::need_more) {
+            end(ExchangeEnd::Malformed);
+            return false;
+        }
+        if (parser_->is_done() && parser_->get().result_int() / 100 == 1) {
+            startParser(); // an interim answer; the final one follows
+            continue;
+        }
+        if (!hasHead_ && parser_->is_header_done()) {
+            deliverHead();
+            if (isClosed_)
+                return false;
+        }
+        const size_t bodySize = hasHead_ ? body.size() - parser_->get().body().size : 0;
+        if (bodySize > 0) {
+            hooks_.onBody({ body.data(), bodySize });
+            if (isClosed_)
+                return false;
+        }
+        if (parser_->is_done()) {
+            // An extra answer behind a whole one: its bytes belong to no request.
+            mayKeep_ = mayKeep_ && parser_->get().keep_alive() && used == size && writer_.unsentBytes() == 0;
+            if (!mayKeep_)
+                closeSocket();
+            end(ExchangeEnd::Complete);
+            return !isClosed_;
+        }
+        if (taken == 0 && bodySize == 0)
+            break;
+    }
+    return !isClosed_;
+}
+
+void ClientConnection::deliverHead()
+{
+    hasHead_ = true;
+    ResponseHead head;
+    head.status = static_cast<int>(parser_->get().result_int());
+    for (const auto& field : parser_->get())
+        head.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    if (const auto length = parser_->content_length())
+        head.bodyLength = *length;
+    noteKeepAlive();
+    hooks_.onHead(head);
+}
+
+void ClientConnection::noteKeepAlive()
+{
+    const auto field = parser_->get().find(http::field::keep_alive);
+    if (field == parser_->get().end())
+        return;
+    constexpr std::string_view name = "timeout=";
+    const std::string_view value(field->value().data(), field->value().size());
+    const size_t at = value.find(name);
+    int seconds = 0;
+    if (at == std::string_view::npos)
+        return;
+    std::from_chars(value.data() + at + name.size(), value.data() + value.size(), seconds);
+    keepFor_ = std::max(Millis(0), Millis(seconds * 1000) - keepMargin);
+}
+
+void ClientConnection::finishAtClose(bool isOrderly)
+{
+    const std::shared_ptr<ClientConnection> self = shared_from_this();
+    const bool isWaiting = isExchanging_;
+    error_code error;
+    bool isWhole = false;
+    // Without a length the close is the end of the answer, if it is an orderly one.
+    if (isWaiting && isOrderly && hasHead_ && parser_->need_eof()) {
+        parser_->put_eof(error);
+        isWhole = !error && parser_->is_done();
+    }
+    closeSocket();
+    if (isWaiting)
+        end(isWhole ? ExchangeEnd::Complete : ExchangeEnd::Broken);
+}
+
+void ClientConnection::close()
+{
+    closeSocket();
+    isExchanging_ = false;
+    // A hook may be what closes: it has to outlive its own call.
+    if (hooks_.onEnd)
+        asio::post(socket_.get_executor(), [hooks = std::exchange(hooks_, {})] {});
+}
+
+void ClientConnection::closeSocket()
+{
+    if (isClosed_)
+        return;
+    isClosed_ = true;
+    isConnected_ = false;
+    error_code ignored; // the descriptor is released either way
+    socket_.close(ignored);
+}
+
+void ClientConnection::end(ExchangeEnd how)
+{
+    if (!isExchanging_)
+        return;
+    isExchanging_ = false;
+    idleSince_ = options_.clock();
+    if (how != ExchangeEnd::Complete)
+        closeSocket();
+    const Hooks hooks = std::exchange(hooks_, {});
+    parser_.reset();
+    if (hooks.onEnd)
+        hooks.onEnd(how);
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/http/HttpCall.cpp
@@ -0,0 +1,76 @@
+#include "http/HttpCall.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace hemlockweir {
+
+namespace {
+
+    // One call under way.
+    struct Call {
+        Call(boost::asio::io_context& context, ConnectionPool& connections)
+            : pool(connections)
+            , timer(context)
+        {
+        }
+
+        void finish(absl::StatusOr<CallAnswer> result)
+        {
+            if (!done)
+                return;
+            timer.cancel();
+            pool.give(address, port, connection);
+            std::exchange(done, {})(std::move(result));
+        }
+
+        void takeEnd(ExchangeEnd how)
+        {
+            if (how == ExchangeEnd::Complete)
+                finish(std::move(answer));
+            else if (how == ExchangeEnd::NotConnected)
+                finish(absl::UnavailableError("the server can't be reached"));
+            else
+                finish(absl::UnknownError("the connection was lost before the answer"));
+        }
+
+        void takeTimeout()
+        {
+            if (!done)
+                return;
+            const bool wasSent = connection->wasConnected();
+            connection->close();
+            finish(wasSent ? absl::UnknownError("no answer in time") : absl::UnavailableError("no connection in time"));
+        }
+
+        ConnectionPool& pool;
+        boost::asio::steady_timer timer;
+        std::shared_ptr<ClientConnection> connection;
+        std::string address;
+        uint16_t port = 0;
+        CallAnswer answer;
+        std::function<void(absl::StatusOr<CallAnswer>)> done;
+    };
+
+} // namespace
+
+void callServer(boost::asio::io_context& context, ConnectionPool& pool, HttpCallOptions options, std::function<void(absl::StatusOr<CallAnswer>)> done)
+{
+    const auto call = std::make_shared<Call>(context, pool);
+    call->address = options.address;
+    call->port = options.port;
+    call->done = std::move(done);
+    call->connection = pool.take(options.address, options.port, options.mayReuse);
+    call->timer.expires_after(options.timeout);
+    call->timer.async_wait([call](const boost::system::error_code& error) {
+        if (!error)
+            call->takeTimeout();
+    });
+    call->connection->exchange(std::move(options.request),
+        {
+            .onHead = [call](const ResponseHead& head) { call->answer.status = head.status; },
+            .onBody = [call](std::string_view bytes) { call->answer.body += bytes; },
+            .onEnd = [call](ExchangeEnd how) { call->takeEnd(how); },
+        });
+}
+
+} // namespace hemlockweir
--- a/packages/http/RequestScanner.cpp
+++ b/packages/http/RequestScanner.cpp
@@ -101,7 +101,7 @@
     return std::find(methods.begin(), methods.end(), method) != methods.end();
 }
 
-ScanVerdict RequestScanner::checkRequestLine(std::string_view line) const
+static ScanVerdict checkRequestLine(std::string_view line)
 {
     const size_t first = line.find(' ');
     const size_t last = line.rfind(' ');
@@ -119,16 +119,21 @@
     return isKnownMethod(method) ? ScanVerdict::Ok : ScanVerdict::NotImplemented;
 }
 
-ScanVerdict RequestScanner::checkHead()
+HeadCheck checkRequestHead(std::string_view head, bool allowsChunks)
 {
-    std::string_view rest = std::string_view(head_).substr(0, head_.size() - lineEnd.size());
+    HeadCheck check;
+    const auto refuse = [&check](ScanVerdict verdict) {
+        check.verdict = verdict;
+        return check;
+    };
+    std::string_view rest = head.substr(0, head.size() - lineEnd.size());
     const size_t lineLength = rest.find(lineEnd);
     if (const ScanVerdict verdict = checkRequestLine(rest.substr(0, lineLength)); verdict != ScanVerdict::Ok)
-        return verdict;
+        return refuse(verdict);
     rest.remove_prefix(lineLength + lineEnd.size());
 
     std::optional<size_t> length;
-    bool waitsForContinue = false;
+    bool expectsContinue = false;
     while (!rest.empty()) {
         const size_t end = rest.find(lineEnd);
         const std::string_view line = rest.substr(0, end);
@@ -136,27 +141,45 @@
         const size_t colon = line.find(':');
         // A blank before the colon, or a folded line, lets two parsers disagree on the name.
         if (colon == std::string_view::npos || !isToken(line.substr(0, colon)) || hasControl(line.substr(colon + 1)))
-            return ScanVerdict::BadRequest;
+            return refuse(ScanVerdict::BadRequest);
         const std::string name = lowercase(line.substr(0, colon));
         const std::string_view value = trim(line.substr(colon + 1));
         // Qt's server waits for another protocol after this one, which none here speaks.
         if (name == "upgrade")
-            return ScanVerdict::BadRequest;
-        if (name == "transfer-encoding")
-            return ScanVerdict::LengthRequired;
+            return refuse(ScanVerdict::BadRequest);
+        if (name == "transfer-encoding") {
+            if (!allowsChunks)
+                return refuse(ScanVerdict::LengthRequired);
+            // Any other coding, or two headers, is read differently by different parsers.
+            if (check.isChunked || lowercase(value) != "chunked")
+                return refuse(ScanVerdict::BadRequest);
+            check.isChunked = true;
+        }
         if (name == "expect")
-            waitsForContinue = lowercase(value) == "100-continue";
+            expectsContinue = lowercase(value) == "100-continue";
         if (name != "content-length")
             continue;
         const std::optional<size_t> parsed = parseLength(value);
         if (!parsed || length)
-            return ScanVerdict::BadRequest;
+            return refuse(ScanVerdict::BadRequest);
         length = parsed;
     }
-    bodyLeft_ = length.value_or(0);
+    if (length && check.isChunked)
+        return refuse(ScanVerdict::BadRequest);
+    check.bodyLength = length.value_or(0);
+    check.waitsForContinue = expectsContinue && (check.bodyLength > 0 || check.isChunked);
+    return check;
+}
+
+ScanVerdict RequestScanner::checkHead()
+{
+    const HeadCheck check = checkRequestHead(head_, false);
+    if (check.verdict != ScanVerdict::Ok)
+        return check.verdict;
+    bodyLeft_ = check.bodyLength;
     if (bodyLeft_ > limits_.bodyBytes)
         return ScanVerdict::PayloadTooLarge;
-    return waitsForContinue && bodyLeft_ > 0 ? ScanVerdict::Continue : ScanVerdict::Ok;
+    return check.waitsForContinue ? ScanVerdict::Continue : ScanVerdict::Ok;
 }
 
 } // namespace hemlockweir
--- a/packages/http/RequestScanner.h
+++ b/packages/http/RequestScanner.h
@@ -28,6 +28,17 @@
     VersionNotSupported = 505,
 };
 
+// What the head of one request says about what follows it.
+struct HeadCheck {
+    ScanVerdict verdict = ScanVerdict::Ok;
+    size_t bodyLength = 0; // bytes, as announced; 0 when chunked
+    bool isChunked = false; // the body comes in chunks
+    bool waitsForContinue = false; // the caller wants "100 Continue" before it sends the body
+};
+
+// Checks one head, its closing blank line included. With `allowsChunks`, a body may come in chunks.
+HeadCheck checkRequestHead(std::string_view head, bool allowsChunks);
+
 // Follows one connection's requests. Feed it every byte read, in order.
 class RequestScanner {
 public:
@@ -45,7 +56,6 @@
 private:
     ScanVerdict scanHeadByte(char byte);
     ScanVerdict checkHead();
-    ScanVerdict checkRequestLine(std::string_view line) const;
 
     RequestLimits limits_;
     std::string head_;
--- /dev/null
+++ b/packages/proxy/Dispatcher.cpp
@@ -0,0 +1,316 @@
+#include "proxy/Dispatcher.h"
+
+#include <algorithm>
+#include <cmath>
+#include <glog/logging.h>
+
+namespace hemlockweir {
+
+// A refused caller that comes sooner finds the same queue; one that comes later gives up its objective.
+static constexpr Millis leastRetryAfter { 100 };
+static constexpr Millis mostRetryAfter { 2000 };
+// The time for which a failed target gets nothing doubles with each failure, so often at most.
+static constexpr uint32_t mostDoublings = 2;
+// The weight of the newest interval in the average rate of starts.
+static constexpr double newIntervalWeight = 0.1;
+// A target in another failure domain must be this much freer (part of its places) to be taken.
+static constexpr double domainAdvantage = 0.05;
+
+std::string_view refusalReasonName(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::NoTarget:
+        return "no_target";
+    case RefusalReason::QueueTooLong:
+        return "queue_too_long";
+    case RefusalReason::WaitedTooLong:
+        return "waited_too_long";
+    }
+    return "unknown";
+}
+
+const TargetLoad* chooseTarget(const std::vector<const TargetLoad*>& loads, const Ticket& ticket, const std::string& ownDomain, Millis now)
+{
+    const TargetLoad* best = nullptr;
+    double bestUse = 0;
+    for (const TargetLoad* load : loads) {
+        if (load->suspectUntil > now || ticket.avoid.count(load->target.id) > 0)
+            continue;
+        // One that failed is tried with a single request before it gets more.
+        const double slots = load->failures > 0 ? 1 : std::max<uint32_t>(1, load->target.slots);
+        if (load->used() + 1 > slots + 0.5)
+            continue;
+        const double use = load->used() / slots + (load->target.domain == ownDomain ? 0 : domainAdvantage);
+        if (!best || use < bestUse) {
+            best = load;
+            bestUse = use;
+        }
+    }
+    return best;
+}
+
+Dispatcher::Dispatcher(Options options)
+    : options_(std::move(options))
+{
+}
+
+void Dispatcher::setTargets(const std::string& service, std::vector<Target> targets)
+{
+    std::map<std::string, TargetLoad> before;
+    for (auto it = loads_.begin(); it != loads_.end();) {
+        if (it->second.target.service == service)
+            before.insert(loads_.extract(it++));
+        else
+            ++it;
+    }
+    const Millis now = options_.clock();
+    for (Target& target : targets) {
+        const auto old = before.find(target.id);
+        TargetLoad load;
+        if (old != before.end() && old->second.target.isSameAs(target)) {
+            load = old->second;
+            target.openedAt = load.target.openedAt;
+        } else {
+            target.openedAt = now;
+        }
+        load.target = target;
+        loads_[target.id] = std::move(load);
+    }
+    tick();
+}
+
+double Dispatcher::othersNow(const TargetLoad& load) const
+{
+    const auto age = static_cast<double>((options_.clock() - load.othersKnownAt).count());
+    return load.others * std::exp2(-age / static_cast<double>(options_.othersHalfLife.count()));
+}
+
+std::vector<const TargetLoad*> Dispatcher::loadsFor(const std::string& service, const std::string& model) const
+{
+    std::vector<const TargetLoad*> found;
+    for (const auto& [id, load] : loads_) {
+        if (load.target.service == service && load.target.model == model)
+            found.push_back(&load);
+    }
+    return found;
+}
+
+size_t Dispatcher::countTargets(const std::string& service, const std::string& model) const
+{
+    const Millis now = options_.clock();
+    const std::vector<const TargetLoad*> loads = loadsFor(service, model);
+    return static_cast<size_t>(std::count_if(loads.begin(), loads.end(), [&](const TargetLoad* load) { return load->suspectUntil <= now; }));
+}
+
+void Dispatcher::submit(Ticket ticket)
+{
+    const QueueKey key { ticket.service, ticket.model };
+    Queue& queue = queues_[key];
+    if (countBefore(queue, ticket) == 0 && tryPlace(ticket))
+        return;
+    const size_t targets = countTargets(ticket.service, ticket.model);
+    if (targets == 0) {
+        refuse(std::move(ticket), RefusalReason::NoTarget, queue.waiting.size());
+        return;
+    }
+    const size_t before = countBefore(queue, ticket);
+    const double seconds = std::chrono::duration<double>(latestStart(ticket) - options_.clock()).count();
+    // The rate is known once places have been waited for; until then the queue may grow.
+    const bool isHopeless = queue.startsPerSecond > 0 && static_cast<double>(before) > queue.startsPerSecond * std::max(0.0, seconds);
+    if (isHopeless || queue.waiting.size() >= options_.maxWaiting) {
+        refuse(std::move(ticket), RefusalReason::QueueTooLong, before);
+        return;
+    }
+    queue.waiting.push_back(std::move(ticket));
+    ++waitingCount_;
+}
+
+void Dispatcher::cancel(uint64_t id)
+{
+    for (auto& [key, queue] : queues_) {
+        const auto found = std::find_if(queue.waiting.begin(), queue.waiting.end(), [id](const Ticket& ticket) { return ticket.id == id; });
+        if (found == queue.waiting.end())
+            continue;
+        queue.waiting.erase(found);
+        --waitingCount_;
+        return;
+    }
+}
+
+bool Dispatcher::tryPlace(Ticket& ticket)
+{
+    const Millis now = options_.clock();
+    for (auto& [id, load] : loads_) {
+        if (load.othersKnownAt == now)
+            continue;
+        load.others = othersNow(load);
+        load.othersKnownAt = now;
+    }
+    const TargetLoad* chosen = chooseTarget(loadsFor(ticket.service, ticket.model), ticket, options_.domain, now);
+    if (!chosen)
+        return false;
+    place(std::move(ticket), loads_.at(chosen->target.id));
+    return true;
+}
+
+void Dispatcher::place(Ticket ticket, TargetLoad& load)
+{
+    ++load.running;
+    const Target target = load.target;
+    ticket.onPlaced(target);
+}
+
+void Dispatcher::refuse(Ticket ticket, RefusalReason reason, size_t waitingBefore)
+{
+    const Queue& queue = queues_[{ ticket.service, ticket.model }];
+    Millis wait = mostRetryAfter;
+    if (reason != RefusalReason::NoTarget && queue.startsPerSecond > 0)
+        wait = Millis(static_cast<int64_t>(1000.0 * static_cast<double>(waitingBefore + 1) / queue.startsPerSecond));
+    const PlaceRefusal refusal {
+        .reason = reason,
+        .retryAfter = std::clamp(wait, leastRetryAfter, mostRetryAfter),
+        .waitingBefore = waitingBefore,
+        .targets = countTargets(ticket.service, ticket.model),
+    };
+    ticket.onRefused(refusal);
+}
+
+void Dispatcher::release(const std::string& targetId)
+{
+    const auto found = loads_.find(targetId);
+    if (found == loads_.end())
+        return;
+    if (found->second.running > 0)
+        --found->second.running;
+    pump({ found->second.target.service, found->second.target.model });
+}
+
+void Dispatcher::noteLoad(const std::string& targetId, uint32_t running, uint32_t waiting)
+{
+    const auto found = loads_.find(targetId);
+    if (found == loads_.end())
+        return;
+    TargetLoad& load = found->second;
+    load.others = std::max(0.0, static_cast<double>(running) + waiting - load.running);
+    load.othersKnownAt = options_.clock();
+}
+
+void Dispatcher::noteFailure(const std::string& targetId)
+{
+    const auto found = loads_.find(targetId);
+    if (found == loads_.end())
+        return;
+    TargetLoad& load = found->second;
+    load.suspectUntil = options_.clock() + options_.suspectTime * (1 << std::min(load.failures, mostDoublings));
+    ++load.failures;
+    if (options_.onSuspect)
+        options_.onSuspect(load.target);
+}
+
+void Dispatcher::noteSuccess(const std::string& targetId)
+{
+    const auto found = loads_.find(targetId);
+    if (found == loads_.end())
+        return;
+    found->second.failures = 0;
+    found->second.suspectUntil = Millis(0);
+}
+
+// After that its answer would come too late to be worth a place.
+Millis Dispatcher::latestStart(const Ticket& ticket) const
+{
+    const auto objective = static_cast<double>((ticket.objectiveAt - ticket.arrivedAt).count());
+    const Millis patience(static_cast<int64_t>(objective * options_.lateFactor));
+    return std::min(ticket.arrivedAt + patience, ticket.giveUpAt);
+}
+
+// Whether one goes before the other: the more urgent, then the one that can still be on time, then
+// the one whose objective ends first.
+static bool goesBefore(const Ticket& one, const Ticket& other, Millis now)
+{
+    if (one.priority != other.priority)
+        return one.priority < other.priority;
+    const bool isOneLate = one.objectiveAt <= now;
+    const bool isOtherLate = other.objectiveAt <= now;
+    if (isOneLate != isOtherLate)
+        return isOtherLate;
+    return one.objectiveAt < other.objectiveAt;
+}
+
+size_t Dispatcher::countBefore(const Queue& queue, const Ticket& ticket) const
+{
+    const Millis now = options_.clock();
+    return static_cast<size_t>(std::count_if(queue.waiting.begin(), queue.waiting.end(), [&](const Ticket& other) { return goesBefore(other, ticket, now); }));
+}
+
+std::list<Ticket>::iterator Dispatcher::findNext(Queue& queue)
+{
+    const Millis now = options_.clock();
+    return std::min_element(queue.waiting.begin(), queue.waiting.end(), [now](const Ticket& one, const Ticket& other) { return goesBefore(one, other, now); });
+}
+
+void Dispatcher::noteStart(Queue& queue)
+{
+    const Millis now = options_.clock();
+    const double seconds = std::max(0.001, std::chrono::duration<double>(now - queue.lastStartAt).count());
+    queue.lastStartAt = now;
+    const double rate = std::min(1000.0, 1 / seconds);
+    // Harmonic: the average of intervals, so that two starts at once don't look like a thousand a second.
+    const double interval = queue.startsPerSecond > 0 ? 1 / queue.startsPerSecond : 1 / rate;
+    queue.startsPerSecond = 1 / (interval + newIntervalWeight * (1 / rate - interval));
+}
+
+// Places what waits for a model, in order. Hooks may submit or release again; the outer call goes on.
+void Dispatcher::pump(const QueueKey& key)
+{
+    if (isPumping_)
+        return;
+    isPumping_ = true;
+    Queue& queue = queues_[key];
+    while (!queue.waiting.empty()) {
+        const auto next = findNext(queue);
+        Ticket ticket = std::move(*next);
+        queue.waiting.erase(next);
+        --waitingCount_;
+        if (tryPlace(ticket)) {
+            noteStart(queue);
+            continue;
+        }
+        queue.waiting.push_back(std::move(ticket));
+        ++waitingCount_;
+        break;
+    }
+    isPumping_ = false;
+}
+
+void Dispatcher::expire(Queue& queue)
+{
+    const Millis now = options_.clock();
+    std::vector<Ticket> expired;
+    for (auto it = queue.waiting.begin(); it != queue.waiting.end();) {
+        if (latestStart(*it) > now) {
+            ++it;
+            continue;
+        }
+        expired.push_back(std::move(*it));
+        it = queue.waiting.erase(it);
+        --waitingCount_;
+    }
+    for (Ticket& ticket : expired)
+        refuse(std::move(ticket), RefusalReason::WaitedTooLong, queue.waiting.size());
+}
+
+void Dispatcher::tick()
+{
+    std::vector<QueueKey> keys;
+    for (const auto& [key, queue] : queues_) {
+        if (!queue.waiting.empty())
+            keys.push_back(key);
+    }
+    for (const QueueKey& key : keys) {
+        pump(key);
+        expire(queues_[key]);
+    }
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/proxy/EventCutter.cpp
@@ -0,0 +1,57 @@
+#include "proxy/EventCutter.h"
+
+#include <charconv>
+
+namespace hemlockweir {
+
+// The end of the first event at or after `from`, behind its blank line; npos while it is not whole.
+size_t EventCutter::findEnd(std::string_view text, size_t from)
+{
+    const size_t plain = text.find("\n\n", from);
+    const size_t carriage = text.find("\r\n\r\n", from);
+    if (plain == std::string_view::npos && carriage == std::string_view::npos)
+        return std::string_view::npos;
+    return plain < carriage ? plain + 2 : carriage + 4;
+}
+
+static std::optional<uint64_t> readId(std::string_view event)
+{
+    constexpr std::string_view name = "id:";
+    size_t at = 0;
+    while (at < event.size()) {
+        const size_t end = event.find('\n', at);
+        std::string_view line = event.substr(at, end - at);
+        at = end == std::string_view::npos ? event.size() : end + 1;
+        if (!line.starts_with(name))
+            continue;
+        line.remove_prefix(name.size());
+        while (line.starts_with(' '))
+            line.remove_prefix(1);
+        uint64_t id = 0;
+        if (std::from_chars(line.data(), line.data() + line.size(), id).ec == std::errc())
+            return id;
+    }
+    return std::nullopt;
+}
+
+void EventCutter::feed(std::string_view bytes, const std::function<void(std::string_view)>& onEvent)
+{
+    pending_ += bytes;
+    size_t start = 0;
+    while (true) {
+        const size_t end = findEnd(pending_, start);
+        if (end == std::string::npos)
+            break;
+        const std::string_view event = std::string_view(pending_).substr(start, end - start);
+        start = end;
+        const std::optional<uint64_t> id = readId(event);
+        if (id && lastId_ && *id <= *lastId_)
+            continue;
+        if (id)
+            lastId_ = id;
+        onEvent(event);
+    }
+    pending_.erase(0, start);
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/proxy/ProxyConfiguration.cpp
@@ -0,0 +1,68 @@
+#include "proxy/ProxyConfiguration.h"
+
+#include <algorithm>
+#include <glog/logging.h>
+#include <numeric>
+
+namespace hemlockweir {
+
+const ReplicaModel* EngineProfile::findModel(std::string_view name) const
+{
+    const auto found = std::find_if(models.begin(), models.end(), [&](const ReplicaModel& model) { return model.name == name; });
+    return found == models.end() ? nullptr : &*found;
+}
+
+const EndpointService* ProxyConfiguration::findService(std::string_view name) const
+{
+    const auto found = std::find_if(services.begin(), services.end(), [&](const EndpointService& service) { return service.name == name; });
+    return found == services.end() ? nullptr : &*found;
+}
+
+RouteTable::RouteTable(ProxyConfiguration configuration)
+    : configuration_(std::move(configuration))
+{
+    for (const Route& route : configuration_.routes)
+        routesByHost_[route.host].push_back(&route);
+    for (auto& [host, routes] : routesByHost_)
+        std::stable_sort(routes.begin(), routes.end(), [](const Route* one, const Route* other) { return one->prefix.size() > other->prefix.size(); });
+    for (const Organisation& organisation : configuration_.organisations) {
+        for (const std::string& key : organisation.keys)
+            organisationsByKey_.emplace(key, &organisation);
+    }
+}
+
+const Route* RouteTable::findRoute(std::string_view host, std::string_view target) const
+{
+    const auto routes = routesByHost_.find(std::string(host.substr(0, host.find(':'))));
+    if (routes == routesByHost_.end())
+        return nullptr;
+    const std::string_view path = target.substr(0, target.find('?'));
+    for (const Route* route : routes->second) {
+        if (path.starts_with(route->prefix))
+            return route;
+    }
+    return nullptr;
+}
+
+const Organisation* RouteTable::findOrganisation(std::string_view key) const
+{
+    const auto found = organisationsByKey_.find(std::string(key));
+    return found == organisationsByKey_.end() ? nullptr : found->second;
+}
+
+const std::string& chooseService(const Route& route, uint64_t draw)
+{
+    CHECK(!route.shares.empty()) << "a route leads to no service";
+    const uint64_t total = std::accumulate(route.shares.begin(), route.shares.end(), uint64_t { 0 }, [](uint64_t sum, const RouteShare& share) { return sum + share.weight; });
+    if (total == 0)
+        return route.shares.front().service;
+    uint64_t left = draw % total;
+    for (const RouteShare& share : route.shares) {
+        if (left < share.weight)
+            return share.service;
+        left -= share.weight;
+    }
+    return route.shares.back().service;
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/proxy/ProxyFlow.cpp
@@ -0,0 +1,540 @@
+#include "proxy/ProxyFlow.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
+#include <array>
+
+namespace hemlockweir {
+
+// The longest time for a connection to an endpoint to open; links take a few ms.
+static constexpr Millis connectTimeout { 400 };
+// Bounds on the time without a byte after which an endpoint is taken for lost.
+static constexpr Millis leastSilence { 500 };
+static constexpr Millis mostSilence { 2500 };
+// Before its first event a stream may read a long prompt behind others.
+static constexpr int silenceObjectives = 3;
+static constexpr int silenceGaps = 3;
+// Sends of one request to endpoints that surely did not run it, beyond those that may run it.
+static constexpr int extraSends = 2;
+// An answer that comes in time must still reach the caller.
+static constexpr Millis giveUpMargin { 10 };
+static constexpr Millis defaultDeadline { 60000 };
+static constexpr Millis defaultRetryAfter { 500 };
+// Bytes of a stream that a caller may leave unread before it is cut off.
+static constexpr size_t maxUnsentBytes = 512 * 1024;
+// Bytes of a plain answer that are held to be retried as a whole.
+static constexpr size_t maxHeldBytes = 1024 * 1024;
+static constexpr int statusNotFound = 404;
+static constexpr int statusUnauthorized = 401;
+static constexpr int statusMisdirected = 421;
+static constexpr int statusTooMany = 429;
+static constexpr int statusBadGateway = 502;
+static constexpr int statusUnavailable = 503;
+static constexpr int statusGatewayTimeout = 504;
+
+// Headers that concern one connection only (RFC 9110, 7.6.1).
+static bool isConnectionHeader(std::string_view name)
+{
+    constexpr std::array<std::string_view, 10> names { "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+        "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length" };
+    return std::any_of(names.begin(), names.end(), [name](std::string_view other) { return isSameHeaderName(name, other); });
+}
+
+// Whether the Connection header lists the name as one that concerns this connection only.
+static bool isListedInConnection(const std::vector<HeaderLine>& headers, std::string_view name)
+{
+    for (const HeaderLine& header : headers) {
+        if (!isSameHeaderName(header.name, "Connection"))
+            continue;
+        for (const std::string& token : std::vector<std::string>(absl::StrSplit(header.value, absl::ByAnyChar(", \t"), absl::SkipEmpty()))) {
+            if (isSameHeaderName(token, name))
+                return true;
+        }
+    }
+    return false;
+}
+
+ProxyFlow::ProxyFlow(ProxyContext& context, Options options)
+    : context_(context)
+    , options_(std::move(options))
+{
+}
+
+void ProxyFlow::start()
+{
+    requestId_ = std::string(requestHeader(context_.headers.requestId));
+    options_.caller->onCallerGone = [self = weak_from_this()] {
+        if (const auto flow = self.lock())
+            flow->cancel();
+    };
+    if (!findRoute() || !readLimits())
+        return;
+    const Millis objectiveAt = options_.request.startedAt + (route_.objective.count() > 0 ? route_.objective : route_.timeout);
+    context_.retries.earn(service_);
+    requestPlace(objectiveAt, priority_);
+}
+
+// Finds the route and who asks; answers and returns false when there is none.
+bool ProxyFlow::findRoute()
+{
+    if (!options_.routes) {
+        answerError(statusUnavailable, "no_configuration", defaultRetryAfter);
+        return false;
+    }
+    const Route* route = options_.routes->findRoute(options_.request.header("Host"), options_.request.target);
+    if (!route) {
+        answerError(statusNotFound, "no_route");
+        return false;
+    }
+    route_ = *route;
+    priority_ = route_.priority;
+    const std::string_view key = requestHeader(context_.headers.key);
+    const Organisation* organisation = key.empty() ? nullptr : options_.routes->findOrganisation(key);
+    if (!organisation && !route_.isPublic && options_.routes->configuration().needsKeys) {
+        answerError(statusUnauthorized, "unknown_key");
+        return false;
+    }
+    if (organisation) {
+        organisation_ = organisation->name;
+        priority_ = organisation->priority.value_or(priority_);
+    }
+    service_ = chooseService(route_, context_.random());
+    const EndpointService* service = options_.routes->configuration().findService(service_);
+    if (service && service->engines)
+        model_ = std::string(requestHeader(context_.headers.model));
+    return true;
+}
+
+bool ProxyFlow::readLimits()
+{
+    int64_t deadline = defaultDeadline.count();
+    const std::string text(requestHeader(context_.headers.deadline));
+    if (!text.empty() && (!absl::SimpleAtoi(text, &deadline) || deadline < 0))
+        deadline = defaultDeadline.count();
+    Millis limit = Millis(deadline) - giveUpMargin;
+    if (route_.timeout.count() > 0)
+        limit = std::min(limit, route_.timeout);
+    giveUpAt_ = options_.request.startedAt + limit;
+    uint64_t lastId = 0;
+    if (absl::SimpleAtoi(std::string(requestHeader(context_.headers.lastEventId)), &lastId))
+        cutter_.setLastId(lastId);
+    return true;
+}
+
+void ProxyFlow::requestPlace(Millis objectiveAt, int priority)
+{
+    Ticket ticket {
+        .id = options_.id,
+        .service = service_,
+        .model = model_,
+        .priority = priority,
+        .arrivedAt = context_.clock(),
+        .objectiveAt = objectiveAt,
+        .giveUpAt = giveUpAt_,
+        .avoid = avoid_,
+    };
+    const auto self = shared_from_this();
+    ticket.onPlaced = [self](const Target& target) { self->takePlace(target); };
+    ticket.onRefused = [self](const PlaceRefusal& refusal) { self->takeRefusal(refusal); };
+    isWaiting_ = true;
+    context_.dispatcher.submit(std::move(ticket));
+}
+
+void ProxyFlow::takeRefusal(const PlaceRefusal& refusal)
+{
+    isWaiting_ = false;
+    if (isDone_)
+        return;
+    const bool mayHaveRun = runState_ == RunState::MayHaveRun;
+    context_.log.noteImportant("request_refused", { { "request", requestId_ }, { "organisation", organisation_ }, { "route", route_.name }, { "model", model_ }, { "priority", std::to_string(priority_) }, { "reason", std::string(refusalReasonName(refusal.reason)) }, { "waiting_before", std::to_string(refusal.waitingBefore) }, { "targets", std::to_string(refusal.targets) }, { "retry_after_ms", std::to_string(refusal.retryAfter.count()) }, { "sends", std::to_string(sends_) }, { "config_version", std::to_string(options_.routes->configuration().version) } });
+    if (mayHaveRun || isHeadSent_)
+        fail(refusalReasonName(refusal.reason));
+    else
+        answerError(statusUnavailable, refusalReasonName(refusal.reason), refusal.retryAfter);
+}
+
+void ProxyFlow::takePlace(const Target& target)
+{
+    isWaiting_ = false;
+    if (isDone_) {
+        context_.dispatcher.release(target.id);
+        return;
+    }
+    const Millis now = context_.clock();
+    attempt_.emplace(Attempt { .target = target, .sentAt = now, .heardAt = now });
+    ++sends_;
+    const auto self = shared_from_this();
+    // A kept connection may be dead without a sign: what must not run twice goes out on a new one.
+    attempt_->connection = context_.pool.take(target.address, target.port, route_.isRepeatable());
+    attempt_->connection->exchange(formatRequest(target),
+        {
+            .onHead = [self](const ResponseHead& head) { self->takeHead(head); },
+            .onBody = [self](std::string_view bytes) { self->takeBody(bytes); },
+            .onEnd = [self](ExchangeEnd how) { self->takeEnd(how); },
+        });
+}
+
+std::string ProxyFlow::formatRequest(const Target& target) const
+{
+    const ProxyHeaders& names = context_.headers;
+    const auto isReplaced = [&](std::string_view name) {
+        const std::array<std::string_view, 6> replaced { names.deadline, names.key, names.organisation, names.expectEndpoint, names.urgency, "Expect" };
+        return std::any_of(replaced.begin(), replaced.end(), [name](std::string_view other) { return isSameHeaderName(name, other); });
+    };
+    const ServerRequest& request = options_.request;
+    const bool goesOn = sends_ > 1 && cutter_.lastId();
+    std::string text = absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\n");
+    for (const HeaderLine& header : request.headers) {
+        const bool isDropped = isConnectionHeader(header.name) || isReplaced(header.name) || isListedInConnection(request.headers, header.name);
+        if (isDropped || (goesOn && isSameHeaderName(header.name, names.lastEventId)))
+            continue;
+        absl::StrAppend(&text, header.name, ": ", header.value, "\r\n");
+    }
+    if (goesOn)
+        absl::StrAppend(&text, names.lastEventId, ": ", *cutter_.lastId(), "\r\n");
+    const Millis left = std::max(Millis(1), giveUpAt_ - context_.clock());
+    absl::StrAppend(&text, names.deadline, ": ", left.count(), "\r\n");
+    absl::StrAppend(&text, names.expectEndpoint, ": ", target.id, "\r\n");
+    if (!organisation_.empty())
+        absl::StrAppend(&text, names.organisation, ": ", organisation_, "\r\n");
+    if (!model_.empty())
+        absl::StrAppend(&text, names.urgency, ": ", std::clamp(priority_, 0, 9), "\r\n");
+    if (!request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH")
+        absl::StrAppend(&text, "Content-Length: ", request.body.size(), "\r\n");
+    return absl::StrCat(text, "\r\n", request.body);
+}
+
+bool ProxyFlow::isStreaming() const
+{
+    return route_.kind == RequestKind::Stream && attempt_ && attempt_->head && attempt_->head->status / 100 == 2;
+}
+
+void ProxyFlow::takeHead(const ResponseHead& head)
+{
+    Attempt& attempt = *attempt_;
+    attempt.heardAt = context_.clock();
+    const auto id = findHeader(head.headers, context_.headers.requestId);
+    if (id && *id != requestId_) {
+        retryOrFail("answer_of_another_request", true);
+        return;
+    }
+    if (const auto load = findHeader(head.headers, context_.headers.load)) {
+        const std::vector<std::string> parts = absl::StrSplit(std::string(*load), ',');
+        uint32_t running = 0;
+        uint32_t waiting = 0;
+        if (parts.size() == 3 && absl::SimpleAtoi(parts[0], &running) && absl::SimpleAtoi(parts[1], &waiting))
+            context_.dispatcher.noteLoad(attempt.target.id, running, waiting);
+    }
+    const bool isRejection = head.status == statusMisdirected || findHeader(head.headers, context_.headers.notRun);
+    if (isRejection) {
+        takeRejection(head);
+        return;
+    }
+    if (head.status / 100 == 2 && !findHeader(head.headers, context_.headers.seal)) {
+        retryOrFail("unsealed_answer", true);
+        return;
+    }
+    const bool isFailure = head.status >= 500;
+    if (isFailure && route_.isRepeatable() && !isHeadSent_ && mayRetry()) {
+        retryOrFail("endpoint_error", false);
+        return;
+    }
+    // A promise that the endpoint did not make can't be passed on in its name.
+    if (head.status == statusUnavailable || head.status == statusTooMany || head.status == 408) {
+        retryOrFail("unproved_rejection", false);
+        return;
+    }
+    attempt.head = head;
+}
+
+// The endpoint did not run the request and never will.
+void ProxyFlow::takeRejection(const ResponseHead& head)
+{
+    const bool isWrongEndpoint = head.status == statusMisdirected;
+    const std::string reason = isWrongEndpoint ? "not_that_endpoint" : "endpoint_rejected";
+    const std::string target = attempt_->target.id;
+    context_.log.noteImportant("send_rejected", { { "request", requestId_ }, { "endpoint", target }, { "status", std::to_string(head.status) } });
+    // A head that rejects has lost a member, is full, or is another endpoint by now.
+    if (isWrongEndpoint || !model_.empty())
+        context_.dispatcher.noteFailure(target);
+    dropAttempt(reason);
+    avoid_.insert(target);
+    if (sends_ < route_.maxAttempts + extraSends && context_.retries.take(service_)) {
+        requestPlace(std::max(options_.request.startedAt + route_.objective, context_.clock() + Millis(1)), isHeadSent_ ? 0 : priority_);
+        return;
+    }
+    if (runState_ == RunState::MayHaveRun || isHeadSent_)
+        fail(reason);
+    else
+        answerError(statusUnavailable, reason, defaultRetryAfter);
+}
+
+void ProxyFlow::takeBody(std::string_view bytes)
+{
+    if (!attempt_ || !attempt_->head)
+        return;
+    attempt_->heardAt = context_.clock();
+    if (isStreaming()) {
+        const auto self = shared_from_this();
+        context_.dispatcher.noteSuccess(attempt_->target.id);
+        cutter_.feed(bytes, [this](std::string_view event) { sendEvent(event); });
+        return;
+    }
+    if (isHeadSent_) {
+        options_.caller->sendBody(bytes);
+        return;
+    }
+    attempt_->body += bytes;
+    if (attempt_->body.size() <= maxHeldBytes)
+        return;
+    // Too large to hold: from here on it goes through as it comes.
+    isHeadSent_ = true;
+    firstByteAt_ = context_.clock();
+    options_.caller->startAnswer(attempt_->head->status, callerHeaders(*attempt_->head), attempt_->head->bodyLength);
+    options_.caller->sendBody(std::exchange(attempt_->body, {}));
+}
+
+void ProxyFlow::startStream(const ResponseHead& head)
+{
+    isHeadSent_ = true;
+    firstByteAt_ = context_.clock();
+    options_.caller->startAnswer(head.status, callerHeaders(head), std::nullopt);
+}
+
+void ProxyFlow::sendEvent(std::string_view event)
+{
+    if (isDone_)
+        return;
+    if (!isHeadSent_)
+        startStream(*attempt_->head);
+    options_.caller->sendBody(event);
+    if (options_.caller->unsentBytes() <= maxUnsentBytes)
+        return;
+    dropAttempt("caller_too_slow");
+    options_.caller->abort();
+    finish("abandoned", "caller_too_slow");
+}
+
+std::vector<HeaderLine> ProxyFlow::callerHeaders(const ResponseHead& head) const
+{
+    std::vector<HeaderLine> headers;
+    for (const HeaderLine& header : head.headers) {
+        if (!isConnectionHeader(header.name) && !isListedInConnection(head.headers, header.name))
+            headers.push_back(header);
+    }
+    return headers;
+}
+
+void ProxyFlow::takeEnd(ExchangeEnd how)
+{
+    if (isDone_ || !attempt_)
+        return;
+    if (how == ExchangeEnd::Complete) {
+        takeWholeAnswer();
+        return;
+    }
+    if (how == ExchangeEnd::NotConnected) {
+        retryOrFail("connection_refused", true);
+        return;
+    }
+    // A kept connection that ends before its answer says little about the endpoint.
+    const bool blamesTarget = attempt_->connection->isFresh() || attempt_->head;
+    retryOrFail(how == ExchangeEnd::Malformed ? "malformed_answer" : "connection_lost", blamesTarget);
+}
+
+void ProxyFlow::takeWholeAnswer()
+{
+    const auto self = shared_from_this();
+    const Attempt attempt = *attempt_;
+    if (!attempt.head) {
+        retryOrFail("malformed_answer", true);
+        return;
+    }
+    context_.dispatcher.noteSuccess(attempt.target.id);
+    dropAttempt("answered");
+    const ResponseHead& head = *attempt.head;
+    if (route_.kind == RequestKind::Stream && head.status / 100 == 2) {
+        if (!isHeadSent_)
+            startStream(head);
+        options_.caller->finishAnswer();
+    } else if (isHeadSent_) {
+        options_.caller->finishAnswer();
+    } else {
+        firstByteAt_ = context_.clock();
+        options_.caller->answer(head.status, callerHeaders(head), attempt.body);
+    }
+    const bool isLate = route_.objective.count() > 0 && firstByteAt_ - options_.request.startedAt > route_.objective;
+    if (head.status / 100 != 2)
+        finish("failed", "endpoint_error");
+    else
+        finish(isLate ? "late" : "served", "");
+}
+
+// Lets go of the attempt: its connection goes back to the pool if its answer is whole, or is closed,
+// which cancels the work at the endpoint.
+void ProxyFlow::dropAttempt(std::string_view result)
+{
+    if (!attempt_)
+        return;
+    const Attempt attempt = std::move(*attempt_);
+    attempt_.reset();
+    context_.metrics.countSend(std::string(result));
+    context_.pool.give(attempt.target.address, attempt.target.port, attempt.connection);
+    context_.dispatcher.release(attempt.target.id);
+}
+
+bool ProxyFlow::mayRetry() const
+{
+    const bool isSurelyNotRun = runState_ == RunState::NotRun;
+    const bool isRepeatable = route_.isRepeatable() && (!isHeadSent_ || route_.kind == RequestKind::Stream);
+    if (!isRepeatable && !isSurelyNotRun)
+        return false;
+    // Without ids nothing says where a stream that has begun would go on.
+    if (isHeadSent_ && !cutter_.lastId())
+        return false;
+    return runs_ + 1 <= route_.maxAttempts && sends_ < route_.maxAttempts + extraSends && context_.clock() < giveUpAt_;
+}
+
+// The attempt failed: sends the request elsewhere if it may run again, else tells the caller.
+void ProxyFlow::retryOrFail(std::string_view reason, bool blamesTarget)
+{
+    if (isDone_ || !attempt_)
+        return;
+    const auto self = shared_from_this();
+    const Attempt attempt = *attempt_;
+    const Millis now = context_.clock();
+    const bool wasSent = attempt.connection->wasConnected();
+    if (blamesTarget)
+        context_.dispatcher.noteFailure(attempt.target.id);
+    if (wasSent) {
+        runState_ = RunState::MayHaveRun;
+        ++runs_;
+    }
+    context_.log.noteImportant("send_failed", { { "request", requestId_ }, { "organisation", organisation_ }, { "route", route_.name }, { "endpoint", attempt.target.id }, { "model", model_ }, { "reason", std::string(reason) }, { "sent_ms_ago", std::to_string((now - attempt.sentAt).count()) }, { "heard_ms_ago", std::to_string((now - attempt.heardAt).count()) }, { "last_event", cutter_.lastId() ? std::to_string(*cutter_.lastId()) : "none" }, { "may_have_run", wasSent ? "true" : "false" } });
+    attempt.connection->close();
+    dropAttempt(reason);
+    cutter_.dropPartial();
+    if (blamesTarget)
+        avoid_.insert(attempt.target.id);
+    if (mayRetry() && context_.retries.take(service_)) {
+        // A stream that has begun is already waited for: it goes first.
+        requestPlace(isHeadSent_ ? giveUpAt_ : options_.request.startedAt + route_.objective, isHeadSent_ ? 0 : priority_);
+        return;
+    }
+    fail(reason);
+}
+
+void ProxyFlow::fail(std::string_view reason)
+{
+    if (isDone_)
+        return;
+    if (isHeadSent_) {
+        options_.caller->abort();
+        finish("failed", reason);
+        return;
+    }
+    if (runState_ == RunState::NotRun)
+        answerError(statusUnavailable, reason, defaultRetryAfter);
+    else
+        answerError(reason == "timeout" ? statusGatewayTimeout : statusBadGateway, reason);
+}
+
+void ProxyFlow::answerError(int status, std::string_view reason, std::optional<Millis> retryAfter)
+{
+    if (isDone_)
+        return;
+    std::vector<HeaderLine> headers;
+    if (!requestId_.empty())
+        headers.push_back({ context_.headers.requestId, requestId_ });
+    if (retryAfter)
+        headers.push_back({ "Retry-After", absl::StrFormat("%.2f", std::chrono::duration<double>(*retryAfter).count()) });
+    options_.caller->answer(status, headers, {});
+    finish(status == statusUnavailable ? "refused" : "failed", reason);
+}
+
+Millis ProxyFlow::silenceLimit() const
+{
+    const bool hasBegun = attempt_->head.has_value();
+    const Millis expected = hasBegun ? route_.gapTarget * silenceGaps : route_.objective * silenceObjectives;
+    return std::clamp(expected, leastSilence, mostSilence);
+}
+
+void ProxyFlow::checkSilence(Millis now)
+{
+    if (!attempt_->connection->wasConnected()) {
+        if (now - attempt_->sentAt >= connectTimeout)
+            retryOrFail("connect_timeout", true);
+        return;
+    }
+    if (now - attempt_->heardAt < silenceLimit() || !route_.isRepeatable())
+        return;
+    RunState before = runState_;
+    runState_ = RunState::MayHaveRun;
+    ++runs_;
+    const bool canMove = mayRetry();
+    runState_ = before;
+    --runs_;
+    if (canMove)
+        retryOrFail("endpoint_silent", true);
+}
+
+void ProxyFlow::checkTimeouts()
+{
+    if (isDone_)
+        return;
+    const Millis now = context_.clock();
+    if (now < giveUpAt_) {
+        if (attempt_)
+            checkSilence(now);
+        return;
+    }
+    if (isWaiting_)
+        context_.dispatcher.cancel(options_.id);
+    if (attempt_ && attempt_->connection->wasConnected())
+        runState_ = RunState::MayHaveRun;
+    if (attempt_)
+        attempt_->connection->close();
+    dropAttempt("timeout");
+    fail("timeout");
+}
+
+// The caller has gone: nobody waits for the answer.
+void ProxyFlow::cancel()
+{
+    if (isDone_)
+        return;
+    if (isWaiting_)
+        context_.dispatcher.cancel(options_.id);
+    if (attempt_)
+        attempt_->connection->close();
+    dropAttempt("caller_gone");
+    finish("abandoned", "caller_gone");
+}
+
+void ProxyFlow::finish(const std::string& end, std::string_view reason)
+{
+    if (isDone_)
+        return;
+    isDone_ = true;
+    const Millis now = context_.clock();
+    const Millis total = now - options_.request.startedAt;
+    const Millis firstByte = firstByteAt_.count() > 0 ? firstByteAt_ - options_.request.startedAt : total;
+    context_.metrics.countRequest(organisation_, priority_, end, std::string(reason));
+    const bool isServed = end == "served" || end == "late";
+    if (isServed)
+        context_.metrics.observe(organisation_, priority_, firstByte, total);
+    const std::string version = options_.routes ? std::to_string(options_.routes->configuration().version) : "none";
+    const auto fields = { LogField { "request", requestId_ }, LogField { "organisation", organisation_ }, LogField { "route", route_.name }, LogField { "end", end },
+        LogField { "reason", std::string(reason) }, LogField { "first_byte_ms", std::to_string(firstByte.count()) }, LogField { "total_ms", std::to_string(total.count()) },
+        LogField { "sends", std::to_string(sends_) }, LogField { "config_version", version } };
+    if (isServed)
+        context_.log.note("request_done", fields);
+    else
+        context_.log.noteImportant("request_done", fields);
+    options_.onDone(options_.id);
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/proxy/Target.cpp
@@ -0,0 +1,31 @@
+#include "proxy/Target.h"
+
+namespace hemlockweir {
+
+std::vector<Target> findTargets(const std::vector<EndpointInfo>& endpoints, const EndpointService& service)
+{
+    std::vector<Target> targets;
+    for (const EndpointInfo& endpoint : endpoints) {
+        if (endpoint.service != service.name || endpoint.isLeaving)
+            continue;
+        Target target {
+            .id = endpoint.id,
+            .service = endpoint.service,
+            .address = endpoint.address,
+            .port = endpoint.port,
+            .domain = endpoint.domain,
+            .slots = endpoint.slots,
+        };
+        if (service.engines) {
+            const bool isOpenHead = endpoint.membership && endpoint.membership->rank == 0 && endpoint.membership->state == MemberState::Open;
+            if (!isOpenHead || endpoint.model.empty())
+                continue;
+            target.model = endpoint.model;
+            target.slots = service.engines->slots;
+        }
+        targets.push_back(std::move(target));
+    }
+    return targets;
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/proxy/Target.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "proxy/EndpointInfo.h"
+#include "proxy/ProxyConfiguration.h"
+
+#include <map>
+
+// Where requests can be sent: plain endpoints, and the heads of whole replicas.
+
+namespace hemlockweir {
+
+struct Target {
+    std::string id; // of the endpoint
+    std::string service;
+    std::string model; // that the replica serves; empty: a plain endpoint
+    std::string address; // IP number
+    uint16_t port = 0;
+    std::string domain; // failure domain
+    uint32_t slots = 1; // requests at a time
+    Millis openedAt { 0 }; // when this node first saw it
+
+    bool isSameAs(const Target& other) const { return id == other.id && address == other.address && port == other.port && model == other.model; }
+};
+
+// The targets among the endpoints of a service: those that are not leaving, and of engines the heads
+// that are open.
+std::vector<Target> findTargets(const std::vector<EndpointInfo>& endpoints, const EndpointService& service);
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/replicas/ReplicaPlanner.cpp
@@ -0,0 +1,352 @@
+#include "replicas/ReplicaPlanner.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <glog/logging.h>
+
+namespace hemlockweir {
+
+// A replica that is not ready after its load and this time is taken apart: the load shares its rate.
+static constexpr Millis formingSlack { 12000 };
+
+bool ReplicaView::isWhole() const
+{
+    return size > 0 && members.size() == size && std::none_of(members.begin(), members.end(), [](const EndpointInfo* member) { return member == nullptr; });
+}
+
+bool ReplicaView::isReady() const
+{
+    return isWhole() && std::all_of(members.begin(), members.end(), [](const EndpointInfo* member) {
+        return member->membership && (member->membership->state == MemberState::Ready || member->membership->state == MemberState::Open);
+    });
+}
+
+ReplicaPlanner::ReplicaPlanner(Options options)
+    : options_(std::move(options))
+{
+}
+
+void ReplicaPlanner::setEngines(const std::vector<EndpointInfo>& engines, const EngineProfile& profile, bool isSettled)
+{
+    profile_ = profile;
+    const Millis now = options_.clock();
+    std::set<std::string> seen;
+    for (const EndpointInfo& info : engines) {
+        seen.insert(info.id);
+        const auto [it, isNew] = engines_.try_emplace(info.id);
+        Engine& engine = it->second;
+        const bool isReborn = !isNew && engine.info.bornMs != info.bornMs;
+        if (isNew || isReborn) {
+            engine = Engine {};
+            lastNewAt_ = now;
+        }
+        const bool showsOrder = engine.isOrdered && info.membership.has_value() == engine.ordered.has_value()
+            && (!info.membership || (info.membership->group == engine.ordered->group && info.membership->epoch == engine.ordered->epoch));
+        if (showsOrder || now - engine.orderedAt > options_.settleTime)
+            engine.isOrdered = false;
+        const std::optional<Membership> ordered = engine.ordered;
+        engine.info = info;
+        if (engine.isOrdered)
+            engine.info.membership = ordered;
+        if (!info.model.empty())
+            engine.lastModel = info.model;
+        if (info.membership)
+            lastEpoch_ = std::max(lastEpoch_, info.membership->epoch);
+    }
+    if (isSettled)
+        std::erase_if(engines_, [&](const auto& entry) { return seen.count(entry.first) == 0; });
+    rememberPlans();
+}
+
+void ReplicaPlanner::noteDead(const std::string& engine)
+{
+    if (const auto found = engines_.find(engine); found != engines_.end())
+        found->second.isDead = true;
+}
+
+void ReplicaPlanner::noteAlive(const std::string& engine)
+{
+    if (const auto found = engines_.find(engine); found != engines_.end())
+        found->second.isDead = false;
+}
+
+// Takes over the replicas that another planner formed, and forgets those that nobody is in any more.
+void ReplicaPlanner::rememberPlans()
+{
+    const Millis now = options_.clock();
+    std::set<std::string> alive;
+    for (const auto& [id, engine] : engines_) {
+        if (!engine.info.membership)
+            continue;
+        const Membership& membership = *engine.info.membership;
+        alive.insert(membership.group);
+        Plan& plan = plans_[membership.group];
+        if (plan.group.empty()) {
+            plan.group = membership.group;
+            plan.startedAt = now;
+            plan.fabric = engine.info.fabric;
+        }
+        plan.epoch = std::max(plan.epoch, membership.epoch);
+        if (plan.model.empty())
+            plan.model = engine.info.model;
+        if (membership.epoch == plan.epoch) {
+            plan.members.resize(std::max(plan.members.size(), membership.rank + 1));
+            plan.members[membership.rank] = id;
+        }
+    }
+    std::erase_if(plans_, [&](const auto& entry) { return alive.count(entry.first) == 0; });
+}
+
+std::vector<ReplicaView> ReplicaPlanner::findReplicas() const
+{
+    std::vector<ReplicaView> replicas;
+    for (const auto& [group, plan] : plans_) {
+        const ReplicaModel* model = profile_.findModel(plan.model);
+        ReplicaView replica { .group = group, .epoch = plan.epoch, .model = plan.model, .fabric = plan.fabric };
+        replica.size = model ? model->size : 0;
+        replica.members.resize(std::max(replica.size, plan.members.size()));
+        for (size_t rank = 0; rank < plan.members.size(); ++rank) {
+            const auto found = engines_.find(plan.members[rank]);
+            if (found == engines_.end())
+                continue;
+            const Engine& engine = found->second;
+            const bool isMember = engine.info.membership && engine.info.membership->group == group && engine.info.membership->epoch == plan.epoch;
+            replica.hasDeadMember = replica.hasDeadMember || engine.isDead;
+            replica.isLeaving = replica.isLeaving || (isMember && engine.info.isLeaving);
+            if (isMember && !engine.isDead)
+                replica.members[rank] = &engine.info;
+        }
+        replicas.push_back(std::move(replica));
+    }
+    return replicas;
+}
+
+std::vector<std::string> ReplicaPlanner::membersOfHead(const std::string& head) const
+{
+    for (const auto& [group, plan] : plans_) {
+        if (!plan.members.empty() && plan.members.front() == head)
+            return plan.members;
+    }
+    return {};
+}
+
+EngineOrder ReplicaPlanner::makeOrder(EngineOrderKind kind, const Engine& engine, const std::string& group, uint64_t epoch) const
+{
+    return { .kind = kind, .engine = engine.info.id, .address = engine.info.address, .port = engine.info.port, .group = group, .epoch = epoch };
+}
+
+bool ReplicaPlanner::mayOrder(const std::string& engine, Millis again) const
+{
+    const auto found = engines_.find(engine);
+    return found != engines_.end() && !found->second.isDead && options_.clock() - found->second.orderedAt >= again;
+}
+
+std::vector<EngineOrder> ReplicaPlanner::plan()
+{
+    std::vector<EngineOrder> orders;
+    if (profile_.models.empty())
+        return orders;
+    keepReplicas(orders);
+    formReplicas(orders);
+    return orders;
+}
+
+void ReplicaPlanner::keepReplicas(std::vector<EngineOrder>& orders)
+{
+    for (const ReplicaView& replica : findReplicas())
+        keepReplica(replica, orders);
+}
+
+void ReplicaPlanner::keepReplica(const ReplicaView& replica, std::vector<EngineOrder>& orders)
+{
+    if (replica.size == 0)
+        return;
+    Plan& plan = plans_.at(replica.group);
+    const Millis now = options_.clock();
+    const EndpointInfo* head = replica.head();
+    const bool isBroken = head && head->membership->state == MemberState::Broken;
+    if (!replica.isWhole() || isBroken) {
+        dissolve(replica, orders);
+        return;
+    }
+    if (replica.isLeaving) {
+        // What runs is finished first; then the survivors are free.
+        const bool isOpen = head->membership->state == MemberState::Open;
+        if (plan.closedAt == never) {
+            plan.closedAt = now;
+            if (isOpen)
+                orders.push_back(makeOrder(EngineOrderKind::Close, engines_.at(head->id), replica.group, replica.epoch));
+        } else if ((!isOpen && head->membership->state != MemberState::Closing) || now - plan.closedAt >= options_.drainTime) {
+            dissolve(replica, orders);
+        }
+        return;
+    }
+    if (replica.isReady()) {
+        if (head->membership->state == MemberState::Ready && now - plan.openedAt >= options_.orderTimeout) {
+            plan.openedAt = now;
+            orders.push_back(makeOrder(EngineOrderKind::Open, engines_.at(head->id), replica.group, replica.epoch));
+        }
+        return;
+    }
+    const ReplicaModel* model = profile_.findModel(replica.model);
+    if (model && now - plan.startedAt >= model->loadTime + formingSlack)
+        dissolve(replica, orders);
+}
+
+// The head goes first: while it is open, its members may not join another group.
+void ReplicaPlanner::dissolve(const ReplicaView& replica, std::vector<EngineOrder>& orders)
+{
+    for (const EndpointInfo* member : replica.members) {
+        if (!member || !mayOrder(member->id, options_.orderTimeout))
+            continue;
+        Engine& engine = engines_.at(member->id);
+        engine.orderedAt = options_.clock();
+        orders.push_back(makeOrder(EngineOrderKind::Leave, engine, replica.group, replica.epoch));
+    }
+}
+
+bool ReplicaPlanner::isFree(const Engine& engine) const
+{
+    return !engine.isDead && !engine.info.isLeaving && !engine.info.membership;
+}
+
+bool ReplicaPlanner::isWarm(const Engine& engine, const std::string& model) const
+{
+    const std::vector<std::string>& staged = engine.info.staged;
+    return engine.lastModel == model || std::find(staged.begin(), staged.end(), model) != staged.end();
+}
+
+std::map<std::string, ReplicaPlanner::FreeEngines> ReplicaPlanner::findFree() const
+{
+    std::map<std::string, FreeEngines> free;
+    for (const auto& [id, engine] : engines_) {
+        if (isFree(engine))
+            free[engine.info.fabric].push_back(&engine);
+    }
+    return free;
+}
+
+size_t ReplicaPlanner::countIdle() const
+{
+    return static_cast<size_t>(std::count_if(engines_.begin(), engines_.end(), [](const auto& entry) { return !entry.second.info.membership; }));
+}
+
+double ReplicaPlanner::enginesFor(const std::string& model) const
+{
+    double engines = 0;
+    for (const auto& [group, plan] : plans_)
+        engines += plan.model == model ? static_cast<double>(plan.members.size()) : 0;
+    return engines;
+}
+
+// The models in the order in which they need another replica: the one with the fewest engines for its
+// part of the work first.
+std::vector<const ReplicaModel*> ReplicaPlanner::modelsByNeed() const
+{
+    std::vector<const ReplicaModel*> models;
+    for (const ReplicaModel& model : profile_.models)
+        models.push_back(&model);
+    const auto need = [this](const ReplicaModel* model) { return (enginesFor(model->name) + static_cast<double>(model->size) / 2) / std::max(0.01, model->workShare); };
+    std::stable_sort(models.begin(), models.end(), [&](const ReplicaModel* one, const ReplicaModel* other) { return need(one) < need(other); });
+    return models;
+}
+
+// Loads from the weight store that are under way.
+size_t ReplicaPlanner::countLoads() const
+{
+    const Millis now = options_.clock();
+    size_t loads = 0;
+    for (const auto& [group, plan] : plans_) {
+        const ReplicaModel* model = profile_.findModel(plan.model);
+        if (model && plan.openedAt == never && now - plan.startedAt < model->loadTime)
+            loads += plan.loads;
+    }
+    return loads;
+}
+
+bool ReplicaPlanner::isFirstFormation() const
+{
+    return !hasTraffic_ && std::all_of(engines_.begin(), engines_.end(), [](const auto& entry) { return entry.second.info.staged.empty() && !entry.second.info.membership; });
+}
+
+void ReplicaPlanner::formReplicas(std::vector<EngineOrder>& orders)
+{
+    // The first replicas are formed of all engines at once: loads are quick before the traffic.
+    const bool isFirst = isFirstFormation();
+    if (isFirst && options_.clock() - lastNewAt_ < options_.firstListTime)
+        return;
+    for (auto& [fabric, free] : findFree()) {
+        while (formIn(fabric, free, false, orders)) { }
+        while (formIn(fabric, free, true, orders)) { }
+    }
+}
+
+// Forms one replica of the free engines of a fabric domain; false when none can be.
+bool ReplicaPlanner::formIn(const std::string& fabric, FreeEngines& free, bool mayLoad, std::vector<EngineOrder>& orders)
+{
+    const bool isUnlimited = !hasTraffic_;
+    const size_t loadsLeft = isUnlimited ? free.size() : profile_.loadsAtOnce - std::min(profile_.loadsAtOnce, countLoads());
+    for (const ReplicaModel* model : modelsByNeed()) {
+        if (free.size() < model->size)
+            continue;
+        std::stable_sort(free.begin(), free.end(), [&](const Engine* one, const Engine* other) { return isWarm(*one, model->name) > isWarm(*other, model->name); });
+        const FreeEngines members(free.begin(), free.begin() + static_cast<ptrdiff_t>(model->size));
+        const auto cold = static_cast<size_t>(std::count_if(members.begin(), members.end(), [&](const Engine* engine) { return !isWarm(*engine, model->name); }));
+        if (cold > (mayLoad ? loadsLeft : 0))
+            continue;
+        free.erase(free.begin(), free.begin() + static_cast<ptrdiff_t>(model->size));
+        form(fabric, *model, members, orders);
+        return true;
+    }
+    return false;
+}
+
+void ReplicaPlanner::form(const std::string& fabric, const ReplicaModel& model, const FreeEngines& members, std::vector<EngineOrder>& orders)
+{
+    const Millis now = options_.clock();
+    const uint64_t epoch = ++lastEpoch_;
+    Plan plan { .group = absl::StrCat("g", epoch), .model = model.name, .fabric = fabric, .epoch = epoch, .startedAt = now };
+    for (const Engine* member : members) {
+        plan.members.push_back(member->info.id);
+        plan.loads += isWarm(*member, model.name) ? 0 : 1;
+    }
+    for (size_t rank = 0; rank < members.size(); ++rank) {
+        EngineOrder order = makeOrder(EngineOrderKind::Join, *members[rank], plan.group, epoch);
+        order.model = model.name;
+        order.members = plan.members;
+        orders.push_back(std::move(order));
+        Engine& engine = engines_.at(members[rank]->info.id);
+        engine.ordered = Membership { .group = plan.group, .epoch = epoch, .rank = rank, .state = MemberState::Joining };
+        engine.info.membership = engine.ordered;
+        engine.isOrdered = true;
+        engine.orderedAt = now;
+    }
+    plans_[plan.group] = std::move(plan);
+}
+
+void ReplicaPlanner::noteResult(const EngineOrder& order, OrderResult result)
+{
+    const auto found = engines_.find(order.engine);
+    if (found == engines_.end())
+        return;
+    Engine& engine = found->second;
+    const bool wasTaken = result == OrderResult::Begun || result == OrderResult::Done;
+    if (result == OrderResult::Unreachable || result == OrderResult::WrongEngine)
+        engine.isDead = true;
+    if (order.kind == EngineOrderKind::Leave && wasTaken) {
+        engine.ordered.reset();
+        engine.info.membership.reset();
+        engine.isOrdered = true;
+        engine.orderedAt = options_.clock();
+    }
+    // Without effect: the engine's own word counts again at once.
+    if (order.kind == EngineOrderKind::Join && (result == OrderResult::Refused || result == OrderResult::Fenced))
+        engine.isOrdered = false;
+    if (order.kind == EngineOrderKind::Open && !wasTaken) {
+        const auto plan = plans_.find(order.group);
+        if (plan != plans_.end())
+            plan->second.openedAt = options_.clock() - options_.orderTimeout + Millis(300);
+    }
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/replicas/ReplicaPlanner.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "proxy/EndpointInfo.h"
+#include "proxy/ProxyConfiguration.h"
+#include "replicas/EngineOrder.h"
+
+#include <functional>
+#include <map>
+#include <set>
+
+// Decides which engines form replicas: forms them within fabric domains, opens those that are whole,
+// takes apart those that lost a member, and forms their survivors anew with as few loads from the
+// weight store as can be. No input or output: it is told what the engines say and returns orders.
+//
+// One planner at a time gives orders for a service. Another one that takes over needs nothing but what
+// the engines say of themselves.
+
+namespace hemlockweir {
+
+// A replica as its members describe it.
+struct ReplicaView {
+    std::string group;
+    uint64_t epoch = 0;
+    std::string model;
+    std::string fabric;
+    size_t size = 0; // members that the model needs
+    std::vector<const EndpointInfo*> members; // by rank; null: not there, or in another group by now
+    bool isLeaving = false; // a member is about to stop
+    bool hasDeadMember = false;
+
+    const EndpointInfo* head() const { return members.empty() ? nullptr : members.front(); }
+    bool isWhole() const;
+    bool isReady() const; // whole, and every member ready or open
+};
+
+class ReplicaPlanner {
+public:
+    struct Options {
+        Clock clock;
+        Millis settleTime { 1500 }; // ms, for which an order is believed before the engine's own word
+        Millis firstListTime { 600 }; // ms without a new engine after which the first replicas are formed
+        Millis drainTime { 3500 }; // ms that a closed replica has to finish its work
+        Millis orderTimeout { 2500 }; // ms, after which an order without effect is given again
+    };
+
+    explicit ReplicaPlanner(Options options);
+
+    // Takes the engines as they describe themselves now. With `isSettled` false the list may lack
+    // engines that live: those that were there stay known.
+    void setEngines(const std::vector<EndpointInfo>& engines, const EngineProfile& profile, bool isSettled);
+
+    // Notes that an engine does not answer, or does.
+    void noteDead(const std::string& engine);
+    void noteAlive(const std::string& engine);
+
+    // Whether requests were served since the start: from then on loads cost time and rate.
+    void noteTraffic() { hasTraffic_ = true; }
+
+    // The orders to give now. Each is to be followed by noteResult().
+    std::vector<EngineOrder> plan();
+    void noteResult(const EngineOrder& order, OrderResult result);
+
+    // A replica whose head is the engine, if there is one.
+    std::vector<std::string> membersOfHead(const std::string& head) const;
+
+    std::vector<ReplicaView> findReplicas() const;
+
+    // Engines that serve in no replica.
+    size_t countIdle() const;
+
+private:
+    // A time before every other.
+    static constexpr Millis never { -3600000 };
+
+    struct Engine {
+        EndpointInfo info; // its own word, overruled by orders given of late
+        std::optional<Membership> ordered; // what the last order makes of it
+        bool isOrdered = false; // an order was given that its own word does not show yet
+        bool isDead = false;
+        Millis orderedAt = never;
+        std::string lastModel; // of the group it was in last
+    };
+
+    struct Plan {
+        std::string group;
+        std::string model;
+        std::string fabric;
+        std::vector<std::string> members;
+        uint64_t epoch = 0;
+        Millis startedAt = never;
+        Millis openedAt = never;
+        Millis closedAt = never;
+        size_t loads = 0; // from the weight store
+    };
+
+    using FreeEngines = std::vector<const Engine*>;
+
+    void keepReplicas(std::vector<EngineOrder>& orders);
+    void keepReplica(const ReplicaView& replica, std::vector<EngineOrder>& orders);
+    void dissolve(const ReplicaView& replica, std::vector<EngineOrder>& orders);
+    void formReplicas(std::vector<EngineOrder>& orders);
+    bool formIn(const std::string& fabric, FreeEngines& free, bool mayLoad, std::vector<EngineOrder>& orders);
+    void form(const std::string& fabric, const ReplicaModel& model, const FreeEngines& members, std::vector<EngineOrder>& orders);
+    std::map<std::string, FreeEngines> findFree() const;
+    bool isFree(const Engine& engine) const;
+    bool isWarm(const Engine& engine, const std::string& model) const;
+    std::vector<const ReplicaModel*> modelsByNeed() const;
+    double enginesFor(const std::string& model) const;
+    size_t countLoads() const;
+    bool isFirstFormation() const;
+    bool mayOrder(const std::string& engine, Millis again) const;
+    void rememberPlans();
+    EngineOrder makeOrder(EngineOrderKind kind, const Engine& engine, const std::string& group, uint64_t epoch) const;
+
+    Options options_;
+    EngineProfile profile_;
+    std::map<std::string, Engine> engines_; // by id
+    std::map<std::string, Plan> plans_; // by group
+    uint64_t lastEpoch_ = 0;
+    Millis lastNewAt_ { 0 }; // when an engine was last seen for the first time
+    bool hasTraffic_ = false;
+};
+
+} // namespace hemlockweir
--- a/programs/hemlockweir.cpp
+++ b/programs/hemlockweir.cpp
@@ -3,9 +3,11 @@
 #include "base/Log.h"
 #include "config/TomlReader.h"
 #include "node/Node.h"
+#include "platform/Adapter.h"
 
 #include <QCoreApplication>
 #include <QSocketNotifier>
+#include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 #include <csignal>
 #include <iostream>
@@ -27,14 +29,6 @@
     [[maybe_unused]] const ssize_t written = write(signalSockets[0], &byte, sizeof(byte));
 }
 
-static absl::StatusOr<Settings> loadSettings(const std::string& path)
-{
-    const absl::StatusOr<std::string> text = readTextFile(path);
-    if (!text.ok())
-        return text.status();
-    return parseSettings(*text, path);
-}
-
 // A certificate that can not be used is a mistake of the settings, told before a socket opens.
 static absl::Status checkTlsFiles(const Settings& settings)
 {
@@ -63,6 +57,32 @@
     return QCoreApplication::exec();
 }
 
+// Runs a node that serves before a platform's engines.
+static int runGateway(const std::string& text, const std::string& path, bool isCheck)
+{
+    const absl::StatusOr<GatewaySettings> settings = parseGatewaySettings(text, path);
+    if (!settings.ok()) {
+        std::cerr << settings.status().message() << '\n';
+        return exitUsage;
+    }
+    if (isCheck)
+        return 0;
+    boost::asio::io_context context(1);
+    Gateway gateway(context, *settings, adapter::makeAdapter);
+    if (const absl::Status status = gateway.start(); !status.ok()) {
+        std::cerr << status.message() << '\n';
+        return exitFailed;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](const boost::system::error_code& error, int) {
+        if (!error)
+            gateway.stop([&context] { context.stop(); });
+    });
+    context.run();
+    return 0;
+}
+
 int main(int argc, char** argv)
 {
     options::options_description description("hemlockweir: the entry node. Usage: hemlockweir --settings FILE");
@@ -85,7 +105,15 @@
                   << description;
         return exitUsage;
     }
-    const absl::StatusOr<Settings> settings = loadSettings(values["settings"].as<std::string>());
+    const std::string path = values["settings"].as<std::string>();
+    const absl::StatusOr<std::string> text = readTextFile(path);
+    if (!text.ok()) {
+        std::cerr << text.status().message() << '\n';
+        return exitUsage;
+    }
+    if (hasGatewaySettings(*text, path))
+        return runGateway(*text, path, values.count("check") > 0);
+    const absl::StatusOr<Settings> settings = parseSettings(*text, path);
     if (!settings.ok()) {
         std::cerr << settings.status().message() << '\n';
         return exitUsage;
