Load copies ahead, and let members of small replicas stand in for large ones

Loads take 16 s, losses come every 3 s. Ruled out: joins that wait for a load; they bind three engines for 16 s and return when the next loss is due. Change: after the lead, replicas are formed of engines whose hosts hold the model only; copies are loaded ahead, two spares a fabric domain on one pair of a smaller replica, given up only while the smaller model has more engines for its work. Logs: failures, changes and ordinary lines each have their own rate.

--- a/packages/base/DecisionLog.cpp
+++ b/packages/base/DecisionLog.cpp
@@ -25,15 +25,22 @@
 
 void DecisionLog::note(std::string_view event, std::initializer_list<LogField> fields)
 {
-    if (ordinary_.take(options_.clock(), options_.linesPerSecond, options_.burst))
-        write(event, fields);
-    else
-        ++omitted_;
+    noteWithin(ordinary_, event, fields);
+}
+
+void DecisionLog::noteFailure(std::string_view event, std::initializer_list<LogField> fields)
+{
+    noteWithin(failures_, event, fields);
+}
+
+void DecisionLog::noteChange(std::string_view event, std::initializer_list<LogField> fields)
+{
+    noteWithin(changes_, event, fields);
 }
 
-void DecisionLog::noteImportant(std::string_view event, std::initializer_list<LogField> fields)
+void DecisionLog::noteWithin(Allowance& allowance, std::string_view event, std::initializer_list<LogField> fields)
 {
-    if (important_.take(options_.clock(), options_.linesPerSecond, options_.burst))
+    if (allowance.take(options_.clock(), options_.linesPerSecond, options_.burst))
         write(event, fields);
     else
         ++omitted_;
--- a/packages/base/DecisionLog.h
+++ b/packages/base/DecisionLog.h
@@ -7,7 +7,8 @@
 
 // Structured lines on standard output, one for each decision: `t=SECONDS event=NAME key=value ...`.
 // Never blocks: a line that the reader of the output has no room for is dropped and counted. Bounded:
-// beyond a rate of lines only the important ones are written, and the others counted.
+// each kind of line has a rate of its own, so that a flood of one doesn't hide the others; what goes
+// beyond it is counted.
 
 namespace hemlockweir {
 
@@ -16,7 +17,7 @@
     struct Options {
         Clock clock;
         int descriptor = 1; // standard output
-        double linesPerSecond = 60; // ordinary lines; important ones may use as many again
+        double linesPerSecond = 60; // of each of the three kinds
         double burst = 200; // lines
     };
 
@@ -25,8 +26,11 @@
     // A decision in the ordinary run of things, such as a request answered.
     void note(std::string_view event, std::initializer_list<LogField> fields);
 
-    // One that explains a failure or a change of beliefs.
-    void noteImportant(std::string_view event, std::initializer_list<LogField> fields);
+    // One that ends a request otherwise than well.
+    void noteFailure(std::string_view event, std::initializer_list<LogField> fields);
+
+    // A change of what the process believes, an order, a dependency lost or regained.
+    void noteChange(std::string_view event, std::initializer_list<LogField> fields);
 
     // Writes how many lines were left out since the last call, if any. Call at regular times.
     void tellOmitted();
@@ -41,11 +45,13 @@
         Millis updatedAt_ { 0 };
     };
 
+    void noteWithin(Allowance& allowance, std::string_view event, std::initializer_list<LogField> fields);
     void write(std::string_view event, std::initializer_list<LogField> fields);
 
     Options options_;
     Allowance ordinary_;
-    Allowance important_;
+    Allowance failures_;
+    Allowance changes_;
     uint64_t omitted_ = 0;
 };
 
--- a/packages/gateway/ConfigurationFollower.cpp
+++ b/packages/gateway/ConfigurationFollower.cpp
@@ -20,7 +20,7 @@
     const bool isReachable = status.ok() || absl::IsNotFound(status) || absl::IsOutOfRange(status);
     const Millis now = options_.clock();
     if (isReachable != isReachable_)
-        log_.noteImportant(isReachable ? "store_regained" : "store_lost", { { "call", "configuration" }, { "error", std::string(status.message()) }, { "silent_ms", std::to_string((now - heardAt_).count()) } });
+        log_.noteChange(isReachable ? "store_regained" : "store_lost", { { "call", "configuration" }, { "error", std::string(status.message()) }, { "silent_ms", std::to_string((now - heardAt_).count()) } });
     isReachable_ = isReachable;
     if (isReachable)
         heardAt_ = now;
@@ -63,12 +63,12 @@
 {
     absl::StatusOr<ProxyConfiguration> configuration = adapter_.decodeConfiguration(text);
     if (!configuration.ok()) {
-        log_.noteImportant("configuration_unreadable", { { "source", std::string(source) }, { "error", std::string(configuration.status().message()) }, { "in_force", std::to_string(version_) } });
+        log_.noteChange("configuration_unreadable", { { "source", std::string(source) }, { "error", std::string(configuration.status().message()) }, { "in_force", std::to_string(version_) } });
         return false;
     }
     if (configuration->version <= version_)
         return false;
-    log_.noteImportant("configuration_in_force", { { "version", std::to_string(configuration->version) }, { "before", std::to_string(version_) }, { "source", std::string(source) }, { "routes", std::to_string(configuration->routes.size()) } });
+    log_.noteChange("configuration_in_force", { { "version", std::to_string(configuration->version) }, { "before", std::to_string(version_) }, { "source", std::string(source) }, { "routes", std::to_string(configuration->routes.size()) } });
     version_ = configuration->version;
     options_.onConfiguration(std::make_shared<const RouteTable>(*std::move(configuration)), text);
     return true;
--- a/packages/gateway/EndpointFollower.cpp
+++ b/packages/gateway/EndpointFollower.cpp
@@ -21,13 +21,13 @@
         const Millis now = options_.clock();
         if (!items.ok()) {
             if (isReachable_)
-                log_.noteImportant("store_lost", { { "call", "endpoints" }, { "error", std::string(items.status().message()) }, { "age_ms", std::to_string((now - readAt_).count()) } });
+                log_.noteChange("store_lost", { { "call", "endpoints" }, { "error", std::string(items.status().message()) }, { "age_ms", std::to_string((now - readAt_).count()) } });
             isReachable_ = false;
             timer_.callAfter(options_.retryDelay);
             return;
         }
         if (!isReachable_) {
-            log_.noteImportant("store_regained", { { "call", "endpoints" }, { "age_ms", std::to_string((now - readAt_).count()) } });
+            log_.noteChange("store_regained", { { "call", "endpoints" }, { "age_ms", std::to_string((now - readAt_).count()) } });
             returnedAt_ = now;
         }
         isReachable_ = true;
@@ -50,7 +50,7 @@
         }
         uint64_t& told = unreadable_[item.key];
         if (told != item.revision)
-            log_.noteImportant("endpoint_unreadable", { { "key", item.key }, { "revision", std::to_string(item.revision) }, { "error", std::string(info.status().message()) } });
+            log_.noteChange("endpoint_unreadable", { { "key", item.key }, { "revision", std::to_string(item.revision) }, { "error", std::string(info.status().message()) } });
         told = item.revision;
     }
     const bool mayLapse = options_.clock() - returnedAt_ < options_.returnTime;
@@ -61,14 +61,14 @@
             listed.emplace(id, info);
             continue;
         }
-        log_.noteImportant("endpoint_gone", { { "endpoint", id }, { "service", info.service }, { "store_revision", std::to_string(items.revision) } });
+        log_.noteChange("endpoint_gone", { { "endpoint", id }, { "service", info.service }, { "store_revision", std::to_string(items.revision) } });
     }
     for (const auto& [id, info] : listed) {
         const auto before = known_.find(id);
         if (before == known_.end())
             log_.note("endpoint_found", { { "endpoint", id }, { "service", info.service }, { "domain", info.domain }, { "fabric", info.fabric }, { "store_revision", std::to_string(items.revision) } });
         else if (info.isLeaving && !before->second.isLeaving)
-            log_.noteImportant("endpoint_leaving", { { "endpoint", id }, { "service", info.service }, { "store_revision", std::to_string(items.revision) } });
+            log_.noteChange("endpoint_leaving", { { "endpoint", id }, { "service", info.service }, { "store_revision", std::to_string(items.revision) } });
     }
     known_ = std::move(listed);
     endpoints_.clear();
--- a/packages/gateway/EngineOrders.cpp
+++ b/packages/gateway/EngineOrders.cpp
@@ -26,7 +26,7 @@
             const std::string kind(orderKindName(order.kind));
             const std::string name(orderResultName(result));
             metrics_.countOrder(kind, name);
-            log_.noteImportant("engine_order", { { "order", kind }, { "engine", order.engine }, { "group", order.group }, { "epoch", std::to_string(order.epoch) }, { "model", order.model }, { "result", name }, { "took_ms", std::to_string((options_.clock() - sentAt).count()) }, { "term", std::to_string(order.fencingToken) } });
+            log_.noteChange("engine_order", { { "order", kind }, { "engine", order.engine }, { "group", order.group }, { "epoch", std::to_string(order.epoch) }, { "model", order.model }, { "result", name }, { "took_ms", std::to_string((options_.clock() - sentAt).count()) }, { "term", std::to_string(order.fencingToken) } });
             options_.onResult(order, result);
         });
 }
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -65,7 +65,7 @@
         return status;
     if (const absl::Status status = listenTo(settings_.control, controlAcceptor_); !status.ok())
         return status;
-    log_.noteImportant("gateway_started", { { "node", settings_.node }, { "domain", settings_.domain }, { "callers", settings_.callers.toString() }, { "control", settings_.control.toString() }, { "store", settings_.store.toString() }, { "first_start", settings_.isFirstStart ? "true" : "false" } });
+    log_.noteChange("gateway_started", { { "node", settings_.node }, { "domain", settings_.domain }, { "callers", settings_.callers.toString() }, { "control", settings_.control.toString() }, { "store", settings_.store.toString() }, { "first_start", settings_.isFirstStart ? "true" : "false" } });
     configuration_.start();
     endpoints_.start();
     presence_.start();
@@ -209,7 +209,7 @@
         isAlive ? planner.noteAlive(engine) : planner.noteDead(engine);
     if (isAlive)
         return;
-    log_.noteImportant("engine_dead", { { "engine", engine }, { "list_age_ms", std::to_string((clock_() - endpoints_.readAt()).count()) } });
+    log_.noteChange("engine_dead", { { "engine", engine }, { "list_age_ms", std::to_string((clock_() - endpoints_.readAt()).count()) } });
     requestPlan();
 }
 
@@ -249,7 +249,7 @@
 {
     if (isStopping_)
         return;
-    log_.noteImportant("gateway_stopping", { { "requests", std::to_string(proxy_.flowCount()) }, { "connections", std::to_string(proxy_.connectionCount()) } });
+    log_.noteChange("gateway_stopping", { { "requests", std::to_string(proxy_.flowCount()) }, { "connections", std::to_string(proxy_.connectionCount()) } });
     isStopping_ = true;
     stopBegunAt_ = clock_();
     onStopped_ = std::move(onStopped);
@@ -270,7 +270,7 @@
     const bool isOver = since >= settings_.grace - graceMargin;
     if ((!proxy_.isIdle() && !isOver) || !onStopped_)
         return;
-    log_.noteImportant("gateway_stopped", { { "requests_left", std::to_string(proxy_.flowCount()) }, { "took_ms", std::to_string(since.count()) } });
+    log_.noteChange("gateway_stopped", { { "requests_left", std::to_string(proxy_.flowCount()) }, { "took_ms", std::to_string(since.count()) } });
     log_.tellOmitted();
     std::exchange(onStopped_, {})();
 }
--- a/packages/gateway/Presence.cpp
+++ b/packages/gateway/Presence.cpp
@@ -59,7 +59,7 @@
         if (ttl.ok()) {
             noteRenewed(askedAt);
         } else if (absl::IsNotFound(ttl.status())) {
-            log_.noteImportant("lease_lost", { { "lease", std::to_string(lease_) } });
+            log_.noteChange("lease_lost", { { "lease", std::to_string(lease_) } });
             lease_ = 0;
             setRole(false, term_);
             grant();
@@ -137,7 +137,7 @@
     term_ = term;
     if (!isChange)
         return;
-    log_.noteImportant(isPlanner ? "planner_started" : "planner_stopped", { { "term", std::to_string(term) }, { "lease", std::to_string(lease_) }, { "lease_left_ms", std::to_string((leaseEndsAt_ - options_.clock()).count()) } });
+    log_.noteChange(isPlanner ? "planner_started" : "planner_stopped", { { "term", std::to_string(term) }, { "lease", std::to_string(lease_) }, { "lease_left_ms", std::to_string((leaseEndsAt_ - options_.clock()).count()) } });
     options_.onRole(isPlanner, term);
 }
 
--- a/packages/proxy/Proxy.cpp
+++ b/packages/proxy/Proxy.cpp
@@ -45,7 +45,7 @@
         if (error == asio::error::operation_aborted)
             return;
         if (error)
-            shared_.log.noteImportant("accept_failed", { { "error", error.message() }, { "connections", std::to_string(connections_.size()) } });
+            shared_.log.noteFailure("accept_failed", { { "error", error.message() }, { "connections", std::to_string(connections_.size()) } });
         else
             addConnection(std::move(socket));
         accept();
@@ -63,7 +63,7 @@
             .onRefused =
                 [this](int status, std::string_view reason) {
                     shared_.metrics.countRequest("", 0, "refused", std::string(reason));
-                    shared_.log.noteImportant("request_malformed", { { "status", std::to_string(status) }, { "reason", std::string(reason) } });
+                    shared_.log.noteFailure("request_malformed", { { "status", std::to_string(status) }, { "reason", std::string(reason) } });
                 },
         });
     connections_.insert(connection);
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -149,7 +149,7 @@
     if (isDone_)
         return;
     const bool mayHaveRun = runState_ == RunState::MayHaveRun;
-    context_.log.noteImportant("request_refused", { { "request", requestId_ }, { "organisation", organisation_ }, { "route", route_.name }, { "model", model_ }, { "priority", std::to_string(priority_) }, { "reason", std::string(refusalReasonName(refusal.reason)) }, { "waiting_before", std::to_string(refusal.waitingBefore) }, { "targets", std::to_string(refusal.targets) }, { "retry_after_ms", std::to_string(refusal.retryAfter.count()) }, { "sends", std::to_string(sends_) }, { "config_version", std::to_string(options_.routes->configuration().version) } });
+    context_.log.noteFailure("request_refused", { { "request", requestId_ }, { "organisation", organisation_ }, { "route", route_.name }, { "model", model_ }, { "priority", std::to_string(priority_) }, { "reason", std::string(refusalReasonName(refusal.reason)) }, { "waiting_before", std::to_string(refusal.waitingBefore) }, { "targets", std::to_string(refusal.targets) }, { "retry_after_ms", std::to_string(refusal.retryAfter.count()) }, { "sends", std::to_string(sends_) }, { "config_version", std::to_string(options_.routes->configuration().version) } });
     if (mayHaveRun || isHeadSent_)
         fail(refusalReasonName(refusal.reason));
     else
@@ -256,7 +256,7 @@
     const bool isWrongEndpoint = head.status == statusMisdirected;
     const std::string reason = isWrongEndpoint ? "not_that_endpoint" : "endpoint_rejected";
     const std::string target = attempt_->target.id;
-    context_.log.noteImportant("send_rejected", { { "request", requestId_ }, { "endpoint", target }, { "status", std::to_string(head.status) } });
+    context_.log.noteFailure("send_rejected", { { "request", requestId_ }, { "endpoint", target }, { "status", std::to_string(head.status) } });
     // A head that rejects has lost a member, is full, or is another endpoint by now.
     if (isWrongEndpoint || !model_.empty())
         context_.dispatcher.noteFailure(target);
@@ -413,7 +413,7 @@
         runState_ = RunState::MayHaveRun;
         ++runs_;
     }
-    context_.log.noteImportant("send_failed", { { "request", requestId_ }, { "organisation", organisation_ }, { "route", route_.name }, { "endpoint", attempt.target.id }, { "model", model_ }, { "reason", std::string(reason) }, { "sent_ms_ago", std::to_string((now - attempt.sentAt).count()) }, { "heard_ms_ago", std::to_string((now - attempt.heardAt).count()) }, { "last_event", cutter_.lastId() ? std::to_string(*cutter_.lastId()) : "none" }, { "may_have_run", wasSent ? "true" : "false" } });
+    context_.log.noteFailure("send_failed", { { "request", requestId_ }, { "organisation", organisation_ }, { "route", route_.name }, { "endpoint", attempt.target.id }, { "model", model_ }, { "reason", std::string(reason) }, { "sent_ms_ago", std::to_string((now - attempt.sentAt).count()) }, { "heard_ms_ago", std::to_string((now - attempt.heardAt).count()) }, { "last_event", cutter_.lastId() ? std::to_string(*cutter_.lastId()) : "none" }, { "may_have_run", wasSent ? "true" : "false" } });
     attempt.connection->close();
     dropAttempt(reason);
     cutter_.dropPartial();
@@ -533,7 +533,7 @@
     if (isServed)
         context_.log.note("request_done", fields);
     else
-        context_.log.noteImportant("request_done", fields);
+        context_.log.noteFailure("request_done", fields);
     options_.onDone(options_.id);
 }
 
--- a/packages/replicas/ReplicaPlanner.cpp
+++ b/packages/replicas/ReplicaPlanner.cpp
@@ -8,6 +8,8 @@
 
 // A replica that is not ready after its load and this time is taken apart: the load shares its rate.
 static constexpr Millis formingSlack { 12000 };
+// A load that takes so many times its usual time has failed.
+static constexpr int slowestLoad = 3;
 
 bool ReplicaView::isWhole() const
 {
@@ -50,6 +52,9 @@
             engine.info.membership = ordered;
         if (!info.model.empty())
             engine.lastModel = info.model;
+        const ReplicaModel* staging = profile_.findModel(engine.staging);
+        if (!staging || hasCopy(engine, engine.staging) || now - engine.stagingSince >= staging->loadTime * slowestLoad)
+            engine.staging.clear();
         if (info.membership)
             lastEpoch_ = std::max(lastEpoch_, info.membership->epoch);
     }
@@ -148,6 +153,7 @@
         return orders;
     keepReplicas(orders);
     formReplicas(orders);
+    stageCopies(orders);
     return orders;
 }
 
@@ -210,10 +216,29 @@
     return !engine.isDead && !engine.info.isLeaving && !engine.info.membership;
 }
 
-bool ReplicaPlanner::isWarm(const Engine& engine, const std::string& model) const
+bool ReplicaPlanner::hasCopy(const Engine& engine, const std::string& model) const
 {
     const std::vector<std::string>& staged = engine.info.staged;
-    return engine.lastModel == model || std::find(staged.begin(), staged.end(), model) != staged.end();
+    return std::find(staged.begin(), staged.end(), model) != staged.end();
+}
+
+bool ReplicaPlanner::isWarm(const Engine& engine, const std::string& model) const
+{
+    return engine.lastModel == model || hasCopy(engine, model);
+}
+
+const ReplicaModel* ReplicaPlanner::modelOf(const Engine& engine) const
+{
+    if (!engine.info.membership)
+        return nullptr;
+    const auto plan = plans_.find(engine.info.membership->group);
+    return plan == plans_.end() ? nullptr : profile_.findModel(plan->second.model);
+}
+
+bool ReplicaPlanner::isServing(const Engine& engine) const
+{
+    return !engine.isDead && !engine.info.isLeaving && engine.info.membership
+        && (engine.info.membership->state == MemberState::Open || engine.info.membership->state == MemberState::Ready);
 }
 
 std::map<std::string, ReplicaPlanner::FreeEngines> ReplicaPlanner::findFree() const
@@ -254,14 +279,7 @@
 // Loads from the weight store that are under way.
 size_t ReplicaPlanner::countLoads() const
 {
-    const Millis now = options_.clock();
-    size_t loads = 0;
-    for (const auto& [group, plan] : plans_) {
-        const ReplicaModel* model = profile_.findModel(plan.model);
-        if (model && plan.openedAt == never && now - plan.startedAt < model->loadTime)
-            loads += plan.loads;
-    }
-    return loads;
+    return static_cast<size_t>(std::count_if(engines_.begin(), engines_.end(), [](const auto& entry) { return !entry.second.staging.empty(); }));
 }
 
 bool ReplicaPlanner::isFirstFormation() const
@@ -272,27 +290,24 @@
 void ReplicaPlanner::formReplicas(std::vector<EngineOrder>& orders)
 {
     // The first replicas are formed of all engines at once: loads are quick before the traffic.
-    const bool isFirst = isFirstFormation();
-    if (isFirst && options_.clock() - lastNewAt_ < options_.firstListTime)
+    if (isFirstFormation() && options_.clock() - lastNewAt_ < options_.firstListTime)
         return;
     for (auto& [fabric, free] : findFree()) {
-        while (formIn(fabric, free, false, orders)) { }
-        while (formIn(fabric, free, true, orders)) { }
+        while (formIn(fabric, free, orders)) { }
+        takeSpares(fabric, free, orders);
     }
 }
 
 // Forms one replica of the free engines of a fabric domain; false when none can be.
-bool ReplicaPlanner::formIn(const std::string& fabric, FreeEngines& free, bool mayLoad, std::vector<EngineOrder>& orders)
+bool ReplicaPlanner::formIn(const std::string& fabric, FreeEngines& free, std::vector<EngineOrder>& orders)
 {
-    const bool isUnlimited = !hasTraffic_;
-    const size_t loadsLeft = isUnlimited ? free.size() : profile_.loadsAtOnce - std::min(profile_.loadsAtOnce, countLoads());
     for (const ReplicaModel* model : modelsByNeed()) {
         if (free.size() < model->size)
             continue;
         std::stable_sort(free.begin(), free.end(), [&](const Engine* one, const Engine* other) { return isWarm(*one, model->name) > isWarm(*other, model->name); });
         const FreeEngines members(free.begin(), free.begin() + static_cast<ptrdiff_t>(model->size));
-        const auto cold = static_cast<size_t>(std::count_if(members.begin(), members.end(), [&](const Engine* engine) { return !isWarm(*engine, model->name); }));
-        if (cold > (mayLoad ? loadsLeft : 0))
+        const bool isAllWarm = std::all_of(members.begin(), members.end(), [&](const Engine* engine) { return isWarm(*engine, model->name); });
+        if (hasTraffic_ && !isAllWarm)
             continue;
         free.erase(free.begin(), free.begin() + static_cast<ptrdiff_t>(model->size));
         form(fabric, *model, members, orders);
@@ -301,15 +316,143 @@
     return false;
 }
 
+// Whether the giver's model has more engines for its part of the work than the taker's.
+bool ReplicaPlanner::mayGive(const ReplicaModel& giver, const ReplicaModel& taker) const
+{
+    const auto relative = [this](const ReplicaModel& model) { return enginesFor(model.name) / std::max(0.01, model.workShare); };
+    return giver.size < taker.size && relative(giver) > relative(taker);
+}
+
+// Hosts that hold a copy of the model while their engines serve in replicas of another.
+std::vector<const ReplicaPlanner::Engine*> ReplicaPlanner::findSpares(const ReplicaModel& model, const std::string& fabric) const
+{
+    std::vector<const Engine*> spares;
+    for (const auto& [id, engine] : engines_) {
+        const ReplicaModel* serves = modelOf(engine);
+        if (engine.info.fabric == fabric && serves && serves->name != model.name && isServing(engine) && hasCopy(engine, model.name))
+            spares.push_back(&engine);
+    }
+    // Two of one replica cost one replica.
+    std::stable_sort(spares.begin(), spares.end(), [](const Engine* one, const Engine* other) { return one->info.membership->group < other->info.membership->group; });
+    return spares;
+}
+
+// Frees members of smaller replicas that are to take the places of lost members of a larger one.
+void ReplicaPlanner::takeSpares(const std::string& fabric, const FreeEngines& free, std::vector<EngineOrder>& orders)
+{
+    for (const ReplicaModel* model : modelsByNeed()) {
+        const auto warm = static_cast<size_t>(std::count_if(free.begin(), free.end(), [&](const Engine* engine) { return isWarm(*engine, model->name); }));
+        if (warm == 0 || warm >= model->size)
+            continue;
+        const std::vector<const Engine*> spares = findSpares(*model, fabric);
+        const size_t wanted = model->size - warm;
+        if (spares.size() < wanted || !mayGive(*modelOf(*spares.front()), *model))
+            continue;
+        std::set<std::string> groups;
+        for (size_t i = 0; i < wanted; ++i)
+            groups.insert(spares[i]->info.membership->group);
+        for (const ReplicaView& replica : findReplicas()) {
+            if (groups.count(replica.group) > 0)
+                dissolve(replica, orders);
+        }
+        return;
+    }
+}
+
+// Loads copies ahead while the weight store has room.
+void ReplicaPlanner::stageCopies(std::vector<EngineOrder>& orders)
+{
+    if (isFirstFormation())
+        return;
+    std::set<std::string> fabrics;
+    for (const auto& [id, engine] : engines_) {
+        if (!engine.info.fabric.empty())
+            fabrics.insert(engine.info.fabric);
+    }
+    for (const ReplicaModel* model : modelsByNeed()) {
+        for (const std::string& fabric : fabrics) {
+            while (stageFor(*model, fabric, orders)) { }
+        }
+    }
+}
+
+// Loads one copy of the model in a fabric domain if one is wanted there and a host can take it.
+bool ReplicaPlanner::stageFor(const ReplicaModel& model, const std::string& fabric, std::vector<EngineOrder>& orders)
+{
+    if (hasTraffic_ && countLoads() >= profile_.loadsAtOnce)
+        return false;
+    size_t ready = 0; // hosts with the model, or with it on its way, whose engines don't serve it
+    size_t idle = 0; // of these, engines in no replica
+    size_t cold = 0; // engines in no replica, without the model
+    for (const auto& [id, engine] : engines_) {
+        if (engine.info.fabric != fabric || engine.isDead || engine.info.isLeaving || modelOf(engine) == &model)
+            continue;
+        const bool isReady = isWarm(engine, model.name) || engine.staging == model.name;
+        const bool isIdle = !engine.info.membership;
+        ready += isReady && (isIdle || isServing(engine)) ? 1 : 0;
+        idle += isReady && isIdle ? 1 : 0;
+        cold += !isReady && isIdle && engine.staging.empty() ? 1 : 0;
+    }
+    const bool isLarge = std::any_of(profile_.models.begin(), profile_.models.end(), [&](const ReplicaModel& other) { return other.size < model.size; });
+    const bool completes = idle + cold >= model.size && idle % model.size != 0;
+    const bool startsNew = cold >= model.size;
+    const bool wantsSpare = isLarge && ready < options_.sparesWanted;
+    if (!completes && !startsNew && !wantsSpare)
+        return false;
+    const Engine* host = findHost(model, fabric);
+    if (!host || (!wantsSpare && host->info.membership))
+        return false;
+    Engine& engine = engines_.at(host->info.id);
+    engine.staging = model.name;
+    engine.stagingSince = options_.clock();
+    EngineOrder order = makeOrder(EngineOrderKind::Stage, engine, {}, 0);
+    order.model = model.name;
+    orders.push_back(std::move(order));
+    return true;
+}
+
+// The host that loses least by a copy of the model: an idle one without a use, else a member of a
+// smaller replica, beside another such host if there is one.
+const ReplicaPlanner::Engine* ReplicaPlanner::findHost(const ReplicaModel& model, const std::string& fabric) const
+{
+    const Engine* best = nullptr;
+    int bestCost = 0;
+    std::set<std::string> groupsWithSpare;
+    for (const Engine* spare : findSpares(model, fabric))
+        groupsWithSpare.insert(spare->info.membership->group);
+    for (const auto& [id, engine] : engines_) {
+        if (!engine.staging.empty() && engine.info.membership)
+            groupsWithSpare.insert(engine.info.membership->group);
+    }
+    for (const auto& [id, engine] : engines_) {
+        if (engine.info.fabric != fabric || engine.isDead || engine.info.isLeaving || !engine.staging.empty() || isWarm(engine, model.name))
+            continue;
+        const ReplicaModel* serves = modelOf(engine);
+        if (engine.info.membership && (!isServing(engine) || !serves || serves->size >= model.size))
+            continue;
+        const ReplicaModel* last = profile_.findModel(engine.lastModel);
+        if (!engine.info.membership && last && last->size > model.size)
+            continue;
+        int cost = 0;
+        if (engine.info.membership)
+            cost = groupsWithSpare.count(engine.info.membership->group) > 0 ? 2 : 3;
+        else if (!engine.info.staged.empty())
+            cost = 1;
+        if (!best || cost < bestCost) {
+            best = &engine;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
 void ReplicaPlanner::form(const std::string& fabric, const ReplicaModel& model, const FreeEngines& members, std::vector<EngineOrder>& orders)
 {
     const Millis now = options_.clock();
     const uint64_t epoch = ++lastEpoch_;
     Plan plan { .group = absl::StrCat("g", epoch), .model = model.name, .fabric = fabric, .epoch = epoch, .startedAt = now };
-    for (const Engine* member : members) {
+    for (const Engine* member : members)
         plan.members.push_back(member->info.id);
-        plan.loads += isWarm(*member, model.name) ? 0 : 1;
-    }
     for (size_t rank = 0; rank < members.size(); ++rank) {
         EngineOrder order = makeOrder(EngineOrderKind::Join, *members[rank], plan.group, epoch);
         order.model = model.name;
@@ -342,6 +485,8 @@
     // Without effect: the engine's own word counts again at once.
     if (order.kind == EngineOrderKind::Join && (result == OrderResult::Refused || result == OrderResult::Fenced))
         engine.isOrdered = false;
+    if (order.kind == EngineOrderKind::Stage && !wasTaken && result != OrderResult::Unknown)
+        engine.staging.clear();
     if (order.kind == EngineOrderKind::Open && !wasTaken) {
         const auto plan = plans_.find(order.group);
         if (plan != plans_.end())
--- a/packages/replicas/ReplicaPlanner.h
+++ b/packages/replicas/ReplicaPlanner.h
@@ -9,8 +9,13 @@
 #include <set>
 
 // Decides which engines form replicas: forms them within fabric domains, opens those that are whole,
-// takes apart those that lost a member, and forms their survivors anew with as few loads from the
-// weight store as can be. No input or output: it is told what the engines say and returns orders.
+// takes apart those that lost a member, and forms their survivors anew. No input or output: it is told
+// what the engines say and returns orders.
+//
+// The weight store is slow against losses, so nothing waits for it if it can be helped. Once there is
+// traffic, replicas are formed only of engines whose hosts hold the model. Copies are loaded ahead, onto
+// idle engines and onto members of smaller replicas: such a member serves on, and takes the place of a
+// lost one of a larger replica when it is needed.
 //
 // One planner at a time gives orders for a service. Another one that takes over needs nothing but what
 // the engines say of themselves.
@@ -41,6 +46,7 @@
         Millis firstListTime { 600 }; // ms without a new engine after which the first replicas are formed
         Millis drainTime { 3500 }; // ms that a closed replica has to finish its work
         Millis orderTimeout { 2500 }; // ms, after which an order without effect is given again
+        size_t sparesWanted = 2; // hosts in a fabric domain that hold a large model beside its replicas
     };
 
     explicit ReplicaPlanner(Options options);
@@ -79,6 +85,8 @@
         bool isDead = false;
         Millis orderedAt = never;
         std::string lastModel; // of the group it was in last
+        std::string staging; // model on its way to the host; empty: none
+        Millis stagingSince = never;
     };
 
     struct Plan {
@@ -90,7 +98,6 @@
         Millis startedAt = never;
         Millis openedAt = never;
         Millis closedAt = never;
-        size_t loads = 0; // from the weight store
     };
 
     using FreeEngines = std::vector<const Engine*>;
@@ -99,11 +106,20 @@
     void keepReplica(const ReplicaView& replica, std::vector<EngineOrder>& orders);
     void dissolve(const ReplicaView& replica, std::vector<EngineOrder>& orders);
     void formReplicas(std::vector<EngineOrder>& orders);
-    bool formIn(const std::string& fabric, FreeEngines& free, bool mayLoad, std::vector<EngineOrder>& orders);
+    bool formIn(const std::string& fabric, FreeEngines& free, std::vector<EngineOrder>& orders);
     void form(const std::string& fabric, const ReplicaModel& model, const FreeEngines& members, std::vector<EngineOrder>& orders);
+    void takeSpares(const std::string& fabric, const FreeEngines& free, std::vector<EngineOrder>& orders);
+    void stageCopies(std::vector<EngineOrder>& orders);
+    bool stageFor(const ReplicaModel& model, const std::string& fabric, std::vector<EngineOrder>& orders);
+    const Engine* findHost(const ReplicaModel& model, const std::string& fabric) const;
+    bool mayGive(const ReplicaModel& giver, const ReplicaModel& taker) const;
+    std::vector<const Engine*> findSpares(const ReplicaModel& model, const std::string& fabric) const;
+    bool isServing(const Engine& engine) const;
+    const ReplicaModel* modelOf(const Engine& engine) const;
     std::map<std::string, FreeEngines> findFree() const;
     bool isFree(const Engine& engine) const;
     bool isWarm(const Engine& engine, const std::string& model) const;
+    bool hasCopy(const Engine& engine, const std::string& model) const;
     std::vector<const ReplicaModel*> modelsByNeed() const;
     double enginesFor(const std::string& model) const;
     size_t countLoads() const;
