Watch the store's keys, load copies by need, reload on SIGHUP

Ruled out: counting broken replicas as engines of their model; MemberOfASmallReplicaStandsInForALostOneOfALarge failed with it: the spare pair formed its small replica again. Change: one follower for configuration, endpoints and presence (read, then watch with a pause); settings read again on SIGHUP; loads go to the model that needs them most, refused ones wait; a line whenever the number of replicas changes.

--- a/packages/gateway/ConfigurationFollower.h
+++ b/packages/gateway/ConfigurationFollower.h
@@ -1,11 +1,10 @@
 #pragma once
 
-#include "base/DecisionLog.h"
 #include "gateway/PlatformAdapter.h"
-#include "gateway/RepeatingTimer.h"
+#include "gateway/PrefixFollower.h"
 
-// Keeps the newest configuration of the operators: reads it once, then watches it. A version that
-// can't be read, or is older than the one in force, changes nothing.
+// Keeps the newest configuration of the operators. A version that can't be read, or is older than the
+// one in force, changes nothing.
 
 namespace hemlockweir {
 
@@ -13,34 +12,33 @@
 public:
     struct Options {
         Clock clock;
-        Millis watchWait { 1200 }; // ms, one watch; a connection gone silent shows no later
-        Millis retryDelay { 250 }; // ms, after a call that failed
-        std::function<void(std::shared_ptr<const RouteTable>, const std::string& text)> onConfiguration;
+        std::function<void(std::shared_ptr<const RouteTable>)> onConfiguration;
     };
 
     ConfigurationFollower(boost::asio::io_context& context, Options options, const PlatformAdapter& adapter, DecisionLog& log);
 
-    void start();
+    void start() { follower_.start(); }
 
     // Takes a configuration, from the store or from another node; true if it is newer and in force now.
     bool take(const std::string& text, std::string_view source);
 
-    // When the store last answered.
-    Millis heardAt() const { return heardAt_; }
+    // The text of the version in force; empty before the first.
+    const std::string& text() const { return text_; }
+    uint64_t version() const { return version_; }
+
+    bool isReachable() const { return follower_.isReachable(); }
+    Millis heardAt() const { return follower_.heardAt(); } // when the store last answered
 
 private:
-    void read();
-    void watch();
-    void noteOutcome(const absl::Status& status);
+    void takeAnswer();
 
     Options options_;
     const PlatformAdapter& adapter_;
     DecisionLog& log_;
-    RepeatingTimer timer_;
+    PrefixFollower follower_;
+    std::string text_;
     uint64_t version_ = 0;
-    uint64_t watchFrom_ = 0; // revision; 0: the key has to be read first
-    Millis heardAt_ { 0 };
-    bool isReachable_ = true;
+    uint64_t seenRevision_ = 0; // of the item that was taken last
 };
 
 } // namespace hemlockweir
--- a/packages/gateway/EndpointFollower.h
+++ b/packages/gateway/EndpointFollower.h
@@ -1,13 +1,10 @@
 #pragma once
 
-#include "base/DecisionLog.h"
 #include "gateway/PlatformAdapter.h"
-#include "gateway/RepeatingTimer.h"
+#include "gateway/PrefixFollower.h"
 
-#include <map>
-
-// Keeps the list of endpoints: reads it again and again. After the store was away, entries that lapsed
-// meanwhile get time to come back before they count as gone.
+// Keeps the list of endpoints. After the store was away, entries that lapsed meanwhile get time to come
+// back before they count as gone.
 
 namespace hemlockweir {
 
@@ -15,42 +12,40 @@
 public:
     struct Options {
         Clock clock;
-        Millis interval { 600 }; // ms, between two reads; the list is to be acted on within 2 s
-        Millis retryDelay { 250 }; // ms, after a read that failed
         Millis returnTime { 2600 }; // ms after the store's return in which lapsed entries come back
-        std::function<void()> onChange; // after each read
+        std::function<void()> onChange; // after each answer of the store
     };
 
     EndpointFollower(boost::asio::io_context& context, Options options, const PlatformAdapter& adapter, DecisionLog& log);
 
-    void start() { read(); }
+    void start() { follower_.start(); }
 
-    // Reads at another interval from now on.
-    void setInterval(Millis interval) { options_.interval = interval; }
+    // Learns of changes at the latest so long after the store has them, but for the answer's way.
+    void setPause(Millis pause) { follower_.setPause(pause); }
 
     const std::vector<EndpointInfo>& endpoints() const { return endpoints_; }
 
-    // Whether the list was read of late and nothing in it is held back.
-    bool isSettled() const;
-
-    Millis readAt() const { return readAt_; }
-    bool hasRead() const { return hasRead_; }
+    bool hasRead() const { return follower_.hasRead(); }
+    Millis readAt() const { return follower_.heardAt(); }
 
 private:
-    void read();
-    void take(const KvItems& items);
+    // A decoded entry.
+    struct Known {
+        EndpointInfo info;
+        uint64_t revision = 0; // of the item that it was read from
+    };
+
+    void takeAnswer();
+    void takeItem(const KvItem& item);
+    void dropMissing();
 
     Options options_;
     const PlatformAdapter& adapter_;
     DecisionLog& log_;
-    RepeatingTimer timer_;
+    PrefixFollower follower_;
     std::vector<EndpointInfo> endpoints_;
-    std::map<std::string, EndpointInfo> known_; // by id
-    std::map<std::string, uint64_t> unreadable_; // revisions already told of, by key
-    Millis readAt_ { 0 };
-    Millis returnedAt_ { -3600000 }; // when the store came back last
-    bool isReachable_ = true;
-    bool hasRead_ = false;
+    std::map<std::string, Known> known_; // by key
+    std::map<std::string, uint64_t> unreadable_; // revisions that were told of, by key
 };
 
 } // namespace hemlockweir
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -11,9 +11,9 @@
 // How exactly time limits of requests are kept.
 static constexpr Millis tickInterval { 20 };
 static constexpr Millis sweepInterval { 500 };
-// The list of engines is read more often by the node that gives them orders.
-static constexpr Millis plannerListInterval { 250 };
-static constexpr Millis listInterval { 600 };
+// Changes of engines reach the node that gives them orders sooner.
+static constexpr Millis plannerListPause { 50 };
+static constexpr Millis listPause { 300 };
 // The balancer asks once a second and takes a node out after two misses; new connections come until then.
 static constexpr Millis doorTime { 3500 };
 // Left of the grace for the process to end.
@@ -31,8 +31,8 @@
     , retries_({ .clock = clock_, .window = settings_.retryWindow, .perRequest = settings_.retriesPerRequest, .allowance = settings_.retryAllowance })
     , shared_ { .clock = clock_, .random = random_, .headers = adapter_.headers, .dispatcher = dispatcher_, .pool = pool_, .retries = retries_, .log = log_, .metrics = metrics_ }
     , proxy_(context, { .address = settings_.callers.address, .port = settings_.callers.port, .clock = clock_ }, shared_)
-    , configuration_(context, { .clock = clock_, .onConfiguration = [this](std::shared_ptr<const RouteTable> routes, const std::string&) { takeConfiguration(std::move(routes)); } }, adapter_, log_)
-    , endpoints_(context, { .clock = clock_, .interval = listInterval, .onChange = [this] { takeEndpoints(); } }, adapter_, log_)
+    , configuration_(context, { .clock = clock_, .onConfiguration = [this](std::shared_ptr<const RouteTable> routes) { takeConfiguration(std::move(routes)); } }, adapter_, log_)
+    , endpoints_(context, { .clock = clock_, .onChange = [this] { takeEndpoints(); } }, adapter_, log_)
     , presence_(context,
           {
               .clock = clock_,
@@ -155,7 +155,7 @@
 
 void Gateway::takeRole(bool isPlanner, uint64_t)
 {
-    endpoints_.setInterval(isPlanner ? plannerListInterval : listInterval);
+    endpoints_.setPause(isPlanner ? plannerListPause : listPause);
     if (isPlanner)
         runPlanner();
 }
@@ -174,6 +174,7 @@
         planner.setEngines(engines, *service->engines, true);
         if (proxy_.hasServed() || !settings_.isFirstStart)
             planner.noteTraffic();
+        tellReplicas(name, planner);
         for (EngineOrder& order : planner.plan()) {
             order.fencingToken = presence_.term();
             orders_.send(order);
@@ -181,6 +182,23 @@
     }
 }
 
+// One line whenever the number of replicas changes.
+void Gateway::tellReplicas(const std::string& service, const ReplicaPlanner& planner)
+{
+    std::map<std::string, std::pair<size_t, size_t>> counts; // by model: open, and others
+    for (const ReplicaView& replica : planner.findReplicas()) {
+        const bool isOpen = replica.isWhole() && replica.head()->membership->state == MemberState::Open;
+        auto& [open, others] = counts[replica.model];
+        ++(isOpen ? open : others);
+    }
+    std::string text;
+    for (const auto& [model, count] : counts)
+        absl::StrAppend(&text, text.empty() ? "" : ";", model, ":", count.first, "+", count.second);
+    if (std::exchange(toldReplicas_[service], text) == text)
+        return;
+    log_.noteChange("replicas", { { "service", service }, { "open_and_other", text }, { "idle_engines", std::to_string(planner.countIdle()) }, { "list_age_ms", std::to_string((clock_() - endpoints_.readAt()).count()) } });
+}
+
 void Gateway::requestPlan()
 {
     if (isPlanRequested_)
@@ -205,9 +223,10 @@
 
 void Gateway::takeProbe(const std::string& engine, bool isAlive)
 {
+    bool isNews = false;
     for (auto& [name, planner] : planners_)
-        isAlive ? planner.noteAlive(engine) : planner.noteDead(engine);
-    if (isAlive)
+        isNews = planner.noteProbe(engine, isAlive) || isNews;
+    if (isAlive || !isNews)
         return;
     log_.noteChange("engine_dead", { { "engine", engine }, { "list_age_ms", std::to_string((clock_() - endpoints_.readAt()).count()) } });
     requestPlan();
@@ -245,6 +264,17 @@
     sweepTimer_.callAfter(sweepInterval);
 }
 
+void Gateway::reload(const absl::StatusOr<GatewaySettings>& settings)
+{
+    if (!settings.ok()) {
+        log_.noteChange("settings_refused", { { "error", std::string(settings.status().message()) } });
+        return;
+    }
+    settings_.grace = settings->grace;
+    retries_.setBounds(settings->retriesPerRequest, settings->retryAllowance);
+    log_.noteChange("settings_reloaded", { { "grace_ms", std::to_string(settings_.grace.count()) }, { "retry_allowance", std::to_string(settings->retryAllowance) } });
+}
+
 void Gateway::stop(std::function<void()> onStopped)
 {
     if (isStopping_)
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -22,6 +22,10 @@
 
     absl::Status start();
 
+    // Puts settings that were read again in force, as far as they can change while the node runs: the
+    // bounds on retries and the grace. An error leaves all as it is.
+    void reload(const absl::StatusOr<GatewaySettings>& settings);
+
     // Stops as planned: first the balancer is told, then requests at work finish, then onStopped.
     void stop(std::function<void()> onStopped);
 
@@ -39,6 +43,7 @@
     void takeSuspect(const Target& target);
     void takeOrderResult(const EngineOrder& order, OrderResult result);
     void takeProbe(const std::string& engine, bool isAlive);
+    void tellReplicas(const std::string& service, const ReplicaPlanner& planner);
     void requestPlan();
     void tick();
     void sweep();
@@ -61,6 +66,7 @@
     Presence presence_;
     EngineOrders orders_;
     std::map<std::string, ReplicaPlanner> planners_; // by service
+    std::map<std::string, std::string> toldReplicas_; // last line, by service
     boost::asio::ip::tcp::acceptor readyAcceptor_;
     boost::asio::ip::tcp::acceptor controlAcceptor_;
     std::shared_ptr<const ServerLimits> controlLimits_;
--- a/packages/gateway/KvStore.h
+++ b/packages/gateway/KvStore.h
@@ -30,7 +30,7 @@
 // What changed since a revision.
 struct KvChanges {
     std::vector<KvItem> written;
-    std::vector<std::string> deleted;
+    std::vector<KvItem> deleted; // key and revision of the deletion
     uint64_t revision = 0; // to watch on from
 };
 
--- a/packages/gateway/Presence.cpp
+++ b/packages/gateway/Presence.cpp
@@ -11,9 +11,16 @@
     , adapter_(adapter)
     , log_(log)
     , timer_(context, [this] { step(); })
+    , follower_(context, { .clock = options_.clock, .prefix = keyPrefix, .wait = options_.watchWait, .onAnswer = [this] { takeKeys(); } }, adapter.store, log)
 {
 }
 
+void Presence::start()
+{
+    step();
+    follower_.start();
+}
+
 bool Presence::isPlanner() const
 {
     return isPlanner_ && options_.clock() < leaseEndsAt_ - options_.callMargin;
@@ -40,9 +47,9 @@
             return;
         }
         lease_ = *lease;
-        isAnnounced_ = false;
         noteRenewed(askedAt);
-        look();
+        takeKeys();
+        timer_.callAfter(options_.renewInterval);
     });
 }
 
@@ -65,44 +72,37 @@
             grant();
             return;
         }
-        look();
-    });
-}
-
-void Presence::look()
-{
-    adapter_.store.list(keyPrefix, false, [this](const absl::StatusOr<KvItems>& items) {
-        if (items.ok())
-            takeKeys(*items);
         timer_.callAfter(options_.renewInterval);
     });
 }
 
-void Presence::takeKeys(const KvItems& items)
+void Presence::takeKeys()
 {
-    if (isResigned_)
+    if (isResigned_ || lease_ == 0 || !follower_.hasRead())
         return;
     peers_.clear();
     bool isAnnounced = false;
     const KvItem* planner = nullptr;
-    for (const KvItem& item : items.items) {
-        if (item.key == plannerKey)
+    for (const auto& [key, item] : follower_.items()) {
+        if (key == plannerKey)
             planner = &item;
-        if (!item.key.starts_with(nodePrefix))
+        if (!key.starts_with(nodePrefix))
             continue;
-        const std::string node = item.key.substr(nodePrefix.size());
+        const std::string node = key.substr(nodePrefix.size());
         if (node == options_.node)
             isAnnounced = item.lease == lease_;
         else
             peers_.push_back({ .node = node, .address = item.value });
     }
+    const bool isMine = planner && planner->value == options_.boot && planner->lease == lease_;
+    setRole(isMine, planner ? planner->revision : term_);
+    const Millis now = options_.clock();
+    if (now - wroteAt_ < options_.writeInterval || !follower_.isReachable())
+        return;
+    if (!isAnnounced || !planner)
+        wroteAt_ = now;
     if (!isAnnounced)
         announce();
-    const bool isMine = planner && planner->value == options_.boot && planner->lease == lease_;
-    if (isMine)
-        setRole(true, planner->revision);
-    else
-        setRole(false, planner ? planner->revision : term_);
     if (!planner)
         claim();
 }
@@ -112,7 +112,7 @@
     KvTransaction transaction;
     transaction.puts.push_back({ .key = nodePrefix + options_.node, .value = options_.address, .lease = lease_ });
     adapter_.store.commit(transaction, [](const absl::StatusOr<uint64_t>&) {
-        // The next look shows whether it took effect.
+        // The watch shows whether it took effect.
     });
 }
 
@@ -121,10 +121,8 @@
     KvTransaction transaction;
     transaction.conditions.push_back({ .key = plannerKey, .revision = 0 });
     transaction.puts.push_back({ .key = plannerKey, .value = options_.boot, .lease = lease_ });
-    adapter_.store.commit(transaction, [this](absl::StatusOr<uint64_t> revision) {
-        // Without an answer the next look shows whose the key is.
-        if (revision.ok())
-            setRole(true, *revision);
+    adapter_.store.commit(transaction, [](const absl::StatusOr<uint64_t>&) {
+        // The watch shows whose the key is, also when the answer was lost.
     });
 }
 
--- a/packages/gateway/Presence.h
+++ b/packages/gateway/Presence.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "base/DecisionLog.h"
 #include "gateway/PlatformAdapter.h"
-#include "gateway/RepeatingTimer.h"
+#include "gateway/PrefixFollower.h"
 
 // Tells the other nodes of this one, learns of them, and agrees on the one node that gives orders to
 // engines. Everything stands in the platform's store under keys bound to a lease: a node that is gone
@@ -20,6 +19,8 @@
         std::string boot; // unique to this process
         Millis leaseTtl { 2400 }; // ms; how soon a dead planner is replaced
         Millis renewInterval { 700 }; // ms, well within the ttl
+        Millis watchWait { 2000 }; // ms, one watch of the other nodes' keys
+        Millis writeInterval { 500 }; // ms between two tries to write the same key
         Millis callMargin { 300 }; // ms of its lease that a planner doesn't use
         std::function<void(bool isPlanner, uint64_t term)> onRole;
     };
@@ -31,7 +32,7 @@
 
     Presence(boost::asio::io_context& context, Options options, const PlatformAdapter& adapter, DecisionLog& log);
 
-    void start() { step(); }
+    void start();
 
     // Gives up the planner's key and the presence, so that another node takes over at once.
     void resign();
@@ -49,8 +50,7 @@
     void grant();
     void renew();
     void announce();
-    void look();
-    void takeKeys(const KvItems& items);
+    void takeKeys();
     void claim();
     void setRole(bool isPlanner, uint64_t term);
     void noteRenewed(Millis askedAt);
@@ -59,11 +59,12 @@
     const PlatformAdapter& adapter_;
     DecisionLog& log_;
     RepeatingTimer timer_;
+    PrefixFollower follower_;
     std::vector<Peer> peers_;
     uint64_t lease_ = 0;
     Millis leaseEndsAt_ { 0 };
     uint64_t term_ = 0;
-    bool isAnnounced_ = false;
+    Millis wroteAt_ { -3600000 }; // when a key was last written
     bool isPlanner_ = false;
     bool isResigned_ = false;
 };
--- a/packages/proxy/RetryWindow.h
+++ b/packages/proxy/RetryWindow.h
@@ -28,6 +28,13 @@
     // Takes one repeated send; false when there is none left.
     bool take(const std::string& service);
 
+    // Replaces the part for each request and the allowance of all nodes.
+    void setBounds(double perRequest, double allowance)
+    {
+        options_.perRequest = perRequest;
+        options_.allowance = allowance;
+    }
+
     // The number of nodes that share the allowance; at least 1.
     void setNodeCount(size_t count) { nodes_ = count > 0 ? count : 1; }
 
--- a/packages/replicas/ReplicaPlanner.cpp
+++ b/packages/replicas/ReplicaPlanner.cpp
@@ -9,7 +9,7 @@
 // A replica that is not ready after its load and this time is taken apart: the load shares its rate.
 static constexpr Millis formingSlack { 12000 };
 // A load that takes so many times its usual time has failed.
-static constexpr int slowestLoad = 3;
+static constexpr int slowestLoad = 2;
 
 bool ReplicaView::isWhole() const
 {
@@ -63,16 +63,10 @@
     rememberPlans();
 }
 
-void ReplicaPlanner::noteDead(const std::string& engine)
+bool ReplicaPlanner::noteProbe(const std::string& engine, bool isAlive)
 {
-    if (const auto found = engines_.find(engine); found != engines_.end())
-        found->second.isDead = true;
-}
-
-void ReplicaPlanner::noteAlive(const std::string& engine)
-{
-    if (const auto found = engines_.find(engine); found != engines_.end())
-        found->second.isDead = false;
+    const auto found = engines_.find(engine);
+    return found != engines_.end() && std::exchange(found->second.isDead, !isAlive) == isAlive;
 }
 
 // Takes over the replicas that another planner formed, and forgets those that nobody is in any more.
@@ -152,6 +146,7 @@
     if (profile_.models.empty())
         return orders;
     keepReplicas(orders);
+    countEngines();
     formReplicas(orders);
     stageCopies(orders);
     return orders;
@@ -256,12 +251,20 @@
     return static_cast<size_t>(std::count_if(engines_.begin(), engines_.end(), [](const auto& entry) { return !entry.second.info.membership; }));
 }
 
+// Counts the engines of replicas that are whole, or will be.
+void ReplicaPlanner::countEngines()
+{
+    engineCounts_.clear();
+    for (const ReplicaView& replica : findReplicas()) {
+        if (replica.isWhole())
+            engineCounts_[replica.model] += static_cast<double>(replica.size);
+    }
+}
+
 double ReplicaPlanner::enginesFor(const std::string& model) const
 {
-    double engines = 0;
-    for (const auto& [group, plan] : plans_)
-        engines += plan.model == model ? static_cast<double>(plan.members.size()) : 0;
-    return engines;
+    const auto found = engineCounts_.find(model);
+    return found == engineCounts_.end() ? 0 : found->second;
 }
 
 // The models in the order in which they need another replica: the one with the fewest engines for its
@@ -271,7 +274,10 @@
     std::vector<const ReplicaModel*> models;
     for (const ReplicaModel& model : profile_.models)
         models.push_back(&model);
-    const auto need = [this](const ReplicaModel* model) { return (enginesFor(model->name) + static_cast<double>(model->size) / 2) / std::max(0.01, model->workShare); };
+    const auto need = [&](const ReplicaModel* model) {
+        const double engines = enginesFor(model->name) + countSpares(*model) + static_cast<double>(model->size) / 2;
+        return engines / std::max(0.01, model->workShare);
+    };
     std::stable_sort(models.begin(), models.end(), [&](const ReplicaModel* one, const ReplicaModel* other) { return need(one) < need(other); });
     return models;
 }
@@ -342,7 +348,8 @@
 {
     for (const ReplicaModel* model : modelsByNeed()) {
         const auto warm = static_cast<size_t>(std::count_if(free.begin(), free.end(), [&](const Engine* engine) { return isWarm(*engine, model->name); }));
-        if (warm == 0 || warm >= model->size)
+        // Only what a loss left behind is completed: half a replica at least stands idle.
+        if (2 * warm < model->size || warm >= model->size)
             continue;
         const std::vector<const Engine*> spares = findSpares(*model, fabric);
         const size_t wanted = model->size - warm;
@@ -359,48 +366,97 @@
     }
 }
 
-// Loads copies ahead while the weight store has room.
-void ReplicaPlanner::stageCopies(std::vector<EngineOrder>& orders)
+bool ReplicaPlanner::isLarge(const ReplicaModel& model) const
+{
+    return std::any_of(profile_.models.begin(), profile_.models.end(), [&](const ReplicaModel& other) { return other.size < model.size; });
+}
+
+std::set<std::string> ReplicaPlanner::fabrics() const
 {
-    if (isFirstFormation())
-        return;
     std::set<std::string> fabrics;
     for (const auto& [id, engine] : engines_) {
         if (!engine.info.fabric.empty())
             fabrics.insert(engine.info.fabric);
     }
+    return fabrics;
+}
+
+// Loads copies ahead while the weight store has room: for the model that needs it most, and of that what
+// is worth most a load first.
+void ReplicaPlanner::stageCopies(std::vector<EngineOrder>& orders)
+{
+    if (isFirstFormation())
+        return;
+    const std::set<std::string> all = fabrics();
     for (const ReplicaModel* model : modelsByNeed()) {
-        for (const std::string& fabric : fabrics) {
-            while (stageFor(*model, fabric, orders)) { }
+        for (const CopyUse use : { CopyUse::LastOfReplica, CopyUse::FirstSpare, CopyUse::NewReplica, CopyUse::MoreSpares }) {
+            for (const std::string& fabric : all) {
+                while (stageFor(*model, fabric, use, orders)) { }
+            }
         }
     }
 }
 
-// Loads one copy of the model in a fabric domain if one is wanted there and a host can take it.
-bool ReplicaPlanner::stageFor(const ReplicaModel& model, const std::string& fabric, std::vector<EngineOrder>& orders)
+// The spares of a large model, which are as good as engines of it; at first those that will be.
+double ReplicaPlanner::countSpares(const ReplicaModel& model) const
 {
-    if (hasTraffic_ && countLoads() >= profile_.loadsAtOnce)
-        return false;
-    size_t ready = 0; // hosts with the model, or with it on its way, whose engines don't serve it
-    size_t idle = 0; // of these, engines in no replica
-    size_t cold = 0; // engines in no replica, without the model
+    if (!isLarge(model))
+        return 0;
+    double spares = 0;
+    for (const std::string& fabric : fabrics()) {
+        const CopyCount count = countCopies(model, fabric);
+        const size_t there = hasTraffic_ ? count.idle % model.size + count.serving : options_.sparesWanted;
+        spares += static_cast<double>(std::min(there, options_.sparesWanted));
+    }
+    return spares;
+}
+
+// What copies of a model stand or are on their way in a fabric domain, beside its replicas.
+ReplicaPlanner::CopyCount ReplicaPlanner::countCopies(const ReplicaModel& model, const std::string& fabric) const
+{
+    CopyCount count;
     for (const auto& [id, engine] : engines_) {
         if (engine.info.fabric != fabric || engine.isDead || engine.info.isLeaving || modelOf(engine) == &model)
             continue;
         const bool isReady = isWarm(engine, model.name) || engine.staging == model.name;
         const bool isIdle = !engine.info.membership;
-        ready += isReady && (isIdle || isServing(engine)) ? 1 : 0;
-        idle += isReady && isIdle ? 1 : 0;
-        cold += !isReady && isIdle && engine.staging.empty() ? 1 : 0;
+        if (isReady && isIdle)
+            ++count.idle;
+        else if (isReady && isServing(engine))
+            ++count.serving;
+        else if (isIdle && engine.staging.empty())
+            ++count.cold;
+    }
+    return count;
+}
+
+bool ReplicaPlanner::isWanted(const ReplicaModel& model, const CopyCount& count, CopyUse use) const
+{
+    const size_t spares = count.idle + count.serving;
+    const size_t missing = model.size - count.idle % model.size;
+    switch (use) {
+    case CopyUse::LastOfReplica:
+        return missing == 1 && count.cold > 0;
+    case CopyUse::FirstSpare:
+        return isLarge(model) && spares == 0;
+    case CopyUse::NewReplica:
+        return missing <= count.cold;
+    case CopyUse::MoreSpares:
+        return isLarge(model) && spares < options_.sparesWanted;
     }
-    const bool isLarge = std::any_of(profile_.models.begin(), profile_.models.end(), [&](const ReplicaModel& other) { return other.size < model.size; });
-    const bool completes = idle + cold >= model.size && idle % model.size != 0;
-    const bool startsNew = cold >= model.size;
-    const bool wantsSpare = isLarge && ready < options_.sparesWanted;
-    if (!completes && !startsNew && !wantsSpare)
+    return false;
+}
+
+// Loads one copy of the model in a fabric domain if one is wanted there and a host can take it.
+bool ReplicaPlanner::stageFor(const ReplicaModel& model, const std::string& fabric, CopyUse use, std::vector<EngineOrder>& orders)
+{
+    if (hasTraffic_ && countLoads() >= profile_.loadsAtOnce)
+        return false;
+    if (!isWanted(model, countCopies(model, fabric), use))
         return false;
     const Engine* host = findHost(model, fabric);
-    if (!host || (!wantsSpare && host->info.membership))
+    const bool isSpare = use == CopyUse::FirstSpare || use == CopyUse::MoreSpares;
+    if (!host || (!isSpare && host->info.membership))
         return false;
     Engine& engine = engines_.at(host->info.id);
     engine.staging = model.name;
@@ -427,6 +483,8 @@
     for (const auto& [id, engine] : engines_) {
         if (engine.info.fabric != fabric || engine.isDead || engine.info.isLeaving || !engine.staging.empty() || isWarm(engine, model.name))
             continue;
+        if (options_.clock() - engine.stageRefusedAt < options_.orderTimeout)
+            continue;
         const ReplicaModel* serves = modelOf(engine);
         if (engine.info.membership && (!isServing(engine) || !serves || serves->size >= model.size))
             continue;
@@ -464,6 +522,7 @@
         engine.isOrdered = true;
         engine.orderedAt = now;
     }
+    engineCounts_[model.name] += static_cast<double>(model.size);
     plans_[plan.group] = std::move(plan);
 }
 
@@ -485,8 +544,10 @@
     // Without effect: the engine's own word counts again at once.
     if (order.kind == EngineOrderKind::Join && (result == OrderResult::Refused || result == OrderResult::Fenced))
         engine.isOrdered = false;
-    if (order.kind == EngineOrderKind::Stage && !wasTaken && result != OrderResult::Unknown)
+    if (order.kind == EngineOrderKind::Stage && !wasTaken && result != OrderResult::Unknown) {
         engine.staging.clear();
+        engine.stageRefusedAt = options_.clock();
+    }
     if (order.kind == EngineOrderKind::Open && !wasTaken) {
         const auto plan = plans_.find(order.group);
         if (plan != plans_.end())
--- a/packages/replicas/ReplicaPlanner.h
+++ b/packages/replicas/ReplicaPlanner.h
@@ -43,7 +43,7 @@
     struct Options {
         Clock clock;
         Millis settleTime { 1500 }; // ms, for which an order is believed before the engine's own word
-        Millis firstListTime { 600 }; // ms without a new engine after which the first replicas are formed
+        Millis firstListTime { 1000 }; // ms without a new engine after which the first replicas are formed
         Millis drainTime { 3500 }; // ms that a closed replica has to finish its work
         Millis orderTimeout { 2500 }; // ms, after which an order without effect is given again
         size_t sparesWanted = 2; // hosts in a fabric domain that hold a large model beside its replicas
@@ -55,9 +55,8 @@
     // engines that live: those that were there stay known.
     void setEngines(const std::vector<EndpointInfo>& engines, const EngineProfile& profile, bool isSettled);
 
-    // Notes that an engine does not answer, or does.
-    void noteDead(const std::string& engine);
-    void noteAlive(const std::string& engine);
+    // Notes whether an engine answered; true if that is news.
+    bool noteProbe(const std::string& engine, bool isAlive);
 
     // Whether requests were served since the start: from then on loads cost time and rate.
     void noteTraffic() { hasTraffic_ = true; }
@@ -87,6 +86,7 @@
         std::string lastModel; // of the group it was in last
         std::string staging; // model on its way to the host; empty: none
         Millis stagingSince = never;
+        Millis stageRefusedAt = never;
     };
 
     struct Plan {
@@ -100,6 +100,21 @@
         Millis closedAt = never;
     };
 
+    // What a copy of a model is loaded for.
+    enum class CopyUse : uint8_t {
+        LastOfReplica, // idle engines hold all others that a replica needs
+        FirstSpare, // an engine of the fabric domain can stand in for a lost member
+        NewReplica, // idle engines become a replica
+        MoreSpares, // one more can
+    };
+
+    // Hosts in a fabric domain whose engines don't serve the model.
+    struct CopyCount {
+        size_t idle = 0; // with a copy, in no replica
+        size_t serving = 0; // with a copy, in a replica of another model
+        size_t cold = 0; // without, in no replica
+    };
+
     using FreeEngines = std::vector<const Engine*>;
 
     void keepReplicas(std::vector<EngineOrder>& orders);
@@ -110,7 +125,12 @@
     void form(const std::string& fabric, const ReplicaModel& model, const FreeEngines& members, std::vector<EngineOrder>& orders);
     void takeSpares(const std::string& fabric, const FreeEngines& free, std::vector<EngineOrder>& orders);
     void stageCopies(std::vector<EngineOrder>& orders);
-    bool stageFor(const ReplicaModel& model, const std::string& fabric, std::vector<EngineOrder>& orders);
+    bool stageFor(const ReplicaModel& model, const std::string& fabric, CopyUse use, std::vector<EngineOrder>& orders);
+    bool isWanted(const ReplicaModel& model, const CopyCount& count, CopyUse use) const;
+    CopyCount countCopies(const ReplicaModel& model, const std::string& fabric) const;
+    double countSpares(const ReplicaModel& model) const;
+    bool isLarge(const ReplicaModel& model) const;
+    std::set<std::string> fabrics() const;
     const Engine* findHost(const ReplicaModel& model, const std::string& fabric) const;
     bool mayGive(const ReplicaModel& giver, const ReplicaModel& taker) const;
     std::vector<const Engine*> findSpares(const ReplicaModel& model, const std::string& fabric) const;
@@ -121,6 +141,7 @@
     bool isWarm(const Engine& engine, const std::string& model) const;
     bool hasCopy(const Engine& engine, const std::string& model) const;
     std::vector<const ReplicaModel*> modelsByNeed() const;
+    void countEngines();
     double enginesFor(const std::string& model) const;
     size_t countLoads() const;
     bool isFirstFormation() const;
@@ -132,6 +153,7 @@
     EngineProfile profile_;
     std::map<std::string, Engine> engines_; // by id
     std::map<std::string, Plan> plans_; // by group
+    std::map<std::string, double> engineCounts_; // engines in whole replicas, by model
     uint64_t lastEpoch_ = 0;
     Millis lastNewAt_ { 0 }; // when an engine was last seen for the first time
     bool hasTraffic_ = false;
--- a/programs/hemlockweir.cpp
+++ b/programs/hemlockweir.cpp
@@ -57,6 +57,13 @@
     return QCoreApplication::exec();
 }
 
+// Reads the settings again; with a mistake in them the old ones stay.
+static void reloadGateway(Gateway& gateway, const std::string& path)
+{
+    const absl::StatusOr<std::string> text = readTextFile(path);
+    gateway.reload(text.ok() ? parseGatewaySettings(*text, path) : text.status());
+}
+
 // Runs a node that serves before a platform's engines.
 static int runGateway(const std::string& text, const std::string& path, bool isCheck)
 {
@@ -79,6 +86,16 @@
         if (!error)
             gateway.stop([&context] { context.stop(); });
     });
+    boost::asio::signal_set reloads(context, SIGHUP);
+    std::function<void()> waitForReload = [&] {
+        reloads.async_wait([&](const boost::system::error_code& error, int) {
+            if (error)
+                return;
+            reloadGateway(gateway, path);
+            waitForReload();
+        });
+    };
+    waitForReload();
     context.run();
     return 0;
 }
--- /dev/null
+++ b/tests/ReplicaPlannerTest.cpp
@@ -0,0 +1,250 @@
+#include "replicas/ReplicaPlanner.h"
+
+#include <gtest/gtest.h>
+
+// The planner against engines that carry out orders at once, but for the time of loads.
+
+using namespace hemlockweir;
+
+namespace {
+
+constexpr char largeModel[] = "large";
+constexpr char smallModel[] = "small";
+
+// Engines of one service in fabric domains of ten, two models, the large one four engines a replica.
+class PlannerTest : public testing::Test {
+protected:
+    PlannerTest()
+        : planner_({ .clock = [this] { return now_; } })
+    {
+        profile_.slots = 17;
+        profile_.loadsAtOnce = 7;
+        profile_.models = {
+            { .name = largeModel, .size = 4, .workShare = 0.5, .loadTime = Millis(16000), .warmTime = Millis(1600) },
+            { .name = smallModel, .size = 2, .workShare = 0.5, .loadTime = Millis(12000), .warmTime = Millis(1100) },
+        };
+    }
+
+    void addEngines(const std::string& fabric, int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            const std::string id = fabric + "-" + std::to_string(i);
+            engines_[id] = { .id = id, .service = "engines", .address = "127.0.0.1", .port = 1, .domain = "a", .fabric = fabric, .bornMs = 1 };
+        }
+    }
+
+    // Gives the planner the list, carries out its orders, until it gives none.
+    size_t settle()
+    {
+        size_t orders = 0;
+        for (int round = 0; round < 20; ++round) {
+            const size_t given = step();
+            orders += given;
+            if (given == 0 && round > 4)
+                break;
+        }
+        return orders;
+    }
+
+    size_t step()
+    {
+        now_ += Millis(250);
+        finishLoads();
+        std::vector<EndpointInfo> list;
+        for (const auto& [id, engine] : engines_)
+            list.push_back(engine);
+        planner_.setEngines(list, profile_, true);
+        const std::vector<EngineOrder> orders = planner_.plan();
+        for (const EngineOrder& order : orders)
+            planner_.noteResult(order, carryOut(order));
+        return orders.size();
+    }
+
+    OrderResult carryOut(const EngineOrder& order)
+    {
+        const auto found = engines_.find(order.engine);
+        if (found == engines_.end() || dead_.count(order.engine) > 0)
+            return OrderResult::Unreachable;
+        given_.push_back(order);
+        EndpointInfo& engine = found->second;
+        switch (order.kind) {
+        case EngineOrderKind::Join: {
+            const auto rank = std::find(order.members.begin(), order.members.end(), order.engine) - order.members.begin();
+            engine.membership = Membership { .group = order.group, .epoch = order.epoch, .rank = static_cast<size_t>(rank), .state = MemberState::Ready };
+            if (engine.staged.empty())
+                engine.staged = { order.model };
+            engine.model = order.model;
+            return OrderResult::Begun;
+        }
+        case EngineOrderKind::Open:
+            engine.membership->state = MemberState::Open;
+            return OrderResult::Begun;
+        case EngineOrderKind::Close:
+            engine.membership->state = MemberState::Ready;
+            return OrderResult::Begun;
+        case EngineOrderKind::Leave:
+            engine.membership.reset();
+            engine.model.clear();
+            return OrderResult::Done;
+        case EngineOrderKind::Stage:
+            loads_[order.engine] = { order.model, now_ + (isLead_ ? Millis(1600) : Millis(16000)) };
+            return OrderResult::Begun;
+        }
+        return OrderResult::Refused;
+    }
+
+    void finishLoads()
+    {
+        for (auto it = loads_.begin(); it != loads_.end();) {
+            if (it->second.second > now_) {
+                ++it;
+                continue;
+            }
+            engines_.at(it->first).staged = { it->second.first };
+            it = loads_.erase(it);
+        }
+    }
+
+    // Replicas that serve: an open head and every member alive.
+    size_t countServing(const std::string& model) const
+    {
+        size_t count = 0;
+        for (const auto& [id, engine] : engines_) {
+            if (!engine.membership || engine.membership->rank != 0 || engine.membership->state != MemberState::Open || engine.model != model)
+                continue;
+            size_t members = 0;
+            for (const auto& [otherId, other] : engines_)
+                members += other.membership && other.membership->group == engine.membership->group && dead_.count(otherId) == 0 ? 1 : 0;
+            count += members == profile_.findModel(model)->size ? 1 : 0;
+        }
+        return count;
+    }
+
+    // Forms the first replicas and their spares, and begins the traffic.
+    void startTraffic()
+    {
+        settle();
+        for (int i = 0; i < 20; ++i)
+            step();
+        isLead_ = false;
+        planner_.noteTraffic();
+    }
+
+    // An engine that serves in a replica of the model, in the fabric domain given.
+    std::string findMember(const std::string& model, const std::string& fabric) const
+    {
+        for (const auto& [id, engine] : engines_) {
+            if (engine.fabric == fabric && engine.model == model && engine.membership && dead_.count(id) == 0)
+                return id;
+        }
+        return {};
+    }
+
+    void kill(const std::string& engine)
+    {
+        dead_.insert(engine);
+        planner_.noteProbe(engine, false);
+    }
+
+    Millis now_ { 1000 };
+    EngineProfile profile_;
+    ReplicaPlanner planner_;
+    std::map<std::string, EndpointInfo> engines_;
+    std::map<std::string, std::pair<std::string, Millis>> loads_;
+    std::set<std::string> dead_;
+    std::vector<EngineOrder> given_;
+    bool isLead_ = true;
+};
+
+TEST_F(PlannerTest, UsesEveryEngineOfAFabricDomain)
+{
+    addEngines("f1", 10);
+    addEngines("f2", 10);
+    settle();
+    EXPECT_EQ(countServing(largeModel), 2U);
+    EXPECT_EQ(countServing(smallModel), 6U);
+}
+
+TEST_F(PlannerTest, NeverPutsAnEngineIntoTwoGroups)
+{
+    addEngines("f1", 10);
+    startTraffic();
+    std::map<std::string, std::string> groupOf;
+    for (const EngineOrder& order : given_) {
+        if (order.kind == EngineOrderKind::Leave)
+            groupOf.erase(order.engine);
+        if (order.kind != EngineOrderKind::Join)
+            continue;
+        EXPECT_EQ(groupOf.count(order.engine), 0U) << order.engine << " joined " << order.group << " while in " << groupOf[order.engine];
+        groupOf[order.engine] = order.group;
+    }
+}
+
+TEST_F(PlannerTest, MemberOfASmallReplicaStandsInForALostOneOfALarge)
+{
+    addEngines("f1", 10);
+    startTraffic();
+    ASSERT_EQ(countServing(largeModel), 1U);
+    kill(findMember(largeModel, "f1"));
+    EXPECT_EQ(countServing(largeModel), 0U);
+    for (int i = 0; i < 6; ++i)
+        step();
+    EXPECT_EQ(countServing(largeModel), 1U);
+}
+
+// Two losses at once in two fabric domains: each is mended from its own spares, none waits for the other.
+TEST_F(PlannerTest, MendsTwoLossesAtOnce)
+{
+    for (const char* fabric : { "f1", "f2", "f3", "f4", "f5", "f6" })
+        addEngines(fabric, 10);
+    startTraffic();
+    ASSERT_EQ(countServing(largeModel), 6U);
+    kill(findMember(largeModel, "f1"));
+    step();
+    kill(findMember(largeModel, "f2"));
+    for (int i = 0; i < 6; ++i)
+        step();
+    EXPECT_EQ(countServing(largeModel), 6U);
+}
+
+TEST_F(PlannerTest, LoadsNoMoreAtOnceThanTheWeightStoreBears)
+{
+    for (const char* fabric : { "f1", "f2", "f3", "f4", "f5", "f6" })
+        addEngines(fabric, 10);
+    startTraffic();
+    addEngines("f7", 20);
+    for (int i = 0; i < 40; ++i) {
+        step();
+        EXPECT_LE(loads_.size(), profile_.loadsAtOnce);
+    }
+}
+
+TEST_F(PlannerTest, SuccessorAdoptsWhatServes)
+{
+    addEngines("f1", 10);
+    startTraffic();
+    const size_t before = given_.size();
+    planner_ = ReplicaPlanner({ .clock = [this] { return now_; } });
+    planner_.noteTraffic();
+    settle();
+    EXPECT_EQ(given_.size(), before);
+    EXPECT_EQ(countServing(largeModel), 1U);
+    EXPECT_EQ(countServing(smallModel), 3U);
+}
+
+TEST_F(PlannerTest, ReplicaWithALeavingMemberIsClosedBeforeItsMembersLeave)
+{
+    addEngines("f1", 10);
+    startTraffic();
+    const std::string leaving = findMember(smallModel, "f1");
+    const std::string group = engines_.at(leaving).membership->group;
+    given_.clear();
+    engines_.at(leaving).isLeaving = true;
+    settle();
+    ASSERT_FALSE(given_.empty());
+    EXPECT_EQ(given_.front().kind, EngineOrderKind::Close);
+    EXPECT_EQ(given_.front().group, group);
+    EXPECT_FALSE(given_.front().isAbrupt);
+}
+
+} // namespace
