Tell the other nodes what runs where; release replicas whole

Cause: with 30 nodes each node knew 1 in 30 of a replica's load; at 80 in 100 of full load the urgent class had p50 of 540 to 690 ms against an aim of 250. Change: in-flight counts and suspects go round by datagram; each request compares a few targets drawn by chance; replicas are closed and finish their work before their members leave; followers ask the store less often with more nodes.

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -11,9 +11,15 @@
 // How exactly time limits of requests are kept.
 static constexpr Millis tickInterval { 20 };
 static constexpr Millis sweepInterval { 500 };
+// Between two questions to the members of one replica.
+static constexpr Millis probeInterval { 300 };
 // Changes of engines reach the node that gives them orders sooner.
 static constexpr Millis plannerListPause { 50 };
-static constexpr Millis listPause { 300 };
+// The other nodes share the store's rate: with more of them each asks less often, within the time in
+// which a leaving endpoint must get no more requests.
+static constexpr Millis listPausePerNode { 50 };
+static constexpr Millis leastListPause { 200 };
+static constexpr Millis mostListPause { 900 };
 // The balancer asks once a second and takes a node out after two misses; new connections come until then.
 static constexpr Millis doorTime { 3500 };
 // Left of the grace for the process to end.
@@ -26,7 +32,7 @@
     , random_(makeSystemRandom())
     , log_({ .clock = clock_ })
     , adapter_(makeAdapter(context, settings_, clock_, log_))
-    , dispatcher_({ .clock = clock_, .domain = settings_.domain, .onSuspect = [this](const Target& target) { takeSuspect(target); } })
+    , dispatcher_({ .clock = clock_, .random = random_, .domain = settings_.domain, .onSuspect = [this](const Target& target) { takeSuspect(target); } })
     , pool_(context, { .clock = clock_ })
     , retries_({ .clock = clock_, .window = settings_.retryWindow, .perRequest = settings_.retriesPerRequest, .allowance = settings_.retryAllowance })
     , shared_ { .clock = clock_, .random = random_, .headers = adapter_.headers, .dispatcher = dispatcher_, .pool = pool_, .retries = retries_, .log = log_, .metrics = metrics_ }
@@ -37,11 +43,21 @@
           {
               .clock = clock_,
               .node = settings_.node,
-              .address = settings_.control.toString(),
+              .address = settings_.peers.toString(),
               .boot = settings_.node + "-" + makeRandomId(random_),
               .onRole = [this](bool isPlanner, uint64_t term) { takeRole(isPlanner, term); },
           },
           adapter_, log_)
+    , usage_(context,
+          {
+              .clock = clock_,
+              .node = settings_.node,
+              .address = settings_.peers,
+              .ownUsage = [this] { return dispatcher_.ownUsage(); },
+              .onUsage = [this](const std::string& node, PeerUsage usage) { dispatcher_.notePeer(node, std::move(usage)); },
+              .onSuspect = [this](uint32_t target) { takePeerSuspect(target); },
+          },
+          log_)
     , orders_(context,
           {
               .clock = clock_,
@@ -65,6 +81,8 @@
         return status;
     if (const absl::Status status = listenTo(settings_.control, controlAcceptor_); !status.ok())
         return status;
+    if (const absl::Status status = usage_.start(); !status.ok())
+        return status;
     log_.noteChange("gateway_started", { { "node", settings_.node }, { "domain", settings_.domain }, { "callers", settings_.callers.toString() }, { "control", settings_.control.toString() }, { "store", settings_.store.toString() }, { "first_start", settings_.isFirstStart ? "true" : "false" } });
     configuration_.start();
     endpoints_.start();
@@ -155,11 +173,17 @@
 
 void Gateway::takeRole(bool isPlanner, uint64_t)
 {
-    endpoints_.setPause(isPlanner ? plannerListPause : listPause);
+    updateListPause();
     if (isPlanner)
         runPlanner();
 }
 
+void Gateway::updateListPause()
+{
+    const Millis shared = listPausePerNode * static_cast<int64_t>(presence_.peers().size() + 1);
+    endpoints_.setPause(presence_.isPlanner() ? plannerListPause : std::clamp(shared, leastListPause, mostListPause));
+}
+
 void Gateway::runPlanner()
 {
     isPlanRequested_ = false;
@@ -207,14 +231,37 @@
     asio::post(context_, [this] { runPlanner(); });
 }
 
+// A target gave no answer: the planner finds out which members of its replica still live.
 void Gateway::takeSuspect(const Target& target)
 {
-    if (target.model.empty() || !presence_.isPlanner())
+    if (target.model.empty())
+        return;
+    usage_.addSuspect(hashTarget(target.id));
+    probeReplica(target.service, target.id);
+}
+
+void Gateway::takePeerSuspect(uint32_t target)
+{
+    if (!presence_.isPlanner())
+        return;
+    for (const EndpointInfo& endpoint : endpoints_.endpoints()) {
+        if (endpoint.membership && endpoint.membership->rank == 0 && hashTarget(endpoint.id) == target)
+            probeReplica(endpoint.service, endpoint.id);
+    }
+}
+
+void Gateway::probeReplica(const std::string& service, const std::string& head)
+{
+    const auto planner = planners_.find(service);
+    if (planner == planners_.end() || !presence_.isPlanner())
         return;
-    const auto planner = planners_.find(target.service);
-    if (planner == planners_.end())
+    // Many requests fail on one replica at once; one round of questions answers for all.
+    const Millis now = clock_();
+    Millis& probedAt = probedAt_[head];
+    if (now - probedAt < probeInterval)
         return;
-    const std::vector<std::string> members = planner->second.membersOfHead(target.id);
+    probedAt = now;
+    const std::vector<std::string> members = planner->second.membersOfHead(head);
     for (const EndpointInfo& endpoint : endpoints_.endpoints()) {
         if (std::find(members.begin(), members.end(), endpoint.id) != members.end())
             orders_.probe(endpoint);
@@ -254,6 +301,9 @@
     const auto connections = controlConnections_;
     for (const auto& connection : connections)
         connection->checkTimeouts();
+    updateListPause();
+    usage_.setPeers(presence_.peers());
+    std::erase_if(probedAt_, [this](const auto& entry) { return clock_() - entry.second > sweepInterval * 10; });
     retries_.setNodeCount(presence_.peers().size() + 1);
     metrics_.setGauge("hemlockweir_proxy_waiting", "Requests that wait for a place", static_cast<double>(dispatcher_.waitingCount()));
     metrics_.setGauge("hemlockweir_proxy_flows", "Requests at work", static_cast<double>(proxy_.flowCount()));
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -5,6 +5,7 @@
 #include "gateway/EngineOrders.h"
 #include "gateway/GatewaySettings.h"
 #include "gateway/Presence.h"
+#include "gateway/UsageExchange.h"
 #include "proxy/Proxy.h"
 #include "replicas/ReplicaPlanner.h"
 
@@ -38,9 +39,12 @@
     void takeConfiguration(std::shared_ptr<const RouteTable> routes);
     void takeEndpoints();
     void updateTargets();
+    void updateListPause();
     void runPlanner();
     void takeRole(bool isPlanner, uint64_t term);
     void takeSuspect(const Target& target);
+    void takePeerSuspect(uint32_t target);
+    void probeReplica(const std::string& service, const std::string& head);
     void takeOrderResult(const EngineOrder& order, OrderResult result);
     void takeProbe(const std::string& engine, bool isAlive);
     void tellReplicas(const std::string& service, const ReplicaPlanner& planner);
@@ -64,8 +68,10 @@
     ConfigurationFollower configuration_;
     EndpointFollower endpoints_;
     Presence presence_;
+    UsageExchange usage_;
     EngineOrders orders_;
     std::map<std::string, ReplicaPlanner> planners_; // by service
+    std::map<std::string, Millis> probedAt_; // by head
     std::map<std::string, std::string> toldReplicas_; // last line, by service
     boost::asio::ip::tcp::acceptor readyAcceptor_;
     boost::asio::ip::tcp::acceptor controlAcceptor_;
--- a/packages/gateway/GatewaySettings.cpp
+++ b/packages/gateway/GatewaySettings.cpp
@@ -43,6 +43,7 @@
     settings.callers = requireEndpoint(reader, "callers");
     settings.ready = requireEndpoint(reader, "ready");
     settings.control = requireEndpoint(reader, "control");
+    settings.peers = requireEndpoint(reader, "peers");
     settings.isFirstStart = reader.readBool("first_start", false);
     if (const toml::table* platform = reader.readTable("platform")) {
         TableReader platformReader(*platform, file, "gateway.platform", errors);
--- a/packages/gateway/GatewaySettings.h
+++ b/packages/gateway/GatewaySettings.h
@@ -13,7 +13,8 @@
     std::string domain; // failure domain
     Endpoint callers; // TCP, requests
     Endpoint ready; // TCP, the balancer's question
-    Endpoint control; // TCP, metrics and other nodes
+    Endpoint control; // TCP, metrics
+    Endpoint peers; // UDP, other nodes
     bool isFirstStart = false; // the whole system starts for the first time
 
     // [gateway.platform]
--- a/packages/gateway/PrefixFollower.h
+++ b/packages/gateway/PrefixFollower.h
@@ -16,7 +16,7 @@
     struct Options {
         Clock clock;
         std::string prefix;
-        Millis wait { 1000 }; // ms, one watch; a connection gone silent shows soon after
+        Millis wait { 2000 }; // ms, one watch; a connection gone silent shows soon after
         Millis pause { 100 }; // ms between two watches, in which changes gather into one answer
         Millis retryDelay { 250 }; // ms, after a call that failed
         std::function<void()> onAnswer; // after each answer of the store
--- /dev/null
+++ b/packages/gateway/UsageExchange.cpp
@@ -0,0 +1,111 @@
+#include "gateway/UsageExchange.h"
+
+#include "wire/Codec.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+
+namespace hemlockweir {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+static constexpr size_t maxMessageBytes = 32 * 1024;
+
+UsageExchange::UsageExchange(asio::io_context& context, Options options, DecisionLog& log)
+    : options_(std::move(options))
+    , log_(log)
+    , socket_(context)
+    , timer_(context, [this] { tell(); })
+{
+}
+
+absl::Status UsageExchange::start()
+{
+    error_code error;
+    const asio::ip::udp::endpoint address(asio::ip::make_address(options_.address.address, error), options_.address.port);
+    if (!error)
+        socket_.open(address.protocol(), error);
+    if (!error)
+        socket_.bind(address, error);
+    if (!error)
+        socket_.non_blocking(true, error);
+    if (error)
+        return absl::UnavailableError("can't bind " + options_.address.toString() + " for other nodes: " + error.message());
+    // A process that starts again is heard at once: its sequence goes on from the clock.
+    sequence_ = static_cast<uint64_t>(std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count()) << 16;
+    receive();
+    tell();
+    return absl::OkStatus();
+}
+
+void UsageExchange::setPeers(const std::vector<Presence::Peer>& peers)
+{
+    peers_.clear();
+    for (const Presence::Peer& peer : peers) {
+        const absl::StatusOr<Endpoint> endpoint = parseEndpoint(peer.address);
+        error_code error;
+        const auto address = endpoint.ok() ? asio::ip::make_address(endpoint->address, error) : asio::ip::address();
+        if (endpoint.ok() && !error)
+            peers_.emplace_back(address, endpoint->port);
+    }
+}
+
+void UsageExchange::tell()
+{
+    UsageMessage message { .node = options_.node, .sequence = ++sequence_ };
+    for (const auto& [target, running] : options_.ownUsage())
+        message.rows.push_back({ .target = target, .running = running });
+    for (const uint32_t target : std::exchange(suspects_, {}))
+        message.rows.push_back({ .target = target, .isSuspect = true });
+    if (message.rows.size() > UsageMessage::maxRows)
+        message.rows.resize(UsageMessage::maxRows);
+    const QByteArray bytes = encodeBody(message);
+    for (const auto& peer : peers_) {
+        error_code ignored; // a datagram that can't be sent is made good by the next
+        socket_.send_to(asio::buffer(bytes.constData(), static_cast<size_t>(bytes.size())), peer, 0, ignored);
+    }
+    timer_.callAfter(options_.leastInterval + options_.intervalPerPeer * static_cast<int64_t>(peers_.size()));
+}
+
+void UsageExchange::receive()
+{
+    socket_.async_wait(asio::ip::udp::socket::wait_read, [this](const error_code& error) {
+        if (error)
+            return;
+        static thread_local std::array<char, maxMessageBytes> buffer;
+        error_code readError;
+        while (true) {
+            const size_t size = socket_.receive_from(asio::buffer(buffer), from_, 0, readError);
+            if (readError)
+                break;
+            if (std::find(peers_.begin(), peers_.end(), from_) != peers_.end())
+                take({ buffer.data(), size });
+        }
+        receive();
+    });
+}
+
+void UsageExchange::take(const std::string& bytes)
+{
+    const absl::StatusOr<UsageMessage> message = decodeBody<UsageMessage>(QByteArray::fromStdString(bytes));
+    if (!message.ok() || message->format != UsageMessage::currentFormat) {
+        log_.noteChange("peer_unreadable", { { "peer", from_.address().to_string() }, { "error", message.ok() ? "unknown format" : std::string(message.status().message()) } });
+        return;
+    }
+    uint64_t& last = lastSequence_[message->node];
+    if (message->sequence <= last)
+        return;
+    last = message->sequence;
+    PeerUsage usage { .heardAt = options_.clock() };
+    for (const UsageRow& row : message->rows) {
+        if (row.isSuspect)
+            options_.onSuspect(row.target);
+        else
+            usage.running[row.target] += row.running;
+    }
+    options_.onUsage(message->node, std::move(usage));
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/gateway/UsageExchange.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "base/DecisionLog.h"
+#include "config/Settings.h"
+#include "gateway/Presence.h"
+#include "proxy/Dispatcher.h"
+#include "wire/Bounded.h"
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+// Nodes tell each other, many times a second, how many requests each of them runs on each target, and
+// which targets gave no answer. Datagrams over UDP, encoded by cereal; one that is lost is made good by
+// the next. Only the addresses of nodes that stand in the platform's store are listened to.
+
+namespace hemlockweir {
+
+// One target in a datagram.
+struct UsageRow {
+    uint32_t target = 0; // hashTarget() of its id
+    uint32_t running = 0;
+    bool isSuspect = false; // it gave no answer just now
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(target, running, isSuspect);
+    }
+    auto operator<=>(const UsageRow&) const = default;
+};
+
+struct UsageMessage {
+    static constexpr uint32_t currentFormat = 1;
+    static constexpr uint32_t maxNameBytes = 200;
+    static constexpr uint32_t maxRows = 4000;
+
+    uint32_t format = currentFormat;
+    std::string node;
+    uint64_t sequence = 0; // grows with each message of a process
+    std::vector<UsageRow> rows;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(format, bounded(node, maxNameBytes), sequence, bounded(rows, maxRows));
+    }
+    auto operator<=>(const UsageMessage&) const = default;
+};
+
+class UsageExchange {
+public:
+    struct Options {
+        Clock clock;
+        std::string node;
+        Endpoint address; // UDP, of this node
+        Millis leastInterval { 60 }; // ms between two tellings
+        Millis intervalPerPeer { 5 }; // ms more for each other node: datagrams a second stay bounded
+        std::function<std::map<uint32_t, uint32_t>()> ownUsage;
+        std::function<void(const std::string& node, PeerUsage)> onUsage;
+        std::function<void(uint32_t target)> onSuspect; // another node got no answer from it
+    };
+
+    UsageExchange(boost::asio::io_context& context, Options options, DecisionLog& log);
+
+    absl::Status start();
+
+    // The other nodes, as they stand in the platform's store.
+    void setPeers(const std::vector<Presence::Peer>& peers);
+
+    // Tells of a target that gave no answer, in the next message.
+    void addSuspect(uint32_t target) { suspects_.insert(target); }
+
+private:
+    void tell();
+    void receive();
+    void take(const std::string& bytes);
+
+    Options options_;
+    DecisionLog& log_;
+    boost::asio::ip::udp::socket socket_;
+    boost::asio::ip::udp::endpoint from_;
+    RepeatingTimer timer_;
+    std::vector<boost::asio::ip::udp::endpoint> peers_;
+    std::map<std::string, uint64_t> lastSequence_; // by node
+    std::set<uint32_t> suspects_;
+    uint64_t sequence_ = 0;
+};
+
+} // namespace hemlockweir
--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "proxy/Dispatcher.h"
 
+#include "base/StableHash.h"
+
 #include <algorithm>
 #include <cmath>
 #include <glog/logging.h>
@@ -29,18 +31,39 @@
     return "unknown";
 }
 
-const TargetLoad* chooseTarget(const std::vector<const TargetLoad*>& loads, const Ticket& ticket, const std::string& ownDomain, Millis now)
+uint32_t hashTarget(const std::string& targetId)
 {
+    const uint64_t hash = extendStableHash(stableHashStart, targetId);
+    return static_cast<uint32_t>(hash ^ (hash >> 32));
+}
+
+size_t sampleSize(size_t freeTargets, size_t nodes)
+{
+    constexpr size_t least = 3;
+    return std::max(least, freeTargets / std::max<size_t>(1, nodes));
+}
+
+// Whether a target can take one more request of the ticket.
+static bool isFreeFor(const TargetLoad& load, const Ticket& ticket, Millis now)
+{
+    if (load.suspectUntil > now || ticket.avoid.count(load.target.id) > 0)
+        return false;
+    // One that failed is tried with a single request before it gets more.
+    const double slots = load.failures > 0 ? 1 : std::max<uint32_t>(1, load.target.slots);
+    return load.used() + 1 <= slots + 0.5;
+}
+
+const TargetLoad* chooseTarget(const std::vector<const TargetLoad*>& loads, const Ticket& ticket, const std::string& ownDomain, Millis now, size_t nodes, const Random& random)
+{
+    std::vector<const TargetLoad*> free;
+    std::copy_if(loads.begin(), loads.end(), std::back_inserter(free), [&](const TargetLoad* load) { return isFreeFor(*load, ticket, now); });
     const TargetLoad* best = nullptr;
     double bestUse = 0;
-    for (const TargetLoad* load : loads) {
-        if (load->suspectUntil > now || ticket.avoid.count(load->target.id) > 0)
-            continue;
-        // One that failed is tried with a single request before it gets more.
-        const double slots = load->failures > 0 ? 1 : std::max<uint32_t>(1, load->target.slots);
-        if (load->used() + 1 > slots + 0.5)
-            continue;
-        const double use = load->used() / slots + (load->target.domain == ownDomain ? 0 : domainAdvantage);
+    const size_t samples = std::min(free.size(), sampleSize(free.size(), nodes));
+    for (size_t i = 0; i < samples; ++i) {
+        std::swap(free[i], free[i + random() % (free.size() - i)]);
+        const TargetLoad* load = free[i];
+        const double use = load->used() / std::max<uint32_t>(1, load->target.slots) + (load->target.domain == ownDomain ? 0 : domainAdvantage);
         if (!best || use < bestUse) {
             best = load;
             bestUse = use;
@@ -79,8 +102,49 @@
     tick();
 }
 
+void Dispatcher::notePeer(const std::string& node, PeerUsage usage)
+{
+    peers_.insert_or_assign(node, std::move(usage));
+    updateOthers();
+}
+
+void Dispatcher::forgetSilentPeers()
+{
+    const Millis now = options_.clock();
+    if (std::erase_if(peers_, [&](const auto& entry) { return now - entry.second.heardAt > options_.peerFreshness; }) > 0)
+        updateOthers();
+}
+
+void Dispatcher::updateOthers()
+{
+    const Millis now = options_.clock();
+    for (auto& [id, load] : loads_) {
+        const uint32_t hash = hashTarget(id);
+        double others = 0;
+        for (const auto& [node, peer] : peers_) {
+            const auto found = peer.running.find(hash);
+            others += found == peer.running.end() ? 0 : found->second;
+        }
+        load.others = others;
+        load.othersKnownAt = now;
+    }
+}
+
+std::map<uint32_t, uint32_t> Dispatcher::ownUsage() const
+{
+    std::map<uint32_t, uint32_t> usage;
+    for (const auto& [id, load] : loads_) {
+        if (load.running > 0)
+            usage.emplace(hashTarget(id), load.running);
+    }
+    return usage;
+}
+
+// Other nodes' own words say what they run; without them an endpoint's last word fades.
 double Dispatcher::othersNow(const TargetLoad& load) const
 {
+    if (!peers_.empty())
+        return load.others;
     const auto age = static_cast<double>((options_.clock() - load.othersKnownAt).count());
     return load.others * std::exp2(-age / static_cast<double>(options_.othersHalfLife.count()));
 }
@@ -146,7 +210,7 @@
         load.others = othersNow(load);
         load.othersKnownAt = now;
     }
-    const TargetLoad* chosen = chooseTarget(loadsFor(ticket.service, ticket.model), ticket, options_.domain, now);
+    const TargetLoad* chosen = chooseTarget(loadsFor(ticket.service, ticket.model), ticket, options_.domain, now, peers_.size() + 1, options_.random);
     if (!chosen)
         return false;
     place(std::move(ticket), loads_.at(chosen->target.id));
@@ -188,7 +252,7 @@
 void Dispatcher::noteLoad(const std::string& targetId, uint32_t running, uint32_t waiting)
 {
     const auto found = loads_.find(targetId);
-    if (found == loads_.end())
+    if (found == loads_.end() || !peers_.empty())
         return;
     TargetLoad& load = found->second;
     load.others = std::max(0.0, static_cast<double>(running) + waiting - load.running);
@@ -302,6 +366,7 @@
 
 void Dispatcher::tick()
 {
+    forgetSilentPeers();
     std::vector<QueueKey> keys;
     for (const auto& [key, queue] : queues_) {
         if (!queue.waiting.empty())
--- a/packages/proxy/Dispatcher.h
+++ b/packages/proxy/Dispatcher.h
@@ -57,15 +57,30 @@
     double used() const { return running + others; }
 };
 
-// The target for a ticket: the one with the largest free part, in the own domain if it is as free.
-// Null if none has a free place, or all failed the ticket.
-const TargetLoad* chooseTarget(const std::vector<const TargetLoad*>& loads, const Ticket& ticket, const std::string& ownDomain, Millis now);
+// What another node says it runs on each target, by the target's name hash.
+struct PeerUsage {
+    std::map<uint32_t, uint32_t> running;
+    Millis heardAt { 0 };
+};
+
+// The short name of a target between nodes.
+uint32_t hashTarget(const std::string& targetId);
+
+// How many of the free targets are compared for one request. All nodes see the same picture for a
+// moment: if each took the best of all, they would meet there.
+size_t sampleSize(size_t freeTargets, size_t nodes);
+
+// The target for a ticket: of some drawn by chance, the one with the largest free part, in the own
+// domain if it is as free. Null if none has a free place, or all failed the ticket.
+const TargetLoad* chooseTarget(const std::vector<const TargetLoad*>& loads, const Ticket& ticket, const std::string& ownDomain, Millis now, size_t nodes, const Random& random);
 
 class Dispatcher {
 public:
     struct Options {
         Clock clock;
+        Random random;
         std::string domain; // failure domain of this node
+        Millis peerFreshness { 1500 }; // ms, oldest word of another node that counts
         Millis othersHalfLife { 1500 }; // ms, after which half of an estimate of others' load counts
         Millis suspectTime { 1500 }; // ms, without new requests after a failure
         double lateFactor = 2.0; // objectives that a request may wait for its place
@@ -94,6 +109,12 @@
     void noteFailure(const std::string& targetId);
     void noteSuccess(const std::string& targetId);
 
+    // Takes another node's own word on what it runs.
+    void notePeer(const std::string& node, PeerUsage usage);
+
+    // What this node runs, by target.
+    std::map<uint32_t, uint32_t> ownUsage() const;
+
     // Places what can be placed, refuses what waited too long. Call at regular times.
     void tick();
 
@@ -121,10 +142,13 @@
     size_t countBefore(const Queue& queue, const Ticket& ticket) const;
     std::vector<const TargetLoad*> loadsFor(const std::string& service, const std::string& model) const;
     double othersNow(const TargetLoad& load) const;
+    void updateOthers();
+    void forgetSilentPeers();
 
     Options options_;
     std::map<std::string, TargetLoad> loads_; // by endpoint
     std::map<QueueKey, Queue> queues_;
+    std::map<std::string, PeerUsage> peers_; // by node
     size_t waitingCount_ = 0;
     bool isPumping_ = false;
 };
--- a/packages/replicas/ReplicaPlanner.cpp
+++ b/packages/replicas/ReplicaPlanner.cpp
@@ -170,16 +170,8 @@
         dissolve(replica, orders);
         return;
     }
-    if (replica.isLeaving) {
-        // What runs is finished first; then the survivors are free.
-        const bool isOpen = head->membership->state == MemberState::Open;
-        if (plan.closedAt == never) {
-            plan.closedAt = now;
-            if (isOpen)
-                orders.push_back(makeOrder(EngineOrderKind::Close, engines_.at(head->id), replica.group, replica.epoch));
-        } else if ((!isOpen && head->membership->state != MemberState::Closing) || now - plan.closedAt >= options_.drainTime) {
-            dissolve(replica, orders);
-        }
+    if (replica.isLeaving || plan.closedAt != never) {
+        release(replica, orders);
         return;
     }
     if (replica.isReady()) {
@@ -194,6 +186,25 @@
         dissolve(replica, orders);
 }
 
+// Takes a replica apart once what runs in it is finished.
+void ReplicaPlanner::release(const ReplicaView& replica, std::vector<EngineOrder>& orders)
+{
+    Plan& plan = plans_.at(replica.group);
+    const EndpointInfo* head = replica.head();
+    const MemberState state = head->membership->state;
+    const Millis now = options_.clock();
+    if (plan.closedAt == never) {
+        plan.closedAt = now;
+        if (state == MemberState::Open)
+            orders.push_back(makeOrder(EngineOrderKind::Close, engines_.at(head->id), replica.group, replica.epoch));
+        return;
+    }
+    // Until the engine's own word follows the order, it still says open.
+    const bool isAtWork = state == MemberState::Closing || state == MemberState::Open;
+    if (!isAtWork || now - plan.closedAt >= options_.drainTime)
+        dissolve(replica, orders);
+}
+
 // The head goes first: while it is open, its members may not join another group.
 void ReplicaPlanner::dissolve(const ReplicaView& replica, std::vector<EngineOrder>& orders)
 {
@@ -335,7 +346,7 @@
     std::vector<const Engine*> spares;
     for (const auto& [id, engine] : engines_) {
         const ReplicaModel* serves = modelOf(engine);
-        if (engine.info.fabric == fabric && serves && serves->name != model.name && isServing(engine) && hasCopy(engine, model.name))
+        if (engine.info.fabric == fabric && serves && serves->size < model.size && isServing(engine) && hasCopy(engine, model.name))
             spares.push_back(&engine);
     }
     // Two of one replica cost one replica.
@@ -353,6 +364,9 @@
             continue;
         const std::vector<const Engine*> spares = findSpares(*model, fabric);
         const size_t wanted = model->size - warm;
+        const bool isUnderWay = std::any_of(spares.begin(), spares.end(), [this](const Engine* spare) { return plans_.at(spare->info.membership->group).closedAt != never; });
+        if (isUnderWay)
+            return;
         if (spares.size() < wanted || !mayGive(*modelOf(*spares.front()), *model))
             continue;
         std::set<std::string> groups;
@@ -360,7 +374,7 @@
             groups.insert(spares[i]->info.membership->group);
         for (const ReplicaView& replica : findReplicas()) {
             if (groups.count(replica.group) > 0)
-                dissolve(replica, orders);
+                release(replica, orders);
         }
         return;
     }
--- a/packages/replicas/ReplicaPlanner.h
+++ b/packages/replicas/ReplicaPlanner.h
@@ -44,7 +44,7 @@
         Clock clock;
         Millis settleTime { 1500 }; // ms, for which an order is believed before the engine's own word
         Millis firstListTime { 1000 }; // ms without a new engine after which the first replicas are formed
-        Millis drainTime { 3500 }; // ms that a closed replica has to finish its work
+        Millis drainTime { 9500 }; // ms that a closed replica has to finish its work; a leaving member stays 10 s for it
         Millis orderTimeout { 2500 }; // ms, after which an order without effect is given again
         size_t sparesWanted = 2; // hosts in a fabric domain that hold a large model beside its replicas
     };
@@ -119,6 +119,7 @@
 
     void keepReplicas(std::vector<EngineOrder>& orders);
     void keepReplica(const ReplicaView& replica, std::vector<EngineOrder>& orders);
+    void release(const ReplicaView& replica, std::vector<EngineOrder>& orders);
     void dissolve(const ReplicaView& replica, std::vector<EngineOrder>& orders);
     void formReplicas(std::vector<EngineOrder>& orders);
     bool formIn(const std::string& fabric, FreeEngines& free, std::vector<EngineOrder>& orders);
