End a resumed stream by an error never as if it were whole; test the proxy on one event loop

Ruled out: a torn chunk at the first engine; the log shows whole events only. Change: an answer other than 2xx to a stream that has begun counts as a failed send.

--- a/packages/proxy/Proxy.h
+++ b/packages/proxy/Proxy.h
@@ -24,6 +24,9 @@
     // Begins to listen.
     absl::Status start();
 
+    // The port it listens on; of use when the options left the choice to the system.
+    uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
     // Puts a configuration in force for the next request.
     void setRoutes(std::shared_ptr<const RouteTable> routes);
     const std::shared_ptr<const RouteTable>& routes() const { return routes_; }
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -237,6 +237,11 @@
         retryOrFail("unsealed_answer", true);
         return;
     }
+    // A stream that has begun goes on with events or not at all.
+    if (isHeadSent_ && head.status / 100 != 2) {
+        retryOrFail("endpoint_error", false);
+        return;
+    }
     const bool isFailure = head.status >= 500;
     if (isFailure && route_.isRepeatable() && !isHeadSent_ && mayRetry()) {
         retryOrFail("endpoint_error", false);
--- /dev/null
+++ b/tests/ProxyFlowTest.cpp
@@ -0,0 +1,273 @@
+#include "proxy/Proxy.h"
+#include "support/ScriptedEndpoint.h"
+
+#include <gtest/gtest.h>
+
+// The proxy with real connections on one event loop: a caller, and endpoints that answer as scripted.
+
+using namespace hemlockweir;
+
+namespace {
+
+const ProxyHeaders headerNames {
+    .requestId = "Test-Id",
+    .deadline = "Test-Deadline",
+    .key = "Test-Key",
+    .organisation = "Test-Organisation",
+    .expectEndpoint = "Test-Endpoint",
+    .seal = "Test-Seal",
+    .load = "Test-Load",
+    .notRun = "Test-Not-Run",
+    .model = "Test-Model",
+    .urgency = "Test-Urgency",
+    .lastEventId = "Last-Event-Id",
+};
+
+std::string sealedAnswer(const std::string& id, const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nTest-Id: " + id + "\r\nTest-Seal: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string streamHead(const std::string& id)
+{
+    return "HTTP/1.1 200 OK\r\nTest-Id: " + id + "\r\nTest-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string chunk(const std::string& bytes)
+{
+    std::ostringstream text;
+    text << std::hex << bytes.size() << "\r\n"
+         << bytes << "\r\n";
+    return text.str();
+}
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: token\n\n";
+}
+
+class ProxyFlowTest : public testing::Test {
+protected:
+    ProxyFlowTest()
+        : proxy_(context_, { .address = "127.0.0.1", .port = 0, .clock = clock_ }, shared_)
+    {
+        CHECK(proxy_.start().ok());
+    }
+
+    // Puts two endpoints and four routes in force.
+    void configure()
+    {
+        ProxyConfiguration configuration { .version = 1, .needsKeys = true };
+        const auto route = [](const std::string& name, RequestKind kind, bool canResume) {
+            return Route { .name = name, .host = "shop", .prefix = "/" + name + "/", .kind = kind, .timeout = Millis(3000), .objective = Millis(200), .gapTarget = Millis(100), .priority = 1, .maxAttempts = 2, .canResume = canResume, .shares = { { .service = "desk" } } };
+        };
+        configuration.routes = { route("look", RequestKind::Safe, false), route("order", RequestKind::AtMostOnce, false), route("draft", RequestKind::Stream, true), route("once", RequestKind::Stream, false) };
+        configuration.services = { { .name = "desk" } };
+        configuration.organisations = { { .name = "church", .priority = 0, .keys = { "secret" } } };
+        proxy_.setRoutes(std::make_shared<const RouteTable>(configuration));
+        dispatcher_.setTargets("desk", { target("e1", first_), target("e2", second_) });
+    }
+
+    static Target target(const std::string& id, const ScriptedEndpoint& endpoint)
+    {
+        return { .id = id, .service = "desk", .address = "127.0.0.1", .port = endpoint.port(), .domain = "a", .slots = 4 };
+    }
+
+    static std::string request(const std::string& path, const std::string& id, const std::string& more = {})
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: shop\r\nTest-Id: " + id + "\r\nTest-Key: secret\r\nTest-Deadline: 2000\r\nContent-Length: 2\r\n" + more + "\r\nhi";
+    }
+
+    // Sends one request and returns all that comes back until the answer is whole or the connection ends.
+    std::string ask(const std::string& bytes) { return ScriptedCaller(context_, proxy_.port()).ask(bytes); }
+
+    size_t arrivals() const { return first_.requests().size() + second_.requests().size(); }
+    const std::string& lastRequest() const { return first_.requests().empty() ? second_.requests().back() : first_.requests().back(); }
+
+    // Both endpoints answer alike.
+    void script(const ScriptedEndpoint::Script& answer)
+    {
+        first_.setScript(answer);
+        second_.setScript(answer);
+    }
+
+    boost::asio::io_context context_;
+    Clock clock_ = makeSteadyClock();
+    ScriptedEndpoint first_ { context_ };
+    ScriptedEndpoint second_ { context_ };
+    DecisionLog log_ { { .clock = clock_, .descriptor = -1 } };
+    ProxyMetrics metrics_;
+    Random random_ = makeSeededRandom(7);
+    Dispatcher dispatcher_ { { .clock = clock_, .random = random_, .domain = "a" } };
+    ConnectionPool pool_ { context_, { .clock = clock_ } };
+    RetryWindow retries_ { { .clock = clock_ } };
+    ProxyContext shared_ { .clock = clock_, .random = random_, .headers = headerNames, .dispatcher = dispatcher_, .pool = pool_, .retries = retries_, .log = log_, .metrics = metrics_ };
+    Proxy proxy_;
+};
+
+TEST_F(ProxyFlowTest, PassesARequestAndItsAnswerUnchanged)
+{
+    configure();
+    script([](int) { return ScriptedAnswer { sealedAnswer("r1", "whole") }; });
+    const std::string answer = ask(request("/order/7?x=1", "r1"));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 OK\r\n")) << answer;
+    EXPECT_TRUE(answer.ends_with("\r\n\r\nwhole")) << answer;
+    EXPECT_NE(answer.find("Test-Seal: s"), std::string::npos);
+    ASSERT_EQ(arrivals(), 1U);
+    const std::string& sent = lastRequest();
+    EXPECT_TRUE(sent.starts_with("POST /order/7?x=1 HTTP/1.1\r\n"));
+    EXPECT_TRUE(sent.ends_with("\r\n\r\nhi"));
+    EXPECT_NE(sent.find("Test-Organisation: church"), std::string::npos);
+    EXPECT_EQ(sent.find("secret"), std::string::npos);
+}
+
+TEST_F(ProxyFlowTest, CallerCanNotNameItsOwnOrganisation)
+{
+    configure();
+    script([](int) { return ScriptedAnswer { sealedAnswer("r1", "whole") }; });
+    ask(request("/order/7", "r1", "test-organisation: palace\r\n"));
+    EXPECT_EQ(lastRequest().find("palace"), std::string::npos);
+}
+
+TEST_F(ProxyFlowTest, RefusesWhatNoConfigurationAllows)
+{
+    const std::string early = ask(request("/order/7", "r1"));
+    EXPECT_TRUE(early.starts_with("HTTP/1.1 503 ")) << early;
+    EXPECT_NE(early.find("Retry-After: "), std::string::npos);
+    configure();
+    EXPECT_TRUE(ask(request("/nowhere/7", "r2")).starts_with("HTTP/1.1 404 "));
+    std::string stranger = request("/order/7", "r3");
+    stranger.replace(stranger.find("secret"), 6, "forged");
+    EXPECT_TRUE(ask(stranger).starts_with("HTTP/1.1 401 "));
+    EXPECT_EQ(arrivals(), 0U);
+}
+
+TEST_F(ProxyFlowTest, RefusesARequestThatTwoParsersCouldReadDifferently)
+{
+    configure();
+    EXPECT_TRUE(ask(request("/order/7", "r1", "Transfer-Encoding: chunked\r\n")).starts_with("HTTP/1.1 400 "));
+    EXPECT_TRUE(ask(request("/order/7", "r1", "Content-Length: 3\r\n")).starts_with("HTTP/1.1 400 "));
+    EXPECT_TRUE(ask(request("/order/7", "r1", "Folded: a\r\n b\r\n")).starts_with("HTTP/1.1 400 "));
+    EXPECT_EQ(arrivals(), 0U);
+}
+
+TEST_F(ProxyFlowTest, NeverSendsAgainWhatMayHaveRun)
+{
+    configure();
+    script([](int) { return ScriptedAnswer { .bytes = "", .ending = Ending::Reset }; });
+    EXPECT_TRUE(ask(request("/order/7", "r1")).starts_with("HTTP/1.1 502 "));
+    EXPECT_EQ(arrivals(), 1U);
+}
+
+TEST_F(ProxyFlowTest, SendsOnWhatAnEndpointDidNotRun)
+{
+    configure();
+    int sends = 0;
+    script([&sends](int) { return ScriptedAnswer { ++sends == 1 ? "HTTP/1.1 503 Busy\r\nTest-Id: r1\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n" : sealedAnswer("r1", "whole") }; });
+    EXPECT_TRUE(ask(request("/order/7", "r1")).ends_with("whole"));
+    EXPECT_EQ(arrivals(), 2U);
+}
+
+TEST_F(ProxyFlowTest, RejectionWithoutProofIsNotPassedOnAsAPromise)
+{
+    configure();
+    script([](int) { return ScriptedAnswer { "HTTP/1.1 503 Busy\r\nTest-Id: r1\r\nTest-Seal: s\r\nContent-Length: 0\r\n\r\n" }; });
+    EXPECT_TRUE(ask(request("/order/7", "r1")).starts_with("HTTP/1.1 502 "));
+    EXPECT_EQ(arrivals(), 1U);
+}
+
+TEST_F(ProxyFlowTest, AnswerOfAnotherRequestReachesNobody)
+{
+    configure();
+    script([](int) { return ScriptedAnswer { sealedAnswer("r0", "not yours") }; });
+    const std::string answer = ask(request("/order/7", "r1"));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << answer;
+}
+
+TEST_F(ProxyFlowTest, BytesBehindAnAnswerBelongToNoRequest)
+{
+    configure();
+    int sends = 0;
+    script([&sends](int) {
+        ++sends;
+        return ScriptedAnswer { sealedAnswer("r" + std::to_string(sends), "whole") + sealedAnswer("r1", "extra") };
+    });
+    EXPECT_TRUE(ask(request("/look/7", "r1")).ends_with("whole"));
+    EXPECT_TRUE(ask(request("/look/7", "r2")).ends_with("whole"));
+}
+
+TEST_F(ProxyFlowTest, AnswerWithoutALengthEndsWithAnOrderlyCloseOnly)
+{
+    configure();
+    const std::string open = "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Seal: s\r\n\r\nwhole";
+    script([open](int) { return ScriptedAnswer { .bytes = open, .ending = Ending::Close }; });
+    EXPECT_TRUE(ask(request("/order/7", "r1")).ends_with("whole"));
+    script([open](int) { return ScriptedAnswer { .bytes = open, .ending = Ending::Reset }; });
+    EXPECT_TRUE(ask(request("/order/7", "r1")).starts_with("HTTP/1.1 502 "));
+}
+
+TEST_F(ProxyFlowTest, BrokenStreamGoesOnBehindItsLastWholeEvent)
+{
+    configure();
+    int sends = 0;
+    script([&sends](int) {
+        if (++sends == 1)
+            return ScriptedAnswer { .bytes = streamHead("r1") + chunk(event(1)) + chunk(event(2) + "id: 3\nda"), .ending = Ending::Reset };
+        return ScriptedAnswer { streamHead("r1") + chunk(event(3)) + chunk(event(4)) + "0\r\n\r\n" };
+    });
+    const std::string answer = ask(request("/draft/7", "r1"));
+    EXPECT_EQ(answer.substr(answer.find("\r\n\r\n") + 4), chunk(event(1)) + chunk(event(2)) + chunk(event(3)) + chunk(event(4)) + "0\r\n\r\n");
+    EXPECT_EQ(arrivals(), 2U);
+    const std::string& again = first_.requests().size() == 1 && second_.requests().size() == 1 ? (first_.requests().back().find("Last-Event-Id") != std::string::npos ? first_ : second_).requests().back() : lastRequest();
+    EXPECT_NE(again.find("Last-Event-Id: 2\r\n"), std::string::npos) << again;
+}
+
+// Hunted on a day with lost members (trouble-3, seed 344010057364): the endpoint that was to go on
+// answered 500, and the stream ended as if it were whole.
+TEST_F(ProxyFlowTest, StreamThatCanNotGoOnNeverLooksComplete)
+{
+    configure();
+    int sends = 0;
+    script([&sends](int) {
+        if (++sends == 1)
+            return ScriptedAnswer { .bytes = streamHead("r1") + chunk(event(1)), .ending = Ending::Reset };
+        return ScriptedAnswer { "HTTP/1.1 500 Error\r\nTest-Id: r1\r\nTest-Seal: t\r\nContent-Length: 3\r\n\r\nbad" };
+    });
+    const std::string answer = ask(request("/draft/7", "r1"));
+    EXPECT_TRUE(answer.ends_with(chunk(event(1)))) << answer;
+}
+
+TEST_F(ProxyFlowTest, StreamThatMayNotBeResumedIsCutOff)
+{
+    configure();
+    script([](int) { return ScriptedAnswer { .bytes = streamHead("r1") + chunk(event(1)), .ending = Ending::Reset }; });
+    const std::string answer = ask(request("/once/7", "r1"));
+    EXPECT_TRUE(answer.ends_with(chunk(event(1)))) << answer;
+    EXPECT_EQ(arrivals(), 1U);
+}
+
+TEST_F(ProxyFlowTest, CallerThatLeavesEndsTheWork)
+{
+    configure();
+    script([](int) { return ScriptedAnswer { .bytes = streamHead("r1") + chunk(event(1)), .ending = Ending::Hold }; });
+    {
+        ScriptedCaller caller(context_, proxy_.port());
+        caller.send(request("/draft/7", "r1"));
+        caller.readUntil(event(1));
+    }
+    runUntil(context_, [this] { return first_.closedByPeer() + second_.closedByPeer() == 1; });
+    EXPECT_TRUE(proxy_.isIdle());
+}
+
+TEST_F(ProxyFlowTest, RequestWithoutATargetIsRefusedAtOnce)
+{
+    configure();
+    dispatcher_.setTargets("desk", {});
+    const Millis before = clock_();
+    const std::string answer = ask(request("/order/7", "r1"));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+    EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
+    EXPECT_LT(clock_() - before, Millis(200)); // the objective
+}
+
+} // namespace
--- /dev/null
+++ b/tests/support/ScriptedEndpoint.cpp
@@ -0,0 +1,155 @@
+#include "support/ScriptedEndpoint.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+namespace hemlockweir {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+struct ScriptedEndpoint::Connection {
+    explicit Connection(tcp::socket accepted)
+        : socket(std::move(accepted))
+    {
+    }
+
+    tcp::socket socket;
+    std::array<char, 4096> buffer {};
+    std::string unread;
+    bool isHeld = false;
+};
+
+// The length of the first whole message in the text; 0 while there is none.
+static size_t wholeMessage(const std::string& text)
+{
+    const size_t end = text.find("\r\n\r\n");
+    if (end == std::string::npos)
+        return 0;
+    const size_t length = text.find("Content-Length: ");
+    const size_t body = length < end ? std::stoul(text.substr(length + 16)) : 0;
+    return text.size() >= end + 4 + body ? end + 4 + body : 0;
+}
+
+ScriptedEndpoint::ScriptedEndpoint(asio::io_context& context)
+    : acceptor_(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+{
+    accept();
+}
+
+void ScriptedEndpoint::accept()
+{
+    acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
+        if (error)
+            return;
+        read(std::make_shared<Connection>(std::move(socket)));
+        accept();
+    });
+}
+
+void ScriptedEndpoint::read(const std::shared_ptr<Connection>& connection)
+{
+    connection->socket.async_read_some(asio::buffer(connection->buffer), [this, connection](const error_code& error, size_t size) {
+        if (error) {
+            closedByPeer_ += connection->isHeld ? 1 : 0;
+            return;
+        }
+        connection->unread.append(connection->buffer.data(), size);
+        if (const size_t length = wholeMessage(connection->unread); length > 0) {
+            const std::string request = connection->unread.substr(0, length);
+            connection->unread.erase(0, length);
+            answer(connection, request);
+        }
+        if (connection->socket.is_open())
+            read(connection);
+    });
+}
+
+void ScriptedEndpoint::answer(const std::shared_ptr<Connection>& connection, const std::string& request)
+{
+    requests_.push_back(request);
+    const ScriptedAnswer answer = script_(static_cast<int>(requests_.size()));
+    error_code error;
+    asio::write(connection->socket, asio::buffer(answer.bytes), error);
+    if (answer.ending == Ending::Hold)
+        connection->isHeld = true;
+    if (answer.ending == Ending::Reset) {
+        // A reset overtakes bytes that the other side has not read.
+        const auto timer = std::make_shared<asio::steady_timer>(acceptor_.get_executor(), std::chrono::milliseconds(50));
+        timer->async_wait([connection, timer](const error_code&) {
+            error_code ignored;
+            connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            connection->socket.close(ignored);
+        });
+    }
+    if (answer.ending == Ending::Close)
+        connection->socket.shutdown(tcp::socket::shutdown_send, error);
+}
+
+void runUntil(asio::io_context& context, const std::function<bool()>& condition)
+{
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    context.restart();
+    while (!condition()) {
+        ASSERT_LT(std::chrono::steady_clock::now(), end) << "the condition did not come to hold";
+        context.run_one_for(std::chrono::milliseconds(100));
+    }
+}
+
+ScriptedCaller::ScriptedCaller(asio::io_context& context, uint16_t port)
+    : context_(context)
+    , socket_(context)
+{
+    socket_.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port));
+    read();
+}
+
+// The read under way refers to this object.
+ScriptedCaller::~ScriptedCaller()
+{
+    error_code ignored;
+    socket_.close(ignored);
+    context_.restart();
+    context_.poll();
+}
+
+void ScriptedCaller::send(const std::string& bytes)
+{
+    asio::write(socket_, asio::buffer(bytes));
+}
+
+void ScriptedCaller::read()
+{
+    socket_.async_read_some(asio::buffer(buffer_), [this](const error_code& error, size_t size) {
+        if (error == asio::error::operation_aborted)
+            return;
+        received_.append(buffer_.data(), size);
+        isClosed_ = static_cast<bool>(error);
+        if (!isClosed_)
+            read();
+    });
+}
+
+void ScriptedCaller::readUntil(const std::string& text)
+{
+    runUntil(context_, [&] { return received_.find(text) != std::string::npos; });
+}
+
+bool ScriptedCaller::isWhole() const
+{
+    const bool isChunked = received_.find("Transfer-Encoding: chunked") != std::string::npos;
+    return isChunked ? received_.ends_with("0\r\n\r\n") : wholeMessage(received_) > 0;
+}
+
+std::string ScriptedCaller::ask(const std::string& bytes)
+{
+    send(bytes);
+    runUntil(context_, [this] { return isClosed_ || isWhole(); });
+    return received_;
+}
+
+} // namespace hemlockweir
