--- a/packages/gateway/ConfigurationFollower.cpp
+++ b/packages/gateway/ConfigurationFollower.cpp
@@ -6,7 +6,7 @@
     : options_(std::move(options))
     , adapter_(adapter)
     , log_(log)
-    , follower_(context, { .clock = options_.clock, .prefix = adapter.configurationKey, .onAnswer = [this] { takeAnswer(); } }, adapter.store, log)
+    , follower_(context, { .clock = options_.clock, .prefix = adapter.configurationKey, .timing = options_.timing, .onAnswer = [this] { takeAnswer(); } }, adapter.store, log)
 {
 }
 
--- a/packages/gateway/ConfigurationFollower.h
+++ b/packages/gateway/ConfigurationFollower.h
@@ -12,6 +12,7 @@
 public:
     struct Options {
         Clock clock;
+        FollowTiming timing;
         std::function<void(std::shared_ptr<const RouteTable>)> onConfiguration;
     };
 
--- a/packages/gateway/EndpointFollower.cpp
+++ b/packages/gateway/EndpointFollower.cpp
@@ -6,7 +6,7 @@
     : options_(std::move(options))
     , adapter_(adapter)
     , log_(log)
-    , follower_(context, { .clock = options_.clock, .prefix = adapter.endpointPrefix, .onAnswer = [this] { takeAnswer(); } }, adapter.store, log)
+    , follower_(context, { .clock = options_.clock, .prefix = adapter.endpointPrefix, .timing = options_.timing, .onAnswer = [this] { takeAnswer(); } }, adapter.store, log)
 {
 }
 
@@ -38,7 +38,7 @@
         log_.noteChange("endpoint_found", { { "endpoint", info->id }, { "service", info->service }, { "domain", info->domain }, { "fabric", info->fabric }, { "revision", std::to_string(item.revision) } });
     else if (info->isLeaving && !before->second.info.isLeaving)
         log_.noteChange("endpoint_leaving", { { "endpoint", info->id }, { "service", info->service }, { "revision", std::to_string(item.revision) } });
-    known_.insert_or_assign(item.key, Known { *std::move(info), item.revision });
+    known_.insert_or_assign(item.key, Known { std::move(*info), item.revision });
 }
 
 void EndpointFollower::dropMissing()
--- a/packages/gateway/EndpointFollower.h
+++ b/packages/gateway/EndpointFollower.h
@@ -12,6 +12,7 @@
 public:
     struct Options {
         Clock clock;
+        FollowTiming timing;
         Millis returnTime { 2600 }; // ms after the store's return in which lapsed entries come back
         std::function<void()> onChange; // after each answer of the store
     };
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -189,7 +189,9 @@
     isPlanRequested_ = false;
     if (!proxy_.routes() || !endpoints_.hasRead() || !presence_.isPlanner())
         return;
-    for (auto& [name, planner] : planners_) {
+    for (auto& entry : planners_) {
+        const std::string& name = entry.first;
+        ReplicaPlanner& planner = entry.second;
         const EndpointService* service = proxy_.routes()->configuration().findService(name);
         if (!service || !service->engines)
             continue;
--- a/packages/gateway/PrefixFollower.cpp
+++ b/packages/gateway/PrefixFollower.cpp
@@ -28,7 +28,7 @@
         log_.noteChange("store_lost", { { "prefix", options_.prefix }, { "error", std::string(status.message()) }, { "silent_ms", std::to_string((options_.clock() - heardAt_).count()) }, { "store_revision", std::to_string(revision_) } });
     isReachable_ = false;
     isWatching_ = false;
-    timer_.callAfter(options_.retryDelay);
+    timer_.callAfter(options_.timing.retryDelay);
 }
 
 void PrefixFollower::read()
@@ -45,17 +45,17 @@
         hasRead_ = true;
         isWatching_ = true;
         noteAnswer();
-        timer_.callAfter(options_.pause);
+        timer_.callAfter(options_.timing.pause);
     });
 }
 
 void PrefixFollower::watch()
 {
-    store_.watch(options_.prefix, revision_, options_.wait, [this](const absl::StatusOr<KvChanges>& changes) {
+    store_.watch(options_.prefix, revision_, options_.timing.wait, [this](const absl::StatusOr<KvChanges>& changes) {
         if (changes.ok()) {
             take(*changes);
             noteAnswer();
-            timer_.callAfter(options_.pause);
+            timer_.callAfter(options_.timing.pause);
             return;
         }
         if (!absl::IsOutOfRange(changes.status())) {
@@ -65,7 +65,7 @@
         // The store answers, but what changed meanwhile is no longer known: what holds now is read.
         log_.noteChange("store_history_lost", { { "prefix", options_.prefix }, { "store_revision", std::to_string(revision_) } });
         isWatching_ = false;
-        timer_.callAfter(options_.pause);
+        timer_.callAfter(options_.timing.pause);
     });
 }
 
--- a/packages/gateway/PrefixFollower.h
+++ b/packages/gateway/PrefixFollower.h
@@ -11,14 +11,19 @@
 
 namespace hemlockweir {
 
+// How often the store is asked.
+struct FollowTiming {
+    Millis wait { 2000 }; // ms, one watch; a connection gone silent shows soon after
+    Millis pause { 100 }; // ms between two watches, in which changes gather into one answer
+    Millis retryDelay { 250 }; // ms, after a call that failed
+};
+
 class PrefixFollower {
 public:
     struct Options {
         Clock clock;
         std::string prefix;
-        Millis wait { 2000 }; // ms, one watch; a connection gone silent shows soon after
-        Millis pause { 100 }; // ms between two watches, in which changes gather into one answer
-        Millis retryDelay { 250 }; // ms, after a call that failed
+        FollowTiming timing;
         std::function<void()> onAnswer; // after each answer of the store
     };
 
@@ -27,7 +32,7 @@
     void start() { read(); }
 
     // Waits so long between two watches from now on.
-    void setPause(Millis pause) { options_.pause = pause; }
+    void setPause(Millis pause) { options_.timing.pause = pause; }
 
     const std::map<std::string, KvItem>& items() const { return items_; }
     uint64_t revision() const { return revision_; } // of the store, as of the last answer
--- a/packages/gateway/Presence.cpp
+++ b/packages/gateway/Presence.cpp
@@ -11,7 +11,7 @@
     , adapter_(adapter)
     , log_(log)
     , timer_(context, [this] { step(); })
-    , follower_(context, { .clock = options_.clock, .prefix = keyPrefix, .wait = options_.watchWait, .onAnswer = [this] { takeKeys(); } }, adapter.store, log)
+    , follower_(context, { .clock = options_.clock, .prefix = keyPrefix, .timing = options_.timing, .onAnswer = [this] { takeKeys(); } }, adapter.store, log)
 {
 }
 
--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -185,6 +185,8 @@
         refuse(std::move(ticket), RefusalReason::QueueTooLong, before);
         return;
     }
+    if (queue.waiting.empty())
+        queue.waitingSince = options_.clock();
     queue.waiting.push_back(std::move(ticket));
     ++waitingCount_;
 }
@@ -304,7 +306,7 @@
 size_t Dispatcher::countBefore(const Queue& queue, const Ticket& ticket) const
 {
     const Millis now = options_.clock();
-    return static_cast<size_t>(std::count_if(queue.waiting.begin(), queue.waiting.end(), [&](const Ticket& other) { return goesBefore(other, ticket, now); }));
+    return static_cast<size_t>(std::count_if(queue.waiting.begin(), queue.waiting.end(), [&](const Ticket& other) { return !goesBefore(ticket, other, now); }));
 }
 
 std::list<Ticket>::iterator Dispatcher::findNext(Queue& queue)
@@ -316,7 +318,9 @@
 void Dispatcher::noteStart(Queue& queue)
 {
     const Millis now = options_.clock();
-    const double seconds = std::max(0.001, std::chrono::duration<double>(now - queue.lastStartAt).count());
+    // Only time in which something waited says how often places become free.
+    const Millis since = std::max(queue.lastStartAt, queue.waitingSince);
+    const double seconds = std::max(0.001, std::chrono::duration<double>(now - since).count());
     queue.lastStartAt = now;
     const double rate = std::min(1000.0, 1 / seconds);
     // Harmonic: the average of intervals, so that two starts at once don't look like a thousand a second.
--- a/packages/proxy/Dispatcher.h
+++ b/packages/proxy/Dispatcher.h
@@ -128,6 +128,7 @@
         std::list<Ticket> waiting;
         double startsPerSecond = 0; // places that became free, averaged
         Millis lastStartAt { 0 };
+        Millis waitingSince { 0 }; // when it was last empty
     };
     using QueueKey = std::pair<std::string, std::string>; // service and model
 
--- a/packages/proxy/Proxy.cpp
+++ b/packages/proxy/Proxy.cpp
@@ -11,8 +11,7 @@
 static constexpr int listenBacklog = 1024;
 
 Proxy::Proxy(asio::io_context& context, Options options, ProxyContext& shared)
-    : context_(context)
-    , options_(std::move(options))
+    : options_(std::move(options))
     , shared_(shared)
     , acceptor_(context)
     , limits_(std::make_shared<ServerLimits>())
--- a/packages/proxy/Proxy.h
+++ b/packages/proxy/Proxy.h
@@ -55,7 +55,6 @@
     void addConnection(SocketWriter::Socket socket);
     void startFlow(const std::shared_ptr<ServerConnection>& connection, ServerRequest request);
 
-    boost::asio::io_context& context_;
     Options options_;
     ProxyContext& shared_;
     boost::asio::ip::tcp::acceptor acceptor_;
--- /dev/null
+++ b/tests/DispatcherTest.cpp
@@ -0,0 +1,211 @@
+#include "proxy/Dispatcher.h"
+
+#include "proxy/RetryWindow.h"
+
+#include <gtest/gtest.h>
+#include <numeric>
+
+// How work waits, is refused and placed; each test replays the load that its decision answers.
+
+using namespace hemlockweir;
+
+namespace {
+
+class DispatcherTest : public testing::Test {
+protected:
+    static Target target(const std::string& id, uint32_t slots, const std::string& domain = "a")
+    {
+        return { .id = id, .service = "engines", .model = "m", .address = "127.0.0.1", .port = 1, .domain = domain, .slots = slots };
+    }
+
+    // A request; what becomes of it is noted under its number.
+    uint64_t submit(int priority, Millis objective = Millis(250), Millis timeout = Millis(6000))
+    {
+        const uint64_t id = ++lastId_;
+        dispatcher_.submit({
+            .id = id,
+            .service = "engines",
+            .model = "m",
+            .priority = priority,
+            .arrivedAt = now_,
+            .objectiveAt = now_ + objective,
+            .giveUpAt = now_ + timeout,
+            .onPlaced = [this, id](const Target& chosen) { placed_[id] = chosen.id; order_.push_back(id); },
+            .onRefused = [this, id](const PlaceRefusal& refusal) { refused_.insert_or_assign(id, refusal); },
+        });
+        return id;
+    }
+
+    void advance(Millis time)
+    {
+        now_ += time;
+        dispatcher_.tick();
+    }
+
+    Millis now_ { 100000 };
+    Dispatcher dispatcher_ { { .clock = [this] { return now_; }, .random = makeSeededRandom(3), .domain = "a" } };
+    std::map<uint64_t, std::string> placed_;
+    std::map<uint64_t, PlaceRefusal> refused_;
+    std::vector<uint64_t> order_;
+    uint64_t lastId_ = 0;
+};
+
+TEST_F(DispatcherTest, RefusesAtOnceWhatNothingCanServe)
+{
+    const uint64_t id = submit(0);
+    ASSERT_EQ(refused_.count(id), 1U);
+    EXPECT_EQ(refused_.at(id).reason, RefusalReason::NoTarget);
+    EXPECT_GT(refused_.at(id).retryAfter.count(), 0);
+}
+
+TEST_F(DispatcherTest, SpreadsWorkOverFreeTargets)
+{
+    dispatcher_.setTargets("engines", { target("e1", 4), target("e2", 4), target("e3", 4) });
+    for (int i = 0; i < 12; ++i)
+        submit(0);
+    std::map<std::string, int> count;
+    for (const auto& [id, where] : placed_)
+        ++count[where];
+    EXPECT_EQ(placed_.size(), 12U);
+    EXPECT_EQ(count, (std::map<std::string, int> { { "e1", 4 }, { "e2", 4 }, { "e3", 4 } }));
+}
+
+// A flood of the least urgent work fills all places; urgent work that comes then goes first.
+TEST_F(DispatcherTest, UrgentWorkPassesAFloodOfTheLeastUrgent)
+{
+    dispatcher_.setTargets("engines", { target("e1", 2) });
+    for (int i = 0; i < 50; ++i)
+        submit(2, Millis(1000));
+    const uint64_t urgent = submit(0);
+    EXPECT_EQ(placed_.count(urgent), 0U);
+    dispatcher_.release("e1");
+    EXPECT_EQ(placed_.count(urgent), 1U);
+}
+
+// A burst beyond what can start in time: who comes last is told so at once, not at its deadline.
+TEST_F(DispatcherTest, RefusesWhatCanNotStartInTimeWhenItComes)
+{
+    dispatcher_.setTargets("engines", { target("e1", 1) });
+    submit(0);
+    std::vector<uint64_t> burst;
+    for (int i = 0; i < 10; ++i)
+        burst.push_back(submit(0));
+    // One place every 100 ms: the rate that the queue then knows.
+    for (int i = 0; i < 4; ++i) {
+        advance(Millis(100));
+        dispatcher_.release("e1");
+    }
+    for (int i = 0; i < 20; ++i)
+        burst.push_back(submit(0));
+    const uint64_t last = burst.back();
+    ASSERT_EQ(refused_.count(last), 1U);
+    EXPECT_EQ(refused_.at(last).reason, RefusalReason::QueueTooLong);
+    EXPECT_GE(refused_.at(last).retryAfter, Millis(100));
+}
+
+TEST_F(DispatcherTest, RefusesWhatWaitedBeyondItsUse)
+{
+    dispatcher_.setTargets("engines", { target("e1", 1) });
+    submit(0);
+    const uint64_t waiting = submit(0, Millis(250));
+    advance(Millis(400));
+    EXPECT_EQ(refused_.count(waiting), 0U);
+    advance(Millis(200));
+    ASSERT_EQ(refused_.count(waiting), 1U);
+    EXPECT_EQ(refused_.at(waiting).reason, RefusalReason::WaitedTooLong);
+    EXPECT_EQ(dispatcher_.waitingCount(), 0U);
+}
+
+// Of equals, one that can still be on time goes before one that can't.
+TEST_F(DispatcherTest, LateWorkYieldsToWorkThatCanBeOnTime)
+{
+    dispatcher_.setTargets("engines", { target("e1", 1) });
+    submit(0);
+    const uint64_t late = submit(0, Millis(300));
+    advance(Millis(350));
+    const uint64_t inTime = submit(0, Millis(300));
+    dispatcher_.release("e1");
+    EXPECT_EQ(placed_.count(inTime), 1U);
+    EXPECT_EQ(placed_.count(late), 0U);
+}
+
+TEST_F(DispatcherTest, FailedTargetGetsOneRequestBeforeItGetsMore)
+{
+    dispatcher_.setTargets("engines", { target("e1", 4) });
+    submit(0);
+    dispatcher_.noteFailure("e1");
+    dispatcher_.release("e1");
+    const uint64_t refused = submit(0);
+    EXPECT_EQ(refused_.at(refused).reason, RefusalReason::NoTarget);
+    advance(Millis(1600));
+    submit(0);
+    const uint64_t second = submit(0);
+    EXPECT_EQ(placed_.count(second), 0U);
+    dispatcher_.noteSuccess("e1");
+    dispatcher_.tick();
+    EXPECT_EQ(placed_.count(second), 1U);
+}
+
+TEST_F(DispatcherTest, CountsWhatOtherNodesRun)
+{
+    dispatcher_.setTargets("engines", { target("e1", 4), target("e2", 4) });
+    dispatcher_.notePeer("n2", { .running = { { hashTarget("e1"), 4 } }, .heardAt = now_ });
+    for (int i = 0; i < 4; ++i)
+        submit(0);
+    EXPECT_TRUE(std::all_of(placed_.begin(), placed_.end(), [](const auto& entry) { return entry.second == "e2"; }));
+    // A node that fell silent holds no place for long.
+    advance(Millis(2000));
+    const uint64_t later = submit(0);
+    EXPECT_EQ(placed_[later], "e1");
+}
+
+// Thirty nodes that see the same picture and each place one request: none of forty replicas gets
+// more than a few of them.
+TEST_F(DispatcherTest, NodesWithTheSamePictureDoNotMeetOnOneTarget)
+{
+    std::vector<TargetLoad> loads;
+    for (int i = 0; i < 40; ++i)
+        loads.push_back({ .target = target("e" + std::to_string(i), 20), .others = i == 0 ? 0.0 : 1.0 });
+    std::vector<const TargetLoad*> pointers;
+    for (const TargetLoad& load : loads)
+        pointers.push_back(&load);
+    const Random random = makeSeededRandom(11);
+    std::map<std::string, int> count;
+    for (int node = 0; node < 30; ++node)
+        ++count[chooseTarget(pointers, {}, "a", now_, 30, random)->target.id];
+    const int most = std::max_element(count.begin(), count.end(), [](const auto& one, const auto& other) { return one.second < other.second; })->second;
+    EXPECT_LE(most, 6);
+}
+
+TEST_F(DispatcherTest, KeepsWhatItKnowsOfTargetsThatStay)
+{
+    dispatcher_.setTargets("engines", { target("e1", 1), target("e2", 1) });
+    submit(0);
+    submit(0);
+    dispatcher_.setTargets("engines", { target("e1", 1) });
+    const uint64_t waiting = submit(0);
+    EXPECT_EQ(placed_.count(waiting), 0U);
+    dispatcher_.release("e2"); // gone meanwhile
+    EXPECT_EQ(placed_.count(waiting), 0U);
+    dispatcher_.release("e1");
+    EXPECT_EQ(placed_.count(waiting), 1U);
+}
+
+TEST(RetryWindowTest, SharesTheAllowanceAndForgetsAfterTheWindow)
+{
+    Millis now { 50000 };
+    RetryWindow window({ .clock = [&now] { return now; }, .window = Millis(10000), .perRequest = 0.2, .allowance = 100 });
+    window.setNodeCount(4);
+    int taken = 0;
+    while (taken < 1000 && window.take("s"))
+        ++taken;
+    EXPECT_LE(taken, 25);
+    EXPECT_GE(taken, 15);
+    for (int i = 0; i < 100; ++i)
+        window.earn("s");
+    EXPECT_TRUE(window.take("s"));
+    now += Millis(11000);
+    EXPECT_TRUE(window.take("s"));
+}
+
+} // namespace
