Take a spare also out of a replica that lost its head

Ruled out: a flow outliving its connection; the last lines of the process are the planner's. Change: a replica that is not whole is taken apart at once. SpareWhoseReplicaLostItsHeadStandsInAsWell crashed before.

--- a/packages/replicas/ReplicaPlanner.cpp
+++ b/packages/replicas/ReplicaPlanner.cpp
@@ -189,6 +189,10 @@
 // Takes a replica apart once what runs in it is finished.
 void ReplicaPlanner::release(const ReplicaView& replica, std::vector<EngineOrder>& orders)
 {
+    if (!replica.isWhole()) {
+        dissolve(replica, orders); // nothing runs in it any more
+        return;
+    }
     Plan& plan = plans_.at(replica.group);
     const EndpointInfo* head = replica.head();
     const MemberState state = head->membership->state;
--- a/tests/ReplicaPlannerTest.cpp
+++ b/tests/ReplicaPlannerTest.cpp
@@ -192,6 +192,25 @@
     EXPECT_EQ(countServing(largeModel), 1U);
 }
 
+// Hunted (scale-1, seed 185203888950): the replica of the spare had lost its own head at the same moment.
+TEST_F(PlannerTest, SpareWhoseReplicaLostItsHeadStandsInAsWell)
+{
+    addEngines("f1", 10);
+    startTraffic();
+    std::string headOfSpare;
+    for (const auto& [id, engine] : engines_) {
+        if (engine.model == smallModel && engine.membership->rank == 0 && engine.staged == std::vector<std::string> { largeModel })
+            headOfSpare = id;
+    }
+    ASSERT_FALSE(headOfSpare.empty());
+    kill(findMember(largeModel, "f1"));
+    step();
+    kill(headOfSpare);
+    for (int i = 0; i < 16; ++i)
+        step();
+    EXPECT_EQ(countServing(largeModel), 1U);
+}
+
 // Two losses at once in two fabric domains: each is mended from its own spares, none waits for the other.
 TEST_F(PlannerTest, MendsTwoLossesAtOnce)
 {
