Send a failed safe request to another endpoint, and pass the last failure on as it is

Cause: in an incident both tries of a stock request went to the endpoint that had answered 500 to the first; SafeRequestThatFailedGoesToAnotherEndpoint showed besides that the second endpoint's own 500 was replaced by a 502. Change: an endpoint that failed a request is avoided for it; whether another try is left is asked before the answer is dropped.

--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -243,8 +243,9 @@
         return;
     }
     const bool isFailure = head.status >= 500;
-    if (isFailure && route_.isRepeatable() && !isHeadSent_ && mayRetry()) {
-        retryOrFail("endpoint_error", false);
+    if (isFailure && route_.isRepeatable() && !isHeadSent_ && mayRetry(RunState::MayHaveRun, runs_ + 1) && context_.retries.take(service_)) {
+        noteFailedSend("endpoint_error", false);
+        retry();
         return;
     }
     // A promise that the endpoint did not make can't be passed on in its name.
@@ -391,24 +392,21 @@
     context_.dispatcher.release(attempt.target.id);
 }
 
-bool ProxyFlow::mayRetry() const
+// Whether the request may be sent again, given what is known of whether and how often it ran.
+bool ProxyFlow::mayRetry(RunState state, int runs) const
 {
-    const bool isSurelyNotRun = runState_ == RunState::NotRun;
     const bool isRepeatable = route_.isRepeatable() && (!isHeadSent_ || route_.kind == RequestKind::Stream);
-    if (!isRepeatable && !isSurelyNotRun)
+    if (!isRepeatable && state != RunState::NotRun)
         return false;
     // Without ids nothing says where a stream that has begun would go on.
     if (isHeadSent_ && !cutter_.lastId())
         return false;
-    return runs_ + 1 <= route_.maxAttempts && sends_ < route_.maxAttempts + extraSends && context_.clock() < giveUpAt_;
+    return runs + 1 <= route_.maxAttempts && sends_ < route_.maxAttempts + extraSends && context_.clock() < giveUpAt_;
 }
 
-// The attempt failed: sends the request elsewhere if it may run again, else tells the caller.
-void ProxyFlow::retryOrFail(std::string_view reason, bool blamesTarget)
+// Lets go of an attempt that failed; from here on its endpoint is avoided.
+void ProxyFlow::noteFailedSend(std::string_view reason, bool blamesTarget)
 {
-    if (isDone_ || !attempt_)
-        return;
-    const auto self = shared_from_this();
     const Attempt attempt = *attempt_;
     const Millis now = context_.clock();
     const bool wasSent = attempt.connection->wasConnected();
@@ -422,14 +420,26 @@
     attempt.connection->close();
     dropAttempt(reason);
     cutter_.dropPartial();
-    if (blamesTarget)
-        avoid_.insert(attempt.target.id);
-    if (mayRetry() && context_.retries.take(service_)) {
-        // A stream that has begun is already waited for: it goes first.
-        requestPlace(isHeadSent_ ? giveUpAt_ : options_.request.startedAt + route_.objective, isHeadSent_ ? 0 : priority_);
+    avoid_.insert(attempt.target.id);
+}
+
+void ProxyFlow::retry()
+{
+    // A stream that has begun is already waited for: it goes first.
+    requestPlace(isHeadSent_ ? giveUpAt_ : options_.request.startedAt + route_.objective, isHeadSent_ ? 0 : priority_);
+}
+
+// The attempt failed: sends the request elsewhere if it may run again, else tells the caller.
+void ProxyFlow::retryOrFail(std::string_view reason, bool blamesTarget)
+{
+    if (isDone_ || !attempt_)
         return;
-    }
-    fail(reason);
+    const auto self = shared_from_this();
+    noteFailedSend(reason, blamesTarget);
+    if (mayRetry(runState_, runs_) && context_.retries.take(service_))
+        retry();
+    else
+        fail(reason);
 }
 
 void ProxyFlow::fail(std::string_view reason)
@@ -476,13 +486,7 @@
     }
     if (now - attempt_->heardAt < silenceLimit() || !route_.isRepeatable())
         return;
-    RunState before = runState_;
-    runState_ = RunState::MayHaveRun;
-    ++runs_;
-    const bool canMove = mayRetry();
-    runState_ = before;
-    --runs_;
-    if (canMove)
+    if (mayRetry(RunState::MayHaveRun, runs_ + 1))
         retryOrFail("endpoint_silent", true);
 }
 
--- a/packages/proxy/ProxyFlow.h
+++ b/packages/proxy/ProxyFlow.h
@@ -64,7 +64,9 @@
 
     void dropAttempt(std::string_view result);
     void retryOrFail(std::string_view reason, bool blamesTarget);
-    bool mayRetry() const;
+    bool mayRetry(RunState state, int runs) const;
+    void noteFailedSend(std::string_view reason, bool blamesTarget);
+    void retry();
     void fail(std::string_view reason);
     void answerError(int status, std::string_view reason, std::optional<Millis> retryAfter = std::nullopt);
     void checkSilence(Millis now);
--- a/tests/ProxyFlowTest.cpp
+++ b/tests/ProxyFlowTest.cpp
@@ -168,6 +168,16 @@
     EXPECT_EQ(arrivals(), 2U);
 }
 
+// Seen in an incident: the second try went to the endpoint that had just failed the first.
+TEST_F(ProxyFlowTest, SafeRequestThatFailedGoesToAnotherEndpoint)
+{
+    configure();
+    script([](int) { return ScriptedAnswer { "HTTP/1.1 500 Error\r\nTest-Id: r1\r\nTest-Seal: s\r\nContent-Length: 3\r\n\r\nbad" }; });
+    EXPECT_TRUE(ask(request("/look/7", "r1")).starts_with("HTTP/1.1 500 "));
+    EXPECT_EQ(first_.requests().size(), 1U);
+    EXPECT_EQ(second_.requests().size(), 1U);
+}
+
 TEST_F(ProxyFlowTest, RejectionWithoutProofIsNotPassedOnAsAPromise)
 {
     configure();
