--- /dev/null
+++ b/packages/proxy/ForwardedHeaders.cpp
@@ -0,0 +1,47 @@
+#include "proxy/ForwardedHeaders.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
+#include <array>
+
+namespace hemlockweir {
+
+static bool isConnectionHeader(std::string_view name)
+{
+    constexpr std::array<std::string_view, 10> names { "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+        "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length" };
+    return std::any_of(names.begin(), names.end(), [name](std::string_view other) { return isSameHeaderName(name, other); });
+}
+
+// Whether the Connection header lists the name as one that concerns this connection only.
+static bool isListedInConnection(const std::vector<HeaderLine>& headers, std::string_view name)
+{
+    for (const HeaderLine& header : headers) {
+        if (!isSameHeaderName(header.name, "Connection"))
+            continue;
+        for (const std::string& token : std::vector<std::string>(absl::StrSplit(header.value, absl::ByAnyChar(", \t"), absl::SkipEmpty()))) {
+            if (isSameHeaderName(token, name))
+                return true;
+        }
+    }
+    return false;
+}
+
+std::vector<HeaderLine> dropConnectionHeaders(const std::vector<HeaderLine>& headers)
+{
+    std::vector<HeaderLine> kept;
+    std::copy_if(headers.begin(), headers.end(), std::back_inserter(kept), [&](const HeaderLine& header) { return !isConnectionHeader(header.name) && !isListedInConnection(headers, header.name); });
+    return kept;
+}
+
+std::optional<EndpointLoad> parseLoad(std::string_view text)
+{
+    const std::vector<std::string> parts = absl::StrSplit(std::string(text), ',');
+    EndpointLoad load;
+    if (parts.size() != 3 || !absl::SimpleAtoi(parts[0], &load.running) || !absl::SimpleAtoi(parts[1], &load.waiting))
+        return std::nullopt;
+    return load;
+}
+
+} // namespace hemlockweir
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -1,9 +1,10 @@
 #include "proxy/ProxyFlow.h"
 
+#include "proxy/ForwardedHeaders.h"
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
-#include <absl/strings/str_split.h>
 #include <algorithm>
 #include <array>
 
@@ -35,28 +36,6 @@
 static constexpr int statusUnavailable = 503;
 static constexpr int statusGatewayTimeout = 504;
 
-// Headers that concern one connection only (RFC 9110, 7.6.1).
-static bool isConnectionHeader(std::string_view name)
-{
-    constexpr std::array<std::string_view, 10> names { "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-        "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length" };
-    return std::any_of(names.begin(), names.end(), [name](std::string_view other) { return isSameHeaderName(name, other); });
-}
-
-// Whether the Connection header lists the name as one that concerns this connection only.
-static bool isListedInConnection(const std::vector<HeaderLine>& headers, std::string_view name)
-{
-    for (const HeaderLine& header : headers) {
-        if (!isSameHeaderName(header.name, "Connection"))
-            continue;
-        for (const std::string& token : std::vector<std::string>(absl::StrSplit(header.value, absl::ByAnyChar(", \t"), absl::SkipEmpty()))) {
-            if (isSameHeaderName(token, name))
-                return true;
-        }
-    }
-    return false;
-}
-
 ProxyFlow::ProxyFlow(ProxyContext& context, Options options)
     : context_(context)
     , options_(std::move(options))
@@ -70,8 +49,9 @@
         if (const auto flow = self.lock())
             flow->cancel();
     };
-    if (!findRoute() || !readLimits())
+    if (!findRoute())
         return;
+    readLimits();
     const Millis objectiveAt = options_.request.startedAt + (route_.objective.count() > 0 ? route_.objective : route_.timeout);
     context_.retries.earn(service_);
     requestPlace(objectiveAt, priority_);
@@ -108,7 +88,7 @@
     return true;
 }
 
-bool ProxyFlow::readLimits()
+void ProxyFlow::readLimits()
 {
     int64_t deadline = defaultDeadline.count();
     const std::string text(requestHeader(context_.headers.deadline));
@@ -121,7 +101,6 @@
     uint64_t lastId = 0;
     if (absl::SimpleAtoi(std::string(requestHeader(context_.headers.lastEventId)), &lastId))
         cutter_.setLastId(lastId);
-    return true;
 }
 
 void ProxyFlow::requestPlace(Millis objectiveAt, int priority)
@@ -187,11 +166,10 @@
     const ServerRequest& request = options_.request;
     const bool goesOn = sends_ > 1 && cutter_.lastId();
     std::string text = absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\n");
-    for (const HeaderLine& header : request.headers) {
-        const bool isDropped = isConnectionHeader(header.name) || isReplaced(header.name) || isListedInConnection(request.headers, header.name);
-        if (isDropped || (goesOn && isSameHeaderName(header.name, names.lastEventId)))
-            continue;
-        absl::StrAppend(&text, header.name, ": ", header.value, "\r\n");
+    for (const HeaderLine& header : dropConnectionHeaders(request.headers)) {
+        const bool isOldEvent = goesOn && isSameHeaderName(header.name, names.lastEventId);
+        if (!isReplaced(header.name) && !isOldEvent)
+            absl::StrAppend(&text, header.name, ": ", header.value, "\r\n");
     }
     if (goesOn)
         absl::StrAppend(&text, names.lastEventId, ": ", *cutter_.lastId(), "\r\n");
@@ -221,13 +199,8 @@
         retryOrFail("answer_of_another_request", true);
         return;
     }
-    if (const auto load = findHeader(head.headers, context_.headers.load)) {
-        const std::vector<std::string> parts = absl::StrSplit(std::string(*load), ',');
-        uint32_t running = 0;
-        uint32_t waiting = 0;
-        if (parts.size() == 3 && absl::SimpleAtoi(parts[0], &running) && absl::SimpleAtoi(parts[1], &waiting))
-            context_.dispatcher.noteLoad(attempt.target.id, running, waiting);
-    }
+    if (const auto load = parseLoad(findHeader(head.headers, context_.headers.load).value_or("")))
+        context_.dispatcher.noteLoad(attempt.target.id, load->running, load->waiting);
     const bool isRejection = head.status == statusMisdirected || findHeader(head.headers, context_.headers.notRun);
     if (isRejection) {
         takeRejection(head);
@@ -299,7 +272,7 @@
     // Too large to hold: from here on it goes through as it comes.
     isHeadSent_ = true;
     firstByteAt_ = context_.clock();
-    options_.caller->startAnswer(attempt_->head->status, callerHeaders(*attempt_->head), attempt_->head->bodyLength);
+    options_.caller->startAnswer(attempt_->head->status, dropConnectionHeaders(attempt_->head->headers), attempt_->head->bodyLength);
     options_.caller->sendBody(std::exchange(attempt_->body, {}));
 }
 
@@ -309,7 +282,7 @@
     firstByteAt_ = context_.clock();
     if (attempt_)
         context_.dispatcher.noteFirstByte(service_, model_, firstByteAt_ - attempt_->sentAt);
-    options_.caller->startAnswer(head.status, callerHeaders(head), std::nullopt);
+    options_.caller->startAnswer(head.status, dropConnectionHeaders(head.headers), std::nullopt);
 }
 
 void ProxyFlow::sendEvent(std::string_view event)
@@ -326,16 +299,6 @@
     finish("abandoned", "caller_too_slow");
 }
 
-std::vector<HeaderLine> ProxyFlow::callerHeaders(const ResponseHead& head) const
-{
-    std::vector<HeaderLine> headers;
-    for (const HeaderLine& header : head.headers) {
-        if (!isConnectionHeader(header.name) && !isListedInConnection(head.headers, header.name))
-            headers.push_back(header);
-    }
-    return headers;
-}
-
 void ProxyFlow::takeEnd(ExchangeEnd how)
 {
     if (isDone_ || !attempt_)
@@ -372,7 +335,7 @@
         options_.caller->finishAnswer();
     } else {
         firstByteAt_ = context_.clock();
-        options_.caller->answer(head.status, callerHeaders(head), attempt.body);
+        options_.caller->answer(head.status, dropConnectionHeaders(head.headers), attempt.body);
     }
     const bool isLate = route_.objective.count() > 0 && firstByteAt_ - options_.request.startedAt > route_.objective;
     if (head.status / 100 != 2)
--- a/packages/proxy/ProxyFlow.h
+++ b/packages/proxy/ProxyFlow.h
@@ -47,7 +47,7 @@
     };
 
     bool findRoute();
-    bool readLimits();
+    void readLimits();
     void requestPlace(Millis objectiveAt, int priority);
     void takePlace(const Target& target);
     void takeRefusal(const PlaceRefusal& refusal);
@@ -74,7 +74,6 @@
     void finish(const std::string& end, std::string_view reason);
 
     Millis silenceLimit() const;
-    std::vector<HeaderLine> callerHeaders(const ResponseHead& head) const;
     std::string_view requestHeader(const std::string& name) const { return options_.request.header(name); }
 
     ProxyContext& context_;
