--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -88,6 +88,7 @@
     dispatcher_.setTargets("engines", { target("e1", 1) });
     submit(0);
     std::vector<uint64_t> burst;
+    burst.reserve(30);
     for (int i = 0; i < 10; ++i)
         burst.push_back(submit(0));
     // One place every 100 ms: the rate that the queue then knows.
@@ -194,9 +195,11 @@
 TEST_F(DispatcherTest, NodesWithTheSamePictureDoNotMeetOnOneTarget)
 {
     std::vector<TargetLoad> loads;
+    loads.reserve(40);
     for (int i = 0; i < 40; ++i)
         loads.push_back({ .target = target("e" + std::to_string(i), 20), .others = i == 0 ? 0.0 : 1.0 });
     std::vector<const TargetLoad*> pointers;
+    pointers.reserve(loads.size());
     for (const TargetLoad& load : loads)
         pointers.push_back(&load);
     const Random random = makeSeededRandom(11);
