Let a begun stream wait for a target; name groups by their planner's term

Change: a stream that has begun waits while an answer is of use; group names carry the planner's term. StreamThatHasBegunWaitsForATarget and GroupsOfTwoPlannersNeverShareAName are the cases.

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -200,6 +200,7 @@
         planner.setEngines(engines, *service->engines, true);
         if (proxy_.hasServed() || !settings_.isFirstStart)
             planner.noteTraffic();
+        planner.setTerm(presence_.term());
         tellReplicas(name, planner);
         for (EngineOrder& order : planner.plan()) {
             order.fencingToken = presence_.term();
--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -173,7 +173,7 @@
     if (countBefore(queue, ticket) == 0 && tryPlace(ticket))
         return;
     const size_t targets = countTargets(ticket.service, ticket.model);
-    if (targets == 0) {
+    if (targets == 0 && !ticket.isBegun) {
         refuse(std::move(ticket), RefusalReason::NoTarget, queue.waiting.size());
         return;
     }
@@ -181,7 +181,7 @@
     const double seconds = std::chrono::duration<double>(latestStart(ticket) - options_.clock()).count();
     // The rate is known once places have been waited for; until then the queue may grow.
     const bool isHopeless = queue.startsPerSecond > 0 && static_cast<double>(before) > queue.startsPerSecond * std::max(0.0, seconds);
-    if (isHopeless || queue.waiting.size() >= options_.maxWaiting) {
+    if (!ticket.isBegun && (isHopeless || queue.waiting.size() >= options_.maxWaiting)) {
         refuse(std::move(ticket), RefusalReason::QueueTooLong, before);
         return;
     }
--- a/packages/proxy/Dispatcher.h
+++ b/packages/proxy/Dispatcher.h
@@ -40,6 +40,7 @@
     Millis arrivedAt { 0 };
     Millis objectiveAt { 0 }; // its answer is on time until then
     Millis giveUpAt { 0 }; // an answer is of no use after that
+    bool isBegun = false; // its answer has begun: it waits for a place as long as an answer is of use
     std::set<std::string> avoid; // endpoints that failed it
     std::function<void(const Target&)> onPlaced;
     std::function<void(const PlaceRefusal&)> onRefused;
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -113,6 +113,7 @@
         .arrivedAt = context_.clock(),
         .objectiveAt = objectiveAt,
         .giveUpAt = giveUpAt_,
+        .isBegun = isHeadSent_,
         .avoid = avoid_,
     };
     const auto self = shared_from_this();
--- a/packages/replicas/ReplicaPlanner.cpp
+++ b/packages/replicas/ReplicaPlanner.cpp
@@ -341,7 +341,7 @@
 {
     const Millis now = options_.clock();
     const uint64_t epoch = ++lastEpoch_;
-    Plan plan { .group = absl::StrCat("g", epoch), .model = model.name, .fabric = fabric, .epoch = epoch, .startedAt = now };
+    Plan plan { .group = absl::StrCat("g", term_, "-", epoch), .model = model.name, .fabric = fabric, .epoch = epoch, .startedAt = now };
     for (const Engine* member : members)
         plan.members.push_back(member->info.id);
     for (size_t rank = 0; rank < members.size(); ++rank) {
--- a/packages/replicas/ReplicaPlanner.h
+++ b/packages/replicas/ReplicaPlanner.h
@@ -58,6 +58,10 @@
     // Notes whether an engine answered; true if that is news.
     bool noteProbe(const std::string& engine, bool isAlive);
 
+    // Marks the groups that it forms as this planner's: two planners that use one epoch in the same moment
+    // must not make a group of members that each of them chose.
+    void setTerm(uint64_t term) { term_ = term; }
+
     // Whether requests were served since the start: from then on loads cost time and rate.
     void noteTraffic() { hasTraffic_ = true; }
 
@@ -156,6 +160,7 @@
     std::map<std::string, Plan> plans_; // by group
     std::map<std::string, double> engineCounts_; // engines in whole replicas, by model
     uint64_t lastEpoch_ = 0;
+    uint64_t term_ = 0;
     Millis lastNewAt_ { 0 }; // when an engine was last seen for the first time
     bool hasTraffic_ = false;
 };
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -58,6 +58,19 @@
     EXPECT_GT(refused_.at(id).retryAfter.count(), 0);
 }
 
+// Hunted (mix, seed 775646345129): a stream that was to go on elsewhere was cut at once, because every
+// replica of its model was suspect in that moment.
+TEST_F(DispatcherTest, StreamThatHasBegunWaitsForATarget)
+{
+    Ticket ticket { .id = 1, .service = "engines", .model = "m", .arrivedAt = now_, .objectiveAt = now_ + Millis(3000), .giveUpAt = now_ + Millis(3000), .isBegun = true };
+    ticket.onPlaced = [this](const Target& chosen) { placed_[1] = chosen.id; };
+    ticket.onRefused = [this](const PlaceRefusal& refusal) { refused_.insert_or_assign(1, refusal); };
+    dispatcher_.submit(std::move(ticket));
+    EXPECT_TRUE(refused_.empty());
+    dispatcher_.setTargets("engines", { target("e1", 1) });
+    EXPECT_EQ(placed_[1], "e1");
+}
+
 TEST_F(DispatcherTest, SpreadsWorkOverFreeTargets)
 {
     dispatcher_.setTargets("engines", { target("e1", 4), target("e2", 4), target("e3", 4) });
--- a/tests/ReplicaPlannerTest.cpp
+++ b/tests/ReplicaPlannerTest.cpp
@@ -251,6 +251,30 @@
     EXPECT_EQ(countServing(smallModel), 3U);
 }
 
+// Two planners for a moment: the same epoch, other members. Their groups have different names, so that no
+// group is made of members of both.
+TEST_F(PlannerTest, GroupsOfTwoPlannersNeverShareAName)
+{
+    addEngines("f1", 10);
+    ReplicaPlanner other({ .clock = [this] { return now_; } });
+    planner_.setTerm(7);
+    other.setTerm(8);
+    std::vector<EndpointInfo> list;
+    for (const auto& [id, engine] : engines_)
+        list.push_back(engine);
+    std::set<std::string> names;
+    std::set<std::string> otherNames;
+    for (ReplicaPlanner* planner : { &planner_, &other }) {
+        planner->setEngines(list, profile_, true);
+        now_ += Millis(2000);
+        for (const EngineOrder& order : planner->plan())
+            (planner == &other ? otherNames : names).insert(order.group);
+    }
+    ASSERT_FALSE(names.empty());
+    for (const std::string& name : otherNames)
+        EXPECT_EQ(names.count(name), 0U) << name;
+}
+
 TEST_F(PlannerTest, ReplicaWithALeavingMemberIsClosedBeforeItsMembersLeave)
 {
     addEngines("f1", 10);
