Remove a time and a question that nobody reads

Cause: Target::openedAt was kept and never read, EventCutter::hasPartial never called. Change: both removed, no behaviour with them. Result: DispatcherTest 13 of 13, ProxyFlowTest 16 of 16, the programs build.

--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -86,16 +86,11 @@
         else
             ++it;
     }
-    const Millis now = options_.clock();
-    for (Target& target : targets) {
+    for (const Target& target : targets) {
         const auto old = before.find(target.id);
         TargetLoad load;
-        if (old != before.end() && old->second.target.isSameAs(target)) {
+        if (old != before.end() && old->second.target.isSameAs(target))
             load = old->second;
-            target.openedAt = load.target.openedAt;
-        } else {
-            target.openedAt = now;
-        }
         load.target = target;
         loads_[target.id] = std::move(load);
     }
--- a/packages/proxy/EventCutter.h
+++ b/packages/proxy/EventCutter.h
@@ -19,9 +19,6 @@
     // Forgets the part of an event that was cut off.
     void dropPartial() { pending_.clear(); }
 
-    // Whether bytes of an event that is not whole are held.
-    bool hasPartial() const { return !pending_.empty(); }
-
     // The id of the last whole event; absent before the first.
     const std::optional<uint64_t>& lastId() const { return lastId_; }
 
--- a/packages/proxy/Target.h
+++ b/packages/proxy/Target.h
@@ -17,7 +17,6 @@
     uint16_t port = 0;
     std::string domain; // failure domain
     uint32_t slots = 1; // requests at a time
-    Millis openedAt { 0 }; // when this node first saw it
 
     bool isSameAs(const Target& other) const { return id == other.id && address == other.address && port == other.port && model == other.model; }
 };
