--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -32,7 +32,7 @@
     , random_(makeSystemRandom())
     , log_({ .clock = clock_ })
     , adapter_(makeAdapter(context, settings_, clock_, log_))
-    , dispatcher_({ .clock = clock_, .random = random_, .domain = settings_.domain, .onSuspect = [this](const Target& target) { takeSuspect(target); } })
+    , dispatcher_({ .clock = clock_, .random = random_, .domain = settings_.domain, .onSuspect = [this](const Target& target) { takeSuspect(target); }, .onLongPrompt = [this] { usage_.tellSoon(); } })
     , pool_(context, { .clock = clock_ })
     , retries_({ .clock = clock_, .window = settings_.retryWindow, .perRequest = settings_.retriesPerRequest, .allowance = settings_.retryAllowance })
     , shared_ { .clock = clock_, .random = random_, .headers = adapter_.headers, .dispatcher = dispatcher_, .pool = pool_, .retries = retries_, .log = log_, .metrics = metrics_ }
--- a/packages/gateway/UsageExchange.cpp
+++ b/packages/gateway/UsageExchange.cpp
@@ -55,8 +55,8 @@
 void UsageExchange::tell()
 {
     UsageMessage message { .node = options_.node, .sequence = ++sequence_ };
-    for (const auto& [target, running] : options_.ownUsage())
-        message.rows.push_back({ .target = target, .running = running });
+    for (const auto& [target, use] : options_.ownUsage())
+        message.rows.push_back({ .target = target, .running = use.running, .promptMs = use.promptMs });
     for (const uint32_t target : std::exchange(suspects_, {}))
         message.rows.push_back({ .target = target, .isSuspect = true });
     if (message.rows.size() > UsageMessage::maxRows)
@@ -66,9 +66,19 @@
         error_code ignored; // a datagram that can't be sent is made good by the next
         socket_.send_to(asio::buffer(bytes.constData(), static_cast<size_t>(bytes.size())), peer, 0, ignored);
     }
+    toldAt_ = options_.clock();
+    isTellingSoon_ = false;
     timer_.callAfter(options_.leastInterval + options_.intervalPerPeer * static_cast<int64_t>(peers_.size()));
 }
 
+void UsageExchange::tellSoon()
+{
+    if (std::exchange(isTellingSoon_, true))
+        return;
+    const Millis earliest = toldAt_ + options_.soonInterval + options_.soonIntervalPerPeer * static_cast<int64_t>(peers_.size());
+    timer_.callAfter(std::max(Millis(0), earliest - options_.clock()));
+}
+
 void UsageExchange::receive()
 {
     socket_.async_wait(asio::ip::udp::socket::wait_read, [this](const error_code& error) {
@@ -103,7 +113,7 @@
         if (row.isSuspect)
             options_.onSuspect(row.target);
         else
-            usage.running[row.target] += row.running;
+            usage.uses[row.target] = { .running = row.running, .promptMs = row.promptMs };
     }
     options_.onUsage(message->node, std::move(usage));
 }
--- a/packages/gateway/UsageExchange.h
+++ b/packages/gateway/UsageExchange.h
@@ -18,19 +18,20 @@
 // One target in a datagram.
 struct UsageRow {
     uint32_t target = 0; // hashTarget() of its id
-    uint32_t running = 0;
+    uint32_t running = 0; // requests
+    uint32_t promptMs = 0; // ms, until their prompts are read
     bool isSuspect = false; // it gave no answer just now
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(target, running, isSuspect);
+        archive(target, running, promptMs, isSuspect);
     }
     auto operator<=>(const UsageRow&) const = default;
 };
 
 struct UsageMessage {
-    static constexpr uint32_t currentFormat = 1;
+    static constexpr uint32_t currentFormat = 2;
     static constexpr uint32_t maxNameBytes = 200;
     static constexpr uint32_t maxRows = 4000;
 
@@ -55,7 +56,9 @@
         Endpoint address; // UDP, of this node
         Millis leastInterval { 60 }; // ms between two tellings
         Millis intervalPerPeer { 5 }; // ms more for each other node: datagrams a second stay bounded
-        std::function<std::map<uint32_t, uint32_t>()> ownUsage;
+        Millis soonInterval { 10 }; // ms, at least, before an early telling
+        Millis soonIntervalPerPeer { 1 }; // ms more for each other node
+        std::function<std::map<uint32_t, TargetUse>()> ownUsage;
         std::function<void(const std::string& node, PeerUsage)> onUsage;
         std::function<void(uint32_t target)> onSuspect; // another node got no answer from it
     };
@@ -70,6 +73,9 @@
     // Tells of a target that gave no answer, in the next message.
     void addSuspect(uint32_t target) { suspects_.insert(target); }
 
+    // Tells sooner than at the next regular time, of something that others should know at once.
+    void tellSoon();
+
 private:
     void tell();
     void receive();
@@ -84,6 +90,8 @@
     std::map<std::string, uint64_t> lastSequence_; // by node
     std::set<uint32_t> suspects_;
     uint64_t sequence_ = 0;
+    Millis toldAt_ { 0 };
+    bool isTellingSoon_ = false;
 };
 
 } // namespace hemlockweir
--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -1,7 +1,5 @@
 #include "proxy/Dispatcher.h"
 
-#include "base/StableHash.h"
-
 #include <algorithm>
 #include <cmath>
 #include <glog/logging.h>
@@ -15,8 +13,6 @@
 static constexpr uint32_t mostDoublings = 2;
 // The weight of the newest interval in the average rate of starts.
 static constexpr double newIntervalWeight = 0.1;
-// A target in another failure domain must be this much freer (part of its places) to be taken.
-static constexpr double domainAdvantage = 0.05;
 
 std::string_view refusalReasonName(RefusalReason reason)
 {
@@ -31,47 +27,6 @@
     return "unknown";
 }
 
-uint32_t hashTarget(const std::string& targetId)
-{
-    const uint64_t hash = extendStableHash(stableHashStart, targetId);
-    return static_cast<uint32_t>(hash ^ (hash >> 32));
-}
-
-size_t sampleSize(size_t freeTargets, size_t nodes)
-{
-    constexpr size_t least = 3;
-    return std::max(least, freeTargets / std::max<size_t>(1, nodes));
-}
-
-// Whether a target can take one more request of the ticket.
-static bool isFreeFor(const TargetLoad& load, const Ticket& ticket, Millis now)
-{
-    if (load.suspectUntil > now || ticket.avoid.count(load.target.id) > 0)
-        return false;
-    // One that failed is tried with a single request before it gets more.
-    const double slots = load.failures > 0 ? 1 : std::max<uint32_t>(1, load.target.slots);
-    return load.used() + 1 <= slots + 0.5;
-}
-
-const TargetLoad* chooseTarget(const std::vector<const TargetLoad*>& loads, const Ticket& ticket, const std::string& ownDomain, Millis now, size_t nodes, const Random& random)
-{
-    std::vector<const TargetLoad*> free;
-    std::copy_if(loads.begin(), loads.end(), std::back_inserter(free), [&](const TargetLoad* load) { return isFreeFor(*load, ticket, now); });
-    const TargetLoad* best = nullptr;
-    double bestUse = 0;
-    const size_t samples = std::min(free.size(), sampleSize(free.size(), nodes));
-    for (size_t i = 0; i < samples; ++i) {
-        std::swap(free[i], free[i + random() % (free.size() - i)]);
-        const TargetLoad* load = free[i];
-        const double use = load->used() / std::max<uint32_t>(1, load->target.slots) + (load->target.domain == ownDomain ? 0 : domainAdvantage);
-        if (!best || use < bestUse) {
-            best = load;
-            bestUse = use;
-        }
-    }
-    return best;
-}
-
 Dispatcher::Dispatcher(Options options)
     : options_(std::move(options))
 {
@@ -116,21 +71,28 @@
     for (auto& [id, load] : loads_) {
         const uint32_t hash = hashTarget(id);
         double others = 0;
+        double promptMs = 0;
         for (const auto& [node, peer] : peers_) {
-            const auto found = peer.running.find(hash);
-            others += found == peer.running.end() ? 0 : found->second;
+            const auto found = peer.uses.find(hash);
+            if (found == peer.uses.end())
+                continue;
+            others += found->second.running;
+            // What a peer told has been read in part since.
+            promptMs += std::max(0.0, found->second.promptMs - static_cast<double>((now - peer.heardAt).count()));
         }
         load.others = others;
         load.othersKnownAt = now;
+        load.othersPromptsReadAt = static_cast<double>(now.count()) + promptMs;
     }
 }
 
-std::map<uint32_t, uint32_t> Dispatcher::ownUsage() const
+std::map<uint32_t, TargetUse> Dispatcher::ownUsage() const
 {
-    std::map<uint32_t, uint32_t> usage;
+    const auto now = static_cast<double>(options_.clock().count());
+    std::map<uint32_t, TargetUse> usage;
     for (const auto& [id, load] : loads_) {
         if (load.running > 0)
-            usage.emplace(hashTarget(id), load.running);
+            usage.emplace(hashTarget(id), TargetUse { .running = load.running, .promptMs = static_cast<uint32_t>(std::max(0.0, load.promptsReadAt - now)) });
     }
     return usage;
 }
@@ -218,7 +180,11 @@
 {
     ++load.running;
     const Target target = load.target;
+    const double promptMs = target.promptMs(ticket.promptTokens);
+    load.promptsReadAt = std::max(load.promptsReadAt, static_cast<double>(options_.clock().count())) + promptMs;
     ticket.onPlaced(target);
+    if (promptMs > longPromptMs && options_.onLongPrompt)
+        options_.onLongPrompt();
 }
 
 void Dispatcher::refuse(Ticket ticket, RefusalReason reason, size_t waitingBefore)
--- a/packages/proxy/Dispatcher.h
+++ b/packages/proxy/Dispatcher.h
@@ -1,13 +1,9 @@
 #pragma once
 
 #include "base/Clock.h"
-#include "proxy/Target.h"
+#include "proxy/Placement.h"
 
-#include <functional>
 #include <list>
-#include <map>
-#include <memory>
-#include <set>
 
 // Decides where a request runs, how long it waits and when it is refused. Requests wait here and
 // not in an endpoint's queue, so that the most urgent goes first and one that can't be on time yields
@@ -15,66 +11,6 @@
 
 namespace hemlockweir {
 
-// Why a request was refused.
-enum class RefusalReason : uint8_t {
-    NoTarget, // no endpoint or replica can serve it now
-    QueueTooLong, // more work waits before it than can start in time
-    WaitedTooLong, // its turn did not come in time
-};
-
-std::string_view refusalReasonName(RefusalReason reason);
-
-struct PlaceRefusal {
-    RefusalReason reason = RefusalReason::NoTarget;
-    Millis retryAfter { 0 }; // ms, until a place is likely
-    size_t waitingBefore = 0; // requests that go before it
-    size_t targets = 0; // that could serve it
-};
-
-// A request that wants a place.
-struct Ticket {
-    uint64_t id = 0;
-    std::string service;
-    std::string model; // empty: a plain endpoint
-    int priority = 5; // 0 is most urgent
-    Millis arrivedAt { 0 };
-    Millis objectiveAt { 0 }; // its answer is on time until then
-    Millis giveUpAt { 0 }; // an answer is of no use after that
-    bool isBegun = false; // its answer has begun: it waits for a place as long as an answer is of use
-    std::set<std::string> avoid; // endpoints that failed it
-    std::function<void(const Target&)> onPlaced;
-    std::function<void(const PlaceRefusal&)> onRefused;
-};
-
-// One target with what is known of its load.
-struct TargetLoad {
-    Target target;
-    uint32_t running = 0; // requests of this node
-    double others = 0; // requests of other nodes, estimated
-    Millis othersKnownAt { 0 };
-    Millis suspectUntil { 0 }; // nothing is placed there before
-    uint32_t failures = 0; // in a row
-
-    double used() const { return running + others; }
-};
-
-// What another node says it runs on each target, by the target's name hash.
-struct PeerUsage {
-    std::map<uint32_t, uint32_t> running;
-    Millis heardAt { 0 };
-};
-
-// The short name of a target between nodes.
-uint32_t hashTarget(const std::string& targetId);
-
-// How many of the free targets are compared for one request. All nodes see the same picture for a
-// moment: if each took the best of all, they would meet there.
-size_t sampleSize(size_t freeTargets, size_t nodes);
-
-// The target for a ticket: of some drawn by chance, the one with the largest free part, in the own
-// domain if it is as free. Null if none has a free place, or all failed the ticket.
-const TargetLoad* chooseTarget(const std::vector<const TargetLoad*>& loads, const Ticket& ticket, const std::string& ownDomain, Millis now, size_t nodes, const Random& random);
-
 class Dispatcher {
 public:
     struct Options {
@@ -87,6 +23,7 @@
         double lateFactor = 2.0; // objectives that a request may wait for its place
         size_t maxWaiting = 400; // requests that wait for one model
         std::function<void(const Target&)> onSuspect; // a target gave no answer
+        std::function<void()> onLongPrompt; // one was placed, which other nodes should know at once
     };
 
     explicit Dispatcher(Options options);
@@ -117,7 +54,7 @@
     void notePeer(const std::string& node, PeerUsage usage);
 
     // What this node runs, by target.
-    std::map<uint32_t, uint32_t> ownUsage() const;
+    std::map<uint32_t, TargetUse> ownUsage() const;
 
     // Places what can be placed, refuses what waited too long. Call at regular times.
     void tick();
--- a/packages/proxy/ForwardedHeaders.cpp
+++ b/packages/proxy/ForwardedHeaders.cpp
@@ -44,4 +44,12 @@
     return load;
 }
 
+uint32_t parsePromptTokens(std::string_view text)
+{
+    uint32_t tokens = 0;
+    const size_t comma = text.find(',');
+    const bool isNumber = comma != std::string_view::npos && absl::SimpleAtoi(std::string(text.substr(0, comma)), &tokens);
+    return isNumber ? tokens : 0;
+}
+
 } // namespace hemlockweir
--- a/packages/proxy/ForwardedHeaders.h
+++ b/packages/proxy/ForwardedHeaders.h
@@ -21,4 +21,7 @@
 // Reads "RUNNING,WAITING,SLOTS"; nullopt for anything else.
 std::optional<EndpointLoad> parseLoad(std::string_view text);
 
+// Tokens of the prompt in "PROMPT,MOST_OF_THE_ANSWER"; 0 for anything else.
+uint32_t parsePromptTokens(std::string_view text);
+
 } // namespace hemlockweir
--- a/packages/proxy/ProxyConfiguration.cpp
+++ b/packages/proxy/ProxyConfiguration.cpp
@@ -6,6 +6,16 @@
 
 namespace hemlockweir {
 
+double EngineProfile::promptMsPerToken(const ReplicaModel& model) const
+{
+    return promptTokensPerMs > 0 ? model.pace / promptTokensPerMs : 0;
+}
+
+double EngineProfile::fullPassMs(const ReplicaModel& model) const
+{
+    return stepsPerPass * (stepMs + stepMsPerRequest * slots) * model.pace;
+}
+
 const ReplicaModel* EngineProfile::findModel(std::string_view name) const
 {
     const auto found = std::find_if(models.begin(), models.end(), [&](const ReplicaModel& model) { return model.name == name; });
--- a/packages/proxy/ProxyConfiguration.h
+++ b/packages/proxy/ProxyConfiguration.h
@@ -68,6 +68,14 @@
     double loadsPerSecond = 1; // loads that may start, over all engines
     size_t loadsAtOnce = 1; // loads beyond which all get slower
     size_t copiesKept = 1; // models that a host keeps
+    double promptTokensPerMs = 0; // read of a prompt in a ms, at pace 1; 0: not known
+    double stepMs = 0; // ms a token of each request, at pace 1
+    double stepMsPerRequest = 0; // ms more for each request in the batch
+    uint32_t stepsPerPass = 1; // tokens of each request between two events
+
+    // Times of a replica of the model, ms; 0 when the configuration does not say.
+    double promptMsPerToken(const ReplicaModel& model) const;
+    double fullPassMs(const ReplicaModel& model) const;
 
     const ReplicaModel* findModel(std::string_view name) const;
 
--- a/packages/proxy/ProxyContext.h
+++ b/packages/proxy/ProxyContext.h
@@ -21,6 +21,7 @@
     std::string load; // running, waiting and slots of an endpoint
     std::string notRun; // the endpoint did not run the request
     std::string model;
+    std::string tokenCounts; // tokens of the prompt, and most tokens of the answer
     std::string urgency; // towards the engine, 0 is first
     std::string lastEventId; // the event after which a stream goes on
 };
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -1,12 +1,12 @@
 #include "proxy/ProxyFlow.h"
 
 #include "proxy/ForwardedHeaders.h"
+#include "proxy/ForwardedRequest.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 #include <algorithm>
-#include <array>
 
 namespace hemlockweir {
 
@@ -45,6 +45,7 @@
 void ProxyFlow::start()
 {
     requestId_ = std::string(requestHeader(context_.headers.requestId));
+    times_.startedAt = options_.request.startedAt;
     options_.caller->onCallerGone = [self = weak_from_this()] {
         if (const auto flow = self.lock())
             flow->cancel();
@@ -115,17 +116,21 @@
         .giveUpAt = giveUpAt_,
         .isBegun = isHeadSent_,
         .avoid = avoid_,
+        .promptTokens = parsePromptTokens(requestHeader(context_.headers.tokenCounts)),
+        .gapTarget = route_.gapTarget,
     };
     const auto self = shared_from_this();
     ticket.onPlaced = [self](const Target& target) { self->takePlace(target); };
     ticket.onRefused = [self](const PlaceRefusal& refusal) { self->takeRefusal(refusal); };
     isWaiting_ = true;
+    times_.startWaiting(context_.clock());
     context_.dispatcher.submit(std::move(ticket));
 }
 
 void ProxyFlow::takeRefusal(const PlaceRefusal& refusal)
 {
     isWaiting_ = false;
+    times_.stopWaiting(context_.clock());
     if (isDone_)
         return;
     const bool mayHaveRun = runState_ == RunState::MayHaveRun;
@@ -139,12 +144,14 @@
 void ProxyFlow::takePlace(const Target& target)
 {
     isWaiting_ = false;
+    const Millis now = context_.clock();
+    times_.stopWaiting(now);
     if (isDone_) {
         context_.dispatcher.release(target.id);
         return;
     }
-    const Millis now = context_.clock();
     attempt_.emplace(Attempt { .target = target, .sentAt = now, .heardAt = now });
+    lastTarget_ = target.id;
     ++sends_;
     const auto self = shared_from_this();
     // A kept connection may be dead without a sign: what must not run twice goes out on a new one.
@@ -159,31 +166,15 @@
 
 std::string ProxyFlow::formatRequest(const Target& target) const
 {
-    const ProxyHeaders& names = context_.headers;
-    const auto isReplaced = [&](std::string_view name) {
-        const std::array<std::string_view, 6> replaced { names.deadline, names.key, names.organisation, names.expectEndpoint, names.urgency, "Expect" };
-        return std::any_of(replaced.begin(), replaced.end(), [name](std::string_view other) { return isSameHeaderName(name, other); });
-    };
-    const ServerRequest& request = options_.request;
-    const bool goesOn = sends_ > 1 && cutter_.lastId();
-    std::string text = absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\n");
-    for (const HeaderLine& header : dropConnectionHeaders(request.headers)) {
-        const bool isOldEvent = goesOn && isSameHeaderName(header.name, names.lastEventId);
-        if (!isReplaced(header.name) && !isOldEvent)
-            absl::StrAppend(&text, header.name, ": ", header.value, "\r\n");
-    }
-    if (goesOn)
-        absl::StrAppend(&text, names.lastEventId, ": ", *cutter_.lastId(), "\r\n");
-    const Millis left = std::max(Millis(1), giveUpAt_ - context_.clock());
-    absl::StrAppend(&text, names.deadline, ": ", left.count(), "\r\n");
-    absl::StrAppend(&text, names.expectEndpoint, ": ", target.id, "\r\n");
-    if (!organisation_.empty())
-        absl::StrAppend(&text, names.organisation, ": ", organisation_, "\r\n");
-    if (!model_.empty())
-        absl::StrAppend(&text, names.urgency, ": ", std::clamp(priority_, 0, 9), "\r\n");
-    if (!request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH")
-        absl::StrAppend(&text, "Content-Length: ", request.body.size(), "\r\n");
-    return absl::StrCat(text, "\r\n", request.body);
+    return formatForwardedRequest(context_.headers,
+        {
+            .request = options_.request,
+            .endpoint = target.id,
+            .timeLeft = giveUpAt_ - context_.clock(),
+            .organisation = organisation_,
+            .urgency = model_.empty() ? std::nullopt : std::optional<int>(priority_),
+            .lastEvent = sends_ > 1 ? cutter_.lastId() : std::nullopt,
+        });
 }
 
 bool ProxyFlow::isStreaming() const
@@ -272,7 +263,7 @@
         return;
     // Too large to hold: from here on it goes through as it comes.
     isHeadSent_ = true;
-    firstByteAt_ = context_.clock();
+    times_.firstByteAt = context_.clock();
     options_.caller->startAnswer(attempt_->head->status, dropConnectionHeaders(attempt_->head->headers), attempt_->head->bodyLength);
     options_.caller->sendBody(std::exchange(attempt_->body, {}));
 }
@@ -280,9 +271,9 @@
 void ProxyFlow::startStream(const ResponseHead& head)
 {
     isHeadSent_ = true;
-    firstByteAt_ = context_.clock();
+    times_.firstByteAt = context_.clock();
     if (attempt_)
-        context_.dispatcher.noteFirstByte(service_, model_, firstByteAt_ - attempt_->sentAt);
+        context_.dispatcher.noteFirstByte(service_, model_, times_.firstByteAt - attempt_->sentAt);
     options_.caller->startAnswer(head.status, dropConnectionHeaders(head.headers), std::nullopt);
 }
 
@@ -292,6 +283,7 @@
         return;
     if (!isHeadSent_)
         startStream(*attempt_->head);
+    times_.noteEvent(context_.clock());
     options_.caller->sendBody(event);
     if (options_.caller->unsentBytes() <= maxUnsentBytes)
         return;
@@ -335,14 +327,13 @@
     } else if (isHeadSent_) {
         options_.caller->finishAnswer();
     } else {
-        firstByteAt_ = context_.clock();
+        times_.firstByteAt = context_.clock();
         options_.caller->answer(head.status, dropConnectionHeaders(head.headers), attempt.body);
     }
-    const bool isLate = route_.objective.count() > 0 && firstByteAt_ - options_.request.startedAt > route_.objective;
     if (head.status / 100 != 2)
         finish("failed", "endpoint_error");
     else
-        finish(isLate ? "late" : "served", "");
+        finish(times_.isLate(route_) ? "late" : "served", "");
 }
 
 // Lets go of the attempt: its connection goes back to the pool if its answer is whole, or is closed,
@@ -496,7 +487,7 @@
     isDone_ = true;
     const Millis now = context_.clock();
     const Millis total = now - options_.request.startedAt;
-    const Millis firstByte = firstByteAt_.count() > 0 ? firstByteAt_ - options_.request.startedAt : total;
+    const Millis firstByte = times_.firstByte(now);
     context_.metrics.countRequest(organisation_, priority_, end, std::string(reason));
     const bool isServed = end == "served" || end == "late";
     if (isServed)
@@ -504,7 +495,8 @@
     const std::string version = options_.routes ? std::to_string(options_.routes->configuration().version) : "none";
     const auto fields = { LogField { "request", requestId_ }, LogField { "organisation", organisation_ }, LogField { "route", route_.name }, LogField { "end", end },
         LogField { "reason", std::string(reason) }, LogField { "first_byte_ms", std::to_string(firstByte.count()) }, LogField { "total_ms", std::to_string(total.count()) },
-        LogField { "sends", std::to_string(sends_) }, LogField { "config_version", version } };
+        LogField { "waited_ms", std::to_string(times_.waited.count()) }, LogField { "longest_gap_ms", std::to_string(times_.longestGap.count()) },
+        LogField { "sends", std::to_string(sends_) }, LogField { "endpoint", lastTarget_ }, LogField { "config_version", version } };
     if (isServed)
         context_.log.note("request_done", fields);
     else
--- a/packages/proxy/ProxyFlow.h
+++ b/packages/proxy/ProxyFlow.h
@@ -3,6 +3,7 @@
 #include "http/ServerConnection.h"
 #include "proxy/EventCutter.h"
 #include "proxy/ProxyContext.h"
+#include "proxy/RequestTimes.h"
 
 // One request on its way: finds its route, waits for a place, is sent to an endpoint, perhaps to
 // another, and ends with exactly one answer or with its caller's close.
@@ -85,8 +86,9 @@
     Route route_;
     int priority_ = 5;
     Millis giveUpAt_ { 0 };
-    Millis firstByteAt_ { 0 }; // to the caller; 0: none yet
+    RequestTimes times_;
     std::optional<Attempt> attempt_;
+    std::string lastTarget_; // endpoint that it was sent to last
     std::set<std::string> avoid_;
     EventCutter cutter_;
     RunState runState_ = RunState::NotRun;
--- /dev/null
+++ b/packages/proxy/RequestTimes.cpp
@@ -0,0 +1,38 @@
+#include "proxy/RequestTimes.h"
+
+#include <algorithm>
+
+namespace hemlockweir {
+
+void RequestTimes::startWaiting(Millis now)
+{
+    waitingSince = now;
+}
+
+void RequestTimes::stopWaiting(Millis now)
+{
+    if (waitingSince.count() > 0)
+        waited += now - waitingSince;
+    waitingSince = Millis(0);
+}
+
+void RequestTimes::noteEvent(Millis now)
+{
+    if (lastEventAt.count() > 0)
+        longestGap = std::max(longestGap, now - lastEventAt);
+    lastEventAt = now;
+}
+
+Millis RequestTimes::firstByte(Millis now) const
+{
+    return (firstByteAt.count() > 0 ? firstByteAt : now) - startedAt;
+}
+
+bool RequestTimes::isLate(const Route& route) const
+{
+    const bool beganLate = route.objective.count() > 0 && firstByteAt - startedAt > route.objective;
+    const bool paused = route.gapTarget.count() > 0 && longestGap > route.gapTarget;
+    return beganLate || paused;
+}
+
+} // namespace hemlockweir
--- a/packages/proxy/Target.cpp
+++ b/packages/proxy/Target.cpp
@@ -22,6 +22,10 @@
                 continue;
             target.model = endpoint.model;
             target.slots = service.engines->slots;
+            if (const ReplicaModel* model = service.engines->findModel(endpoint.model)) {
+                target.promptMsPerToken = service.engines->promptMsPerToken(*model);
+                target.passMs = service.engines->fullPassMs(*model);
+            }
         }
         targets.push_back(std::move(target));
     }
--- a/packages/replicas/ReplicaPlanner.cpp
+++ b/packages/replicas/ReplicaPlanner.cpp
@@ -10,6 +10,8 @@
 static constexpr Millis formingSlack { 12000 };
 // A load that takes so many times its usual time has failed.
 static constexpr int slowestLoad = 2;
+// Low bits of an epoch, which count within a term; no term lasts for a million groups.
+static constexpr int epochCountBits = 20;
 
 bool ReplicaView::isWhole() const
 {
@@ -63,6 +65,12 @@
     rememberPlans();
 }
 
+void ReplicaPlanner::setTerm(uint64_t term)
+{
+    term_ = term;
+    lastEpoch_ = std::max(lastEpoch_, term << epochCountBits);
+}
+
 bool ReplicaPlanner::noteProbe(const std::string& engine, bool isAlive)
 {
     const auto found = engines_.find(engine);
--- a/packages/replicas/ReplicaPlanner.h
+++ b/packages/replicas/ReplicaPlanner.h
@@ -58,9 +58,10 @@
     // Notes whether an engine answered; true if that is news.
     bool noteProbe(const std::string& engine, bool isAlive);
 
-    // Marks the groups that it forms as this planner's: two planners that use one epoch in the same moment
-    // must not make a group of members that each of them chose.
-    void setTerm(uint64_t term) { term_ = term; }
+    // Takes the planner's term, which rises with each change of planner. Group names carry it, so that two
+    // planners never make one group of members that each of them chose. Epochs begin with it: an order of an
+    // earlier planner that is carried out late is below all epochs of this one, and engines refuse it.
+    void setTerm(uint64_t term);
 
     // Whether requests were served since the start: from then on loads cost time and rate.
     void noteTraffic() { hasTraffic_ = true; }
--- a/tests/FollowersTest.cpp
+++ b/tests/FollowersTest.cpp
@@ -164,10 +164,17 @@
 {
     const auto first = makeNode("n1", roles_);
     waitUntil([&] { return first->isPlanner(); });
-    const Millis before = clock_();
     store_.setDown(true);
-    waitUntil([&] { return !first->isPlanner(); });
-    EXPECT_LT(clock_() - before, Millis(1000)); // the lease
+    const Millis leaseEnd = store_.lastLeaseEnd();
+    Millis lastPlanned { 0 };
+    waitUntil([&] {
+        const Millis now = clock_();
+        if (!first->isPlanner())
+            return true;
+        lastPlanned = now;
+        return false;
+    });
+    EXPECT_LT(lastPlanned, leaseEnd);
     store_.setDown(false);
     waitUntil([&] { return first->isPlanner(); });
 }
--- a/tests/ProxyFlowTest.cpp
+++ b/tests/ProxyFlowTest.cpp
@@ -19,6 +19,7 @@
     .load = "Test-Load",
     .notRun = "Test-Not-Run",
     .model = "Test-Model",
+    .tokenCounts = "Test-Tokens",
     .urgency = "Test-Urgency",
     .lastEventId = "Last-Event-Id",
 };
--- a/tests/ReplicaPlannerTest.cpp
+++ b/tests/ReplicaPlannerTest.cpp
@@ -275,6 +275,35 @@
         EXPECT_EQ(names.count(name), 0U) << name;
 }
 
+// An order of the last planner may be carried out seconds later. Engines refuse it by its epoch alone.
+TEST_F(PlannerTest, OrdersOfAnEarlierPlannerNeverReachTheEpochsOfItsSuccessor)
+{
+    constexpr int ordersOfTheEarlier = 50;
+    ReplicaPlanner earlier({ .clock = [this] { return now_; } });
+    earlier.setTerm(7);
+    planner_.setTerm(8);
+    addEngines("f1", 10);
+    std::vector<EndpointInfo> list;
+    for (const auto& [id, engine] : engines_)
+        list.push_back(engine);
+    uint64_t lastOfTheEarlier = 0;
+    // Its orders take no effect that anyone sees, so it forms anew again and again.
+    for (int round = 0; round < ordersOfTheEarlier; ++round) {
+        earlier.setEngines(list, profile_, true);
+        now_ += Millis(2000);
+        for (const EngineOrder& order : earlier.plan())
+            lastOfTheEarlier = std::max(lastOfTheEarlier, order.epoch);
+    }
+    settle();
+    ASSERT_GT(lastOfTheEarlier, 0U);
+    const auto isJoin = [](const EngineOrder& order) { return order.kind == EngineOrderKind::Join; };
+    ASSERT_TRUE(std::any_of(given_.begin(), given_.end(), isJoin));
+    for (const EngineOrder& order : given_) {
+        if (isJoin(order))
+            EXPECT_GT(order.epoch, lastOfTheEarlier);
+    }
+}
+
 TEST_F(PlannerTest, ReplicaWithALeavingMemberIsClosedBeforeItsMembersLeave)
 {
     addEngines("f1", 10);
--- a/tests/support/FakeKvStore.h
+++ b/tests/support/FakeKvStore.h
@@ -34,6 +34,9 @@
 
     size_t calls() const { return calls_; }
 
+    // When the lease that was granted last ends unless it is renewed.
+    Millis lastLeaseEnd() const { return leases_.at(lastLease_).endsAt; }
+
 private:
     struct Lease {
         Millis ttl { 0 };
