Keep the last places for work that can be on time; load copies where one brings most engines into service

Late work took freed places for a second each, and nodes met on the last places with a picture up to 210 ms old. Ruled out: a shorter patience alone (refuses more, order stays); m1 pairs across fabric domains (2.5 times slower is late). Change: late work takes at most 85 in 100 of a target's places and is refused once it can't be on time and no such place is free, with a return after the overload; contended places are told at once; peers' use is updated by message instead of anew. A copy is valued by the engines that it brings into service, a quarter of the loads is kept for those that complete a replica, half a replica of survivors is kept for its model, more copies of the large model are loaded before the traffic. An unlisted member whose head is listed is asked whether it lives. Tests not yet run on this commit.

--- a/packages/gateway/EngineOrders.cpp
+++ b/packages/gateway/EngineOrders.cpp
@@ -34,7 +34,11 @@
 void EngineOrders::probe(const EndpointInfo& engine)
 {
     callServer(context_, pool_, { .address = engine.address, .port = engine.port, .request = adapter_.formatReportRequest(engine.address, engine.port), .timeout = options_.probeTimeout, .mayReuse = false },
-        [this, id = engine.id](const absl::StatusOr<CallAnswer>& answer) { options_.onProbed(id, answer.ok()); });
+        [this, id = engine.id, bornMs = engine.bornMs](const absl::StatusOr<CallAnswer>& answer) {
+            // Another engine may have come to the address since.
+            const bool isSame = answer.ok() && adapter_.readReportBorn(answer->body).value_or(bornMs) == bornMs;
+            options_.onProbed(id, isSame);
+        });
 }
 
 } // namespace hemlockweir
--- a/packages/gateway/EngineOrders.h
+++ b/packages/gateway/EngineOrders.h
@@ -23,7 +23,7 @@
 
     void send(const EngineOrder& order);
 
-    // Asks an engine for its report; any answer means that it lives.
+    // Asks an engine for its report; it lives if that is of the same start as its entry.
     void probe(const EndpointInfo& engine);
 
     void sweep() { pool_.sweep(); }
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -32,7 +32,7 @@
     , random_(makeSystemRandom())
     , log_({ .clock = clock_ })
     , adapter_(makeAdapter(context, settings_, clock_, log_))
-    , dispatcher_({ .clock = clock_, .random = random_, .domain = settings_.domain, .onSuspect = [this](const Target& target) { takeSuspect(target); }, .onLongPrompt = [this] { usage_.tellSoon(); } })
+    , dispatcher_({ .clock = clock_, .random = random_, .domain = settings_.domain, .onSuspect = [this](const Target& target) { takeSuspect(target); }, .onUseChanged = [this] { usage_.tellSoon(); } })
     , pool_(context, { .clock = clock_ })
     , retries_({ .clock = clock_, .window = settings_.retryWindow, .perRequest = settings_.retriesPerRequest, .allowance = settings_.retryAllowance })
     , shared_ { .clock = clock_, .random = random_, .headers = adapter_.headers, .dispatcher = dispatcher_, .pool = pool_, .retries = retries_, .log = log_, .metrics = metrics_ }
@@ -197,7 +197,7 @@
             continue;
         std::vector<EndpointInfo> engines;
         std::copy_if(endpoints_.endpoints().begin(), endpoints_.endpoints().end(), std::back_inserter(engines), [&](const EndpointInfo& endpoint) { return endpoint.service == name; });
-        planner.setEngines(engines, *service->engines, true);
+        planner.setEngines(engines, *service->engines);
         if (proxy_.hasServed() || !settings_.isFirstStart)
             planner.noteTraffic();
         planner.setTerm(presence_.term());
@@ -223,7 +223,7 @@
         absl::StrAppend(&text, text.empty() ? "" : ";", model, ":", count.first, "+", count.second);
     if (std::exchange(toldReplicas_[service], text) == text)
         return;
-    log_.noteChange("replicas", { { "service", service }, { "open_and_other", text }, { "idle_engines", std::to_string(planner.countIdle()) }, { "list_age_ms", std::to_string((clock_() - endpoints_.readAt()).count()) } });
+    log_.noteChange("replicas", { { "service", service }, { "open_and_other", text }, { "idle_engines", std::to_string(planner.countIdle()) }, { "idle_loading", std::to_string(planner.countLoadingIdle()) }, { "list_age_ms", std::to_string((clock_() - endpoints_.readAt()).count()) } });
 }
 
 void Gateway::requestPlan()
@@ -271,6 +271,17 @@
     }
 }
 
+// An engine may be cut off from the platform and live, or be listed and dead.
+void Gateway::probeDoubtful()
+{
+    if (!presence_.isPlanner())
+        return;
+    for (const auto& [name, planner] : planners_) {
+        for (const EndpointInfo& engine : planner.findDoubtful())
+            orders_.probe(engine);
+    }
+}
+
 void Gateway::takeProbe(const std::string& engine, bool isAlive)
 {
     bool isNews = false;
@@ -304,6 +315,7 @@
     const auto connections = controlConnections_;
     for (const auto& connection : connections)
         connection->checkTimeouts();
+    probeDoubtful();
     updateListPause();
     usage_.setPeers(presence_.peers());
     std::erase_if(probedAt_, [this](const auto& entry) { return clock_() - entry.second > sweepInterval * 10; });
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -44,6 +44,7 @@
     void takeRole(bool isPlanner, uint64_t term);
     void takeSuspect(const Target& target);
     void takePeerSuspect(uint32_t target);
+    void probeDoubtful();
     void probeReplica(const std::string& service, const std::string& head);
     void takeOrderResult(const EngineOrder& order, OrderResult result);
     void takeProbe(const std::string& engine, bool isAlive);
--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -13,6 +13,8 @@
 static constexpr uint32_t mostDoublings = 2;
 // The weight of the newest interval in the average rate of starts.
 static constexpr double newIntervalWeight = 0.1;
+// The part of a target's places from which on nodes contend for the rest.
+static constexpr double contendedUse = 0.75;
 
 std::string_view refusalReasonName(RefusalReason reason)
 {
@@ -49,13 +51,50 @@
         load.target = target;
         loads_[target.id] = std::move(load);
     }
+    loadsByHash_.clear();
+    for (auto& [id, load] : loads_)
+        loadsByHash_[hashTarget(id)] = &load;
+    if (!peers_.empty())
+        updateOthers();
     tick();
 }
 
+// What a peer told so long ago has been read in part since.
+static double promptMsLeft(const TargetUse& use, Millis age)
+{
+    return std::max(0.0, use.promptMs - static_cast<double>(age.count()));
+}
+
+void Dispatcher::replaceUse(uint32_t hash, const TargetUse& before, Millis heardBefore, const TargetUse& after)
+{
+    const auto found = loadsByHash_.find(hash);
+    if (found == loadsByHash_.end())
+        return;
+    TargetLoad& load = *found->second;
+    const Millis now = options_.clock();
+    load.others = std::max(0.0, load.others + after.running - before.running);
+    load.othersKnownAt = now;
+    load.othersPromptsReadAt = std::max(load.othersPromptsReadAt, static_cast<double>(now.count())) + after.promptMs - promptMsLeft(before, now - heardBefore);
+}
+
+// One message changes what one node runs: only the targets that it names or named are looked at.
 void Dispatcher::notePeer(const std::string& node, PeerUsage usage)
 {
-    peers_.insert_or_assign(node, std::move(usage));
-    updateOthers();
+    if (peers_.empty()) {
+        peers_.insert_or_assign(node, std::move(usage));
+        updateOthers();
+        return;
+    }
+    PeerUsage& before = peers_[node];
+    for (const auto& [hash, use] : before.uses) {
+        const auto after = usage.uses.find(hash);
+        replaceUse(hash, use, before.heardAt, after == usage.uses.end() ? TargetUse {} : after->second);
+    }
+    for (const auto& [hash, use] : usage.uses) {
+        if (before.uses.count(hash) == 0)
+            replaceUse(hash, {}, usage.heardAt, use);
+    }
+    before = std::move(usage);
 }
 
 void Dispatcher::forgetSilentPeers()
@@ -77,8 +116,7 @@
             if (found == peer.uses.end())
                 continue;
             others += found->second.running;
-            // What a peer told has been read in part since.
-            promptMs += std::max(0.0, found->second.promptMs - static_cast<double>((now - peer.heardAt).count()));
+            promptMs += promptMsLeft(found->second, now - peer.heardAt);
         }
         load.others = others;
         load.othersKnownAt = now;
@@ -135,7 +173,7 @@
         return;
     }
     const size_t before = countBefore(queue, ticket);
-    const double seconds = std::chrono::duration<double>(latestStart(ticket) - options_.clock()).count();
+    const double seconds = std::chrono::duration<double>(latestStart(queue, ticket) - options_.clock()).count();
     // The rate is known once places have been waited for; until then the queue may grow.
     const bool isHopeless = queue.startsPerSecond > 0 && static_cast<double>(before) > queue.startsPerSecond * std::max(0.0, seconds);
     if (!ticket.isBegun && (isHopeless || queue.waiting.size() >= options_.maxWaiting)) {
@@ -164,11 +202,12 @@
 {
     const Millis now = options_.clock();
     for (auto& [id, load] : loads_) {
-        if (load.othersKnownAt == now)
+        if (load.othersKnownAt == now || !peers_.empty())
             continue;
         load.others = othersNow(load);
         load.othersKnownAt = now;
     }
+    ticket.isLate = !ticket.isBegun && isLate(queues_[{ ticket.service, ticket.model }], ticket);
     const TargetLoad* chosen = chooseTarget(loadsFor(ticket.service, ticket.model), ticket, options_.domain, now, peers_.size() + 1, options_.random);
     if (!chosen)
         return false;
@@ -182,20 +221,40 @@
     const Target target = load.target;
     const double promptMs = target.promptMs(ticket.promptTokens);
     load.promptsReadAt = std::max(load.promptsReadAt, static_cast<double>(options_.clock().count())) + promptMs;
+    const bool isLongPrompt = promptMs > longPromptMs;
     ticket.onPlaced(target);
-    if (promptMs > longPromptMs && options_.onLongPrompt)
-        options_.onLongPrompt();
+    if (isLongPrompt && options_.onUseChanged)
+        options_.onUseChanged();
+    else
+        tellUse(load);
+}
+
+// The last free places of a target are told at once, so that nodes don't meet there.
+void Dispatcher::tellUse(const TargetLoad& load)
+{
+    if (options_.onUseChanged && load.used() >= contendedUse * load.target.slots)
+        options_.onUseChanged();
+}
+
+// When a refused caller finds a place: not before the work ahead of it has started, and in an overload,
+// which lasts for seconds, as late as it can and still be answered. Spread, so that not all return at once.
+Millis Dispatcher::returnTime(const Ticket& ticket, Millis wait)
+{
+    const Millis left = std::max(Millis(0), ticket.giveUpAt - options_.clock());
+    const auto most = static_cast<double>(std::min(mostRetryAfter, left * 3 / 10).count());
+    const double spread = 0.5 + 0.5 * static_cast<double>(options_.random() % 1000) / 1000;
+    return std::clamp(std::max(wait, Millis(static_cast<int64_t>(most * spread))), leastRetryAfter, mostRetryAfter);
 }
 
 void Dispatcher::refuse(Ticket ticket, RefusalReason reason, size_t waitingBefore)
 {
     const Queue& queue = queues_[{ ticket.service, ticket.model }];
-    Millis wait = mostRetryAfter;
+    Millis wait = leastRetryAfter;
     if (reason != RefusalReason::NoTarget && queue.startsPerSecond > 0)
         wait = Millis(static_cast<int64_t>(1000.0 * static_cast<double>(waitingBefore + 1) / queue.startsPerSecond));
     const PlaceRefusal refusal {
         .reason = reason,
-        .retryAfter = std::clamp(wait, leastRetryAfter, mostRetryAfter),
+        .retryAfter = returnTime(ticket, wait),
         .waitingBefore = waitingBefore,
         .targets = countTargets(ticket.service, ticket.model),
     };
@@ -207,9 +266,15 @@
     const auto found = loads_.find(targetId);
     if (found == loads_.end())
         return;
-    if (found->second.running > 0)
-        --found->second.running;
-    pump({ found->second.target.service, found->second.target.model });
+    TargetLoad& load = found->second;
+    if (load.running > 0)
+        --load.running;
+    const QueueKey key { load.target.service, load.target.model };
+    const bool isWanted = !queues_[key].waiting.empty();
+    if (isWanted)
+        pump(key);
+    else
+        tellUse(load);
 }
 
 void Dispatcher::noteLoad(const std::string& targetId, uint32_t running, uint32_t waiting)
@@ -243,9 +308,13 @@
     found->second.suspectUntil = Millis(0);
 }
 
-// After that its answer would come too late to be worth a place.
-Millis Dispatcher::latestStart(const Ticket& ticket) const
+// After that it yields its place to work that can be on time.
+Millis Dispatcher::latestStart(const Queue& queue, const Ticket& ticket) const
 {
+    if (ticket.isBegun)
+        return ticket.giveUpAt;
+    if (queue.firstByteMs > 0)
+        return std::min(ticket.giveUpAt, std::max(ticket.arrivedAt, ticket.objectiveAt - Millis(static_cast<int64_t>(queue.firstByteMs))));
     const auto objective = static_cast<double>((ticket.objectiveAt - ticket.arrivedAt).count());
     const Millis patience(static_cast<int64_t>(objective * options_.lateFactor));
     return std::min(ticket.arrivedAt + patience, ticket.giveUpAt);
@@ -258,14 +327,18 @@
 {
     if (one.priority != other.priority)
         return one.priority < other.priority;
-    const Millis begins = options_.clock() + Millis(static_cast<int64_t>(queue.firstByteMs));
-    const bool isOneLate = one.objectiveAt <= begins;
-    const bool isOtherLate = other.objectiveAt <= begins;
+    const bool isOneLate = isLate(queue, one);
+    const bool isOtherLate = isLate(queue, other);
     if (isOneLate != isOtherLate)
         return isOtherLate;
     return one.objectiveAt < other.objectiveAt;
 }
 
+bool Dispatcher::isLate(const Queue& queue, const Ticket& ticket) const
+{
+    return ticket.objectiveAt <= options_.clock() + Millis(static_cast<int64_t>(queue.firstByteMs));
+}
+
 void Dispatcher::noteFirstByte(const std::string& service, const std::string& model, Millis time)
 {
     Queue& queue = queues_[{ service, model }];
@@ -324,7 +397,7 @@
     const Millis now = options_.clock();
     std::vector<Ticket> expired;
     for (auto it = queue.waiting.begin(); it != queue.waiting.end();) {
-        if (latestStart(*it) > now) {
+        if (latestStart(queue, *it) > now) {
             ++it;
             continue;
         }
--- a/packages/proxy/Dispatcher.h
+++ b/packages/proxy/Dispatcher.h
@@ -4,6 +4,7 @@
 #include "proxy/Placement.h"
 
 #include <list>
+#include <unordered_map>
 
 // Decides where a request runs, how long it waits and when it is refused. Requests wait here and
 // not in an endpoint's queue, so that the most urgent goes first and one that can't be on time yields
@@ -20,10 +21,10 @@
         Millis peerFreshness { 1500 }; // ms, oldest word of another node that counts
         Millis othersHalfLife { 1500 }; // ms, after which half of an estimate of others' load counts
         Millis suspectTime { 1500 }; // ms, without new requests after a failure
-        double lateFactor = 2.0; // objectives that a request may wait for its place
+        double lateFactor = 2.0; // objectives that a request may wait for its place while nothing says how long its answer takes to begin
         size_t maxWaiting = 400; // requests that wait for one model
         std::function<void(const Target&)> onSuspect; // a target gave no answer
-        std::function<void()> onLongPrompt; // one was placed, which other nodes should know at once
+        std::function<void()> onUseChanged; // in a way that other nodes should know at once
     };
 
     explicit Dispatcher(Options options);
@@ -80,17 +81,22 @@
     void noteStart(Queue& queue);
     void pump(const QueueKey& key);
     void expire(Queue& queue);
-    Millis latestStart(const Ticket& ticket) const;
+    Millis latestStart(const Queue& queue, const Ticket& ticket) const;
     bool goesBefore(const Queue& queue, const Ticket& one, const Ticket& other) const;
     std::list<Ticket>::iterator findNext(Queue& queue);
     size_t countBefore(const Queue& queue, const Ticket& ticket) const;
     std::vector<const TargetLoad*> loadsFor(const std::string& service, const std::string& model) const;
     double othersNow(const TargetLoad& load) const;
     void updateOthers();
+    void replaceUse(uint32_t hash, const TargetUse& before, Millis heardBefore, const TargetUse& after);
+    bool isLate(const Queue& queue, const Ticket& ticket) const;
+    void tellUse(const TargetLoad& load);
+    Millis returnTime(const Ticket& ticket, Millis wait);
     void forgetSilentPeers();
 
     Options options_;
     std::map<std::string, TargetLoad> loads_; // by endpoint
+    std::unordered_map<uint32_t, TargetLoad*> loadsByHash_; // the same, by name hash
     std::map<QueueKey, Queue> queues_;
     std::map<std::string, PeerUsage> peers_; // by node
     size_t waitingCount_ = 0;
--- a/packages/proxy/Placement.cpp
+++ b/packages/proxy/Placement.cpp
@@ -3,6 +3,7 @@
 #include "base/StableHash.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hemlockweir {
 
@@ -11,6 +12,10 @@
 // Passes that a stream's pause keeps free of prompts: the one under way and the one that is next.
 static constexpr double passesInGap = 2;
 
+// The part of a target's places for requests that are late already. The rest stays free for the next that
+// can be on time: in an overload it comes within milliseconds, and a place is held for a second.
+static constexpr double latePart = 0.85;
+
 double TargetLoad::promptWait(Millis now) const
 {
     const auto time = static_cast<double>(now.count());
@@ -44,8 +49,12 @@
 {
     if (load.suspectUntil > now || ticket.avoid.count(load.target.id) > 0)
         return false;
+    double slots = std::max<uint32_t>(1, load.target.slots);
+    if (ticket.isLate)
+        slots = std::max(1.0, std::floor(slots * latePart));
     // One that failed is tried with a single request before it gets more.
-    const double slots = load.failures > 0 ? 1 : std::max<uint32_t>(1, load.target.slots);
+    if (load.failures > 0)
+        slots = 1;
     return load.used() + 1 <= slots + 0.5 && hasPromptRoom(load, ticket, now);
 }
 
--- a/packages/proxy/Placement.h
+++ b/packages/proxy/Placement.h
@@ -37,6 +37,7 @@
     Millis objectiveAt { 0 }; // its answer is on time until then
     Millis giveUpAt { 0 }; // an answer is of no use after that
     bool isBegun = false; // its answer has begun: it waits for a place as long as an answer is of use
+    bool isLate = false; // its answer would begin after its objective
     std::set<std::string> avoid; // endpoints that failed it
     uint32_t promptTokens = 0; // that an engine reads before it answers; 0: not known
     Millis gapTarget { 0 }; // ms, longest pause between two events of its answer; 0: none
--- a/packages/replicas/ReplicaCopies.cpp
+++ b/packages/replicas/ReplicaCopies.cpp
@@ -7,11 +7,18 @@
 
 namespace hemlockweir {
 
-// Whether the giver's model has more engines for its part of the work than the taker's.
-bool ReplicaPlanner::mayGive(const ReplicaModel& giver, const ReplicaModel& taker) const
+// The part of the loads at once that any copy may take.
+static constexpr double partForAll = 0.75;
+// Engines that a copy must bring into service to take one of the others: it completes a replica.
+static constexpr double leastUrgentCopy = 2;
+
+// Whether members of the giver's replicas may complete a replica of the taker: a few of them bring a whole
+// replica back, so the taker may have more engines for its part of the work by as much.
+bool ReplicaPlanner::mayGive(const ReplicaModel& giver, const ReplicaModel& taker, size_t wanted) const
 {
     const auto relative = [this](const ReplicaModel& model) { return enginesFor(model.name) / std::max(0.01, model.workShare); };
-    return giver.size < taker.size && relative(giver) > relative(taker);
+    const auto gain = static_cast<double>(taker.size) / static_cast<double>(wanted * giver.size);
+    return giver.size < taker.size && gain > 1 && relative(giver) * gain > relative(taker);
 }
 
 // Hosts that hold a copy of the model while their engines serve in replicas of another.
@@ -41,7 +48,7 @@
         const bool isUnderWay = std::any_of(spares.begin(), spares.end(), [this](const Engine* spare) { return plans_.at(spare->info.membership->group).closedAt != never; });
         if (isUnderWay)
             return;
-        if (spares.size() < wanted || !mayGive(*modelOf(*spares.front()), *model))
+        if (spares.size() < wanted || !mayGive(*modelOf(*spares.front()), *model, wanted))
             continue;
         std::set<std::string> groups;
         for (size_t i = 0; i < wanted; ++i)
@@ -69,22 +76,51 @@
     return fabrics;
 }
 
-// Loads copies ahead while the weight store has room: for the model that needs it most, and of that what
-// is worth most a load first.
+// Loads copies ahead while the weight store has room, always the one that is worth most.
 void ReplicaPlanner::stageCopies(std::vector<EngineOrder>& orders)
 {
     if (isFirstFormation())
         return;
     const std::set<std::string> all = fabrics();
-    for (const ReplicaModel* model : modelsByNeed()) {
-        for (const CopyUse use : { CopyUse::LastOfReplica, CopyUse::FirstSpare, CopyUse::NewReplica, CopyUse::MoreSpares }) {
+    std::map<std::string, double> scarcities;
+    for (const ReplicaModel& model : profile_.models)
+        scarcities[model.name] = scarcity(model);
+    const auto loadsAtOnce = static_cast<double>(profile_.loadsAtOnce);
+    while (!hasTraffic_ || countLoads() < profile_.loadsAtOnce) {
+        // The last loads at once are kept for what completes a replica.
+        const bool isNearLimit = hasTraffic_ && static_cast<double>(countLoads()) >= loadsAtOnce * partForAll;
+        const ReplicaModel* bestModel = nullptr;
+        const Engine* bestHost = nullptr;
+        double bestValue = 0;
+        for (const ReplicaModel& model : profile_.models) {
             for (const std::string& fabric : all) {
-                while (stageFor(*model, fabric, use, orders)) { }
+                const CopyValue copy = valueCopy(model, countCopies(model, fabric));
+                if (isNearLimit && copy.engines < leastUrgentCopy)
+                    continue;
+                const double value = copy.engines * scarcities.at(model.name);
+                const Engine* host = value > bestValue ? findHost(model, fabric, copy.maySpare) : nullptr;
+                if (!host)
+                    continue;
+                bestModel = &model;
+                bestHost = host;
+                bestValue = value;
             }
         }
+        if (!bestHost)
+            return;
+        stage(*bestModel, engines_.at(bestHost->info.id), orders);
     }
 }
 
+void ReplicaPlanner::stage(const ReplicaModel& model, Engine& engine, std::vector<EngineOrder>& orders)
+{
+    engine.staging = model.name;
+    engine.stagingSince = options_.clock();
+    EngineOrder order = makeOrder(EngineOrderKind::Stage, engine, {}, 0);
+    order.model = model.name;
+    orders.push_back(std::move(order));
+}
+
 // The spares of a large model, which are as good as engines of it; at first those that will be.
 double ReplicaPlanner::countSpares(const ReplicaModel& model) const
 {
@@ -104,7 +140,7 @@
 {
     CopyCount count;
     for (const auto& [id, engine] : engines_) {
-        if (engine.info.fabric != fabric || engine.isDead || engine.info.isLeaving || modelOf(engine) == &model)
+        if (engine.info.fabric != fabric || engine.isDead || engine.isUnlisted || engine.info.isLeaving || modelOf(engine) == &model)
             continue;
         const bool isReady = isWarm(engine, model.name) || engine.staging == model.name;
         const bool isIdle = !engine.info.membership;
@@ -112,52 +148,64 @@
             ++count.idle;
         else if (isReady && isServing(engine))
             ++count.serving;
-        else if (isIdle && engine.staging.empty())
+        else if (isIdle && engine.staging.empty() && !isReserved(engine, model))
             ++count.cold;
     }
     return count;
 }
 
-bool ReplicaPlanner::isWanted(const ReplicaModel& model, const CopyCount& count, CopyUse use) const
+// How scarce a model's engines are for its part of the work, 1 on average.
+double ReplicaPlanner::scarcity(const ReplicaModel& model) const
 {
-    const size_t spares = count.idle + count.serving;
-    const size_t missing = model.size - count.idle % model.size;
-    switch (use) {
-    case CopyUse::LastOfReplica:
-        return missing == 1 && count.cold > 0;
-    case CopyUse::FirstSpare:
-        return isLarge(model) && spares == 0;
-    case CopyUse::NewReplica:
-        return missing <= count.cold;
-    case CopyUse::MoreSpares:
-        return isLarge(model) && spares < options_.sparesWanted;
+    constexpr double most = 2;
+    double engines = 0;
+    double shares = 0;
+    for (const ReplicaModel& other : profile_.models) {
+        engines += enginesFor(other.name) + countSpares(other);
+        shares += other.workShare;
     }
-    return false;
+    const double wanted = engines * model.workShare / std::max(0.01, shares);
+    const double there = enginesFor(model.name) + countSpares(model) + static_cast<double>(model.size) / 2;
+    return std::clamp(wanted / there, 1 / most, most);
 }
 
-// Loads one copy of the model in a fabric domain if one is wanted there and a host can take it.
-bool ReplicaPlanner::stageFor(const ReplicaModel& model, const std::string& fabric, CopyUse use, std::vector<EngineOrder>& orders)
+// What one more copy of the model in a fabric domain is worth.
+ReplicaPlanner::CopyValue ReplicaPlanner::valueCopy(const ReplicaModel& model, const CopyCount& count) const
 {
-    if (hasTraffic_ && countLoads() >= profile_.loadsAtOnce)
-        return false;
-    if (!isWanted(model, countCopies(model, fabric), use))
-        return false;
-    const Engine* host = findHost(model, fabric);
-    const bool isSpare = use == CopyUse::FirstSpare || use == CopyUse::MoreSpares;
-    if (!host || (!isSpare && host->info.membership))
-        return false;
-    Engine& engine = engines_.at(host->info.id);
-    engine.staging = model.name;
-    engine.stagingSince = options_.clock();
-    EngineOrder order = makeOrder(EngineOrderKind::Stage, engine, {}, 0);
-    order.model = model.name;
-    orders.push_back(std::move(order));
-    return true;
+    // A spare is worth what a loss that may come soon would stop; the second one less.
+    constexpr double firstSpareValue = 3;
+    constexpr double nextSpareValue = 0.75;
+    const auto size = static_cast<double>(model.size);
+    const size_t waiting = count.idle % model.size;
+    const size_t missing = model.size - waiting - std::min(count.serving, model.size - waiting);
+    // Each of the missing copies brings its part of the replica back into service.
+    if (waiting > 0 && missing > 0 && (missing <= count.cold || 2 * waiting >= model.size))
+        return { .engines = size / static_cast<double>(missing), .maySpare = isLarge(model) && 2 * waiting >= model.size };
+    const size_t spares = waiting + count.serving;
+    // Before the traffic copies cost little; later ones take longer than losses wait.
+    const size_t wanted = hasTraffic_ ? options_.sparesWanted : std::max(options_.sparesWanted, model.size / 2);
+    if (isLarge(model) && spares < wanted)
+        return { .engines = spares == 0 ? firstSpareValue : nextSpareValue, .maySpare = true };
+    if (waiting == 0 && model.size <= count.cold)
+        return { .engines = 1 };
+    return {};
+}
+
+// Whether an idle engine is to be kept for a larger model: it holds that one's copy, and half a replica
+// waits in its fabric domain.
+bool ReplicaPlanner::isReserved(const Engine& engine, const ReplicaModel& model) const
+{
+    return std::any_of(profile_.models.begin(), profile_.models.end(), [&](const ReplicaModel& larger) {
+        if (larger.size <= model.size || !isWarm(engine, larger.name))
+            return false;
+        const auto found = waiting_.find({ engine.info.fabric, larger.name });
+        return found != waiting_.end() && 2 * found->second >= larger.size;
+    });
 }
 
 // The host that loses least by a copy of the model: an idle one without a use, else a member of a
 // smaller replica, beside another such host if there is one.
-const ReplicaPlanner::Engine* ReplicaPlanner::findHost(const ReplicaModel& model, const std::string& fabric) const
+const ReplicaPlanner::Engine* ReplicaPlanner::findHost(const ReplicaModel& model, const std::string& fabric, bool maySpare) const
 {
     const Engine* best = nullptr;
     int bestCost = 0;
@@ -169,15 +217,14 @@
             groupsWithSpare.insert(engine.info.membership->group);
     }
     for (const auto& [id, engine] : engines_) {
-        if (engine.info.fabric != fabric || engine.isDead || engine.info.isLeaving || !engine.staging.empty() || isWarm(engine, model.name))
+        if (engine.info.fabric != fabric || engine.isDead || engine.isUnlisted || engine.info.isLeaving || !engine.staging.empty() || isWarm(engine, model.name))
             continue;
         if (options_.clock() - engine.stageRefusedAt < options_.orderTimeout)
             continue;
         const ReplicaModel* serves = modelOf(engine);
-        if (engine.info.membership && (!isServing(engine) || !serves || serves->size >= model.size))
+        if (engine.info.membership && (!maySpare || !isServing(engine) || !serves || serves->size >= model.size))
             continue;
-        const ReplicaModel* last = profile_.findModel(engine.lastModel);
-        if (!engine.info.membership && last && last->size > model.size)
+        if (!engine.info.membership && isReserved(engine, model))
             continue;
         int cost = 0;
         if (engine.info.membership)
--- a/packages/replicas/ReplicaPlanner.cpp
+++ b/packages/replicas/ReplicaPlanner.cpp
@@ -30,7 +30,7 @@
 {
 }
 
-void ReplicaPlanner::setEngines(const std::vector<EndpointInfo>& engines, const EngineProfile& profile, bool isSettled)
+void ReplicaPlanner::setEngines(const std::vector<EndpointInfo>& engines, const EngineProfile& profile)
 {
     profile_ = profile;
     const Millis now = options_.clock();
@@ -49,6 +49,7 @@
         if (showsOrder || now - engine.orderedAt > options_.settleTime)
             engine.isOrdered = false;
         const std::optional<Membership> ordered = engine.ordered;
+        engine.isUnlisted = false;
         engine.info = info;
         if (engine.isOrdered)
             engine.info.membership = ordered;
@@ -60,11 +61,47 @@
         if (info.membership)
             lastEpoch_ = std::max(lastEpoch_, info.membership->epoch);
     }
-    if (isSettled)
-        std::erase_if(engines_, [&](const auto& entry) { return seen.count(entry.first) == 0; });
+    dropMissing(seen);
     rememberPlans();
 }
 
+void ReplicaPlanner::dropMissing(const std::set<std::string>& listed)
+{
+    for (auto it = engines_.begin(); it != engines_.end();) {
+        if (listed.count(it->first) > 0) {
+            ++it;
+            continue;
+        }
+        it->second.isUnlisted = servesUnlisted(it->second, listed);
+        it = it->second.isUnlisted ? std::next(it) : engines_.erase(it);
+    }
+}
+
+// Whether an engine that is missing from the list still holds up a replica: its head, which takes the
+// requests, is listed and open.
+bool ReplicaPlanner::servesUnlisted(const Engine& engine, const std::set<std::string>& listed) const
+{
+    if (engine.isDead || engine.info.isLeaving || !engine.info.membership)
+        return false;
+    const auto plan = plans_.find(engine.info.membership->group);
+    if (plan == plans_.end() || plan->second.members.empty() || plan->second.closedAt != never)
+        return false;
+    const std::string& headId = plan->second.members.front();
+    const auto head = engines_.find(headId);
+    return listed.count(headId) > 0 && head != engines_.end() && !head->second.isDead && head->second.info.membership
+        && head->second.info.membership->group == plan->first && head->second.info.membership->state == MemberState::Open;
+}
+
+std::vector<EndpointInfo> ReplicaPlanner::findDoubtful() const
+{
+    std::vector<EndpointInfo> doubtful;
+    for (const auto& [id, engine] : engines_) {
+        if (engine.isUnlisted || engine.isDead)
+            doubtful.push_back(engine.info);
+    }
+    return doubtful;
+}
+
 void ReplicaPlanner::setTerm(uint64_t term)
 {
     term_ = term;
@@ -231,7 +268,7 @@
 
 bool ReplicaPlanner::isFree(const Engine& engine) const
 {
-    return !engine.isDead && !engine.info.isLeaving && !engine.info.membership;
+    return !engine.isDead && !engine.isUnlisted && !engine.info.isLeaving && !engine.info.membership;
 }
 
 bool ReplicaPlanner::hasCopy(const Engine& engine, const std::string& model) const
@@ -255,7 +292,7 @@
 
 bool ReplicaPlanner::isServing(const Engine& engine) const
 {
-    return !engine.isDead && !engine.info.isLeaving && engine.info.membership
+    return !engine.isDead && !engine.isUnlisted && !engine.info.isLeaving && engine.info.membership
         && (engine.info.membership->state == MemberState::Open || engine.info.membership->state == MemberState::Ready);
 }
 
@@ -274,7 +311,12 @@
     return static_cast<size_t>(std::count_if(engines_.begin(), engines_.end(), [](const auto& entry) { return !entry.second.info.membership; }));
 }
 
-// Counts the engines of replicas that are whole, or will be.
+size_t ReplicaPlanner::countLoadingIdle() const
+{
+    return static_cast<size_t>(std::count_if(engines_.begin(), engines_.end(), [](const auto& entry) { return !entry.second.info.membership && !entry.second.staging.empty(); }));
+}
+
+// Counts the engines of replicas that are whole, or will be, and those that wait to be.
 void ReplicaPlanner::countEngines()
 {
     engineCounts_.clear();
@@ -282,6 +324,13 @@
         if (replica.isWhole())
             engineCounts_[replica.model] += static_cast<double>(replica.size);
     }
+    waiting_.clear();
+    for (const auto& [id, engine] : engines_) {
+        for (const ReplicaModel& model : profile_.models) {
+            if (isFree(engine) && isWarm(engine, model.name))
+                ++waiting_[{ engine.info.fabric, model.name }];
+        }
+    }
 }
 
 double ReplicaPlanner::enginesFor(const std::string& model) const
--- a/packages/replicas/ReplicaPlanner.h
+++ b/packages/replicas/ReplicaPlanner.h
@@ -51,9 +51,13 @@
 
     explicit ReplicaPlanner(Options options);
 
-    // Takes the engines as they describe themselves now. With `isSettled` false the list may lack
-    // engines that live: those that were there stay known.
-    void setEngines(const std::vector<EndpointInfo>& engines, const EngineProfile& profile, bool isSettled);
+    // Takes the engines as they describe themselves now. One that is missing is gone, unless it is a member of
+    // a replica whose head is still listed: an engine may be cut off from the platform and go on serving.
+    void setEngines(const std::vector<EndpointInfo>& engines, const EngineProfile& profile);
+
+    // The engines that are to be asked whether they live: those that serve unlisted, and those that are
+    // listed though they gave no answer.
+    std::vector<EndpointInfo> findDoubtful() const;
 
     // Notes whether an engine answered; true if that is news.
     bool noteProbe(const std::string& engine, bool isAlive);
@@ -75,8 +79,9 @@
 
     std::vector<ReplicaView> findReplicas() const;
 
-    // Engines that serve in no replica.
+    // Engines that serve in no replica, and of them those whose host loads a copy.
     size_t countIdle() const;
+    size_t countLoadingIdle() const;
 
 private:
     // A time before every other.
@@ -86,7 +91,8 @@
         EndpointInfo info; // its own word, overruled by orders given of late
         std::optional<Membership> ordered; // what the last order makes of it
         bool isOrdered = false; // an order was given that its own word does not show yet
-        bool isDead = false;
+        bool isDead = false; // it gave no answer
+        bool isUnlisted = false; // it serves on, but nothing new is begun with it
         Millis orderedAt = never;
         std::string lastModel; // of the group it was in last
         std::string staging; // model on its way to the host; empty: none
@@ -105,14 +111,6 @@
         Millis closedAt = never;
     };
 
-    // What a copy of a model is loaded for.
-    enum class CopyUse : uint8_t {
-        LastOfReplica, // idle engines hold all others that a replica needs
-        FirstSpare, // an engine of the fabric domain can stand in for a lost member
-        NewReplica, // idle engines become a replica
-        MoreSpares, // one more can
-    };
-
     // Hosts in a fabric domain whose engines don't serve the model.
     struct CopyCount {
         size_t idle = 0; // with a copy, in no replica
@@ -120,6 +118,12 @@
         size_t cold = 0; // without, in no replica
     };
 
+    // What one more copy of a model would be worth.
+    struct CopyValue {
+        double engines = 0; // that it brings into service; 0: none is wanted
+        bool maySpare = false; // a member of a smaller replica may hold it
+    };
+
     using FreeEngines = std::vector<const Engine*>;
 
     void keepReplicas(std::vector<EngineOrder>& orders);
@@ -131,14 +135,16 @@
     void form(const std::string& fabric, const ReplicaModel& model, const FreeEngines& members, std::vector<EngineOrder>& orders);
     void takeSpares(const std::string& fabric, const FreeEngines& free, std::vector<EngineOrder>& orders);
     void stageCopies(std::vector<EngineOrder>& orders);
-    bool stageFor(const ReplicaModel& model, const std::string& fabric, CopyUse use, std::vector<EngineOrder>& orders);
-    bool isWanted(const ReplicaModel& model, const CopyCount& count, CopyUse use) const;
+    void stage(const ReplicaModel& model, Engine& engine, std::vector<EngineOrder>& orders);
+    double scarcity(const ReplicaModel& model) const;
+    bool isReserved(const Engine& engine, const ReplicaModel& model) const;
+    CopyValue valueCopy(const ReplicaModel& model, const CopyCount& count) const;
     CopyCount countCopies(const ReplicaModel& model, const std::string& fabric) const;
     double countSpares(const ReplicaModel& model) const;
     bool isLarge(const ReplicaModel& model) const;
     std::set<std::string> fabrics() const;
-    const Engine* findHost(const ReplicaModel& model, const std::string& fabric) const;
-    bool mayGive(const ReplicaModel& giver, const ReplicaModel& taker) const;
+    const Engine* findHost(const ReplicaModel& model, const std::string& fabric, bool maySpare) const;
+    bool mayGive(const ReplicaModel& giver, const ReplicaModel& taker, size_t wanted) const;
     std::vector<const Engine*> findSpares(const ReplicaModel& model, const std::string& fabric) const;
     bool isServing(const Engine& engine) const;
     const ReplicaModel* modelOf(const Engine& engine) const;
@@ -153,6 +159,8 @@
     bool isFirstFormation() const;
     bool mayOrder(const std::string& engine, Millis again) const;
     void rememberPlans();
+    void dropMissing(const std::set<std::string>& listed);
+    bool servesUnlisted(const Engine& engine, const std::set<std::string>& listed) const;
     EngineOrder makeOrder(EngineOrderKind kind, const Engine& engine, const std::string& group, uint64_t epoch) const;
 
     Options options_;
@@ -160,6 +168,7 @@
     std::map<std::string, Engine> engines_; // by id
     std::map<std::string, Plan> plans_; // by group
     std::map<std::string, double> engineCounts_; // engines in whole replicas, by model
+    std::map<std::pair<std::string, std::string>, size_t> waiting_; // idle engines with a copy, by fabric domain and model
     uint64_t lastEpoch_ = 0;
     uint64_t term_ = 0;
     Millis lastNewAt_ { 0 }; // when an engine was last seen for the first time
--- a/tests/ReplicaPlannerTest.cpp
+++ b/tests/ReplicaPlannerTest.cpp
@@ -53,7 +53,7 @@
         std::vector<EndpointInfo> list;
         for (const auto& [id, engine] : engines_)
             list.push_back(engine);
-        planner_.setEngines(list, profile_, true);
+        planner_.setEngines(list, profile_);
         const std::vector<EngineOrder> orders = planner_.plan();
         for (const EngineOrder& order : orders)
             planner_.noteResult(order, carryOut(order));
@@ -265,7 +265,7 @@
     std::set<std::string> names;
     std::set<std::string> otherNames;
     for (ReplicaPlanner* planner : { &planner_, &other }) {
-        planner->setEngines(list, profile_, true);
+        planner->setEngines(list, profile_);
         now_ += Millis(2000);
         for (const EngineOrder& order : planner->plan())
             (planner == &other ? otherNames : names).insert(order.group);
@@ -289,7 +289,7 @@
     uint64_t lastOfTheEarlier = 0;
     // Its orders take no effect that anyone sees, so it forms anew again and again.
     for (int round = 0; round < ordersOfTheEarlier; ++round) {
-        earlier.setEngines(list, profile_, true);
+        earlier.setEngines(list, profile_);
         now_ += Millis(2000);
         for (const EngineOrder& order : earlier.plan())
             lastOfTheEarlier = std::max(lastOfTheEarlier, order.epoch);
