Let less urgent work leave room, tell silence to all nodes, ask the store less often

Change: less urgent work yields the last places and half of the room for prompts; peers told of silence place nothing there for a while unless they hear from it; a rejection alone is no failure; longer watches of presence, fewer of the list.

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -14,12 +14,12 @@
 // Between two questions to the members of one replica.
 static constexpr Millis probeInterval { 300 };
 // Changes of engines reach the node that gives them orders sooner.
-static constexpr Millis plannerListPause { 50 };
+static constexpr Millis plannerListPause { 80 };
 // The other nodes share the store's rate: with more of them each asks less often, within the time in
 // which a leaving endpoint must get no more requests.
 static constexpr Millis listPausePerNode { 50 };
 static constexpr Millis leastListPause { 200 };
-static constexpr Millis mostListPause { 900 };
+static constexpr Millis mostListPause { 1100 };
 // The balancer asks once a second and takes a node out after two misses; new connections come until then.
 static constexpr Millis doorTime { 3500 };
 // Left of the grace for the process to end.
@@ -32,7 +32,7 @@
     , random_(makeSystemRandom())
     , log_({ .clock = clock_ })
     , adapter_(makeAdapter(context, settings_, clock_, log_))
-    , dispatcher_({ .clock = clock_, .random = random_, .domain = settings_.domain, .onSuspect = [this](const Target& target) { takeSuspect(target); }, .onUseChanged = [this] { usage_.tellSoon(); } })
+    , dispatcher_({ .clock = clock_, .random = random_, .domain = settings_.domain, .onSuspect = [this](const Target& target, bool isSilent) { takeSuspect(target, isSilent); }, .onUseChanged = [this] { usage_.tellSoon(); } })
     , pool_(context, { .clock = clock_ })
     , retries_({ .clock = clock_, .window = settings_.retryWindow, .perRequest = settings_.retriesPerRequest, .allowance = settings_.retryAllowance })
     , shared_ { .clock = clock_, .random = random_, .headers = adapter_.headers, .dispatcher = dispatcher_, .pool = pool_, .retries = retries_, .log = log_, .metrics = metrics_ }
@@ -235,16 +235,20 @@
 }
 
 // A target gave no answer: the planner finds out which members of its replica still live.
-void Gateway::takeSuspect(const Target& target)
+void Gateway::takeSuspect(const Target& target, bool isSilent)
 {
     if (target.model.empty())
         return;
-    usage_.addSuspect(hashTarget(target.id));
+    if (isSilent) {
+        usage_.addSuspect(hashTarget(target.id));
+        usage_.tellSoon();
+    }
     probeReplica(target.service, target.id);
 }
 
 void Gateway::takePeerSuspect(uint32_t target)
 {
+    dispatcher_.notePeerFailure(target);
     if (!presence_.isPlanner())
         return;
     for (const EndpointInfo& endpoint : endpoints_.endpoints()) {
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -42,7 +42,7 @@
     void updateListPause();
     void runPlanner();
     void takeRole(bool isPlanner, uint64_t term);
-    void takeSuspect(const Target& target);
+    void takeSuspect(const Target& target, bool isSilent);
     void takePeerSuspect(uint32_t target);
     void probeDoubtful();
     void probeReplica(const std::string& service, const std::string& head);
--- a/packages/gateway/Presence.h
+++ b/packages/gateway/Presence.h
@@ -19,7 +19,7 @@
         std::string boot; // unique to this process
         Millis leaseTtl { 2400 }; // ms; how soon a dead planner is replaced
         Millis renewInterval { 700 }; // ms, well within the ttl
-        FollowTiming timing { .wait = Millis(3000) }; // of the other nodes' keys
+        FollowTiming timing { .wait = Millis(5000), .pause = Millis(300) }; // of the other nodes' keys
         Millis writeInterval { 500 }; // ms between two tries to write the same key
         Millis callMargin { 300 }; // ms of its lease that a planner doesn't use
         std::function<void(bool isPlanner, uint64_t term)> onRole;
--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -13,6 +13,8 @@
 static constexpr uint32_t mostDoublings = 2;
 // The weight of the newest interval in the average rate of starts.
 static constexpr double newIntervalWeight = 0.1;
+// Rejections in a row, without an answer between them, after which a target counts as failed.
+static constexpr uint32_t rejectionsOfAFailure = 3;
 // The part of a target's places from which on nodes contend for the rest.
 static constexpr double contendedUse = 0.75;
 
@@ -165,6 +167,7 @@
 {
     const QueueKey key { ticket.service, ticket.model };
     Queue& queue = queues_[key];
+    noteUrgency(queue, ticket.priority);
     if (countBefore(queue, ticket) == 0 && tryPlace(ticket))
         return;
     const size_t targets = countTargets(ticket.service, ticket.model);
@@ -186,6 +189,15 @@
     ++waitingCount_;
 }
 
+void Dispatcher::noteUrgency(Queue& queue, int priority)
+{
+    const Millis now = options_.clock();
+    if (priority > queue.mostUrgent && now - queue.urgentAt < options_.urgentTime)
+        return;
+    queue.mostUrgent = priority;
+    queue.urgentAt = now;
+}
+
 void Dispatcher::cancel(uint64_t id)
 {
     for (auto& [key, queue] : queues_) {
@@ -207,7 +219,9 @@
         load.others = othersNow(load);
         load.othersKnownAt = now;
     }
-    ticket.isLate = !ticket.isBegun && isLate(queues_[{ ticket.service, ticket.model }], ticket);
+    const Queue& queue = queues_[{ ticket.service, ticket.model }];
+    ticket.isLate = !ticket.isBegun && isLate(queue, ticket);
+    ticket.yields = !ticket.isBegun && ticket.priority > queue.mostUrgent && now - queue.urgentAt < options_.urgentTime;
     const TargetLoad* chosen = chooseTarget(loadsFor(ticket.service, ticket.model), ticket, options_.domain, now, peers_.size() + 1, options_.random);
     if (!chosen)
         return false;
@@ -287,7 +301,7 @@
     load.othersKnownAt = options_.clock();
 }
 
-void Dispatcher::noteFailure(const std::string& targetId)
+void Dispatcher::noteFailure(const std::string& targetId, bool isSilent)
 {
     const auto found = loads_.find(targetId);
     if (found == loads_.end())
@@ -296,7 +310,31 @@
     load.suspectUntil = options_.clock() + options_.suspectTime * (1 << std::min(load.failures, mostDoublings));
     ++load.failures;
     if (options_.onSuspect)
-        options_.onSuspect(load.target);
+        options_.onSuspect(load.target, isSilent);
+}
+
+void Dispatcher::noteRejection(const std::string& targetId)
+{
+    const auto found = loads_.find(targetId);
+    if (found == loads_.end())
+        return;
+    TargetLoad& load = found->second;
+    if (++load.rejections >= rejectionsOfAFailure) {
+        noteFailure(targetId, false);
+        return;
+    }
+    load.suspectUntil = std::max(load.suspectUntil, options_.clock() + options_.rejectedTime);
+}
+
+void Dispatcher::notePeerFailure(uint32_t target)
+{
+    const auto found = loadsByHash_.find(target);
+    if (found == loadsByHash_.end())
+        return;
+    TargetLoad& load = *found->second;
+    const Millis now = options_.clock();
+    if (now - load.heardAt > options_.livelyTime)
+        load.suspectUntil = std::max(load.suspectUntil, now + options_.suspectTime);
 }
 
 void Dispatcher::noteSuccess(const std::string& targetId)
@@ -305,7 +343,9 @@
     if (found == loads_.end())
         return;
     found->second.failures = 0;
+    found->second.rejections = 0;
     found->second.suspectUntil = Millis(0);
+    found->second.heardAt = options_.clock();
 }
 
 // After that it yields its place to work that can be on time.
--- a/packages/proxy/Dispatcher.h
+++ b/packages/proxy/Dispatcher.h
@@ -3,6 +3,7 @@
 #include "base/Clock.h"
 #include "proxy/Placement.h"
 
+#include <limits>
 #include <list>
 #include <unordered_map>
 
@@ -21,9 +22,12 @@
         Millis peerFreshness { 1500 }; // ms, oldest word of another node that counts
         Millis othersHalfLife { 1500 }; // ms, after which half of an estimate of others' load counts
         Millis suspectTime { 1500 }; // ms, without new requests after a failure
+        Millis livelyTime { 150 }; // ms, for which a target that answered counts as alive whatever other nodes say
+        Millis urgentTime { 1000 }; // ms, for which less urgent work yields after more urgent work came
         double lateFactor = 2.0; // objectives that a request may wait for its place while nothing says how long its answer takes to begin
         size_t maxWaiting = 400; // requests that wait for one model
-        std::function<void(const Target&)> onSuspect; // a target gave no answer
+        Millis rejectedTime { 100 }; // ms, without new requests after a target rejected one
+        std::function<void(const Target&, bool isSilent)> onSuspect; // a target failed; silent: it gave no answer
         std::function<void()> onUseChanged; // in a way that other nodes should know at once
     };
 
@@ -44,13 +48,23 @@
     // Takes an endpoint's own word on its load: requests that it runs and that wait in it, of all nodes.
     void noteLoad(const std::string& targetId, uint32_t running, uint32_t waiting);
 
-    // Notes that an endpoint gave no answer, or a good one.
-    void noteFailure(const std::string& targetId);
+    // Notes that an endpoint failed a request: gave no answer, or a wrong one.
+    void noteFailure(const std::string& targetId, bool isSilent);
+
+    // Notes that an endpoint did not take a request. It may be full for a moment; again and again, it is as
+    // good as failed.
+    void noteRejection(const std::string& targetId);
+
+    // Notes that an endpoint answers.
     void noteSuccess(const std::string& targetId);
 
     // Notes how long a request took from its place to the first byte of its answer.
     void noteFirstByte(const std::string& service, const std::string& model, Millis time);
 
+    // Notes that another node got no answer from a target: new requests go elsewhere for a while, unless
+    // this node hears from it.
+    void notePeerFailure(uint32_t target);
+
     // Takes another node's own word on what it runs.
     void notePeer(const std::string& node, PeerUsage usage);
 
@@ -72,6 +86,8 @@
         Millis lastStartAt { 0 };
         Millis waitingSince { 0 }; // when it was last empty
         double firstByteMs = 0; // ms from a place to the first byte, averaged
+        int mostUrgent = std::numeric_limits<int>::max(); // priority of the most urgent work of late
+        Millis urgentAt { 0 }; // when that came
     };
     using QueueKey = std::pair<std::string, std::string>; // service and model
 
@@ -90,6 +106,7 @@
     void updateOthers();
     void replaceUse(uint32_t hash, const TargetUse& before, Millis heardBefore, const TargetUse& after);
     bool isLate(const Queue& queue, const Ticket& ticket) const;
+    void noteUrgency(Queue& queue, int priority);
     void tellUse(const TargetLoad& load);
     Millis returnTime(const Ticket& ticket, Millis wait);
     void forgetSilentPeers();
--- a/packages/proxy/Placement.cpp
+++ b/packages/proxy/Placement.cpp
@@ -12,9 +12,12 @@
 // Passes that a stream's pause keeps free of prompts: the one under way and the one that is next.
 static constexpr double passesInGap = 2;
 
-// The part of a target's places for requests that are late already. The rest stays free for the next that
-// can be on time: in an overload it comes within milliseconds, and a place is held for a second.
+// The part of a target's places for requests that are late already, or less urgent than others. The rest
+// stays free for the next that is neither: in an overload it comes within milliseconds, and a place is held
+// for a second.
 static constexpr double latePart = 0.85;
+// The part of the room for prompts for requests that are less urgent than others.
+static constexpr double yieldingPart = 0.5;
 
 double TargetLoad::promptWait(Millis now) const
 {
@@ -40,7 +43,7 @@
     const double wait = load.promptWait(now);
     if (wait <= 0 || ticket.gapTarget.count() <= 0)
         return true;
-    const double room = static_cast<double>(ticket.gapTarget.count()) - passesInGap * load.target.passMs;
+    const double room = (static_cast<double>(ticket.gapTarget.count()) - passesInGap * load.target.passMs) * (ticket.yields ? yieldingPart : 1);
     return wait + load.target.promptMs(ticket.promptTokens) <= room;
 }
 
@@ -50,7 +53,7 @@
     if (load.suspectUntil > now || ticket.avoid.count(load.target.id) > 0)
         return false;
     double slots = std::max<uint32_t>(1, load.target.slots);
-    if (ticket.isLate)
+    if (ticket.isLate || ticket.yields)
         slots = std::max(1.0, std::floor(slots * latePart));
     // One that failed is tried with a single request before it gets more.
     if (load.failures > 0)
--- a/packages/proxy/Placement.h
+++ b/packages/proxy/Placement.h
@@ -38,6 +38,7 @@
     Millis giveUpAt { 0 }; // an answer is of no use after that
     bool isBegun = false; // its answer has begun: it waits for a place as long as an answer is of use
     bool isLate = false; // its answer would begin after its objective
+    bool yields = false; // more urgent work for the same model comes of late
     std::set<std::string> avoid; // endpoints that failed it
     uint32_t promptTokens = 0; // that an engine reads before it answers; 0: not known
     Millis gapTarget { 0 }; // ms, longest pause between two events of its answer; 0: none
@@ -53,8 +54,10 @@
     Millis othersKnownAt { 0 };
     double promptsReadAt = 0; // ms, when it will have read the prompts that this node placed there
     double othersPromptsReadAt = 0; // ms, the same for other nodes, as if read side by side
+    Millis heardAt { 0 }; // when it last sent part of an answer
     Millis suspectUntil { 0 }; // nothing is placed there before
     uint32_t failures = 0; // in a row
+    uint32_t rejections = 0; // in a row
 
     double used() const { return running + others; }
 
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -228,9 +228,11 @@
     const std::string reason = isWrongEndpoint ? "not_that_endpoint" : "endpoint_rejected";
     const std::string target = attempt_->target.id;
     context_.log.noteFailure("send_rejected", { { "request", requestId_ }, { "endpoint", target }, { "status", std::to_string(head.status) } });
-    // A head that rejects has lost a member, is full, or is another endpoint by now.
-    if (isWrongEndpoint || !model_.empty())
-        context_.dispatcher.noteFailure(target);
+    // One that is not who it was is gone; one that only rejects may be full, or have lost a member.
+    if (isWrongEndpoint)
+        context_.dispatcher.noteFailure(target, false);
+    else if (!model_.empty())
+        context_.dispatcher.noteRejection(target);
     dropAttempt(reason);
     avoid_.insert(target);
     if (sends_ < route_.maxAttempts + extraSends && context_.retries.take(service_)) {
@@ -368,7 +370,7 @@
     const Millis now = context_.clock();
     const bool wasSent = attempt.connection->wasConnected();
     if (blamesTarget)
-        context_.dispatcher.noteFailure(attempt.target.id);
+        context_.dispatcher.noteFailure(attempt.target.id, !attempt.head && reason != "malformed_answer");
     if (wasSent) {
         runState_ = RunState::MayHaveRun;
         ++runs_;
