Tell the use of a target before its place is given away

Cause: read as a newcomer: the load was read again after a hook that may change the targets. Change: the order of two steps.

--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -235,12 +235,11 @@
     const Target target = load.target;
     const double promptMs = target.promptMs(ticket.promptTokens);
     load.promptsReadAt = std::max(load.promptsReadAt, static_cast<double>(options_.clock().count())) + promptMs;
-    const bool isLongPrompt = promptMs > longPromptMs;
-    ticket.onPlaced(target);
-    if (isLongPrompt && options_.onUseChanged)
+    if (promptMs > longPromptMs && options_.onUseChanged)
         options_.onUseChanged();
     else
         tellUse(load);
+    ticket.onPlaced(target); // may change the targets
 }
 
 // The last free places of a target are told at once, so that nodes don't meet there.
