--- a/packages/gateway/ConfigurationFollower.cpp
+++ b/packages/gateway/ConfigurationFollower.cpp
@@ -2,21 +2,22 @@
 
 namespace hemlockweir {
 
-ConfigurationFollower::ConfigurationFollower(boost::asio::io_context& context, Options options, const PlatformAdapter& adapter, DecisionLog& log)
+ConfigurationFollower::ConfigurationFollower(Options options, StoreFollower& store, const PlatformAdapter& adapter, DecisionLog& log)
     : options_(std::move(options))
     , adapter_(adapter)
     , log_(log)
-    , follower_(context, { .clock = options_.clock, .prefix = adapter.configurationKey, .timing = options_.timing, .onAnswer = [this] { takeAnswer(); } }, adapter.store, log)
+    , store_(store)
 {
+    store_.addListener([this] { takeAnswer(); });
 }
 
 void ConfigurationFollower::takeAnswer()
 {
-    const auto found = follower_.items().find(adapter_.configurationKey);
-    if (found == follower_.items().end() || found->second.revision == seenRevision_)
+    const KvItem* item = store_.find(adapter_.configurationKey);
+    if (!item || item->revision == seenRevision_)
         return;
-    seenRevision_ = found->second.revision;
-    take(found->second.value, "store");
+    seenRevision_ = item->revision;
+    take(item->value, "store");
 }
 
 bool ConfigurationFollower::take(const std::string& text, std::string_view source)
--- a/packages/gateway/ConfigurationFollower.h
+++ b/packages/gateway/ConfigurationFollower.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/PlatformAdapter.h"
-#include "gateway/PrefixFollower.h"
+#include "gateway/StoreFollower.h"
 
 // Keeps the newest configuration of the operators. A version that can't be read, or is older than the
 // one in force, changes nothing.
@@ -11,14 +11,10 @@
 class ConfigurationFollower {
 public:
     struct Options {
-        Clock clock;
-        FollowTiming timing;
         std::function<void(std::shared_ptr<const RouteTable>)> onConfiguration;
     };
 
-    ConfigurationFollower(boost::asio::io_context& context, Options options, const PlatformAdapter& adapter, DecisionLog& log);
-
-    void start() { follower_.start(); }
+    ConfigurationFollower(Options options, StoreFollower& store, const PlatformAdapter& adapter, DecisionLog& log);
 
     // Takes a configuration, from the store or from another node; true if it is newer and in force now.
     bool take(const std::string& text, std::string_view source);
@@ -27,16 +23,13 @@
     const std::string& text() const { return text_; }
     uint64_t version() const { return version_; }
 
-    bool isReachable() const { return follower_.isReachable(); }
-    Millis heardAt() const { return follower_.heardAt(); } // when the store last answered
-
 private:
     void takeAnswer();
 
     Options options_;
     const PlatformAdapter& adapter_;
     DecisionLog& log_;
-    PrefixFollower follower_;
+    StoreFollower& store_;
     std::string text_;
     uint64_t version_ = 0;
     uint64_t seenRevision_ = 0; // of the item that was taken last
--- a/packages/gateway/EndpointFollower.h
+++ b/packages/gateway/EndpointFollower.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/PlatformAdapter.h"
-#include "gateway/PrefixFollower.h"
+#include "gateway/StoreFollower.h"
 
 // Keeps the list of endpoints. After the store was away, entries that lapsed meanwhile get time to come
 // back before they count as gone.
@@ -12,28 +12,22 @@
 public:
     struct Options {
         Clock clock;
-        FollowTiming timing;
         Millis returnTime { 2600 }; // ms after the store's return in which lapsed entries come back
         std::function<void()> onChange; // after each answer of the store
     };
 
-    EndpointFollower(boost::asio::io_context& context, Options options, const PlatformAdapter& adapter, DecisionLog& log);
-
-    void start() { follower_.start(); }
-
-    // Learns of changes at the latest so long after the store has them, but for the answer's way.
-    void setPause(Millis pause) { follower_.setPause(pause); }
+    EndpointFollower(Options options, StoreFollower& store, const PlatformAdapter& adapter, DecisionLog& log);
 
     const std::vector<EndpointInfo>& endpoints() const { return endpoints_; }
 
-    bool hasRead() const { return follower_.hasRead(); }
-    Millis readAt() const { return follower_.heardAt(); }
+    // Their entries, for a node that the store does not answer.
+    std::vector<KvItem> entries() const;
 
 private:
     // A decoded entry.
     struct Known {
         EndpointInfo info;
-        uint64_t revision = 0; // of the item that it was read from
+        KvItem item; // that it was read from
     };
 
     void takeAnswer();
@@ -43,7 +37,7 @@
     Options options_;
     const PlatformAdapter& adapter_;
     DecisionLog& log_;
-    PrefixFollower follower_;
+    StoreFollower& store_;
     std::vector<EndpointInfo> endpoints_;
     std::map<std::string, Known> known_; // by key
     std::map<std::string, uint64_t> unreadable_; // revisions that were told of, by key
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -1,18 +1,22 @@
 #include "gateway/Gateway.h"
 
+#include "gateway/CountedStore.h"
+#include "http/StatusCodes.h"
+
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 
 namespace hemlockweir {
 
 namespace asio = boost::asio;
-using boost::system::error_code;
 
 // How exactly time limits of requests are kept.
 static constexpr Millis tickInterval { 20 };
 static constexpr Millis sweepInterval { 500 };
 // Between two questions to the members of one replica.
 static constexpr Millis probeInterval { 300 };
+// Between two questions to one endpoint on which requests broke. Most of them live: a lost answer is no crash.
+static constexpr Millis brokenProbeInterval { 1000 };
 // Changes of engines reach the node that gives them orders sooner.
 static constexpr Millis plannerListPause { 80 };
 // The other nodes share the store's rate: with more of them each asks less often, within the time in
@@ -35,19 +39,22 @@
     , dispatcher_({ .clock = clock_, .random = random_, .domain = settings_.domain, .onSuspect = [this](const Target& target, bool isSilent) { takeSuspect(target, isSilent); }, .onUseChanged = [this] { usage_.tellSoon(); } })
     , pool_(context, { .clock = clock_ })
     , retries_({ .clock = clock_, .window = settings_.retryWindow, .perRequest = settings_.retriesPerRequest, .allowance = settings_.retryAllowance })
-    , shared_ { .clock = clock_, .random = random_, .headers = adapter_.headers, .dispatcher = dispatcher_, .pool = pool_, .retries = retries_, .log = log_, .metrics = metrics_ }
+    , crashes_({ .clock = clock_, .onBroken = [this](const std::string& endpoint) { takeBroken(endpoint); }, .onCrash = [this](uint64_t request, uint32_t endpoint) { usage_.addCrash({ .request = request, .endpoint = endpoint }); } })
+    , shared_ { .clock = clock_, .random = random_, .headers = adapter_.headers, .dispatcher = dispatcher_, .pool = pool_, .retries = retries_, .crashes = crashes_, .log = log_, .metrics = metrics_ }
     , proxy_(context, { .address = settings_.callers.address, .port = settings_.callers.port, .clock = clock_ }, shared_)
-    , configuration_(context, { .clock = clock_, .onConfiguration = [this](std::shared_ptr<const RouteTable> routes) { takeConfiguration(std::move(routes)); } }, adapter_, log_)
-    , endpoints_(context, { .clock = clock_, .onChange = [this] { takeEndpoints(); } }, adapter_, log_)
+    , store_(context, { .clock = clock_, .prefixes = { adapter_.configurationKey, adapter_.endpointPrefix, Presence::keyPrefix } }, adapter_.store, log_)
+    , configuration_({ .onConfiguration = [this](std::shared_ptr<const RouteTable> routes) { takeConfiguration(std::move(routes)); } }, store_, adapter_, log_)
+    , endpoints_({ .clock = clock_, .onChange = [this] { takeEndpoints(); } }, store_, adapter_, log_)
     , presence_(context,
           {
               .clock = clock_,
               .node = settings_.node,
               .address = settings_.peers.toString(),
+              .control = settings_.control.toString(),
               .boot = settings_.node + "-" + makeRandomId(random_),
               .onRole = [this](bool isPlanner, uint64_t term) { takeRole(isPlanner, term); },
           },
-          adapter_, log_)
+          store_, adapter_, log_)
     , usage_(context,
           {
               .clock = clock_,
@@ -56,8 +63,10 @@
               .ownUsage = [this] { return dispatcher_.ownUsage(); },
               .onUsage = [this](const std::string& node, PeerUsage usage) { dispatcher_.notePeer(node, std::move(usage)); },
               .onSuspect = [this](uint32_t target) { takePeerSuspect(target); },
+              .onCrash = [this](const CrashRow& crash) { crashes_.notePeerCrash(crash.request, crash.endpoint); },
           },
           log_)
+    , snapshots_(context, { .clock = clock_, .random = random_, .control = settings_.control.toString(), .endpointPrefix = adapter_.endpointPrefix, .seeds = settings_.seeds }, store_, configuration_, endpoints_, log_)
     , orders_(context,
           {
               .clock = clock_,
@@ -65,9 +74,8 @@
               .onProbed = [this](const std::string& engine, bool isAlive) { takeProbe(engine, isAlive); },
           },
           adapter_, log_, metrics_)
-    , readyAcceptor_(context)
-    , controlAcceptor_(context)
-    , controlLimits_(std::make_shared<ServerLimits>())
+    , readyDoor_(context, doorAt(settings_.ready))
+    , controlDoor_(context, doorAt(settings_.control))
     , tickTimer_(context, [this] { tick(); })
     , sweepTimer_(context, [this] { sweep(); })
 {
@@ -77,73 +85,49 @@
 {
     if (const absl::Status status = proxy_.start(); !status.ok())
         return status;
-    if (const absl::Status status = listenTo(settings_.ready, readyAcceptor_); !status.ok())
+    if (const absl::Status status = readyDoor_.start(); !status.ok())
         return status;
-    if (const absl::Status status = listenTo(settings_.control, controlAcceptor_); !status.ok())
+    if (const absl::Status status = controlDoor_.start(); !status.ok())
         return status;
     if (const absl::Status status = usage_.start(); !status.ok())
         return status;
     log_.noteChange("gateway_started", { { "node", settings_.node }, { "domain", settings_.domain }, { "callers", settings_.callers.toString() }, { "control", settings_.control.toString() }, { "store", settings_.store.toString() }, { "first_start", settings_.isFirstStart ? "true" : "false" } });
-    configuration_.start();
-    endpoints_.start();
+    adapter_.store = countCalls(std::move(adapter_.store), metrics_);
+    store_.start();
     presence_.start();
+    snapshots_.start();
     tick();
     sweep();
     return absl::OkStatus();
 }
 
-absl::Status Gateway::listenTo(const Endpoint& endpoint, asio::ip::tcp::acceptor& acceptor)
+RequestServer::Options Gateway::doorAt(const Endpoint& endpoint)
 {
-    error_code error;
-    const asio::ip::tcp::endpoint address(asio::ip::make_address(endpoint.address, error), endpoint.port);
-    if (!error)
-        acceptor.open(address.protocol(), error);
-    if (!error)
-        acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    if (!error)
-        acceptor.bind(address, error);
-    if (!error)
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return absl::UnavailableError(absl::StrCat("can't listen on ", endpoint.toString(), ": ", error.message()));
-    acceptControl(acceptor);
-    return absl::OkStatus();
-}
-
-void Gateway::acceptControl(asio::ip::tcp::acceptor& acceptor)
-{
-    acceptor.async_accept([this, &acceptor](const error_code& error, SocketWriter::Socket socket) {
-        if (error == asio::error::operation_aborted)
-            return;
-        if (!error) {
-            const auto connection = std::make_shared<ServerConnection>(std::move(socket),
-                ServerConnection::Options {
-                    .limits = controlLimits_,
-                    .clock = clock_,
-                    .onRequest = [this](const std::shared_ptr<ServerConnection>& from, const ServerRequest& request) { answerControl(from, request); },
-                    .onClosed = [this](const std::shared_ptr<ServerConnection>& closed) { controlConnections_.erase(closed); },
-                });
-            controlConnections_.insert(connection);
-            connection->start();
-        }
-        acceptControl(acceptor);
-    });
+    return {
+        .address = endpoint.address,
+        .port = endpoint.port,
+        .clock = clock_,
+        .onRequest = [this](const std::shared_ptr<ServerConnection>& from, const ServerRequest& request) { answerControl(from, request); },
+        .onAcceptFailed = [this](const std::string& error) { log_.noteFailure("accept_failed", { { "error", error } }); },
+    };
 }
 
 void Gateway::answerControl(const std::shared_ptr<ServerConnection>& connection, const ServerRequest& request)
 {
     const std::string path = request.target.substr(0, request.target.find('?'));
     if (path == adapter_.readyPath || path == "/readyz")
-        connection->answer(isReady() ? 200 : 503, {}, {});
+        connection->answer(isReady() ? statusOk : statusUnavailable, {}, {});
     else if (path == "/metrics")
-        connection->answer(200, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics_.expose());
+        connection->answer(statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics_.expose());
+    else if (path == PeerSnapshots::path)
+        snapshots_.answer(connection, request);
     else
-        connection->answer(404, {}, {});
+        connection->answer(statusNotFound, {}, {});
 }
 
 bool Gateway::isReady() const
 {
-    return !isStopping_ && proxy_.routes() && endpoints_.hasRead();
+    return !isStopping_ && proxy_.routes() && store_.hasRead();
 }
 
 void Gateway::takeConfiguration(std::shared_ptr<const RouteTable> routes)
@@ -181,13 +165,13 @@
 void Gateway::updateListPause()
 {
     const Millis shared = listPausePerNode * static_cast<int64_t>(presence_.peers().size() + 1);
-    endpoints_.setPause(presence_.isPlanner() ? plannerListPause : std::clamp(shared, leastListPause, mostListPause));
+    store_.setPause(presence_.isPlanner() ? plannerListPause : std::clamp(shared, leastListPause, mostListPause));
 }
 
 void Gateway::runPlanner()
 {
     isPlanRequested_ = false;
-    if (!proxy_.routes() || !endpoints_.hasRead() || !presence_.isPlanner())
+    if (!proxy_.routes() || !store_.hasRead() || !presence_.isPlanner())
         return;
     for (auto& entry : planners_) {
         const std::string& name = entry.first;
@@ -223,7 +207,7 @@
         absl::StrAppend(&text, text.empty() ? "" : ";", model, ":", count.first, "+", count.second);
     if (std::exchange(toldReplicas_[service], text) == text)
         return;
-    log_.noteChange("replicas", { { "service", service }, { "open_and_other", text }, { "idle_engines", std::to_string(planner.countIdle()) }, { "idle_loading", std::to_string(planner.countLoadingIdle()) }, { "list_age_ms", std::to_string((clock_() - endpoints_.readAt()).count()) } });
+    log_.noteChange("replicas", { { "service", service }, { "open_and_other", text }, { "idle_engines", planner.describeIdle() }, { "list_age_ms", std::to_string((clock_() - store_.heardAt()).count()) } });
 }
 
 void Gateway::requestPlan()
@@ -286,14 +270,32 @@
     }
 }
 
+// A request broke on an endpoint: unless that one lives, the request may have crashed it.
+void Gateway::takeBroken(const std::string& endpoint)
+{
+    const Millis now = clock_();
+    Millis& probedAt = brokenProbedAt_[endpoint];
+    if (now - probedAt < brokenProbeInterval)
+        return;
+    probedAt = now;
+    const std::vector<EndpointInfo>& endpoints = endpoints_.endpoints();
+    const auto found = std::find_if(endpoints.begin(), endpoints.end(), [&](const EndpointInfo& info) { return info.id == endpoint; });
+    if (found != endpoints.end())
+        orders_.probe(*found);
+    else
+        crashes_.noteDown(endpoint);
+}
+
 void Gateway::takeProbe(const std::string& engine, bool isAlive)
 {
+    if (!isAlive)
+        crashes_.noteDown(engine);
     bool isNews = false;
     for (auto& [name, planner] : planners_)
         isNews = planner.noteProbe(engine, isAlive) || isNews;
     if (isAlive || !isNews)
         return;
-    log_.noteChange("engine_dead", { { "engine", engine }, { "list_age_ms", std::to_string((clock_() - endpoints_.readAt()).count()) } });
+    log_.noteChange("engine_dead", { { "engine", engine }, { "list_age_ms", std::to_string((clock_() - store_.heardAt()).count()) } });
     requestPlan();
 }
 
@@ -316,19 +318,20 @@
 {
     proxy_.sweep();
     orders_.sweep();
-    const auto connections = controlConnections_;
-    for (const auto& connection : connections)
-        connection->checkTimeouts();
+    readyDoor_.sweep();
+    controlDoor_.sweep();
+    crashes_.sweep();
+    snapshots_.setPeers(presence_.peers());
     probeDoubtful();
     updateListPause();
     usage_.setPeers(presence_.peers());
-    std::erase_if(probedAt_, [this](const auto& entry) { return clock_() - entry.second > sweepInterval * 10; });
+    for (auto* probes : { &probedAt_, &brokenProbedAt_ })
+        std::erase_if(*probes, [this](const auto& entry) { return clock_() - entry.second > sweepInterval * 10; });
     retries_.setNodeCount(presence_.peers().size() + 1);
     metrics_.setGauge("hemlockweir_proxy_waiting", "Requests that wait for a place", static_cast<double>(dispatcher_.waitingCount()));
     metrics_.setGauge("hemlockweir_proxy_flows", "Requests at work", static_cast<double>(proxy_.flowCount()));
     metrics_.setGauge("hemlockweir_proxy_connections", "Open connections of callers", static_cast<double>(proxy_.connectionCount()));
-    metrics_.setGauge("hemlockweir_endpoint_list_age_seconds", "Since the list of endpoints was read", std::chrono::duration<double>(clock_() - endpoints_.readAt()).count());
-    metrics_.setGauge("hemlockweir_configuration_age_seconds", "Since the store last answered for the configuration", std::chrono::duration<double>(clock_() - configuration_.heardAt()).count());
+    metrics_.setGauge("hemlockweir_store_age_seconds", "Since the store last answered for the configuration, the endpoints and the nodes", std::chrono::duration<double>(clock_() - store_.heardAt()).count());
     log_.tellOmitted();
     sweepTimer_.callAfter(sweepInterval);
 }
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -4,6 +4,7 @@
 #include "gateway/EndpointFollower.h"
 #include "gateway/EngineOrders.h"
 #include "gateway/GatewaySettings.h"
+#include "gateway/PeerSnapshots.h"
 #include "gateway/Presence.h"
 #include "gateway/UsageExchange.h"
 #include "proxy/Proxy.h"
@@ -31,8 +32,7 @@
     void stop(std::function<void()> onStopped);
 
 private:
-    absl::Status listenTo(const Endpoint& endpoint, boost::asio::ip::tcp::acceptor& acceptor);
-    void acceptControl(boost::asio::ip::tcp::acceptor& acceptor);
+    RequestServer::Options doorAt(const Endpoint& endpoint);
     void answerControl(const std::shared_ptr<ServerConnection>& connection, const ServerRequest& request);
     bool isReady() const;
 
@@ -48,6 +48,7 @@
     void probeReplica(const std::string& service, const std::string& head);
     void takeOrderResult(const EngineOrder& order, OrderResult result);
     void takeProbe(const std::string& engine, bool isAlive);
+    void takeBroken(const std::string& endpoint);
     void tellReplicas(const std::string& service, const ReplicaPlanner& planner);
     void requestPlan();
     void tick();
@@ -59,25 +60,27 @@
     Clock clock_;
     Random random_;
     DecisionLog log_;
-    PlatformAdapter adapter_;
     ProxyMetrics metrics_;
+    PlatformAdapter adapter_;
     Dispatcher dispatcher_;
     ConnectionPool pool_;
     RetryWindow retries_;
+    CrashList crashes_;
     ProxyContext shared_;
     Proxy proxy_;
+    StoreFollower store_;
     ConfigurationFollower configuration_;
     EndpointFollower endpoints_;
     Presence presence_;
     UsageExchange usage_;
+    PeerSnapshots snapshots_;
     EngineOrders orders_;
     std::map<std::string, ReplicaPlanner> planners_; // by service
     std::map<std::string, Millis> probedAt_; // by head
+    std::map<std::string, Millis> brokenProbedAt_; // by endpoint on which a request broke
     std::map<std::string, std::string> toldReplicas_; // last line, by service
-    boost::asio::ip::tcp::acceptor readyAcceptor_;
-    boost::asio::ip::tcp::acceptor controlAcceptor_;
-    std::shared_ptr<const ServerLimits> controlLimits_;
-    std::unordered_set<std::shared_ptr<ServerConnection>> controlConnections_;
+    RequestServer readyDoor_;
+    RequestServer controlDoor_;
     RepeatingTimer tickTimer_;
     RepeatingTimer sweepTimer_;
     std::function<void()> onStopped_;
--- a/packages/gateway/GatewaySettings.cpp
+++ b/packages/gateway/GatewaySettings.cpp
@@ -44,6 +44,13 @@
     settings.ready = requireEndpoint(reader, "ready");
     settings.control = requireEndpoint(reader, "control");
     settings.peers = requireEndpoint(reader, "peers");
+    for (const std::string& seed : reader.readStrings("seeds")) {
+        absl::StatusOr<Endpoint> endpoint = parseEndpoint(seed);
+        if (endpoint.ok())
+            settings.seeds.push_back(*std::move(endpoint));
+        else
+            reader.noteError("seeds", std::string(endpoint.status().message()));
+    }
     settings.isFirstStart = reader.readBool("first_start", false);
     if (const toml::table* platform = reader.readTable("platform")) {
         TableReader platformReader(*platform, file, "gateway.platform", errors);
--- a/packages/gateway/GatewaySettings.h
+++ b/packages/gateway/GatewaySettings.h
@@ -15,6 +15,7 @@
     Endpoint ready; // TCP, the balancer's question
     Endpoint control; // TCP, metrics
     Endpoint peers; // UDP, other nodes
+    std::vector<Endpoint> seeds; // TCP, control addresses of nodes that may live, for a start while the store is away
     bool isFirstStart = false; // the whole system starts for the first time
 
     // [gateway.platform]
--- /dev/null
+++ b/packages/gateway/PeerSnapshots.cpp
@@ -0,0 +1,101 @@
+#include "gateway/PeerSnapshots.h"
+
+#include "http/StatusCodes.h"
+#include "wire/Codec.h"
+
+#include <QUrl>
+#include <QUrlQuery>
+#include <absl/strings/str_cat.h>
+
+namespace hemlockweir {
+
+PeerSnapshots::PeerSnapshots(boost::asio::io_context& context, Options options, StoreFollower& store, ConfigurationFollower& configuration, const EndpointFollower& endpoints, DecisionLog& log)
+    : context_(context)
+    , options_(std::move(options))
+    , store_(store)
+    , configuration_(configuration)
+    , endpoints_(endpoints)
+    , log_(log)
+    , pool_(context, { .clock = options_.clock, .idlePerServer = 1 })
+    , timer_(context, [this] { step(); })
+{
+}
+
+void PeerSnapshots::start()
+{
+    timer_.callAfter(options_.interval);
+}
+
+std::vector<Endpoint> PeerSnapshots::candidates() const
+{
+    std::vector<Endpoint> found;
+    for (const Presence::Peer& peer : peers_) {
+        if (absl::StatusOr<Endpoint> endpoint = parseEndpoint(peer.control); endpoint.ok())
+            found.push_back(*std::move(endpoint));
+    }
+    if (found.empty())
+        found = options_.seeds;
+    std::erase_if(found, [this](const Endpoint& endpoint) { return endpoint.toString() == options_.control; });
+    return found;
+}
+
+void PeerSnapshots::step()
+{
+    pool_.sweep();
+    const std::vector<Endpoint> peers = candidates();
+    if (!store_.isReachable() && !peers.empty())
+        ask(peers[options_.random() % peers.size()]);
+    timer_.callAfter(options_.interval);
+}
+
+void PeerSnapshots::ask(const Endpoint& peer)
+{
+    std::string request = absl::StrCat("GET ", std::string(path), "?version=", configuration_.version(), "&revision=", store_.revision(), " HTTP/1.1\r\nHost: ", peer.toString(), "\r\n\r\n");
+    callServer(context_, pool_, { .address = peer.address, .port = peer.port, .request = std::move(request), .timeout = options_.timeout },
+        [this, from = peer.toString()](const absl::StatusOr<CallAnswer>& answer) {
+            // Another one is asked at the next turn.
+            if (!answer.ok())
+                log_.noteChange("snapshot_failed", { { "peer", from }, { "error", std::string(answer.status().message()) } });
+            else if (answer->status == statusOk)
+                take(answer->body, from);
+        });
+}
+
+void PeerSnapshots::take(const std::string& bytes, const std::string& peer)
+{
+    const absl::StatusOr<StoreSnapshot> snapshot = decodeBody<StoreSnapshot>(QByteArray::fromStdString(bytes));
+    if (!snapshot.ok() || snapshot->format != StoreSnapshot::currentFormat) {
+        log_.noteChange("peer_unreadable", { { "peer", peer }, { "error", snapshot.ok() ? "unknown format" : std::string(snapshot.status().message()) } });
+        return;
+    }
+    if (!snapshot->configuration.empty() && !store_.isReachable())
+        configuration_.take(snapshot->configuration, peer);
+    if (snapshot->listRevision == 0)
+        return;
+    std::vector<KvItem> entries;
+    entries.reserve(snapshot->entries.size());
+    for (const SnapshotEntry& entry : snapshot->entries)
+        entries.push_back({ .key = entry.key, .value = entry.value, .revision = entry.revision });
+    const uint64_t before = store_.revision();
+    if (store_.adopt(options_.endpointPrefix, entries, snapshot->listRevision))
+        log_.noteChange("endpoints_from_peer", { { "peer", peer }, { "store_revision", std::to_string(snapshot->listRevision) }, { "before", std::to_string(before) }, { "endpoints", std::to_string(entries.size()) } });
+}
+
+void PeerSnapshots::answer(const std::shared_ptr<ServerConnection>& connection, const ServerRequest& request) const
+{
+    const QUrlQuery query(QUrl(QString::fromStdString(request.target)).query());
+    StoreSnapshot snapshot;
+    if (configuration_.version() > query.queryItemValue("version").toULongLong())
+        snapshot.configuration = configuration_.text();
+    if (store_.revision() > query.queryItemValue("revision").toULongLong()) {
+        snapshot.listRevision = store_.revision();
+        for (KvItem& item : endpoints_.entries())
+            snapshot.entries.push_back({ .key = std::move(item.key), .value = std::move(item.value), .revision = item.revision });
+    }
+    if (snapshot.configuration.empty() && snapshot.listRevision == 0)
+        connection->answer(statusNoContent, {}, {});
+    else
+        connection->answer(statusOk, { { "Content-Type", "application/octet-stream" } }, encodeBody(snapshot).toStdString());
+}
+
+} // namespace hemlockweir
--- a/packages/gateway/Presence.cpp
+++ b/packages/gateway/Presence.cpp
@@ -1,24 +1,25 @@
 #include "gateway/Presence.h"
 
+#include <absl/strings/str_split.h>
+
 namespace hemlockweir {
 
-static const std::string keyPrefix = "hemlockweir/";
-static const std::string nodePrefix = keyPrefix + "nodes/";
-static const std::string plannerKey = keyPrefix + "planner";
+static const std::string nodePrefix = std::string(Presence::keyPrefix) + "nodes/";
+static const std::string plannerKey = std::string(Presence::keyPrefix) + "planner";
 
-Presence::Presence(boost::asio::io_context& context, Options options, const PlatformAdapter& adapter, DecisionLog& log)
+Presence::Presence(boost::asio::io_context& context, Options options, StoreFollower& store, const PlatformAdapter& adapter, DecisionLog& log)
     : options_(std::move(options))
     , adapter_(adapter)
     , log_(log)
     , timer_(context, [this] { step(); })
-    , follower_(context, { .clock = options_.clock, .prefix = keyPrefix, .timing = options_.timing, .onAnswer = [this] { takeKeys(); } }, adapter.store, log)
+    , store_(store)
 {
+    store_.addListener([this] { takeKeys(); });
 }
 
 void Presence::start()
 {
     step();
-    follower_.start();
 }
 
 bool Presence::isPlanner() const
@@ -76,28 +77,31 @@
     });
 }
 
+// A node's key holds its two addresses, parted by a space.
+static Presence::Peer readPeer(const std::string& node, const std::string& value)
+{
+    const std::vector<std::string> parts = absl::StrSplit(value, ' ');
+    return { .node = node, .address = parts.front(), .control = parts.size() > 1 ? parts[1] : std::string() };
+}
+
 void Presence::takeKeys()
 {
-    if (isResigned_ || lease_ == 0 || !follower_.hasRead())
+    if (isResigned_ || lease_ == 0 || !store_.hasRead())
         return;
     peers_.clear();
     bool isAnnounced = false;
-    const KvItem* planner = nullptr;
-    for (const auto& [key, item] : follower_.items()) {
-        if (key == plannerKey)
-            planner = &item;
-        if (!key.starts_with(nodePrefix))
-            continue;
-        const std::string node = key.substr(nodePrefix.size());
+    const KvItem* planner = store_.find(plannerKey);
+    for (const KvItem* item : store_.itemsWith(nodePrefix)) {
+        const std::string node = item->key.substr(nodePrefix.size());
         if (node == options_.node)
-            isAnnounced = item.lease == lease_;
+            isAnnounced = item->lease == lease_;
         else
-            peers_.push_back({ .node = node, .address = item.value });
+            peers_.push_back(readPeer(node, item->value));
     }
     const bool isMine = planner && planner->value == options_.boot && planner->lease == lease_;
     setRole(isMine, planner ? planner->revision : term_);
     const Millis now = options_.clock();
-    if (now - wroteAt_ < options_.writeInterval || !follower_.isReachable())
+    if (now - wroteAt_ < options_.writeInterval || !store_.isReachable())
         return;
     if (!isAnnounced || !planner)
         wroteAt_ = now;
@@ -110,7 +114,7 @@
 void Presence::announce()
 {
     KvTransaction transaction;
-    transaction.puts.push_back({ .key = nodePrefix + options_.node, .value = options_.address, .lease = lease_ });
+    transaction.puts.push_back({ .key = nodePrefix + options_.node, .value = options_.address + " " + options_.control, .lease = lease_ });
     adapter_.store.commit(transaction, [](const absl::StatusOr<uint64_t>&) {
         // The watch shows whether it took effect.
     });
--- a/packages/gateway/Presence.h
+++ b/packages/gateway/Presence.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/PlatformAdapter.h"
-#include "gateway/PrefixFollower.h"
+#include "gateway/StoreFollower.h"
 
 // Tells the other nodes of this one, learns of them, and agrees on the one node that gives orders to
 // engines. Everything stands in the platform's store under keys bound to a lease: a node that is gone
@@ -15,11 +15,11 @@
     struct Options {
         Clock clock;
         std::string node; // unique name
-        std::string address; // where other nodes reach this one
+        std::string address; // UDP, where other nodes reach this one
+        std::string control; // TCP, the same
         std::string boot; // unique to this process
         Millis leaseTtl { 2400 }; // ms; how soon a dead planner is replaced
         Millis renewInterval { 700 }; // ms, well within the ttl
-        FollowTiming timing { .wait = Millis(5000), .pause = Millis(300) }; // of the other nodes' keys
         Millis writeInterval { 500 }; // ms between two tries to write the same key
         Millis callMargin { 300 }; // ms of its lease that a planner doesn't use
         std::function<void(bool isPlanner, uint64_t term)> onRole;
@@ -27,10 +27,16 @@
 
     struct Peer {
         std::string node;
-        std::string address;
+        std::string address; // UDP
+        std::string control; // TCP; empty: not known
+
+        bool operator==(const Peer&) const = default;
     };
 
-    Presence(boost::asio::io_context& context, Options options, const PlatformAdapter& adapter, DecisionLog& log);
+    // The prefix of all keys that nodes write.
+    static constexpr char keyPrefix[] = "hemlockweir/";
+
+    Presence(boost::asio::io_context& context, Options options, StoreFollower& store, const PlatformAdapter& adapter, DecisionLog& log);
 
     void start();
 
@@ -59,7 +65,7 @@
     const PlatformAdapter& adapter_;
     DecisionLog& log_;
     RepeatingTimer timer_;
-    PrefixFollower follower_;
+    StoreFollower& store_;
     std::vector<Peer> peers_;
     uint64_t lease_ = 0;
     Millis leaseEndsAt_ { 0 };
--- a/packages/gateway/UsageExchange.cpp
+++ b/packages/gateway/UsageExchange.cpp
@@ -12,6 +12,8 @@
 using boost::system::error_code;
 
 static constexpr size_t maxMessageBytes = 32 * 1024;
+// Messages that tell of one crash: a datagram may be lost.
+static constexpr int tellingsOfACrash = 3;
 
 UsageExchange::UsageExchange(asio::io_context& context, Options options, DecisionLog& log)
     : options_(std::move(options))
@@ -59,6 +61,11 @@
         message.rows.push_back({ .target = target, .running = use.running, .promptMs = use.promptMs });
     for (const uint32_t target : std::exchange(suspects_, {}))
         message.rows.push_back({ .target = target, .isSuspect = true });
+    for (auto& [crash, tellings] : crashes_) {
+        message.crashes.push_back(crash);
+        --tellings;
+    }
+    std::erase_if(crashes_, [](const auto& entry) { return entry.second <= 0; });
     if (message.rows.size() > UsageMessage::maxRows)
         message.rows.resize(UsageMessage::maxRows);
     const QByteArray bytes = encodeBody(message);
@@ -71,6 +78,13 @@
     timer_.callAfter(options_.leastInterval + options_.intervalPerPeer * static_cast<int64_t>(peers_.size()));
 }
 
+void UsageExchange::addCrash(const CrashRow& crash)
+{
+    // What ran beside the request is suspected too; the most that a message holds is enough.
+    if (crashes_.size() < UsageMessage::maxCrashes)
+        crashes_.emplace_back(crash, tellingsOfACrash);
+}
+
 void UsageExchange::tellSoon()
 {
     if (std::exchange(isTellingSoon_, true))
@@ -115,6 +129,8 @@
         else
             usage.uses[row.target] = { .running = row.running, .promptMs = row.promptMs };
     }
+    for (const CrashRow& crash : message->crashes)
+        options_.onCrash(crash);
     options_.onUsage(message->node, std::move(usage));
 }
 
--- a/packages/gateway/UsageExchange.h
+++ b/packages/gateway/UsageExchange.h
@@ -30,20 +30,35 @@
     auto operator<=>(const UsageRow&) const = default;
 };
 
+// A request that crashed an endpoint.
+struct CrashRow {
+    uint64_t request = 0; // CrashList::fingerprint()
+    uint32_t endpoint = 0; // hashTarget() of its id
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(request, endpoint);
+    }
+    auto operator<=>(const CrashRow&) const = default;
+};
+
 struct UsageMessage {
-    static constexpr uint32_t currentFormat = 2;
+    static constexpr uint32_t currentFormat = 3;
     static constexpr uint32_t maxNameBytes = 200;
     static constexpr uint32_t maxRows = 4000;
+    static constexpr uint32_t maxCrashes = 64;
 
     uint32_t format = currentFormat;
     std::string node;
     uint64_t sequence = 0; // grows with each message of a process
     std::vector<UsageRow> rows;
+    std::vector<CrashRow> crashes;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(format, bounded(node, maxNameBytes), sequence, bounded(rows, maxRows));
+        archive(format, bounded(node, maxNameBytes), sequence, bounded(rows, maxRows), bounded(crashes, maxCrashes));
     }
     auto operator<=>(const UsageMessage&) const = default;
 };
@@ -61,6 +76,7 @@
         std::function<std::map<uint32_t, TargetUse>()> ownUsage;
         std::function<void(const std::string& node, PeerUsage)> onUsage;
         std::function<void(uint32_t target)> onSuspect; // another node got no answer from it
+        std::function<void(const CrashRow&)> onCrash; // that another node found
     };
 
     UsageExchange(boost::asio::io_context& context, Options options, DecisionLog& log);
@@ -73,6 +89,9 @@
     // Tells of a target that gave no answer, in the next message.
     void addSuspect(uint32_t target) { suspects_.insert(target); }
 
+    // Tells of a request that crashed an endpoint, in the next messages.
+    void addCrash(const CrashRow& crash);
+
     // Tells sooner than at the next regular time, of something that others should know at once.
     void tellSoon();
 
@@ -89,6 +108,7 @@
     std::vector<boost::asio::ip::udp::endpoint> peers_;
     std::map<std::string, uint64_t> lastSequence_; // by node
     std::set<uint32_t> suspects_;
+    std::vector<std::pair<CrashRow, int>> crashes_; // with the number of messages that are still to tell of it
     uint64_t sequence_ = 0;
     Millis toldAt_ { 0 };
     bool isTellingSoon_ = false;
--- /dev/null
+++ b/packages/http/RequestServer.cpp
@@ -0,0 +1,111 @@
+#include "http/RequestServer.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace hemlockweir {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+// Connections that the kernel holds until they are accepted.
+static constexpr int listenBacklog = 1024;
+
+RequestServer::RequestServer(asio::io_context& context, Options options)
+    : options_(std::move(options))
+    , acceptor_(context)
+{
+}
+
+absl::Status RequestServer::start()
+{
+    error_code error;
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(options_.address, error), options_.port);
+    if (!error)
+        acceptor_.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor_.bind(endpoint, error);
+    if (!error)
+        acceptor_.listen(listenBacklog, error);
+    if (error)
+        return absl::UnavailableError(absl::StrCat("can't listen on ", options_.address, ":", options_.port, ": ", error.message()));
+    accept();
+    return absl::OkStatus();
+}
+
+void RequestServer::accept()
+{
+    acceptor_.async_accept([this](const error_code& error, SocketWriter::Socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        if (!error)
+            addConnection(std::move(socket));
+        else if (options_.onAcceptFailed)
+            options_.onAcceptFailed(error.message());
+        accept();
+    });
+}
+
+void RequestServer::addConnection(SocketWriter::Socket socket)
+{
+    const auto connection = std::make_shared<ServerConnection>(std::move(socket),
+        ServerConnection::Options {
+            .limits = options_.limits,
+            .clock = options_.clock,
+            .onRequest = options_.onRequest,
+            .onClosed = [this](const std::shared_ptr<ServerConnection>& closed) { connections_.erase(closed); },
+            .onRefused = options_.onRefused,
+        });
+    connections_.insert(connection);
+    connection->start();
+    if (isStopping_)
+        connection->closeAfterAnswer();
+}
+
+void RequestServer::setLimits(const ServerLimits& limits)
+{
+    if (limits == *options_.limits)
+        return;
+    options_.limits = std::make_shared<ServerLimits>(limits);
+    for (const auto& connection : connections_)
+        connection->setLimits(options_.limits);
+}
+
+void RequestServer::closeAfterAnswers()
+{
+    isStopping_ = true;
+    for (const auto& connection : connections_)
+        connection->closeAfterAnswer();
+}
+
+void RequestServer::stopListening()
+{
+    error_code ignored; // the descriptor is released either way
+    acceptor_.close(ignored);
+}
+
+void RequestServer::closeDoor()
+{
+    stopListening();
+    const auto connections = connections_;
+    for (const auto& connection : connections)
+        connection->closeWhenIdle();
+}
+
+void RequestServer::abort()
+{
+    stopListening();
+    const auto connections = connections_;
+    for (const auto& connection : connections)
+        connection->abort();
+}
+
+void RequestServer::sweep()
+{
+    const auto connections = connections_;
+    for (const auto& connection : connections)
+        connection->checkTimeouts();
+}
+
+} // namespace hemlockweir
--- a/packages/proxy/Proxy.h
+++ b/packages/proxy/Proxy.h
@@ -1,10 +1,8 @@
 #pragma once
 
+#include "http/RequestServer.h"
 #include "proxy/ProxyFlow.h"
 
-#include <boost/asio/io_context.hpp>
-#include <unordered_set>
-
 // The door to callers: accepts connections, turns requests into flows, hot-swaps the configuration,
 // and closes in good order.
 
@@ -18,27 +16,26 @@
         Clock clock;
     };
 
-    Proxy(boost::asio::io_context& context, Options options, ProxyContext& shared);
-    ~Proxy();
+    Proxy(boost::asio::io_context& context, const Options& options, ProxyContext& shared);
 
     // Begins to listen.
-    absl::Status start();
+    absl::Status start() { return server_.start(); }
 
     // The port it listens on; of use when the options left the choice to the system.
-    uint16_t port() const { return acceptor_.local_endpoint().port(); }
+    uint16_t port() const { return server_.port(); }
 
     // Puts a configuration in force for the next request.
     void setRoutes(std::shared_ptr<const RouteTable> routes);
     const std::shared_ptr<const RouteTable>& routes() const { return routes_; }
 
     // Begins the planned stop: every answer tells its caller to close. Connections are still accepted.
-    void startStop();
+    void startStop() { server_.closeAfterAnswers(); }
 
     // Whether no request is at work.
     bool isIdle() const { return flows_.empty(); }
 
     // Closes what idles and stops to listen.
-    void closeDoor();
+    void closeDoor() { server_.closeDoor(); }
 
     // Call every few ms and every few 100 ms.
     void tick();
@@ -48,22 +45,16 @@
     bool hasServed() const { return nextFlow_ > 1; }
 
     size_t flowCount() const { return flows_.size(); }
-    size_t connectionCount() const { return connections_.size(); }
+    size_t connectionCount() const { return server_.connectionCount(); }
 
 private:
-    void accept();
-    void addConnection(SocketWriter::Socket socket);
     void startFlow(const std::shared_ptr<ServerConnection>& connection, ServerRequest request);
 
-    Options options_;
     ProxyContext& shared_;
-    boost::asio::ip::tcp::acceptor acceptor_;
+    RequestServer server_;
     std::shared_ptr<const RouteTable> routes_;
-    std::shared_ptr<const ServerLimits> limits_;
-    std::unordered_set<std::shared_ptr<ServerConnection>> connections_;
     std::map<uint64_t, std::shared_ptr<ProxyFlow>> flows_; // by id
     uint64_t nextFlow_ = 1;
-    bool isStopping_ = false;
 };
 
 } // namespace hemlockweir
--- a/packages/proxy/ProxyContext.h
+++ b/packages/proxy/ProxyContext.h
@@ -2,6 +2,7 @@
 
 #include "base/DecisionLog.h"
 #include "http/ConnectionPool.h"
+#include "proxy/CrashList.h"
 #include "proxy/Dispatcher.h"
 #include "proxy/ProxyMetrics.h"
 #include "proxy/RetryWindow.h"
@@ -33,6 +34,7 @@
     Dispatcher& dispatcher;
     ConnectionPool& pool;
     RetryWindow& retries;
+    CrashList& crashes;
     DecisionLog& log;
     ProxyMetrics& metrics;
 };
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -1,5 +1,6 @@
 #include "proxy/ProxyFlow.h"
 
+#include "http/StatusCodes.h"
 #include "proxy/ForwardedHeaders.h"
 #include "proxy/ForwardedRequest.h"
 #include "proxy/RequestOutcome.h"
@@ -13,23 +14,9 @@
 
 // The longest time for a connection to an endpoint to open; links take a few ms.
 static constexpr Millis connectTimeout { 400 };
-// Sends of one request to endpoints that surely did not run it, beyond those that may run it.
-static constexpr int extraSends = 2;
 // An answer that comes in time must still reach the caller.
 static constexpr Millis giveUpMargin { 10 };
 static constexpr Millis defaultDeadline { 60000 };
-static constexpr Millis defaultRetryAfter { 500 };
-// Bytes of a stream that a caller may leave unread before it is cut off.
-static constexpr size_t maxUnsentBytes = 512 * 1024;
-// Bytes of a plain answer that are held to be retried as a whole.
-static constexpr size_t maxHeldBytes = 1024 * 1024;
-static constexpr int statusNotFound = 404;
-static constexpr int statusUnauthorized = 401;
-static constexpr int statusMisdirected = 421;
-static constexpr int statusTooMany = 429;
-static constexpr int statusBadGateway = 502;
-static constexpr int statusUnavailable = 503;
-static constexpr int statusGatewayTimeout = 504;
 
 ProxyFlow::ProxyFlow(ProxyContext& context, Options options)
     : context_(context)
@@ -47,6 +34,10 @@
     };
     if (!findRoute())
         return;
+    if (crashesEndpoints()) {
+        answerError(statusInternalError, "crashes_endpoints");
+        return;
+    }
     readLimits();
     const Millis objectiveAt = options_.request.startedAt + (route_.objective.count() > 0 ? route_.objective : route_.timeout);
     context_.retries.earn(service_);
@@ -177,162 +168,6 @@
     return route_.kind == RequestKind::Stream && attempt_ && attempt_->head && attempt_->head->status / 100 == 2;
 }
 
-void ProxyFlow::takeHead(const ResponseHead& head)
-{
-    Attempt& attempt = *attempt_;
-    attempt.heardAt = context_.clock();
-    const auto id = findHeader(head.headers, context_.headers.requestId);
-    if (id && *id != requestId_) {
-        retryOrFail("answer_of_another_request", true);
-        return;
-    }
-    if (const auto load = parseLoad(findHeader(head.headers, context_.headers.load).value_or("")))
-        context_.dispatcher.noteLoad(attempt.target.id, load->running, load->waiting);
-    const bool isRejection = head.status == statusMisdirected || findHeader(head.headers, context_.headers.notRun);
-    if (isRejection) {
-        takeRejection(head);
-        return;
-    }
-    if (head.status / 100 == 2 && !findHeader(head.headers, context_.headers.seal)) {
-        retryOrFail("unsealed_answer", true);
-        return;
-    }
-    // A stream that has begun goes on with events or not at all.
-    if (isHeadSent_ && head.status / 100 != 2) {
-        retryOrFail("endpoint_error", false);
-        return;
-    }
-    const bool isFailure = head.status >= 500;
-    if (isFailure && route_.isRepeatable() && !isHeadSent_ && mayRetry(RunState::MayHaveRun, runs_ + 1) && context_.retries.take(service_)) {
-        noteFailedSend("endpoint_error", false);
-        retry();
-        return;
-    }
-    // A promise that the endpoint did not make can't be passed on in its name.
-    if (head.status == statusUnavailable || head.status == statusTooMany || head.status == 408) {
-        retryOrFail("unproved_rejection", false);
-        return;
-    }
-    attempt.head = head;
-}
-
-// The endpoint did not run the request and never will.
-void ProxyFlow::takeRejection(const ResponseHead& head)
-{
-    const bool isWrongEndpoint = head.status == statusMisdirected;
-    const std::string reason = isWrongEndpoint ? "not_that_endpoint" : "endpoint_rejected";
-    const std::string target = attempt_->target.id;
-    context_.log.noteFailure("send_rejected", { { "request", requestId_ }, { "endpoint", target }, { "status", std::to_string(head.status) } });
-    // One that is not who it was is gone; one that only rejects may be full, or have lost a member.
-    if (isWrongEndpoint)
-        context_.dispatcher.noteFailure(target, false);
-    else if (!model_.empty())
-        context_.dispatcher.noteRejection(target);
-    dropAttempt(reason);
-    avoid_.insert(target);
-    if (sends_ < route_.maxAttempts + extraSends && context_.retries.take(service_)) {
-        requestPlace(std::max(options_.request.startedAt + route_.objective, context_.clock() + Millis(1)), isHeadSent_ ? 0 : priority_);
-        return;
-    }
-    if (runState_ == RunState::MayHaveRun || isHeadSent_)
-        fail(reason);
-    else
-        answerError(statusUnavailable, reason, defaultRetryAfter);
-}
-
-void ProxyFlow::takeBody(std::string_view bytes)
-{
-    if (!attempt_ || !attempt_->head)
-        return;
-    attempt_->heardAt = context_.clock();
-    if (isStreaming()) {
-        const auto self = shared_from_this();
-        context_.dispatcher.noteSuccess(attempt_->target.id);
-        cutter_.feed(bytes, [this](std::string_view event) { sendEvent(event); });
-        return;
-    }
-    if (isHeadSent_) {
-        options_.caller->sendBody(bytes);
-        return;
-    }
-    attempt_->body += bytes;
-    if (attempt_->body.size() <= maxHeldBytes)
-        return;
-    // Too large to hold: from here on it goes through as it comes.
-    isHeadSent_ = true;
-    times_.firstByteAt = context_.clock();
-    options_.caller->startAnswer(attempt_->head->status, dropConnectionHeaders(attempt_->head->headers), attempt_->head->bodyLength);
-    options_.caller->sendBody(std::exchange(attempt_->body, {}));
-}
-
-void ProxyFlow::startStream(const ResponseHead& head)
-{
-    isHeadSent_ = true;
-    times_.firstByteAt = context_.clock();
-    if (attempt_)
-        context_.dispatcher.noteFirstByte(service_, model_, times_.firstByteAt - attempt_->sentAt);
-    options_.caller->startAnswer(head.status, dropConnectionHeaders(head.headers), std::nullopt);
-}
-
-void ProxyFlow::sendEvent(std::string_view event)
-{
-    if (isDone_)
-        return;
-    if (!isHeadSent_)
-        startStream(*attempt_->head);
-    times_.noteEvent(context_.clock());
-    options_.caller->sendBody(event);
-    if (options_.caller->unsentBytes() <= maxUnsentBytes)
-        return;
-    dropAttempt("caller_too_slow");
-    options_.caller->abort();
-    finish("abandoned", "caller_too_slow");
-}
-
-void ProxyFlow::takeEnd(ExchangeEnd how)
-{
-    if (isDone_ || !attempt_)
-        return;
-    if (how == ExchangeEnd::Complete) {
-        takeWholeAnswer();
-        return;
-    }
-    if (how == ExchangeEnd::NotConnected) {
-        retryOrFail("connection_refused", true);
-        return;
-    }
-    // A kept connection that ends before its answer says little about the endpoint.
-    const bool blamesTarget = attempt_->connection->isFresh() || attempt_->head;
-    retryOrFail(how == ExchangeEnd::Malformed ? "malformed_answer" : "connection_lost", blamesTarget);
-}
-
-void ProxyFlow::takeWholeAnswer()
-{
-    const auto self = shared_from_this();
-    const Attempt attempt = *attempt_;
-    if (!attempt.head) {
-        retryOrFail("malformed_answer", true);
-        return;
-    }
-    context_.dispatcher.noteSuccess(attempt.target.id);
-    dropAttempt("answered");
-    const ResponseHead& head = *attempt.head;
-    if (route_.kind == RequestKind::Stream && head.status / 100 == 2) {
-        if (!isHeadSent_)
-            startStream(head);
-        options_.caller->finishAnswer();
-    } else if (isHeadSent_) {
-        options_.caller->finishAnswer();
-    } else {
-        times_.firstByteAt = context_.clock();
-        options_.caller->answer(head.status, dropConnectionHeaders(head.headers), attempt.body);
-    }
-    if (head.status / 100 != 2)
-        finish("failed", "endpoint_error");
-    else
-        finish(times_.isLate(route_) ? "late" : "served", "");
-}
-
 // Lets go of the attempt: its connection goes back to the pool if its answer is whole, or is closed,
 // which cancels the work at the endpoint.
 void ProxyFlow::dropAttempt(std::string_view result)
@@ -358,6 +193,17 @@
     return runs + 1 <= route_.maxAttempts && sends_ < route_.maxAttempts + extraSends && context_.clock() < giveUpAt_;
 }
 
+// The same for each send of one request by its caller.
+uint64_t ProxyFlow::fingerprint() const
+{
+    return CrashList::fingerprint(requestHeader(context_.headers.key), options_.request.method, options_.request.target, options_.request.body);
+}
+
+bool ProxyFlow::crashesEndpoints() const
+{
+    return !context_.crashes.isEmpty() && context_.crashes.isBlocked(fingerprint());
+}
+
 // Lets go of an attempt that failed; from here on its endpoint is avoided.
 void ProxyFlow::noteFailedSend(std::string_view reason, bool blamesTarget)
 {
@@ -369,6 +215,8 @@
     if (wasSent) {
         runState_ = RunState::MayHaveRun;
         ++runs_;
+        if (reason == "connection_lost")
+            context_.crashes.noteBroken(fingerprint(), attempt.target.id);
     }
     context_.log.noteFailure("send_failed", { { "request", requestId_ }, { "organisation", organisation_ }, { "route", route_.name }, { "endpoint", attempt.target.id }, { "model", model_ }, { "reason", std::string(reason) }, { "sent_ms_ago", std::to_string((now - attempt.sentAt).count()) }, { "heard_ms_ago", std::to_string((now - attempt.heardAt).count()) }, { "last_event", cutter_.lastId() ? std::to_string(*cutter_.lastId()) : "none" }, { "may_have_run", wasSent ? "true" : "false" } });
     attempt.connection->close();
@@ -390,7 +238,9 @@
         return;
     const auto self = shared_from_this();
     noteFailedSend(reason, blamesTarget);
-    if (mayRetry(runState_, runs_) && context_.retries.take(service_))
+    if (crashesEndpoints())
+        fail("crashes_endpoints");
+    else if (mayRetry(runState_, runs_) && context_.retries.take(service_))
         retry();
     else
         fail(reason);
--- a/packages/proxy/ProxyFlow.h
+++ b/packages/proxy/ProxyFlow.h
@@ -31,6 +31,11 @@
     uint64_t id() const { return options_.id; }
 
 private:
+    // Sends of one request to endpoints that surely did not run it, beyond those that may run it.
+    static constexpr int extraSends = 2;
+    // When a caller may return that was refused for a reason which says nothing of the time.
+    static constexpr Millis defaultRetryAfter { 500 };
+
     // One send to an endpoint.
     struct Attempt {
         Target target;
@@ -66,6 +71,8 @@
     void dropAttempt(std::string_view result);
     void retryOrFail(std::string_view reason, bool blamesTarget);
     bool mayRetry(RunState state, int runs) const;
+    uint64_t fingerprint() const;
+    bool crashesEndpoints() const;
     void noteFailedSend(std::string_view reason, bool blamesTarget);
     void retry();
     void fail(std::string_view reason);
--- a/packages/proxy/ProxyMetrics.cpp
+++ b/packages/proxy/ProxyMetrics.cpp
@@ -25,6 +25,10 @@
                                                           .Name("hemlockweir_engine_orders_total")
                                                           .Help("Orders to engines by operation and result")
                                                           .Register(registry);
+    prometheus::Family<prometheus::Counter>& storeCalls = prometheus::BuildCounter()
+                                                              .Name("hemlockweir_store_calls_total")
+                                                              .Help("Calls to the platform's store by operation, key prefix and outcome")
+                                                              .Register(registry);
     prometheus::Family<prometheus::Histogram>& firstByte = prometheus::BuildHistogram()
                                                                .Name("hemlockweir_proxy_first_byte_seconds")
                                                                .Help("From a request's first byte to its answer's first")
@@ -69,6 +73,11 @@
     families_->orders.Add({ { "operation", operation }, { "result", result } }).Increment();
 }
 
+void ProxyMetrics::countStoreCall(const std::string& operation, const std::string& prefix, const std::string& outcome)
+{
+    families_->storeCalls.Add({ { "operation", operation }, { "prefix", prefix }, { "outcome", outcome } }).Increment();
+}
+
 void ProxyMetrics::setGauge(const std::string& name, const std::string& help, double value)
 {
     prometheus::BuildGauge().Name(name).Help(help).Register(families_->registry).Add({}).Set(value);
--- a/packages/proxy/ProxyMetrics.h
+++ b/packages/proxy/ProxyMetrics.h
@@ -26,6 +26,9 @@
     // An order to an engine, by operation and result.
     void countOrder(const std::string& operation, const std::string& result);
 
+    // A call to the platform's store ended, by operation, key prefix and outcome.
+    void countStoreCall(const std::string& operation, const std::string& prefix, const std::string& outcome);
+
     void setGauge(const std::string& name, const std::string& help, double value);
 
     // All metrics in Prometheus' text format.
--- a/packages/replicas/ReplicaCopies.cpp
+++ b/packages/replicas/ReplicaCopies.cpp
@@ -160,12 +160,13 @@
     constexpr double most = 2;
     double engines = 0;
     double shares = 0;
+    const auto spares = [this](const ReplicaModel& of) { return hasTraffic_ ? 0 : countSpares(of); };
     for (const ReplicaModel& other : profile_.models) {
-        engines += enginesFor(other.name) + countSpares(other);
+        engines += enginesFor(other.name) + spares(other);
         shares += other.workShare;
     }
     const double wanted = engines * model.workShare / std::max(0.01, shares);
-    const double there = enginesFor(model.name) + countSpares(model) + static_cast<double>(model.size) / 2;
+    const double there = enginesFor(model.name) + spares(model) + static_cast<double>(model.size) / 2;
     return std::clamp(wanted / there, 1 / most, most);
 }
 
--- a/packages/replicas/ReplicaPlanner.cpp
+++ b/packages/replicas/ReplicaPlanner.cpp
@@ -312,14 +312,23 @@
     return free;
 }
 
-size_t ReplicaPlanner::countIdle() const
+std::string ReplicaPlanner::describeIdle() const
 {
-    return static_cast<size_t>(std::count_if(engines_.begin(), engines_.end(), [](const auto& entry) { return !entry.second.info.membership; }));
-}
-
-size_t ReplicaPlanner::countLoadingIdle() const
-{
-    return static_cast<size_t>(std::count_if(engines_.begin(), engines_.end(), [](const auto& entry) { return !entry.second.info.membership && !entry.second.staging.empty(); }));
+    std::map<std::string, size_t> counts;
+    for (const auto& [id, engine] : engines_) {
+        if (engine.info.membership)
+            continue;
+        if (engine.isDead)
+            ++counts["dead"];
+        else if (!engine.staging.empty())
+            ++counts[engine.staging + "(loading)"];
+        else
+            ++counts[engine.info.staged.empty() ? "none" : engine.info.staged.front()];
+    }
+    std::string text;
+    for (const auto& [copy, count] : counts)
+        absl::StrAppend(&text, text.empty() ? "" : ";", copy, ":", count);
+    return text;
 }
 
 // Counts the engines of replicas that are whole, or will be, and those that wait to be.
@@ -353,7 +362,7 @@
     for (const ReplicaModel& model : profile_.models)
         models.push_back(&model);
     const auto need = [&](const ReplicaModel* model) {
-        const double engines = enginesFor(model->name) + countSpares(*model) + static_cast<double>(model->size) / 2;
+        const double engines = enginesFor(model->name) + (hasTraffic_ ? 0 : countSpares(*model)) + static_cast<double>(model->size) / 2;
         return engines / std::max(0.01, model->workShare);
     };
     std::stable_sort(models.begin(), models.end(), [&](const ReplicaModel* one, const ReplicaModel* other) { return need(one) < need(other); });
--- a/packages/replicas/ReplicaPlanner.h
+++ b/packages/replicas/ReplicaPlanner.h
@@ -79,9 +79,9 @@
 
     std::vector<ReplicaView> findReplicas() const;
 
-    // Engines that serve in no replica, and of them those whose host loads a copy.
-    size_t countIdle() const;
-    size_t countLoadingIdle() const;
+    // Engines that serve in no replica, by the model that their host holds or loads, as "MODEL:COUNT;...";
+    // "none" without a copy, "dead" without an answer.
+    std::string describeIdle() const;
 
 private:
     // A time before every other.
--- /dev/null
+++ b/tests/CrashListTest.cpp
@@ -0,0 +1,128 @@
+#include "proxy/CrashList.h"
+
+#include "proxy/Placement.h"
+
+#include <gtest/gtest.h>
+
+// Requests that crash each endpoint that runs them.
+
+using namespace hemlockweir;
+
+namespace {
+
+class CrashListTest : public testing::Test {
+protected:
+    // An endpoint goes down on the request, and is found down.
+    void crash(uint64_t request, const std::string& endpoint)
+    {
+        list_.noteBroken(request, endpoint);
+        list_.noteDown(endpoint);
+        now_ += Millis(2000);
+    }
+
+    Millis now_ { 100000 };
+    std::vector<std::pair<uint64_t, uint32_t>> told_;
+    CrashList list_ { { .clock = [this] { return now_; }, .maxRequests = 10, .onCrash = [this](uint64_t request, uint32_t endpoint) { told_.emplace_back(request, endpoint); } } };
+};
+
+TEST_F(CrashListTest, ThirdCrashBlocksTheRequest)
+{
+    crash(7, "e1");
+    crash(7, "e2");
+    EXPECT_FALSE(list_.isBlocked(7));
+    crash(7, "e3");
+    EXPECT_TRUE(list_.isBlocked(7));
+    EXPECT_FALSE(list_.isBlocked(8));
+    EXPECT_EQ(told_.size(), 3U);
+}
+
+// Endpoints that spoil or lose answers, and live, crash on nothing.
+TEST_F(CrashListTest, BrokenConnectionOfALivingEndpointIsNoCrash)
+{
+    for (int i = 0; i < 20; ++i) {
+        list_.noteBroken(7, "e" + std::to_string(i));
+        now_ += Millis(100);
+    }
+    EXPECT_FALSE(list_.isBlocked(7));
+}
+
+TEST_F(CrashListTest, AnswerClearsTheRequest)
+{
+    crash(7, "e1");
+    crash(7, "e2");
+    list_.noteServed(7);
+    crash(7, "e3");
+    EXPECT_FALSE(list_.isBlocked(7));
+}
+
+// What breaks beside a request that crashes an endpoint is suspected once, not again at each report of it.
+TEST_F(CrashListTest, OneCrashCountsOnce)
+{
+    list_.noteBroken(7, "e1");
+    list_.noteBroken(7, "e1");
+    list_.noteDown("e1");
+    list_.noteDown("e1");
+    list_.notePeerCrash(7, hashTarget("e1"));
+    list_.notePeerCrash(7, hashTarget("e1"));
+    EXPECT_FALSE(list_.isBlocked(7));
+    EXPECT_EQ(told_.size(), 1U);
+}
+
+TEST_F(CrashListTest, EndpointThatStartsAgainCanCrashAgain)
+{
+    crash(7, "e1");
+    crash(7, "e1");
+    crash(7, "e1");
+    EXPECT_TRUE(list_.isBlocked(7));
+}
+
+TEST_F(CrashListTest, FindingsOfOtherNodesCount)
+{
+    crash(7, "e1");
+    list_.notePeerCrash(7, hashTarget("e2"));
+    list_.notePeerCrash(7, hashTarget("e3"));
+    EXPECT_TRUE(list_.isBlocked(7));
+    EXPECT_EQ(told_.size(), 1U) << "what another node found is not told again";
+}
+
+TEST_F(CrashListTest, RequestIsForgottenInTime)
+{
+    crash(7, "e1");
+    crash(7, "e2");
+    crash(7, "e3");
+    now_ += Millis(61000);
+    list_.sweep();
+    EXPECT_FALSE(list_.isBlocked(7));
+    EXPECT_TRUE(list_.isEmpty());
+}
+
+TEST_F(CrashListTest, LateNewsOfAnEndpointSaysNothing)
+{
+    list_.noteBroken(7, "e1");
+    now_ += Millis(6001);
+    list_.noteDown("e1");
+    EXPECT_TRUE(told_.empty());
+}
+
+TEST_F(CrashListTest, RemembersABoundedNumber)
+{
+    for (uint64_t i = 0; i < 100; ++i)
+        crash(i, "e" + std::to_string(i));
+    for (int i = 0; i < 2; ++i)
+        list_.notePeerCrash(99, static_cast<uint32_t>(i));
+    EXPECT_TRUE(list_.isBlocked(99));
+    for (int i = 0; i < 2; ++i)
+        list_.notePeerCrash(0, static_cast<uint32_t>(i));
+    EXPECT_FALSE(list_.isBlocked(0)) << "the oldest was forgotten";
+}
+
+TEST(Fingerprint, TellsCallersPathsAndBodiesApart)
+{
+    const uint64_t one = CrashList::fingerprint("key", "POST", "/a/1", "body");
+    EXPECT_EQ(one, CrashList::fingerprint("key", "POST", "/a/1", "body"));
+    EXPECT_NE(one, CrashList::fingerprint("key2", "POST", "/a/1", "body"));
+    EXPECT_NE(one, CrashList::fingerprint("key", "POST", "/a/", "1body"));
+    EXPECT_NE(one, CrashList::fingerprint("key", "POST", "/a/1", "body2"));
+}
+
+} // namespace
--- a/tests/FollowersTest.cpp
+++ b/tests/FollowersTest.cpp
@@ -1,6 +1,8 @@
 #include "gateway/ConfigurationFollower.h"
 #include "gateway/EndpointFollower.h"
+#include "gateway/PeerSnapshots.h"
 #include "gateway/Presence.h"
+#include "http/RequestServer.h"
 #include "support/FakeKvStore.h"
 #include "support/ScriptedEndpoint.h"
 
@@ -44,13 +46,14 @@
     DecisionLog log_ { { .clock = clock_, .descriptor = -1 } };
     PlatformAdapter adapter_;
     std::vector<uint64_t> versions_; // in the order in which they came into force
-    ConfigurationFollower::Options configurationOptions_ { .clock = clock_, .timing = timing, .onConfiguration = [this](const std::shared_ptr<const RouteTable>& routes) { versions_.push_back(routes->configuration().version); } };
+    StoreFollower follower_ { store_.context(), { .clock = clock_, .prefixes = { "config", "endpoints/", Presence::keyPrefix }, .timing = timing }, adapter_.store, log_ };
+    ConfigurationFollower::Options configurationOptions_ { .onConfiguration = [this](const std::shared_ptr<const RouteTable>& routes) { versions_.push_back(routes->configuration().version); } };
 };
 
 TEST_F(FollowersTest, ConfigurationIsInForceWithinTheWatch)
 {
-    ConfigurationFollower follower(store_.context(), configurationOptions_, adapter_, log_);
-    follower.start();
+    ConfigurationFollower follower(configurationOptions_, follower_, adapter_, log_);
+    follower_.start();
     run(Millis(30));
     EXPECT_TRUE(versions_.empty());
     store_.put("config", "3");
@@ -61,9 +64,9 @@
 
 TEST_F(FollowersTest, ConfigurationNeverGoesBack)
 {
-    ConfigurationFollower follower(store_.context(), configurationOptions_, adapter_, log_);
+    ConfigurationFollower follower(configurationOptions_, follower_, adapter_, log_);
     store_.put("config", "9");
-    follower.start();
+    follower_.start();
     waitUntil([this] { return versions_ == std::vector<uint64_t> { 9 }; });
     store_.put("config", "3");
     run(Millis(60));
@@ -75,9 +78,9 @@
 
 TEST_F(FollowersTest, LostHistoryIsReadAnew)
 {
-    ConfigurationFollower follower(store_.context(), configurationOptions_, adapter_, log_);
+    ConfigurationFollower follower(configurationOptions_, follower_, adapter_, log_);
     store_.put("config", "3");
-    follower.start();
+    follower_.start();
     waitUntil([this] { return versions_ == std::vector<uint64_t> { 3 }; });
     store_.put("config", "9");
     store_.loseHistory();
@@ -87,20 +90,70 @@
 // A store that has lost its history for good answers each watch so: the follower must not ask without a pause.
 TEST_F(FollowersTest, LostHistoryIsNoReasonToAskWithoutAPause)
 {
-    ConfigurationFollower follower(store_.context(), configurationOptions_, adapter_, log_);
+    ConfigurationFollower follower(configurationOptions_, follower_, adapter_, log_);
     store_.put("config", "3");
     store_.setKeepsHistory(false);
-    follower.start();
+    follower_.start();
     run(Millis(200));
     EXPECT_LE(store_.calls(), 30U);
 }
 
+// The store counts each call, so that one watch must serve all keys.
+TEST_F(FollowersTest, OneWatchServesAllKeys)
+{
+    ConfigurationFollower configuration(configurationOptions_, follower_, adapter_, log_);
+    EndpointFollower endpoints({ .clock = clock_, .onChange = [] {} }, follower_, adapter_, log_);
+    store_.put("config", "3");
+    store_.put("endpoints/e1", "ready");
+    store_.put("other", "of no concern");
+    follower_.start();
+    waitUntil([&] { return follower_.hasRead(); });
+    const size_t callsToRead = store_.calls();
+    EXPECT_EQ(callsToRead, 3U);
+    store_.put("config", "9");
+    store_.put("endpoints/e2", "ready");
+    store_.put("other", "still");
+    waitUntil([&] { return versions_ == std::vector<uint64_t> { 3, 9 } && endpoints.endpoints().size() == 2; });
+    EXPECT_LE(store_.calls(), callsToRead + 2);
+    EXPECT_EQ(follower_.find("other"), nullptr);
+}
+
+// A change between two answers of the first reading is told by the watch, and an older event changes nothing.
+TEST_F(FollowersTest, ChangeWhileReadingIsNotLost)
+{
+    EndpointFollower endpoints({ .clock = clock_, .onChange = [] {} }, follower_, adapter_, log_);
+    store_.put("endpoints/e1", "ready");
+    int lists = 0;
+    adapter_.store.list = [this, &lists, list = adapter_.store.list](const std::string& prefix, bool mayBeStale, KvStore::Done<KvItems> done) {
+        if (++lists == 2)
+            store_.put("endpoints/e1", "leaving");
+        if (lists == 3)
+            store_.put("endpoints/e2", "ready");
+        list(prefix, mayBeStale, std::move(done));
+    };
+    follower_.start();
+    waitUntil([&] { return endpoints.endpoints().size() == 2; });
+    EXPECT_TRUE(endpoints.endpoints().front().isLeaving);
+}
+
+TEST_F(FollowersTest, AsksLessOftenWhileTheStoreIsAway)
+{
+    store_.setDown(true);
+    follower_.start();
+    run(Millis(1000));
+    // 25, 50, 100, 200, 400 ms and so on, up to a second.
+    EXPECT_LE(store_.calls(), 8U);
+    EXPECT_FALSE(follower_.isReachable());
+    store_.setDown(false);
+    waitUntil([&] { return follower_.isReachable(); });
+}
+
 TEST_F(FollowersTest, LapsedEntriesGetTimeToComeBack)
 {
-    EndpointFollower follower(store_.context(), { .clock = clock_, .onChange = [] {} }, adapter_, log_);
+    EndpointFollower follower({ .clock = clock_, .onChange = [] {} }, follower_, adapter_, log_);
     store_.put("endpoints/e1", "ready");
     store_.put("endpoints/e2", "ready");
-    follower.start();
+    follower_.start();
     waitUntil([&] { return follower.endpoints().size() == 2; });
     store_.setDown(true);
     run(Millis(300));
@@ -116,22 +169,152 @@
 
 TEST_F(FollowersTest, EntryOfAnotherWriterNamesNoEndpointAndHarmsNoOther)
 {
-    EndpointFollower follower(store_.context(), { .clock = clock_, .onChange = [] {} }, adapter_, log_);
+    EndpointFollower follower({ .clock = clock_, .onChange = [] {} }, follower_, adapter_, log_);
     store_.put("endpoints/e1", "ready");
     store_.put("endpoints/e2", "garbage");
-    follower.start();
+    follower_.start();
     waitUntil([&] { return follower.endpoints().size() == 1; });
     store_.put("endpoints/e1", "leaving");
     waitUntil([&] { return follower.endpoints().front().isLeaving; });
 }
 
+// Two nodes, of which the store turns one away: that one learns from the other, and believes the store again once
+// it answers.
+class PeerSnapshotsTest : public FollowersTest {
+protected:
+    struct Node {
+        Node(PeerSnapshotsTest& test, const PlatformAdapter& adapter)
+            : store(test.store_.context(), { .clock = test.clock_, .prefixes = { "config", "endpoints/" }, .timing = timing }, adapter.store, test.log_)
+            , configuration({ .onConfiguration = [this](const auto& routes) { versions.push_back(routes->configuration().version); } }, store, adapter, test.log_)
+            , endpoints({ .clock = test.clock_, .onChange = [] {} }, store, adapter, test.log_)
+            , snapshots(test.store_.context(), { .clock = test.clock_, .random = makeSeededRandom(1), .control = "127.0.0.1:1", .endpointPrefix = "endpoints/", .seeds = { Endpoint { .address = "127.0.0.1", .port = test.port_ } }, .interval = Millis(20), .timeout = Millis(200) }, store, configuration, endpoints, test.log_)
+            , door(test.store_.context(), { .address = "127.0.0.1", .clock = test.clock_, .onRequest = [this](const auto& connection, const ServerRequest& request) { ++asked; snapshots.answer(connection, request); } })
+        {
+            CHECK(door.start().ok());
+            store.start();
+            snapshots.start();
+        }
+
+        std::vector<uint64_t> versions;
+        int asked = 0;
+        StoreFollower store;
+        ConfigurationFollower configuration;
+        EndpointFollower endpoints;
+        PeerSnapshots snapshots;
+        RequestServer door;
+    };
+
+    PeerSnapshotsTest()
+    {
+        turnedAway_ = adapter_;
+        turnedAway_.store.list = [this, list = adapter_.store.list](const std::string& prefix, bool mayBeStale, KvStore::Done<KvItems> done) {
+            if (isTurnedAway_)
+                boost::asio::post(store_.context(), [done] { done(absl::UnavailableError("turned away")); });
+            else
+                list(prefix, mayBeStale, std::move(done));
+        };
+        turnedAway_.store.watch = [this, watch = adapter_.store.watch](const std::string& prefix, uint64_t after, Millis wait, KvStore::Done<KvChanges> done) {
+            if (isTurnedAway_)
+                boost::asio::post(store_.context(), [done] { done(absl::UnavailableError("turned away")); });
+            else
+                watch(prefix, after, wait, std::move(done));
+        };
+        store_.put("config", "3");
+        store_.put("endpoints/e1", "ready");
+        known_ = std::make_unique<Node>(*this, adapter_);
+        port_ = known_->door.port();
+        waitUntil([this] { return known_->versions.size() == 1 && known_->endpoints.endpoints().size() == 1; });
+    }
+
+    PlatformAdapter turnedAway_;
+    bool isTurnedAway_ = true;
+    uint16_t port_ = 1;
+    std::unique_ptr<Node> known_;
+};
+
+TEST_F(PeerSnapshotsTest, NodeThatStartsWithoutTheStoreLearnsFromASeed)
+{
+    Node node(*this, turnedAway_);
+    waitUntil([&] { return node.versions == std::vector<uint64_t> { 3 } && node.endpoints.endpoints().size() == 1; });
+    EXPECT_TRUE(node.store.hasRead());
+}
+
+TEST_F(PeerSnapshotsTest, ChangesReachANodeThatTheStoreTurnsAway)
+{
+    isTurnedAway_ = false;
+    Node node(*this, turnedAway_);
+    waitUntil([&] { return node.versions.size() == 1 && node.endpoints.endpoints().size() == 1; });
+    EXPECT_EQ(known_->asked, 0) << "the store answers";
+    isTurnedAway_ = true;
+    store_.put("config", "9");
+    store_.put("endpoints/e1", "leaving");
+    store_.put("endpoints/e2", "ready");
+    waitUntil([&] { return node.versions == std::vector<uint64_t> { 3, 9 } && node.endpoints.endpoints().size() == 2 && node.endpoints.endpoints().front().isLeaving; });
+    store_.remove("endpoints/e1");
+    waitUntil([&] { return node.endpoints.endpoints().size() == 1; });
+    isTurnedAway_ = false;
+    store_.put("config", "12");
+    waitUntil([&] { return node.versions.back() == 12 && node.store.isReachable(); });
+    EXPECT_EQ(node.versions, (std::vector<uint64_t> { 3, 9, 12 }));
+    const int asked = known_->asked;
+    run(Millis(100));
+    EXPECT_EQ(known_->asked, asked);
+}
+
+// The other node may itself be behind.
+TEST_F(PeerSnapshotsTest, OlderWordOfAnotherNodeChangesNothing)
+{
+    isTurnedAway_ = false;
+    Node node(*this, turnedAway_);
+    store_.put("config", "9");
+    store_.put("endpoints/e2", "ready");
+    waitUntil([&] { return !node.versions.empty() && node.versions.back() == 9 && node.endpoints.endpoints().size() == 2; });
+    isTurnedAway_ = true;
+    waitUntil([&] { return !node.store.isReachable(); });
+    EXPECT_FALSE(node.configuration.take("3", "peer"));
+    EXPECT_FALSE(node.store.adopt("endpoints/", {}, 2));
+    EXPECT_EQ(node.endpoints.endpoints().size(), 2U);
+}
+
+TEST_F(PeerSnapshotsTest, GarbageOfAPeerChangesNothing)
+{
+    Node node(*this, turnedAway_);
+    waitUntil([&] { return node.versions.size() == 1; });
+    RequestServer liar(store_.context(), { .address = "127.0.0.1", .clock = clock_, .onRequest = [](const auto& connection, const ServerRequest&) { connection->answer(200, {}, std::string(200, 'x')); } });
+    ASSERT_TRUE(liar.start().ok());
+    node.snapshots.setPeers({ { .node = "liar", .address = "127.0.0.1:1", .control = "127.0.0.1:" + std::to_string(liar.port()) } });
+    run(Millis(100));
+    EXPECT_EQ(node.versions, std::vector<uint64_t> { 3 });
+    EXPECT_EQ(node.endpoints.endpoints().size(), 1U);
+}
+
 class PresenceTest : public FollowersTest {
 protected:
-    std::unique_ptr<Presence> makeNode(const std::string& name, std::vector<std::string>& planners)
+    // The presence of a node, with a copy of the store of its own.
+    struct Node {
+        Node(boost::asio::io_context& context, const Clock& clock, const PlatformAdapter& adapter, DecisionLog& log, Presence::Options options)
+            : store(context, { .clock = clock, .prefixes = { Presence::keyPrefix }, .timing = timing }, adapter.store, log)
+            , presence(context, std::move(options), store, adapter, log)
+        {
+        }
+
+        void start()
+        {
+            store.start();
+            presence.start();
+        }
+        void resign() { presence.resign(); }
+        bool isPlanner() const { return presence.isPlanner(); }
+        const std::vector<Presence::Peer>& peers() const { return presence.peers(); }
+
+        StoreFollower store;
+        Presence presence;
+    };
+
+    std::unique_ptr<Node> makeNode(const std::string& name, std::vector<std::string>& planners)
     {
-        auto node = std::make_unique<Presence>(store_.context(),
-            Presence::Options { .clock = clock_, .node = name, .address = "127.0.0.1:1", .boot = name + "-boot", .leaseTtl = Millis(1000), .renewInterval = Millis(100), .timing = timing, .writeInterval = Millis(50), .callMargin = Millis(30), .onRole = [&planners, name](bool isPlanner, uint64_t) { planners.push_back((isPlanner ? "+" : "-") + name); } },
-            adapter_, log_);
+        auto node = std::make_unique<Node>(store_.context(), clock_, adapter_, log_,
+            Presence::Options { .clock = clock_, .node = name, .address = "127.0.0.1:1", .control = "127.0.0.1:2", .boot = name + "-boot", .leaseTtl = Millis(1000), .renewInterval = Millis(100), .writeInterval = Millis(50), .callMargin = Millis(30), .onRole = [&planners, name](bool isPlanner, uint64_t) { planners.push_back((isPlanner ? "+" : "-") + name); } });
         node->start();
         return node;
     }
@@ -144,7 +327,7 @@
     const auto first = makeNode("n1", roles_);
     const auto second = makeNode("n2", roles_);
     waitUntil([&] { return first->peers().size() == 1 && second->peers().size() == 1 && first->isPlanner() + second->isPlanner() == 1; });
-    EXPECT_EQ(first->peers().front().node, "n2");
+    EXPECT_EQ(first->peers().front(), (Presence::Peer { .node = "n2", .address = "127.0.0.1:1", .control = "127.0.0.1:2" }));
 }
 
 TEST_F(PresenceTest, PlannerThatResignsIsFollowedAtOnce)
--- a/tests/ProxyFlowTest.cpp
+++ b/tests/ProxyFlowTest.cpp
@@ -93,7 +93,8 @@
     }
 
     boost::asio::io_context context_;
-    Clock clock_ = makeSteadyClock();
+    Millis skipped_ { 0 };
+    Clock clock_ = [this, steady = makeSteadyClock()] { return steady() + skipped_; };
     ScriptedEndpoint first_ { context_ };
     ScriptedEndpoint second_ { context_ };
     DecisionLog log_ { { .clock = clock_, .descriptor = -1 } };
@@ -102,7 +103,9 @@
     Dispatcher dispatcher_ { { .clock = clock_, .random = random_, .domain = "a" } };
     ConnectionPool pool_ { context_, { .clock = clock_ } };
     RetryWindow retries_ { { .clock = clock_ } };
-    ProxyContext shared_ { .clock = clock_, .random = random_, .headers = headerNames, .dispatcher = dispatcher_, .pool = pool_, .retries = retries_, .log = log_, .metrics = metrics_ };
+    std::vector<std::string> broken_; // endpoints on which a request broke
+    CrashList crashes_ { { .clock = clock_, .onBroken = [this](const std::string& endpoint) { broken_.push_back(endpoint); } } };
+    ProxyContext shared_ { .clock = clock_, .random = random_, .headers = headerNames, .dispatcher = dispatcher_, .pool = pool_, .retries = retries_, .crashes = crashes_, .log = log_, .metrics = metrics_ };
     Proxy proxy_;
 };
 
@@ -281,4 +284,30 @@
     EXPECT_LT(clock_() - before, Millis(200)); // the objective
 }
 
+// A request that crashes what runs it comes again and again; after the third crash it reaches no endpoint.
+TEST_F(ProxyFlowTest, RequestThatCrashesEndpointsIsRefusedAfterTheThird)
+{
+    configure();
+    script([](int) { return ScriptedAnswer { .bytes = {}, .ending = Ending::Reset }; });
+    for (const std::string id : { "r1", "r2", "r3" }) {
+        const std::string answer = ask(request("/order/7", id));
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << answer;
+        ASSERT_FALSE(broken_.empty());
+        for (const std::string& endpoint : broken_)
+            crashes_.noteDown(endpoint);
+        // Each endpoint has started again since.
+        skipped_ += Millis(2000);
+        dispatcher_.setTargets("desk", {});
+        dispatcher_.setTargets("desk", { target("e1", first_), target("e2", second_) });
+    }
+    const size_t before = arrivals();
+    EXPECT_EQ(before, 3U);
+    const std::string refused = ask(request("/order/7", "r4"));
+    EXPECT_TRUE(refused.starts_with("HTTP/1.1 500 ")) << refused;
+    EXPECT_EQ(refused.find("Retry-After"), std::string::npos);
+    EXPECT_EQ(arrivals(), before);
+    script([](int) { return ScriptedAnswer { sealedAnswer("r5", "whole") }; });
+    EXPECT_TRUE(ask(request("/order/8", "r5")).starts_with("HTTP/1.1 200 "));
+}
+
 } // namespace
