Move engines from a model with too many to one that lost nearly all; keep the order of bytes in the proxy

Change: ReplicaPlanner, in a fleet at rest, loads copies onto the hosts of one replica of the model with too many and then releases it; one at a time, and only while the giver keeps the larger part. Ruled out for the order of events: the gateway, whose cutter leaves out an event with a lower id. The proxy delivered each piece by a timer of its own, so that bytes overtook others when its delay was taken away; it keeps a queue for each direction now.

--- /dev/null
+++ b/packages/node/NodeParts.cpp
@@ -0,0 +1,122 @@
+#include "node/Node.h"
+
+#include "membership/Rendezvous.h"
+
+#include <algorithm>
+#include <map>
+
+// What the parts of a node ask of it: their options, with the hooks by which they reach each other.
+
+namespace hemlockweir {
+
+static std::vector<WasteRow> describeWaste(const StrandedTotals& totals)
+{
+    return {
+        { .cause = "missing_member", .strandedMs = totals.missingMemberMs },
+        { .cause = "loading", .strandedMs = totals.loadingMs },
+        { .cause = "no_partner", .strandedMs = totals.noPartnerMs },
+        { .cause = "cut_off", .strandedMs = totals.cutOffMs },
+        { .cause = "leaving", .strandedMs = totals.leavingMs },
+        { .cause = "not_reporting", .strandedMs = totals.notReportingMs },
+        { .cause = "group_down", .downtimeMs = totals.groupDownMs },
+    };
+}
+
+ReportOptions Node::makeReportOptions()
+{
+    ReportOptions options { .own = { .node = settings_.node, .incarnation = incarnation_ }, .shareInterval = settings_.reportShareInterval, .flushInterval = settings_.reportFlushInterval };
+    options.freshness = settings_.statusFreshness;
+    options.clock = clock_;
+    options.waste = [this] { return describeWaste(manager_.strandedTotals()); };
+    options.broadcast = [this](const Counters& counters) { peers_.broadcast(counters); };
+    options.isRunning = [this](const PartId& id) {
+        const std::vector<Peer> peers = peers_.peers();
+        return std::any_of(peers.begin(), peers.end(), [&](const Peer& peer) { return peer.alive && peer.node == id.node && peer.incarnation == id.incarnation; });
+    };
+    return options;
+}
+
+Heartbeat Node::makeHeartbeat() const
+{
+    return { .domain = settings_.domain,
+        .region = settings_.region,
+        .callers = settings_.callers.toString(),
+        .peers = settings_.advertisedPeers.toString(),
+        .configRevision = config_.snapshot().revision,
+        .leaving = tables_.isStopping,
+        .platformDown = follower_.isPlatformDown() };
+}
+
+ConfigServer::Options Node::makeConfigServerOptions()
+{
+    return { .node = settings_.node,
+        .incarnation = incarnation_,
+        .clusterKey = QByteArray::fromStdString(settings_.clusterKey),
+        .read = [this] {
+            const ConfigSnapshot snapshot = config_.snapshot();
+            return PublishedDocument { .json = snapshot.document, .revision = snapshot.revision };
+        } };
+}
+
+SharedWriter::Options Node::makeSharedWriterOptions()
+{
+    return { .writeEach = makeClaimStore(platform_).writeEach,
+        .clock = clock_,
+        .random = random_,
+        .isShared = [this] { return livingNodesIn(settings_.domain).size() >= static_cast<size_t>(settings_.claimSharingNodes); },
+        .findSharer = [this] { return findClaimSharer(); },
+        .send = [this](const std::string& sharer, const ClaimBatch& batch, SharedWriter::Answer done) { peerClient_.ask<ClaimBatchAnswer>(sharer, batch, std::move(done)); } };
+}
+
+ClaimStore Node::makeSharedClaimStore()
+{
+    ClaimStore store = makeClaimStore(platform_);
+    store.writeEach = [this](const std::vector<KvWrite>& writes, Callback<std::vector<KvWriteResult>> done) { sharedWriter_.writeEach(writes, std::move(done)); };
+    return store;
+}
+
+// The node of this failure domain that writes the claims of all; empty: this one.
+std::string Node::findClaimSharer() const
+{
+    std::map<std::string, std::string> endpoints { { settings_.node, "" } };
+    std::vector<std::string> candidates;
+    if (!tables_.isStopping)
+        candidates.push_back(settings_.node);
+    for (const Peer& peer : peers_.peers()) {
+        if (!peer.alive || peer.heartbeat.leaving || peer.heartbeat.platformDown || peer.heartbeat.domain != settings_.domain)
+            continue;
+        candidates.push_back(peer.node);
+        endpoints[peer.node] = peer.heartbeat.peers;
+    }
+    const std::vector<std::string> first = pickByRendezvous(candidates, "claims of " + settings_.domain, 1);
+    return first.empty() ? "" : endpoints[first.front()];
+}
+
+PeerServer::Options Node::makePeerServerOptions() const
+{
+    return { .address = QHostAddress(QString::fromStdString(settings_.peers.address)),
+        .port = settings_.peers.port,
+        .clusterKey = QByteArray::fromStdString(settings_.clusterKey) };
+}
+
+ConfigFollower::Options Node::makeFollowerOptions()
+{
+    constexpr size_t watchersPerDomain = 2;
+    return { .fetch = { .node = settings_.node, .incarnation = incarnation_, .clusterKey = QByteArray::fromStdString(settings_.clusterKey) },
+        .clock = clock_,
+        .random = random_,
+        .isWatcher = [this] { return peers_.isFirstFor("configuration watcher", watchersPerDomain); },
+        .sources = [this] { return findConfigSources(); } };
+}
+
+std::vector<ConfigSource> Node::findConfigSources() const
+{
+    std::vector<ConfigSource> sources;
+    for (const Peer& peer : peers_.peers()) {
+        if (peer.alive)
+            sources.push_back({ .endpoint = peer.heartbeat.peers, .revision = peer.heartbeat.configRevision, .isNear = peer.heartbeat.domain == settings_.domain });
+    }
+    return sources;
+}
+
+} // namespace hemlockweir
--- a/packages/replicas/ReplicaCopies.cpp
+++ b/packages/replicas/ReplicaCopies.cpp
@@ -240,4 +240,64 @@
     return best;
 }
 
+// Losses may leave one model with nearly all engines. In a fleet at rest nothing else changes that.
+void ReplicaPlanner::rebalance(std::vector<EngineOrder>& orders)
+{
+    if (!hasTraffic_ || !orders.empty() || !isAtRest())
+        return;
+    for (const ReplicaModel* taker : modelsByNeed()) {
+        for (const ReplicaModel& giver : profile_.models) {
+            if (hasTooMany(giver, *taker) && giveReplica(giver, *taker, orders))
+                return;
+        }
+    }
+}
+
+// Whether all replicas serve and no idle engine waits for a copy.
+bool ReplicaPlanner::isAtRest() const
+{
+    const std::vector<ReplicaView> replicas = findReplicas();
+    const bool allServe = std::all_of(replicas.begin(), replicas.end(), [](const ReplicaView& replica) {
+        return replica.isReady() && !replica.isLeaving && replica.head()->membership->state == MemberState::Open;
+    });
+    return allServe && std::all_of(engines_.begin(), engines_.end(), [](const auto& entry) { return entry.second.info.membership || entry.second.staging.empty(); });
+}
+
+// Whether the giver has more engines for its part of the work than the taker even after it gave a replica.
+bool ReplicaPlanner::hasTooMany(const ReplicaModel& giver, const ReplicaModel& taker) const
+{
+    if (giver.size < taker.size || &giver == &taker)
+        return false;
+    const double left = enginesFor(giver.name) - static_cast<double>(giver.size);
+    const double gained = static_cast<double>(giver.size - giver.size % taker.size);
+    return left > 0 && left / std::max(0.01, giver.workShare) >= (enginesFor(taker.name) + gained) / std::max(0.01, taker.workShare);
+}
+
+// Takes a replica apart for another model once its hosts hold copies of that; loads those first, while it serves
+// on. False if the giver has no replica.
+bool ReplicaPlanner::giveReplica(const ReplicaModel& giver, const ReplicaModel& taker, std::vector<EngineOrder>& orders)
+{
+    const size_t wanted = giver.size - giver.size % taker.size;
+    const auto countCopies = [&](const ReplicaView& replica) {
+        return static_cast<size_t>(std::count_if(replica.members.begin(), replica.members.end(), [&](const EndpointInfo* member) { return hasCopy(engines_.at(member->id), taker.name); }));
+    };
+    std::optional<ReplicaView> chosen;
+    for (const ReplicaView& replica : findReplicas()) {
+        if (replica.model == giver.name && (!chosen || countCopies(replica) > countCopies(*chosen)))
+            chosen = replica;
+    }
+    if (!chosen)
+        return false;
+    size_t copies = 0; // there or on their way
+    for (auto member = chosen->members.rbegin(); member != chosen->members.rend(); ++member) {
+        Engine& engine = engines_.at((*member)->id);
+        if (!hasCopy(engine, taker.name) && engine.staging.empty() && copies < wanted && countLoads() < profile_.loadsAtOnce)
+            stage(taker, engine, orders);
+        copies += hasCopy(engine, taker.name) || engine.staging == taker.name ? 1 : 0;
+    }
+    if (countCopies(*chosen) >= wanted)
+        release(*chosen, orders);
+    return true;
+}
+
 } // namespace hemlockweir
--- a/packages/replicas/ReplicaPlanner.cpp
+++ b/packages/replicas/ReplicaPlanner.cpp
@@ -194,6 +194,7 @@
     countEngines();
     formReplicas(orders);
     stageCopies(orders);
+    rebalance(orders);
     return orders;
 }
 
--- a/packages/replicas/ReplicaPlanner.h
+++ b/packages/replicas/ReplicaPlanner.h
@@ -137,6 +137,10 @@
     void form(const std::string& fabric, const ReplicaModel& model, const FreeEngines& members, std::vector<EngineOrder>& orders);
     void takeSpares(const std::string& fabric, const FreeEngines& free, std::vector<EngineOrder>& orders);
     void stageCopies(std::vector<EngineOrder>& orders);
+    void rebalance(std::vector<EngineOrder>& orders);
+    bool isAtRest() const;
+    bool hasTooMany(const ReplicaModel& giver, const ReplicaModel& taker) const;
+    bool giveReplica(const ReplicaModel& giver, const ReplicaModel& taker, std::vector<EngineOrder>& orders);
     void stage(const ReplicaModel& model, Engine& engine, std::vector<EngineOrder>& orders);
     double scarcity(const ReplicaModel& model) const;
     bool isReserved(const Engine& engine, const ReplicaModel& model) const;
--- a/standins/proxy.cpp
+++ b/standins/proxy.cpp
@@ -12,12 +12,14 @@
 #include "StandIn.h"
 
 #include <QCoreApplication>
+#include <QDateTime>
 #include <QNetworkDatagram>
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <QTimer>
 #include <QUdpSocket>
 #include <QUrl>
+#include <deque>
 #include <iostream>
 #include <linux/filter.h>
 #include <set>
@@ -103,6 +105,12 @@
     }
 
 private:
+    // Bytes on their way, and when they arrive, in ms since the epoch.
+    struct Piece {
+        QByteArray bytes;
+        qint64 dueAt = 0;
+    };
+
     bool isHeld(const LinkFaults& faults) const
     {
         return faults.freeze || faults.silence != silenceAtStart_ || faults.blackHole != blackHoleAtStart_;
@@ -120,12 +128,23 @@
     {
         if (to->state() != QAbstractSocket::ConnectedState || from->bytesAvailable() == 0)
             return;
-        const QByteArray bytes = from->readAll();
-        if (delayMs == 0) {
-            to->write(bytes);
-            return;
+        // A shorter delay never lets bytes overtake those before them.
+        std::deque<Piece>& pieces = from == caller_ ? towardsTarget_ : towardsCaller_;
+        const qint64 now = QDateTime::currentMSecsSinceEpoch();
+        const qint64 before = pieces.empty() ? 0 : pieces.back().dueAt;
+        pieces.push_back({ .bytes = from->readAll(), .dueAt = std::max(now + delayMs, before) });
+        deliver(to, pieces);
+    }
+
+    void deliver(QTcpSocket* to, std::deque<Piece>& pieces)
+    {
+        const qint64 now = QDateTime::currentMSecsSinceEpoch();
+        while (!pieces.empty() && pieces.front().dueAt <= now) {
+            to->write(pieces.front().bytes);
+            pieces.pop_front();
         }
-        QTimer::singleShot(delayMs, to, [to, bytes] { to->write(bytes); });
+        if (!pieces.empty())
+            QTimer::singleShot(static_cast<int>(pieces.front().dueAt - now), to, [this, to, &pieces] { deliver(to, pieces); });
     }
 
     void close()
@@ -136,7 +155,10 @@
         closing_ = true;
         pass();
         constexpr int lingerMs = 100;
-        QTimer::singleShot(faults.cut ? 0 : faults.delayMs * 2 + (caller_->bytesToWrite() > 0 ? lingerMs : 0), this, [this, faults] {
+        const qint64 now = QDateTime::currentMSecsSinceEpoch();
+        const qint64 lastDue = std::max({ now, towardsCaller_.empty() ? now : towardsCaller_.back().dueAt, towardsTarget_.empty() ? now : towardsTarget_.back().dueAt });
+        const int wait = static_cast<int>(lastDue - now) + faults.delayMs + (caller_->bytesToWrite() > 0 ? lingerMs : 0);
+        QTimer::singleShot(faults.cut ? 0 : wait, this, [this, faults] {
             if (faults.cut) {
                 caller_->abort();
                 target_->abort();
@@ -150,6 +172,8 @@
 
     QTcpSocket* caller_;
     QTcpSocket* target_;
+    std::deque<Piece> towardsCaller_;
+    std::deque<Piece> towardsTarget_;
     ReadFaults faults_;
     int silenceAtStart_;
     int blackHoleAtStart_;
--- a/tests/GatewaySoakProcessTest.cpp
+++ b/tests/GatewaySoakProcessTest.cpp
@@ -161,8 +161,8 @@
             expectNone(checkRefusals(requests, effects));
             expectNone(checkWholeReplicas(effects));
             expectNone(checkOneReplica(effects, faults_.troubles()));
-            expectNone(checkEnds(requests, faults_));
-            expectNone(checkVersions(requests, faults_));
+            expectNone(checkEnds(requests, faults_.troubles()));
+            expectNone(checkVersions(requests, faults_.troubles()));
             const auto whole = std::count_if(requests.begin(), requests.end(), [](const SoakRequest& request) { return request.status == statusOk && request.isComplete; });
             std::cout << requests.size() << " requests, " << whole << " answered whole, " << faults_.troubles().size() << " faults\n";
         }
--- a/tests/ReplicaPlannerTest.cpp
+++ b/tests/ReplicaPlannerTest.cpp
@@ -431,4 +431,42 @@
     EXPECT_FALSE(given_.front().isAbrupt);
 }
 
+// Found by the soak (seed 19): losses left five large replicas and one small one, for the same part of the work, and
+// nothing changed that for as long as nothing else was lost.
+TEST_F(PlannerTest, ModelThatLostItsReplicasGetsEnginesOfOneWithTooMany)
+{
+    for (int i = 0; i < 3; ++i) {
+        const std::string fabric(1, static_cast<char>('a' + i));
+        addEngines(fabric, 4);
+        for (int member = 0; member < 4; ++member) {
+            EndpointInfo& engine = engines_.at(fabric + "-" + std::to_string(member));
+            engine.membership = Membership { .group = "g" + fabric, .epoch = 1, .rank = static_cast<size_t>(member), .state = member == 0 ? MemberState::Open : MemberState::Ready };
+            engine.model = largeModel;
+            engine.staged = { largeModel };
+        }
+    }
+    addEngines("d", 2);
+    for (int member = 0; member < 2; ++member) {
+        EndpointInfo& engine = engines_.at("d-" + std::to_string(member));
+        engine.membership = Membership { .group = "gd", .epoch = 1, .rank = static_cast<size_t>(member), .state = member == 0 ? MemberState::Open : MemberState::Ready };
+        engine.model = smallModel;
+        engine.staged = { smallModel };
+    }
+    isLead_ = false;
+    planner_.noteTraffic();
+    EXPECT_EQ(countServing(largeModel), 3U);
+    size_t least = 3;
+    for (int round = 0; round < 200; ++round) {
+        step();
+        least = std::min(least, countServing(largeModel));
+    }
+    EXPECT_EQ(countServing(largeModel), 2U);
+    EXPECT_EQ(countServing(smallModel), 3U);
+    EXPECT_EQ(least, 2U) << "one replica at a time";
+    given_.clear();
+    for (int round = 0; round < 100; ++round)
+        step();
+    EXPECT_TRUE(given_.empty()) << "balanced, it stays so";
+}
+
 } // namespace
--- a/tests/support/SoakChecks.cpp
+++ b/tests/support/SoakChecks.cpp
@@ -141,17 +141,17 @@
     return broken;
 }
 
-QStringList checkEnds(const std::vector<SoakRequest>& requests, const SoakFaults& faults)
+QStringList checkEnds(const std::vector<SoakRequest>& requests, const std::vector<SoakTrouble>& troubles)
 {
     QStringList broken;
     for (const SoakRequest& request : requests) {
-        if (request.isGivenUp && !faults.wasTroubled(request.gateway, request.sentAt - 1, request.endedAt))
+        if (request.isGivenUp && !wasTroubled(troubles, request.gateway, request.sentAt - 1, request.endedAt))
             broken << describe(request) + ": no end by its deadline";
     }
     return broken;
 }
 
-QStringList checkVersions(const std::vector<SoakRequest>& requests, const SoakFaults& faults)
+QStringList checkVersions(const std::vector<SoakRequest>& requests, const std::vector<SoakTrouble>& troubles)
 {
     QStringList broken;
     struct Known {
@@ -171,7 +171,7 @@
         }
         // Not found although it was in force: by a newer version that dropped it, or by an older one.
         const bool isStillKept = version <= newest.version && version + SoakConfiguration::versionsKept > newest.version;
-        const bool mayHaveRestarted = faults.wasTroubled(request.gateway, newest.at, request.endedAt);
+        const bool mayHaveRestarted = wasTroubled(troubles, request.gateway, newest.at, request.endedAt);
         if (isStillKept && request.sentAt > newest.at && !mayHaveRestarted)
             broken << describe(request) + ": fell back from version " + QString::number(newest.version);
     }
--- a/tests/support/SoakChecks.h
+++ b/tests/support/SoakChecks.h
@@ -41,9 +41,9 @@
 QStringList checkOneReplica(const SoakEffects& effects, const std::vector<SoakTrouble>& troubles);
 
 // Every request ends by its deadline, unless something that concerns its gateway was broken.
-QStringList checkEnds(const std::vector<SoakRequest>& requests, const SoakFaults& faults);
+QStringList checkEnds(const std::vector<SoakRequest>& requests, const std::vector<SoakTrouble>& troubles);
 
 // A gateway that knew a version never forgets it, within one process.
-QStringList checkVersions(const std::vector<SoakRequest>& requests, const SoakFaults& faults);
+QStringList checkVersions(const std::vector<SoakRequest>& requests, const std::vector<SoakTrouble>& troubles);
 
 } // namespace hemlockweir
--- a/tests/support/SoakFaults.cpp
+++ b/tests/support/SoakFaults.cpp
@@ -217,9 +217,9 @@
     turn();
 }
 
-bool SoakFaults::wasTroubled(const std::string& gateway, qint64 from, qint64 until) const
+bool wasTroubled(const std::vector<SoakTrouble>& troubles, const std::string& gateway, qint64 from, qint64 until)
 {
-    return std::any_of(troubles_.begin(), troubles_.end(), [&](const SoakTrouble& trouble) {
+    return std::any_of(troubles.begin(), troubles.end(), [&](const SoakTrouble& trouble) {
         const bool concerns = trouble.what == gateway || trouble.what == "store";
         return concerns && trouble.from <= until && (trouble.until == 0 || trouble.until >= from);
     });
--- a/tests/support/SoakFaults.h
+++ b/tests/support/SoakFaults.h
@@ -15,6 +15,9 @@
     qint64 until = 0; // 0: not over
 };
 
+// Whether something that concerns a gateway was broken in a stretch of time: itself, its links, the store.
+bool wasTroubled(const std::vector<SoakTrouble>& troubles, const std::string& gateway, qint64 from, qint64 until);
+
 class SoakFaults {
 public:
     SoakFaults(GatewayCluster& cluster, Random random);
@@ -34,9 +37,6 @@
 
     const std::vector<SoakTrouble>& troubles() const { return troubles_; }
 
-    // Whether something that concerns a gateway was broken in a stretch of time: itself, its links, the store.
-    bool wasTroubled(const std::string& gateway, qint64 from, qint64 until) const;
-
 private:
     struct Active {
         size_t trouble = 0; // its index
