--- a/tests/support/SoakChecks.cpp
+++ b/tests/support/SoakChecks.cpp
@@ -2,6 +2,7 @@
 
 #include "http/StatusCodes.h"
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 
 namespace hemlockweir {
@@ -135,7 +136,7 @@
             const SoakEffect* headNow = lastBefore(effects.at(head), join.at);
             const bool isServing = headNow && headNow->isSameGroup(*before) && (headNow->what == "open" || headNow->what == "closing");
             if (isServing && !wasDown(head, join.at, troubles))
-                broken << QString::fromStdString(endpoint + " joined " + join.group + " at " + std::to_string(join.at) + " while " + head + " served " + before->group);
+                broken << QString::fromStdString(absl::StrCat(endpoint, " joined ", join.group, " at ", join.at, " while ", head, " served ", before->group));
         }
     }
     return broken;
