--- a/tests/GatewaySoakProcessTest.cpp
+++ b/tests/GatewaySoakProcessTest.cpp
@@ -225,6 +225,8 @@
     soak.check();
 }
 
-INSTANTIATE_TEST_SUITE_P(FixedSeeds, GatewaySoak, testing::Values(1, 2));
+// Seeds that failed once: 1, 2, 4 and 5 by a request thrown away at a planned stop, 1 also by a planner without a
+// lease, 19 by a model left with one replica, 15, 18, 24 and 28 by bytes out of order in the proxy.
+INSTANTIATE_TEST_SUITE_P(FixedSeeds, GatewaySoak, testing::Values(1, 2, 4, 5, 15, 18, 19, 24, 28));
 
 } // namespace hemlockweir
