Remove what the soak does not use

No behaviour changes. Measured: the two programs build, the linter is clean over member.cpp; the soak was not run again after this.

--- a/standins/member.cpp
+++ b/standins/member.cpp
@@ -62,7 +62,6 @@
 // One request at work.
 struct Run {
     std::shared_ptr<Exchange> exchange;
-    QString id;
     QByteArray body;
     int next = 1; // id of the next event
     int last = 0; // id of the last event
@@ -164,8 +163,6 @@
         exchange.sendBytes(status, "text/plain", {}, { { "X-Request-Id", exchange.header("X-Request-Id") }, { "X-Not-Executed", "1" } });
     }
 
-    // Orders.
-
     void takeOrder(const std::shared_ptr<Exchange>& exchange)
     {
         const QJsonObject order = QJsonDocument::fromJson(exchange->body()).object();
@@ -328,8 +325,6 @@
 
     bool standsStill() const { return missingSince_ != 0; }
 
-    // Requests.
-
     void takeRequest(const std::shared_ptr<Exchange>& exchange)
     {
         if (exchange->header("X-Request-Id").isEmpty()) {
@@ -397,7 +392,7 @@
     {
         const int tokens = QString::fromLatin1(exchange->header("X-Token-Counts")).section(',', 1).toInt();
         const int from = exchange->header("Last-Event-Id").toInt();
-        runs_.push_back({ .exchange = exchange, .id = QString::fromLatin1(exchange->header("X-Request-Id")), .body = exchange->body(), .next = from + 1, .last = std::max(1, tokens / tokensPerEvent) });
+        runs_.push_back({ .exchange = exchange, .body = exchange->body(), .next = from + 1, .last = std::max(1, tokens / tokensPerEvent) });
     }
 
     void workOnStreams()
--- a/tests/support/SoakLoad.h
+++ b/tests/support/SoakLoad.h
@@ -48,7 +48,6 @@
 
     // Sends no more of its own.
     void pause() { isPaused_ = true; }
-    void resume() { isPaused_ = false; }
     bool isIdle() const;
 
     // Sends one request on a connection of its own and waits for its end.
