--- a/packages/base/Clock.cpp
+++ b/packages/base/Clock.cpp
@@ -1,6 +1,7 @@
 #include "base/Clock.h"
 
 #include <cstdio>
+#include <ctime>
 #include <memory>
 #include <mutex>
 #include <random>
@@ -10,7 +11,10 @@
 Clock makeSteadyClock()
 {
     return [] {
-        return std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now().time_since_epoch());
+        timespec now {};
+        // Fails only for an unknown clock id; CLOCK_BOOTTIME exists since Linux 2.6.39.
+        clock_gettime(CLOCK_BOOTTIME, &now);
+        return std::chrono::duration_cast<Millis>(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
     };
 }
 
--- a/packages/base/Clock.h
+++ b/packages/base/Clock.h
@@ -12,13 +12,14 @@
 
 using Millis = std::chrono::milliseconds;
 
-// Returns the monotonic time since an arbitrary start; it advances while the process is paused.
+// Returns the monotonic time since an arbitrary start; it advances while the process is paused or its instance suspended.
 using Clock = std::function<Millis()>;
 
 // Returns 64 uniformly distributed random bits.
 using Random = std::function<uint64_t()>;
 
-// Returns a clock that reads std::chrono::steady_clock.
+// Returns a clock that counts the time of a suspended instance, which std::chrono::steady_clock does not: a lease must not
+// seem valid after its holder was suspended for longer than it lasts.
 Clock makeSteadyClock();
 
 // Returns a thread-safe generator that is seeded from std::random_device.
--- a/packages/gateway/EndpointFollower.cpp
+++ b/packages/gateway/EndpointFollower.cpp
@@ -13,12 +13,16 @@
 
 void EndpointFollower::update()
 {
+    bool hasChanged = false;
     for (const KvItem* item : store_.itemsWith(adapter_.endpointPrefix))
-        applyItem(*item);
-    removeMissing();
-    endpoints_.clear();
-    for (const auto& [key, known] : known_)
-        endpoints_.push_back(known.info);
+        hasChanged = applyItem(*item) || hasChanged;
+    hasChanged = removeMissing() || hasChanged;
+    if (hasChanged) {
+        ++changeCount_;
+        endpoints_.clear();
+        for (const auto& [key, known] : known_)
+            endpoints_.push_back(known.info);
+    }
     options_.onChange();
 }
 
@@ -31,38 +35,42 @@
     return entries;
 }
 
-void EndpointFollower::applyItem(const KvItem& item)
+// Returns whether the entry was new.
+bool EndpointFollower::applyItem(const KvItem& item)
 {
     const auto previous = known_.find(item.key);
     if (previous != known_.end() && previous->second.item.revision == item.revision)
-        return;
+        return false;
     absl::StatusOr<EndpointInfo> info = adapter_.decodeEndpoint(item);
     if (!info.ok()) {
         // The entry describes no usable endpoint; another writer may own the key. The endpoint known by this key is removed.
-        known_.erase(item.key);
+        const bool wasKnown = known_.erase(item.key) > 0;
         if (std::exchange(loggedUnreadable_[item.key], item.revision) != item.revision)
             log_.noteChange("endpoint_unreadable", { { "key", item.key }, { "revision", std::to_string(item.revision) }, { "error", std::string(info.status().message()) } });
-        return;
+        return wasKnown;
     }
     if (previous == known_.end())
         log_.noteChange("endpoint_found", { { "endpoint", info->id }, { "service", info->service }, { "domain", info->domain }, { "fabric", info->fabric }, { "revision", std::to_string(item.revision) } });
     else if (info->isLeaving && !previous->second.info.isLeaving)
         log_.noteChange("endpoint_leaving", { { "endpoint", info->id }, { "service", info->service }, { "revision", std::to_string(item.revision) } });
     known_.insert_or_assign(item.key, KnownEndpoint { std::move(*info), item });
+    return true;
 }
 
-void EndpointFollower::removeMissing()
+// Returns whether an endpoint was removed.
+bool EndpointFollower::removeMissing()
 {
     const bool isInGracePeriod = options_.clock() - store_.recoveredAt() < options_.gracePeriod;
     if (isInGracePeriod)
-        return;
-    std::erase_if(known_, [this](const auto& entry) {
+        return false;
+    const size_t removed = std::erase_if(known_, [this](const auto& entry) {
         if (store_.find(entry.first))
             return false;
         log_.noteChange("endpoint_gone", { { "endpoint", entry.second.info.id }, { "service", entry.second.info.service }, { "store_revision", std::to_string(store_.revision()) } });
         return true;
     });
     std::erase_if(loggedUnreadable_, [this](const auto& entry) { return !store_.find(entry.first); });
+    return removed > 0;
 }
 
 } // namespace hemlockweir
--- a/packages/gateway/EndpointFollower.h
+++ b/packages/gateway/EndpointFollower.h
@@ -21,6 +21,9 @@
 
     const std::vector<EndpointInfo>& endpoints() const { return endpoints_; }
 
+    // Returns the number of changes of the list so far.
+    uint64_t changeCount() const { return changeCount_; }
+
     // Returns the undecoded entries of the endpoints, for a node that can't reach the store.
     std::vector<KvItem> entries() const;
 
@@ -32,8 +35,8 @@
     };
 
     void update();
-    void applyItem(const KvItem& item);
-    void removeMissing();
+    bool applyItem(const KvItem& item);
+    bool removeMissing();
 
     Options options_;
     const PlatformAdapter& adapter_;
@@ -41,6 +44,7 @@
     StoreFollower& store_;
     std::vector<EndpointInfo> endpoints_;
     std::map<std::string, KnownEndpoint> known_; // by key
+    uint64_t changeCount_ = 0;
     std::map<std::string, uint64_t> loggedUnreadable_; // last logged revision of invalid entries, by key
 };
 
--- a/packages/gateway/EngineOrders.h
+++ b/packages/gateway/EngineOrders.h
@@ -5,6 +5,8 @@
 #include "http/HttpCall.h"
 #include "proxy/ProxyMetrics.h"
 
+#include <deque>
+
 // Sends orders to engines and probes whether engines are alive.
 
 namespace hemlockweir {
@@ -15,13 +17,16 @@
         Clock clock;
         Millis orderTimeout { 700 }; // ms; engines answer immediately
         Millis probeTimeout { 300 }; // ms; a live engine answers within a few network round trips
+        size_t maxConcurrentOrders = 48; // more wait in a queue, so that none times out while this node is busy with the others
+        std::function<bool()> mayOrder; // whether this node still is the planner, checked again when an order is sent
         std::function<void(const EngineOrder&, OrderResult)> onResult;
         std::function<void(const std::string& engine, bool isAlive)> onProbed;
     };
 
     EngineOrders(boost::asio::io_context& context, Options options, const PlatformAdapter& adapter, DecisionLog& log, ProxyMetrics& metrics);
 
-    // Sends an order and reports its result to onResult.
+    // Sends an order, at once or after others, and reports its result to onResult. An order that this node may not give
+    // any more when its turn comes is reported as Unsent.
     void send(const EngineOrder& order);
 
     // Requests an engine's report and calls onProbed. The engine counts as alive if it answers and has not restarted
@@ -32,8 +37,14 @@
     void sweep() { pool_.sweep(); }
 
 private:
+    void sendNext();
+    void call(const EngineOrder& order);
+    void finish(const EngineOrder& order, OrderResult result, Millis sentAt);
+
     boost::asio::io_context& context_;
     Options options_;
+    std::deque<EngineOrder> queue_;
+    size_t ordersInFlight_ = 0;
     const PlatformAdapter& adapter_;
     DecisionLog& log_;
     ProxyMetrics& metrics_;
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -18,6 +18,8 @@
 // Minimum time between two probes of an endpoint that lost a connection. Most of these endpoints are alive: a lost
 // answer is no proof of a crash.
 static constexpr Millis lostConnectionProbeInterval { 1000 };
+// Minimum time between two passes of the planner that results of orders ask for: results arrive in bursts.
+static constexpr Millis minPlanInterval { 20 };
 // The planner watches more often, because it must react to changes of engines.
 static constexpr Millis plannerWatchPause { 80 };
 // The other nodes share the store's rate limit: with more nodes each one watches less often. The maximum is
@@ -72,12 +74,14 @@
     , orders_(context,
           {
               .clock = clock_,
+              .mayOrder = [this] { return presence_.isPlanner(); },
               .onResult = [this](const EngineOrder& order, OrderResult result) { handleOrderResult(order, result); },
               .onProbed = [this](const std::string& engine, bool isAlive) { handleProbeResult(engine, isAlive); },
           },
           adapter_, log_, metrics_)
     , readyServer_(context, controlServerOptions(settings_.ready))
     , controlServer_(context, controlServerOptions(settings_.control))
+    , planTimer_(context, [this] { runPlanner(); })
     , tickTimer_(context, [this] { tick(); })
     , sweepTimer_(context, [this] { sweep(); })
 {
@@ -139,13 +143,15 @@
         if (service.engines)
             planners_.try_emplace(service.name, ReplicaPlanner::Options { .clock = clock_ });
     }
+    plannedChanges_.clear();
     updateTargets();
     runPlanner();
 }
 
 void Gateway::applyEndpoints()
 {
-    updateTargets();
+    if (std::exchange(appliedChanges_, endpoints_.changeCount()) != endpoints_.changeCount())
+        updateTargets();
     runPlanner();
 }
 
@@ -159,6 +165,7 @@
 
 void Gateway::handleRoleChange(bool isPlanner, uint64_t)
 {
+    plannedChanges_.clear();
     updateWatchPause();
     if (isPlanner)
         runPlanner();
@@ -173,6 +180,7 @@
 void Gateway::runPlanner()
 {
     isPlanRequested_ = false;
+    plannedAt_ = clock_();
     if (!proxy_.routes() || !store_.hasData() || !presence_.isPlanner())
         return;
     for (auto& entry : planners_) {
@@ -181,9 +189,13 @@
         const EndpointService* service = proxy_.routes()->configuration().findService(name);
         if (!service || !service->engines)
             continue;
-        std::vector<EndpointInfo> engines;
-        std::copy_if(endpoints_.endpoints().begin(), endpoints_.endpoints().end(), std::back_inserter(engines), [&](const EndpointInfo& endpoint) { return endpoint.service == name; });
-        planner.setEngines(engines, *service->engines);
+        const auto [planned, isNew] = plannedChanges_.try_emplace(name, 0);
+        if (isNew || planned->second != endpoints_.changeCount()) {
+            planned->second = endpoints_.changeCount();
+            std::vector<EndpointInfo> engines;
+            std::copy_if(endpoints_.endpoints().begin(), endpoints_.endpoints().end(), std::back_inserter(engines), [&](const EndpointInfo& endpoint) { return endpoint.service == name; });
+            planner.setEngines(engines, *service->engines);
+        }
         if (proxy_.hasReceivedRequest() || !settings_.isFirstStart)
             planner.noteTraffic();
         planner.setTerm(presence_.term());
@@ -217,7 +229,7 @@
     if (isPlanRequested_)
         return;
     isPlanRequested_ = true;
-    asio::post(context_, [this] { runPlanner(); });
+    planTimer_.callAfter(std::max(Millis(0), plannedAt_ + minPlanInterval - clock_()));
 }
 
 // Handles a failed target: the planner probes which members of its replica are alive.
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -84,10 +84,14 @@
     std::map<std::string, std::string> loggedReplicas_; // last logged text, by service
     RequestServer readyServer_;
     RequestServer controlServer_;
+    std::map<std::string, uint64_t> plannedChanges_; // EndpointFollower::changeCount() that a planner has seen, by service
+    uint64_t appliedChanges_ = 0; // EndpointFollower::changeCount() that the dispatcher has seen
+    RepeatingTimer planTimer_;
     RepeatingTimer tickTimer_;
     RepeatingTimer sweepTimer_;
     std::function<void()> onStopped_;
     Millis stopStartedAt_ { 0 };
+    Millis plannedAt_ { 0 };
     bool isStopping_ = false;
     bool isPlanRequested_ = false;
     bool hasStoppedListening_ = false;
--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -39,6 +39,11 @@
 
 void Dispatcher::setTargets(const std::string& service, std::vector<Target> targets)
 {
+    if (const auto known = targets_.find(service); known != targets_.end() && known->second == targets) {
+        tick();
+        return;
+    }
+    targets_[service] = targets;
     std::map<std::string, TargetLoad> before;
     for (auto it = loads_.begin(); it != loads_.end();) {
         if (it->second.target.service == service)
@@ -54,14 +59,22 @@
         load.target = target;
         loads_[target.id] = std::move(load);
     }
-    loadsByHash_.clear();
-    for (auto& [id, load] : loads_)
-        loadsByHash_[hashTarget(id)] = &load;
+    indexLoads();
     if (!peers_.empty())
         recomputePeerLoad();
     tick();
 }
 
+void Dispatcher::indexLoads()
+{
+    loadsByHash_.clear();
+    loadsByModel_.clear();
+    for (auto& [id, load] : loads_) {
+        loadsByHash_[hashTarget(id)] = &load;
+        loadsByModel_[{ load.target.service, load.target.model }].push_back(&load);
+    }
+}
+
 // Returns the prompt time that remains of a report of this age: the target has processed prompts since.
 static double remainingPromptMs(const TargetUsage& use, Millis age)
 {
@@ -149,20 +162,17 @@
     return load.peerRunning * std::exp2(-age / static_cast<double>(options_.peerLoadHalfLife.count()));
 }
 
-std::vector<const TargetLoad*> Dispatcher::loadsFor(const std::string& service, const std::string& model) const
+const std::vector<const TargetLoad*>& Dispatcher::loadsFor(const std::string& service, const std::string& model) const
 {
-    std::vector<const TargetLoad*> found;
-    for (const auto& [id, load] : loads_) {
-        if (load.target.service == service && load.target.model == model)
-            found.push_back(&load);
-    }
-    return found;
+    static const std::vector<const TargetLoad*> none;
+    const auto found = loadsByModel_.find({ service, model });
+    return found == loadsByModel_.end() ? none : found->second;
 }
 
 size_t Dispatcher::countTargets(const std::string& service, const std::string& model) const
 {
     const Millis now = options_.clock();
-    const std::vector<const TargetLoad*> loads = loadsFor(service, model);
+    const std::vector<const TargetLoad*>& loads = loadsFor(service, model);
     return static_cast<size_t>(std::count_if(loads.begin(), loads.end(), [&](const TargetLoad* load) { return load->suspectUntil <= now; }));
 }
 
@@ -216,11 +226,13 @@
 bool Dispatcher::tryPlace(PlacementRequest& request)
 {
     const Millis now = options_.clock();
-    for (auto& [id, load] : loads_) {
-        if (load.peerRunningUpdatedAt == now || !peers_.empty())
-            continue;
-        load.peerRunning = currentPeerRunning(load);
-        load.peerRunningUpdatedAt = now;
+    if (peers_.empty()) {
+        for (auto& [id, load] : loads_) {
+            if (load.peerRunningUpdatedAt == now)
+                continue;
+            load.peerRunning = currentPeerRunning(load);
+            load.peerRunningUpdatedAt = now;
+        }
     }
     const Queue& queue = queues_[{ request.service, request.model }];
     request.isLate = !request.hasResponseStarted && isLate(queue, request);
--- a/packages/proxy/Dispatcher.h
+++ b/packages/proxy/Dispatcher.h
@@ -102,7 +102,8 @@
     bool goesBefore(const Queue& queue, const PlacementRequest& one, const PlacementRequest& other) const;
     std::list<PlacementRequest>::iterator findNext(Queue& queue);
     size_t countAhead(const Queue& queue, const PlacementRequest& request) const;
-    std::vector<const TargetLoad*> loadsFor(const std::string& service, const std::string& model) const;
+    const std::vector<const TargetLoad*>& loadsFor(const std::string& service, const std::string& model) const;
+    void indexLoads();
     double currentPeerRunning(const TargetLoad& load) const;
     void recomputePeerLoad();
     void applyUsageChange(uint32_t hash, const TargetUsage& before, Millis receivedBefore, const TargetUsage& after);
@@ -114,7 +115,9 @@
 
     Options options_;
     std::map<std::string, TargetLoad> loads_; // by endpoint id
+    std::map<std::string, std::vector<Target>> targets_; // by service, as set last
     std::unordered_map<uint32_t, TargetLoad*> loadsByHash_; // by hashTarget() of the id
+    std::map<QueueKey, std::vector<const TargetLoad*>> loadsByModel_;
     std::map<QueueKey, Queue> queues_;
     std::map<std::string, PeerUsage> peers_; // by node
     size_t waitingCount_ = 0;
--- a/packages/proxy/Target.h
+++ b/packages/proxy/Target.h
@@ -23,6 +23,8 @@
     // Returns the time in ms to process a prompt.
     double promptMs(uint32_t tokens) const { return promptMsPerToken * tokens; }
 
+    bool operator==(const Target&) const = default;
+
     // Returns whether both describe the same endpoint with the same model, so that its known load stays valid.
     bool isSameTarget(const Target& other) const { return id == other.id && address == other.address && port == other.port && model == other.model; }
 };
--- a/packages/replicas/EngineOrder.cpp
+++ b/packages/replicas/EngineOrder.cpp
@@ -36,6 +36,8 @@
         return "unknown";
     case OrderResult::Unreachable:
         return "unreachable";
+    case OrderResult::Unsent:
+        return "unsent";
     }
     return "unknown";
 }
--- a/packages/replicas/EngineOrder.h
+++ b/packages/replicas/EngineOrder.h
@@ -43,7 +43,8 @@
     Fenced, // the engine has seen a newer order
     WrongEngine, // a different engine answers at the address
     Unknown, // no answer: the order may have been carried out, or may be later
-    Unreachable, // nothing was sent, so the order was not carried out
+    Unreachable, // no connection, so the order was not carried out
+    Unsent, // not sent: this node may not give orders any more
 };
 
 // Returns the lower-case name of a result, e.g. "wrong_engine".
--- a/packages/replicas/ReplicaCopies.cpp
+++ b/packages/replicas/ReplicaCopies.cpp
@@ -1,25 +1,34 @@
 #include "replicas/ReplicaPlanner.h"
 
 #include <algorithm>
+#include <cmath>
 
 // The part of ReplicaPlanner that manages copies of models on hosts: it decides which copies to stage in advance,
-// when spares in smaller replicas replace lost members of larger ones, and when a replica of one model is given to
+// when spares in smaller replicas replace lost members of larger ones, and when replicas of one model are given to
 // another model.
 
 namespace hemlockweir {
 
-// Fraction of the concurrent loads that any copy may use; the rest is reserved for urgent copies.
+// A copy that gains at least this much is urgent: it completes a replica.
+static constexpr double minUrgentGain = 2;
+// A copy that gains at least this much is ordinary: it brings engines into service, or replaces a likely loss.
+static constexpr double minOrdinaryGain = 0.4;
+// Fractions of the concurrent loads that ordinary copies and all others may use; the rest is kept for urgent ones.
 static constexpr double ordinaryLoadFraction = 0.75;
-// A copy that brings at least this many engines into service is urgent: it completes a replica.
-static constexpr double minUrgentEngines = 2;
+static constexpr double backgroundLoadFraction = 0.5;
+// Resolution of the models' scarcity when copies are valued. Coarse, so that choices stay valid for longer.
+static constexpr double scarcityStep = 0.25;
+static constexpr double minWorkFraction = 0.01;
+// Engines per unit of work of a smaller model relative to a larger one from which on it gives replicas to that.
+static constexpr double largeTransferMargin = 1.25;
 
-// Returns whether members of the donor's replicas may complete a replica of the recipient. A few donated engines
-// bring a whole larger replica back, so the recipient may already have more engines per unit of work than the donor,
-// by up to the factor gained.
-bool ReplicaPlanner::mayDonate(const ReplicaModel& donor, const ReplicaModel& recipient, size_t required) const
+// Returns whether so many of the donor's replicas may be broken up to complete a replica of the recipient. That brings a
+// whole larger replica back, so the recipient may already have more engines per unit of work than the donor, by up to the
+// factor gained.
+bool ReplicaPlanner::mayDonate(const ReplicaModel& donor, const ReplicaModel& recipient, size_t replicas) const
 {
-    const auto enginesPerWork = [this](const ReplicaModel& model) { return enginesFor(model.name) / std::max(0.01, model.workFraction); };
-    const auto gain = static_cast<double>(recipient.size) / static_cast<double>(required * donor.size);
+    const auto enginesPerWork = [this](const ReplicaModel& model) { return enginesFor(model.name) / std::max(minWorkFraction, model.workFraction); };
+    const auto gain = static_cast<double>(recipient.size) / static_cast<double>(replicas * donor.size);
     return donor.size < recipient.size && gain > 1 && enginesPerWork(donor) * gain > enginesPerWork(recipient);
 }
 
@@ -28,39 +37,70 @@
 std::vector<const ReplicaPlanner::Engine*> ReplicaPlanner::findSpares(const ReplicaModel& model, const std::string& fabric) const
 {
     std::vector<const Engine*> spares;
-    for (const auto& [id, engine] : engines_) {
-        const ReplicaModel* servedModel = modelOf(engine);
-        if (engine.info.fabric == fabric && servedModel && servedModel->size < model.size && isServing(engine) && hasCopy(engine, model.name))
-            spares.push_back(&engine);
+    for (const Engine* engine : domains_.at(fabric).engines) {
+        const ReplicaModel* servedModel = modelOf(*engine);
+        if (servedModel && servedModel->size < model.size && isServing(*engine) && hasCopy(*engine, model.name))
+            spares.push_back(engine);
     }
     // Sorted by group, because two spares from the same replica cost only that one replica.
     std::stable_sort(spares.begin(), spares.end(), [](const Engine* one, const Engine* other) { return one->info.membership->group < other->info.membership->group; });
     return spares;
 }
 
-// Drains the smaller replicas whose members are needed as spares to replace lost members of a larger replica.
-void ReplicaPlanner::drainSpares(const std::string& fabric, const FreeEngines& free, std::vector<EngineOrder>& orders)
+bool ReplicaPlanner::isDraining(const Engine& engine) const
 {
-    for (const ReplicaModel* model : modelsByNeed()) {
-        const auto warm = static_cast<size_t>(std::count_if(free.begin(), free.end(), [&](const Engine* engine) { return isWarm(*engine, model->name); }));
-        // Complete only the remains of a larger replica: at least half of its engines must be free.
-        if (2 * warm < model->size || warm >= model->size)
-            continue;
-        const std::vector<const Engine*> spares = findSpares(*model, fabric);
-        const size_t required = model->size - warm;
-        const bool hasDrainingSpare = std::any_of(spares.begin(), spares.end(), [this](const Engine* spare) { return plans_.at(spare->info.membership->group).closedAt != never; });
-        if (hasDrainingSpare)
-            return;
-        if (spares.size() < required || !mayDonate(*modelOf(*spares.front()), *model, required))
-            continue;
-        std::set<std::string> groups;
-        for (size_t i = 0; i < required; ++i)
-            groups.insert(spares[i]->info.membership->group);
-        for (const ReplicaView& replica : findReplicas()) {
-            if (groups.count(replica.group) > 0)
-                drainReplica(replica, orders);
-        }
-        return;
+    const auto plan = engine.info.membership ? plans_.find(engine.info.membership->group) : plans_.end();
+    return plan != plans_.end() && plan->second.closedAt != never;
+}
+
+// Returns whether the engine's host is loading a copy of the model that will be complete within the reserve time.
+bool ReplicaPlanner::isLoadedSoon(const Engine& engine, const ReplicaModel& model) const
+{
+    return engine.stagingModel == model.name && engine.stagingStartedAt + model.loadTime - options_.clock() <= options_.reserveTime;
+}
+
+// Returns whether the free engines will soon suffice for a replica of the model: together with copies that are almost
+// loaded, or with members of replicas that drain. Drains smaller replicas if their members complete the remains of this
+// one.
+bool ReplicaPlanner::completesSoon(const ReplicaModel& model, const std::string& fabric, const FreeEngines& free, std::vector<EngineOrder>& orders)
+{
+    if (!hasTraffic_)
+        return false;
+    size_t warm = 0;
+    size_t soon = 0;
+    for (const Engine* engine : free) {
+        warm += isWarm(*engine, model.name) ? 1 : 0;
+        soon += !isWarm(*engine, model.name) && isLoadedSoon(*engine, model) ? 1 : 0;
+    }
+    for (const Engine* engine : domains_.at(fabric).engines)
+        soon += isDraining(*engine) && isWarm(*engine, model.name) && !engine->isDead && !engine->info.isLeaving ? 1 : 0;
+    if (warm + soon >= model.size)
+        return true;
+    // Complete only the remains of a larger replica: at least half of its engines must be free.
+    return 2 * warm >= model.size && drainSpares(model, fabric, model.size - warm, orders);
+}
+
+// Drains the smaller replicas whose members are needed as spares of the model. Returns false if there are too few, or if
+// they are better left where they are.
+bool ReplicaPlanner::drainSpares(const ReplicaModel& model, const std::string& fabric, size_t required, std::vector<EngineOrder>& orders)
+{
+    const std::vector<const Engine*> spares = findSpares(model, fabric);
+    if (spares.size() < required)
+        return false;
+    std::set<std::string> groups;
+    for (size_t i = 0; i < required; ++i)
+        groups.insert(spares[i]->info.membership->group);
+    if (!mayDonate(*modelOf(*spares.front()), model, groups.size()))
+        return false;
+    drainGroups(groups, orders);
+    return true;
+}
+
+void ReplicaPlanner::drainGroups(const std::set<std::string>& groups, std::vector<EngineOrder>& orders)
+{
+    for (const ReplicaView& replica : findReplicas()) {
+        if (groups.count(replica.group) > 0)
+            drainReplica(replica, orders);
     }
 }
 
@@ -69,49 +109,152 @@
     return std::any_of(profile_.models.begin(), profile_.models.end(), [&](const ReplicaModel& other) { return other.size < model.size; });
 }
 
-std::set<std::string> ReplicaPlanner::fabrics() const
+// Returns the bit of a model in a ModelSet; 0 if no copies are planned for it.
+ModelSet ReplicaPlanner::modelBit(const std::string& model) const
+{
+    for (size_t i = 0; i < std::min(profile_.models.size(), maxCopyModels); ++i) {
+        if (profile_.models[i].name == model)
+            return ModelSet { 1 } << i;
+    }
+    return 0;
+}
+
+DomainHost ReplicaPlanner::describeHost(const Engine& engine) const
+{
+    DomainHost host { .warm = modelBit(engine.lastModel) | modelBit(engine.stagingModel), .warmAfterLoad = modelBit(engine.lastModel) };
+    const std::vector<std::string>& staged = engine.info.staged;
+    for (size_t i = 0; i < staged.size(); ++i) {
+        host.warm |= modelBit(staged[i]);
+        // The host keeps its latest copies; a load replaces the earliest.
+        if (i + profile_.maxCachedModels > staged.size())
+            host.warmAfterLoad |= modelBit(staged[i]);
+    }
+    const bool isRefused = options_.clock() - engine.stageRefusedAt < options_.orderRetryInterval;
+    host.mayLoad = engine.stagingModel.empty() && !isRefused && (isFree(engine) || isServing(engine)) && !isDraining(engine);
+    return host;
+}
+
+// Describes a fabric domain to chooseCopies(). The last choice stays if nothing has changed.
+void ReplicaPlanner::updateDomainState(Domain& domain) const
+{
+    DomainState state;
+    domain.hosts.clear();
+    std::map<std::string, int> replicas;
+    for (Engine* engine : domain.engines) {
+        const bool isJoining = engine->info.membership && engine->info.membership->state == MemberState::Joining;
+        if (engine->isDead || engine->isUnlisted || engine->info.isLeaving || isJoining)
+            continue;
+        DomainHost host = describeHost(*engine);
+        const ReplicaModel* model = modelOf(*engine);
+        const ModelSet bit = model ? modelBit(model->name) : 0;
+        if (bit != 0 && wholeGroups_.count(engine->info.membership->group) > 0 && !isDraining(*engine)) {
+            const auto [found, isNew] = replicas.try_emplace(engine->info.membership->group, static_cast<int>(state.replicas.size()));
+            if (isNew)
+                state.replicas.push_back(static_cast<size_t>(model - profile_.models.data()));
+            host.replica = found->second;
+        }
+        state.hosts.push_back(host);
+        domain.hosts.push_back(engine);
+    }
+    if (state == domain.state)
+        return;
+    domain.state = std::move(state);
+    domain.choice = chooseCopies(domain.state, weights_);
+}
+
+// Returns the value of the models' engines: the scarcer a model, the more.
+std::vector<ModelWeight> ReplicaPlanner::modelWeights() const
 {
-    std::set<std::string> fabrics;
-    for (const auto& [id, engine] : engines_) {
-        if (!engine.info.fabric.empty())
-            fabrics.insert(engine.info.fabric);
+    std::vector<ModelWeight> weights;
+    double longest = 1;
+    for (const ReplicaModel& model : profile_.models)
+        longest = std::max(longest, static_cast<double>(model.loadTime.count()));
+    for (const ReplicaModel& model : profile_.models) {
+        const double value = std::max(scarcityStep, std::round(scarcity(model) / scarcityStep) * scarcityStep);
+        const double cost = std::max<double>(1, static_cast<double>(model.loadTime.count())) / longest;
+        weights.push_back({ .size = model.size, .engineValue = value, .loadCost = cost });
     }
-    return fabrics;
+    return weights;
+}
+
+// Returns the number of concurrent loads up to which a copy of this gain may be loaded.
+size_t ReplicaPlanner::loadLimit(double gainPerLoad) const
+{
+    const auto limit = static_cast<double>(profile_.maxConcurrentLoads);
+    if (gainPerLoad >= minUrgentGain)
+        return profile_.maxConcurrentLoads;
+    return static_cast<size_t>(std::ceil(limit * (gainPerLoad >= minOrdinaryGain ? ordinaryLoadFraction : backgroundLoadFraction)));
 }
 
-// Stages copies while the weight store has capacity, the most valuable copy first.
+// Stages copies while the weight store has capacity, the most valuable ones first.
 void ReplicaPlanner::stageCopies(std::vector<EngineOrder>& orders)
 {
     if (isInitialFormation())
         return;
-    const std::set<std::string> all = fabrics();
-    std::map<std::string, double> scarcities;
-    for (const ReplicaModel& model : profile_.models)
-        scarcities[model.name] = scarcity(model);
-    const auto maxConcurrentLoads = static_cast<double>(profile_.maxConcurrentLoads);
-    while (!hasTraffic_ || countActiveLoads() < profile_.maxConcurrentLoads) {
-        // The last concurrent loads are reserved for copies that complete a replica.
-        const bool isNearLimit = hasTraffic_ && static_cast<double>(countActiveLoads()) >= maxConcurrentLoads * ordinaryLoadFraction;
-        const ReplicaModel* bestModel = nullptr;
-        const Engine* bestHost = nullptr;
-        double bestValue = 0;
-        for (const ReplicaModel& model : profile_.models) {
-            for (const std::string& fabric : all) {
-                const CopyValue copy = evaluateCopy(model, countCopies(model, fabric));
-                if (isNearLimit && copy.enginesGained < minUrgentEngines)
-                    continue;
-                const double value = copy.enginesGained * scarcities.at(model.name);
-                const Engine* host = value > bestValue ? chooseHost(model, fabric, copy.mayUseServingHost) : nullptr;
-                if (!host)
+    if (const std::vector<ModelWeight> weights = modelWeights(); weights != weights_) {
+        weights_ = weights;
+        for (auto& [fabric, domain] : domains_)
+            domain.state = DomainState {};
+    }
+    for (auto& [fabric, domain] : domains_)
+        updateDomainState(domain);
+    size_t loads = countActiveLoads();
+    while (true) {
+        Domain* best = nullptr;
+        for (auto& [fabric, domain] : domains_) {
+            const bool isAllowed = domain.choice && (!hasTraffic_ || loads < loadLimit(domain.choice->gainPerLoad));
+            if (isAllowed && (!best || domain.choice->gainPerLoad > best->choice->gainPerLoad))
+                best = &domain;
+        }
+        if (!best)
+            break;
+        const CopyChoice choice = *best->choice;
+        for (const size_t host : choice.hosts) {
+            if (hasTraffic_ && loads >= loadLimit(choice.gainPerLoad))
+                break;
+            stageCopy(profile_.models[choice.model], *best->hosts[host], orders);
+            ++loads;
+        }
+        updateDomainState(*best);
+    }
+    stageSecondCopies(orders);
+}
+
+// Returns the model that a host should hold a copy of when no copy gains anything at the moment; null if its engine is
+// warm for another model already, or for none but that of its replica can be loaded.
+const ReplicaModel* ReplicaPlanner::chooseSecondModel(const Engine& engine) const
+{
+    const DomainHost host = describeHost(engine);
+    if (!host.mayLoad || host.warm != host.warmAfterLoad)
+        return nullptr;
+    const ReplicaModel* best = nullptr;
+    for (const ReplicaModel& model : profile_.models) {
+        const ModelSet bit = modelBit(model.name);
+        if (bit != 0 && (host.warm & bit) == 0 && (!best || scarcity(model) > scarcity(*best)))
+            best = &model;
+    }
+    return best;
+}
+
+// Lets each host that has room for a copy hold one, as far as loads are cheap: its engine can then serve another model
+// after a loss.
+void ReplicaPlanner::stageSecondCopies(std::vector<EngineOrder>& orders)
+{
+    size_t loads = countActiveLoads();
+    // Idle hosts first: without a copy they can't replace a loss at all.
+    for (const bool isIdle : { true, false }) {
+        const size_t limit = loadLimit(isIdle ? minOrdinaryGain : 0);
+        for (const auto& [fabric, domain] : domains_) {
+            for (Engine* engine : domain.hosts) {
+                if (hasTraffic_ && loads >= limit)
+                    break;
+                const ReplicaModel* model = isFree(*engine) == isIdle ? chooseSecondModel(*engine) : nullptr;
+                if (!model)
                     continue;
-                bestModel = &model;
-                bestHost = host;
-                bestValue = value;
+                stageCopy(*model, *engine, orders);
+                ++loads;
             }
         }
-        if (!bestHost)
-            return;
-        stageCopy(*bestModel, engines_.at(bestHost->info.id), orders);
     }
 }
 
@@ -124,187 +267,117 @@
     orders.push_back(std::move(order));
 }
 
-// Returns the number of spares of a large model, up to the target in each fabric domain. A spare is as good as an engine
-// of the model. Before there is traffic the target itself counts, since the spares are still to be staged.
-double ReplicaPlanner::countSpares(const ReplicaModel& model) const
-{
-    if (!isLarge(model))
-        return 0;
-    double spares = 0;
-    for (const std::string& fabric : fabrics()) {
-        const CopyCount count = countCopies(model, fabric);
-        const size_t available = hasTraffic_ ? count.idle % model.size + count.serving : options_.targetSpares;
-        spares += static_cast<double>(std::min(available, options_.targetSpares));
-    }
-    return spares;
-}
-
-// Counts the hosts of a fabric domain that hold, load or could load a copy of a model outside its replicas.
-ReplicaPlanner::CopyCount ReplicaPlanner::countCopies(const ReplicaModel& model, const std::string& fabric) const
-{
-    CopyCount count;
-    for (const auto& [id, engine] : engines_) {
-        if (engine.info.fabric != fabric || engine.isDead || engine.isUnlisted || engine.info.isLeaving || modelOf(engine) == &model)
-            continue;
-        const bool isReady = isWarm(engine, model.name) || engine.stagingModel == model.name;
-        const bool isIdle = !engine.info.membership;
-        if (isReady && isIdle)
-            ++count.idle;
-        else if (isReady && isServing(engine))
-            ++count.serving;
-        else if (isIdle && engine.stagingModel.empty() && !isReserved(engine, model))
-            ++count.cold;
-    }
-    return count;
-}
-
 // Returns how scarce a model's engines are relative to its fraction of the work, 1 on average.
 double ReplicaPlanner::scarcity(const ReplicaModel& model) const
 {
     constexpr double maxScarcity = 2;
     double engines = 0;
     double totalWorkFraction = 0;
-    const auto spares = [this](const ReplicaModel& of) { return hasTraffic_ ? 0 : countSpares(of); };
+    const auto spares = [this](const ReplicaModel& of) { return hasTraffic_ ? 0 : expectedSpares(of); };
     for (const ReplicaModel& other : profile_.models) {
         engines += enginesFor(other.name) + spares(other);
         totalWorkFraction += other.workFraction;
     }
-    const double required = engines * model.workFraction / std::max(0.01, totalWorkFraction);
+    const double required = engines * model.workFraction / std::max(minWorkFraction, totalWorkFraction);
     const double available = enginesFor(model.name) + spares(model) + static_cast<double>(model.size) / 2;
     return std::clamp(required / available, 1 / maxScarcity, maxScarcity);
 }
 
-// Returns the value of one more copy of the model in a fabric domain with these counts.
-ReplicaPlanner::CopyValue ReplicaPlanner::evaluateCopy(const ReplicaModel& model, const CopyCount& count) const
-{
-    // A spare is worth the engines that a loss would take out of service; a second spare is worth less.
-    constexpr double firstSpareValue = 3;
-    constexpr double nextSpareValue = 0.75;
-    const auto size = static_cast<double>(model.size);
-    const size_t idleCopies = count.idle % model.size;
-    const size_t missing = model.size - idleCopies - std::min(count.serving, model.size - idleCopies);
-    // Each missing copy brings an equal fraction of the replica back into service.
-    if (idleCopies > 0 && missing > 0 && (missing <= count.cold || 2 * idleCopies >= model.size))
-        return { .enginesGained = size / static_cast<double>(missing), .mayUseServingHost = isLarge(model) && 2 * idleCopies >= model.size };
-    const size_t spares = idleCopies + count.serving;
-    // Before there is traffic, copies are cheap. Later a load takes longer than a loss can wait for it.
-    const size_t required = hasTraffic_ ? options_.targetSpares : std::max(options_.targetSpares, model.size / 2);
-    if (isLarge(model) && spares < required)
-        return { .enginesGained = spares == 0 ? firstSpareValue : nextSpareValue, .mayUseServingHost = true };
-    if (idleCopies == 0 && model.size <= count.cold)
-        return { .enginesGained = 1 };
-    return {};
-}
-
-// Returns whether an idle engine is reserved for a larger model: its host holds a copy of that model, and at least
-// half a replica of such engines is idle in its fabric domain.
-bool ReplicaPlanner::isReserved(const Engine& engine, const ReplicaModel& model) const
-{
-    return std::any_of(profile_.models.begin(), profile_.models.end(), [&](const ReplicaModel& larger) {
-        if (larger.size <= model.size || !isWarm(engine, larger.name))
-            return false;
-        const auto found = idleCopies_.find({ engine.info.fabric, larger.name });
-        return found != idleCopies_.end() && 2 * found->second >= larger.size;
-    });
-}
-
-// Chooses the host where a copy of the model costs least. In order of preference: an idle host without a copy, an
-// idle host with a copy of another model, a member of a smaller replica that already contains a spare or a host that
-// is loading, any other member of a smaller replica.
-const ReplicaPlanner::Engine* ReplicaPlanner::chooseHost(const ReplicaModel& model, const std::string& fabric, bool mayUseServingHost) const
-{
-    const Engine* best = nullptr;
-    int bestCost = 0;
-    std::set<std::string> groupsWithSpare;
-    for (const Engine* spare : findSpares(model, fabric))
-        groupsWithSpare.insert(spare->info.membership->group);
-    for (const auto& [id, engine] : engines_) {
-        if (!engine.stagingModel.empty() && engine.info.membership)
-            groupsWithSpare.insert(engine.info.membership->group);
-    }
-    for (const auto& [id, engine] : engines_) {
-        if (engine.info.fabric != fabric || engine.isDead || engine.isUnlisted || engine.info.isLeaving || !engine.stagingModel.empty() || isWarm(engine, model.name))
-            continue;
-        if (options_.clock() - engine.stageRefusedAt < options_.orderRetryInterval)
-            continue;
-        const ReplicaModel* servedModel = modelOf(engine);
-        if (engine.info.membership && (!mayUseServingHost || !isServing(engine) || !servedModel || servedModel->size >= model.size))
-            continue;
-        if (!engine.info.membership && isReserved(engine, model))
-            continue;
-        int cost = 0;
-        if (engine.info.membership)
-            cost = groupsWithSpare.count(engine.info.membership->group) > 0 ? 2 : 3;
-        else if (!engine.info.staged.empty())
-            cost = 1;
-        if (!best || cost < bestCost) {
-            best = &engine;
-            bestCost = cost;
-        }
-    }
-    return best;
-}
-
-// Moves a replica from a model with a surplus to one that lacks engines. Losses may leave one model with nearly all
-// engines, and in a steady fleet nothing else corrects that.
+// Moves replicas from a model with a surplus to one that lacks engines. Losses may leave one model with nearly all
+// engines. One transfer at a time: each changes what the next one must be judged by.
 void ReplicaPlanner::rebalance(std::vector<EngineOrder>& orders)
 {
-    if (!hasTraffic_ || !orders.empty() || !isSteady())
+    if (!hasTraffic_)
         return;
+    const Millis now = options_.clock();
     for (const ReplicaModel* recipient : modelsByNeed()) {
         for (const ReplicaModel& donor : profile_.models) {
-            if (hasSurplus(donor, *recipient) && transferReplica(donor, *recipient, orders))
-                return;
+            if (&donor == recipient || !hasLastingSurplus(donor, *recipient) || now - transferredAt_ < options_.transferInterval)
+                continue;
+            if (transferReplicas(donor, *recipient, orders))
+                transferredAt_ = now;
         }
     }
 }
 
-// Returns whether all replicas are open and no idle engine is loading a copy.
-bool ReplicaPlanner::isSteady() const
+// Returns whether the donor could give up a replica's worth of engines for some time already. A loss alone changes the
+// numbers of engines only until it is repaired.
+bool ReplicaPlanner::hasLastingSurplus(const ReplicaModel& donor, const ReplicaModel& recipient)
 {
-    const std::vector<ReplicaView> replicas = findReplicas();
-    const bool allServe = std::all_of(replicas.begin(), replicas.end(), [](const ReplicaView& replica) {
-        return replica.isReady() && !replica.isLeaving && replica.head()->membership->state == MemberState::Open;
-    });
-    return allServe && std::all_of(engines_.begin(), engines_.end(), [](const auto& entry) { return entry.second.info.membership || entry.second.stagingModel.empty(); });
+    const std::pair key { donor.name, recipient.name };
+    const auto engines = static_cast<double>(std::max(donor.size, recipient.size));
+    if (!hasSurplus(donor, engines, recipient, engines)) {
+        surplusSince_.erase(key);
+        return false;
+    }
+    const Millis since = surplusSince_.try_emplace(key, options_.clock()).first->second;
+    return options_.clock() - since >= options_.surplusTime;
 }
 
-// Returns whether the donor would still have at least as many engines per unit of work as the recipient after it
-// handed over a replica.
-bool ReplicaPlanner::hasSurplus(const ReplicaModel& donor, const ReplicaModel& recipient) const
+// Returns whether the donor would still have at least as many engines per unit of work as the recipient after a
+// transfer. A larger replica is not worth breaking up smaller ones unless its model lacks engines by more than the
+// smaller replicas hold as its spares.
+bool ReplicaPlanner::hasSurplus(const ReplicaModel& donor, double taken, const ReplicaModel& recipient, double gained) const
 {
-    if (donor.size < recipient.size || &donor == &recipient)
-        return false;
-    const double remaining = enginesFor(donor.name) - static_cast<double>(donor.size);
-    const double gained = static_cast<double>(donor.size - donor.size % recipient.size);
-    return remaining > 0 && remaining / std::max(0.01, donor.workFraction) >= (enginesFor(recipient.name) + gained) / std::max(0.01, recipient.workFraction);
+    const double margin = donor.size < recipient.size ? largeTransferMargin : 1;
+    const double remaining = enginesFor(donor.name) - taken;
+    return remaining > 0 && remaining / std::max(minWorkFraction, donor.workFraction) >= margin * (enginesFor(recipient.name) + gained) / std::max(minWorkFraction, recipient.workFraction);
 }
 
-// Gives a replica of the donor to the recipient. Stages copies of the recipient's model on its hosts first, while it
-// keeps serving, and drains it once enough hosts hold one. Returns false if the donor has no replica.
-bool ReplicaPlanner::transferReplica(const ReplicaModel& donor, const ReplicaModel& recipient, std::vector<EngineOrder>& orders)
+// Drains replicas of the donor whose engines form a replica of the recipient, in the fabric domain where that costs the
+// fewest engines. If no domain holds enough copies, stages them on a replica of the donor that is large enough, while it
+// keeps serving. Returns false if there is nothing to transfer.
+bool ReplicaPlanner::transferReplicas(const ReplicaModel& donor, const ReplicaModel& recipient, std::vector<EngineOrder>& orders)
 {
-    const size_t required = donor.size - donor.size % recipient.size;
-    const auto countRecipientCopies = [&](const ReplicaView& replica) {
-        return static_cast<size_t>(std::count_if(replica.members.begin(), replica.members.end(), [&](const EndpointInfo* member) { return hasCopy(engines_.at(member->id), recipient.name); }));
+    struct Transfer {
+        std::set<std::string> groups;
+        double taken = 0; // engines
+        double gained = 0; // engines
     };
-    std::optional<ReplicaView> chosen;
-    for (const ReplicaView& replica : findReplicas()) {
-        if (replica.model == donor.name && (!chosen || countRecipientCopies(replica) > countRecipientCopies(*chosen)))
-            chosen = replica;
+    std::map<std::string, std::vector<ReplicaView>> replicasByFabric;
+    for (ReplicaView& replica : findReplicas()) {
+        if (replica.model == donor.name && replica.isReady() && !replica.isLeaving && replica.head()->membership->state == MemberState::Open)
+            replicasByFabric[replica.fabric].push_back(std::move(replica));
     }
-    if (!chosen)
+    const auto countWarm = [&](const ReplicaView& replica) {
+        return static_cast<size_t>(std::count_if(replica.members.begin(), replica.members.end(), [&](const EndpointInfo* member) { return isWarm(engines_.at(member->id), recipient.name); }));
+    };
+    std::optional<Transfer> best;
+    for (auto& [fabric, replicas] : replicasByFabric) {
+        const std::vector<Engine*>& engines = domains_.at(fabric).engines;
+        if (std::any_of(engines.begin(), engines.end(), [this](const Engine* engine) { return isDraining(*engine); }))
+            continue;
+        auto warm = static_cast<size_t>(std::count_if(engines.begin(), engines.end(), [&](const Engine* engine) { return isFree(*engine) && isWarm(*engine, recipient.name); }));
+        std::stable_sort(replicas.begin(), replicas.end(), [&](const ReplicaView& one, const ReplicaView& other) { return countWarm(one) > countWarm(other); });
+        Transfer transfer;
+        for (const ReplicaView& replica : replicas) {
+            if (warm >= recipient.size)
+                break;
+            warm += countWarm(replica);
+            transfer.groups.insert(replica.group);
+            transfer.taken += static_cast<double>(donor.size);
+        }
+        transfer.gained = static_cast<double>(warm - warm % recipient.size);
+        const bool isUseful = warm >= recipient.size && !transfer.groups.empty() && transfer.gained >= transfer.taken && hasSurplus(donor, transfer.taken, recipient, transfer.gained);
+        if (isUseful && (!best || transfer.gained - transfer.taken > best->gained - best->taken))
+            best = std::move(transfer);
+    }
+    if (best) {
+        drainGroups(best->groups, orders);
+        return true;
+    }
+    if (donor.size < recipient.size || replicasByFabric.empty())
         return false;
-    size_t copies = 0; // stored or being loaded
-    for (auto member = chosen->members.rbegin(); member != chosen->members.rend(); ++member) {
-        Engine& engine = engines_.at((*member)->id);
-        if (!hasCopy(engine, recipient.name) && engine.stagingModel.empty() && copies < required && countActiveLoads() < profile_.maxConcurrentLoads)
-            stageCopy(recipient, engine, orders);
-        copies += hasCopy(engine, recipient.name) || engine.stagingModel == recipient.name ? 1 : 0;
+    const ReplicaView& chosen = replicasByFabric.begin()->second.front();
+    bool hasStaged = false;
+    for (const EndpointInfo* member : chosen.members) {
+        Engine& engine = engines_.at(member->id);
+        if (isWarm(engine, recipient.name) || !engine.stagingModel.empty() || countActiveLoads() >= profile_.maxConcurrentLoads)
+            continue;
+        stageCopy(recipient, engine, orders);
+        hasStaged = true;
     }
-    if (countRecipientCopies(*chosen) >= required)
-        drainReplica(*chosen, orders);
-    return true;
+    return hasStaged;
 }
 
 } // namespace hemlockweir
--- a/packages/replicas/ReplicaPlanner.cpp
+++ b/packages/replicas/ReplicaPlanner.cpp
@@ -45,15 +45,10 @@
             engine = Engine {};
             lastEngineAddedAt_ = now;
         }
-        const bool reflectsOrder = engine.isOrderPending && info.membership.has_value() == engine.orderedMembership.has_value()
-            && (!info.membership || (info.membership->group == engine.orderedMembership->group && info.membership->epoch == engine.orderedMembership->epoch));
-        if (reflectsOrder || now - engine.lastOrderAt > options_.orderTrustTime)
-            engine.isOrderPending = false;
-        const std::optional<Membership> orderedMembership = engine.orderedMembership;
         engine.isUnlisted = false;
         engine.info = info;
-        if (engine.isOrderPending)
-            engine.info.membership = orderedMembership;
+        engine.reportedMembership = info.membership;
+        engine.info.membership = believe(engine, options_);
         if (!info.model.empty())
             engine.lastModel = info.model;
         const ReplicaModel* stagingModel = profile_.findModel(engine.stagingModel);
@@ -66,6 +61,33 @@
     updatePlans();
 }
 
+// Returns the membership to assume for an engine. Reports lag behind orders: a report of an older membership, or of none,
+// does not undo a join that the engine accepted, and one of a group that it left does not bring that group back. Epochs
+// tell which is older, because an engine never joins a group with a lower epoch.
+std::optional<Membership> ReplicaPlanner::believe(Engine& engine, const Options& options)
+{
+    const std::optional<Membership>& reported = engine.reportedMembership;
+    const bool isReportValid = reported && reported->epoch > engine.leftEpoch;
+    std::optional<Membership>& ordered = engine.orderedMembership;
+    if (ordered) {
+        const Millis trustTime = engine.isJoinAccepted ? options.acceptedTrustTime : options.orderTrustTime;
+        const bool isSuperseded = ordered->epoch <= engine.leftEpoch || (isReportValid && reported->epoch >= ordered->epoch);
+        if (isSuperseded || options.clock() - engine.joinOrderedAt > trustTime)
+            ordered.reset();
+    }
+    if (ordered)
+        return ordered;
+    return isReportValid ? reported : std::nullopt;
+}
+
+// Applies the passing of time to what is believed of each engine.
+void ReplicaPlanner::refreshBeliefs()
+{
+    for (auto& [id, engine] : engines_)
+        engine.info.membership = believe(engine, options_);
+    updatePlans();
+}
+
 void ReplicaPlanner::removeMissing(const std::set<std::string>& listed)
 {
     for (auto it = engines_.begin(); it != engines_.end();) {
@@ -105,6 +127,8 @@
 
 void ReplicaPlanner::setTerm(uint64_t term)
 {
+    if (term != term_)
+        termStartedAt_ = options_.clock();
     term_ = term;
     lastEpoch_ = std::max(lastEpoch_, term << epochCountBits);
 }
@@ -191,6 +215,8 @@
     std::vector<EngineOrder> orders;
     if (profile_.models.empty())
         return orders;
+    refreshBeliefs();
+    updateDomains();
     maintainReplicas(orders);
     updateCounts();
     formReplicas(orders);
@@ -305,14 +331,13 @@
         && (engine.info.membership->state == MemberState::Open || engine.info.membership->state == MemberState::Ready);
 }
 
-std::map<std::string, ReplicaPlanner::FreeEngines> ReplicaPlanner::findFreeEngines() const
+void ReplicaPlanner::updateDomains()
 {
-    std::map<std::string, FreeEngines> free;
-    for (const auto& [id, engine] : engines_) {
-        if (isFree(engine))
-            free[engine.info.fabric].push_back(&engine);
-    }
-    return free;
+    for (auto& [fabric, domain] : domains_)
+        domain.engines.clear();
+    for (auto& [id, engine] : engines_)
+        domains_[engine.info.fabric].engines.push_back(&engine);
+    std::erase_if(domains_, [](const auto& entry) { return entry.second.engines.empty(); });
 }
 
 std::string ReplicaPlanner::describeIdleEngines() const
@@ -334,22 +359,32 @@
     return text;
 }
 
-// Counts the engines in whole replicas by model, those being formed included, and the free engines with a copy by
-// fabric domain and model.
+// Counts the engines in whole replicas by model, those being formed included.
 void ReplicaPlanner::updateCounts()
 {
     engineCounts_.clear();
+    wholeGroups_.clear();
     for (const ReplicaView& replica : findReplicas()) {
-        if (replica.isWhole())
-            engineCounts_[replica.model] += static_cast<double>(replica.size);
+        if (!replica.isWhole())
+            continue;
+        engineCounts_[replica.model] += static_cast<double>(replica.size);
+        wholeGroups_.insert(replica.group);
     }
-    idleCopies_.clear();
-    for (const auto& [id, engine] : engines_) {
-        for (const ReplicaModel& model : profile_.models) {
-            if (isFree(engine) && isWarm(engine, model.name))
-                ++idleCopies_[{ engine.info.fabric, model.name }];
-        }
+}
+
+// Returns the number of engines of smaller replicas that are expected to hold a copy of a large model once copies have
+// been staged. They are as good as engines of the model. A fabric domain that leaves engines over has its spares there.
+double ReplicaPlanner::expectedSpares(const ReplicaModel& model) const
+{
+    if (!isLarge(model))
+        return 0;
+    const auto smallest = std::min_element(profile_.models.begin(), profile_.models.end(), [](const ReplicaModel& one, const ReplicaModel& other) { return one.size < other.size; });
+    double spares = 0;
+    for (const auto& [fabric, domain] : domains_) {
+        const size_t leftOver = domain.engines.size() % smallest->size;
+        spares += static_cast<double>(options_.targetSpares - std::min(options_.targetSpares, leftOver));
     }
+    return spares;
 }
 
 double ReplicaPlanner::enginesFor(const std::string& model) const
@@ -366,7 +401,7 @@
     for (const ReplicaModel& model : profile_.models)
         models.push_back(&model);
     const auto need = [&](const ReplicaModel* model) {
-        const double engines = enginesFor(model->name) + (hasTraffic_ ? 0 : countSpares(*model)) + static_cast<double>(model->size) / 2;
+        const double engines = enginesFor(model->name) + (hasTraffic_ ? 0 : expectedSpares(*model)) + static_cast<double>(model->size) / 2;
         return engines / std::max(0.01, model->workFraction);
     };
     std::stable_sort(models.begin(), models.end(), [&](const ReplicaModel* one, const ReplicaModel* other) { return need(one) < need(other); });
@@ -389,26 +424,35 @@
     // The first replicas are formed when all engines are known: loads are fast before traffic starts.
     if (isInitialFormation() && options_.clock() - lastEngineAddedAt_ < options_.discoveryQuietTime)
         return;
-    for (auto& [fabric, free] : findFreeEngines()) {
-        while (formReplicaIn(fabric, free, orders)) { }
-        drainSpares(fabric, free, orders);
+    if (hasTraffic_ && options_.clock() - termStartedAt_ < options_.takeoverDelay)
+        return;
+    for (const auto& [fabric, domain] : domains_) {
+        FreeEngines free;
+        std::copy_if(domain.engines.begin(), domain.engines.end(), std::back_inserter(free), [this](const Engine* engine) { return isFree(*engine); });
+        while (!free.empty() && formReplicaIn(fabric, free, orders)) { }
     }
 }
 
-// Forms one replica from the free engines of a fabric domain. Returns false if none can be formed.
+// Forms one replica from the free engines of a fabric domain. Returns false if none can be formed. Engines that are
+// reserved for a replica that is about to be completed are removed from `free`.
 bool ReplicaPlanner::formReplicaIn(const std::string& fabric, FreeEngines& free, std::vector<EngineOrder>& orders)
 {
     for (const ReplicaModel* model : modelsByNeed()) {
-        if (free.size() < model->size)
-            continue;
-        std::stable_sort(free.begin(), free.end(), [&](const Engine* one, const Engine* other) { return isWarm(*one, model->name) > isWarm(*other, model->name); });
-        const FreeEngines members(free.begin(), free.begin() + static_cast<ptrdiff_t>(model->size));
-        const bool isAllWarm = std::all_of(members.begin(), members.end(), [&](const Engine* engine) { return isWarm(*engine, model->name); });
-        if (hasTraffic_ && !isAllWarm)
-            continue;
-        free.erase(free.begin(), free.begin() + static_cast<ptrdiff_t>(model->size));
-        createReplica(fabric, *model, members, orders);
-        return true;
+        // Engines that are warm for no other model come first, so that the others can still serve either.
+        const auto preference = [&](const Engine* engine) {
+            const bool servesOthers = std::any_of(profile_.models.begin(), profile_.models.end(), [&](const ReplicaModel& other) { return other.name != model->name && isWarm(*engine, other.name); });
+            return (isWarm(*engine, model->name) ? 0 : 4) + (servesOthers ? 2 : 0) + (engine->lastModel == model->name ? 0 : 1);
+        };
+        std::stable_sort(free.begin(), free.end(), [&](const Engine* one, const Engine* other) { return preference(one) < preference(other); });
+        const auto warm = static_cast<size_t>(std::count_if(free.begin(), free.end(), [&](const Engine* engine) { return isWarm(*engine, model->name); }));
+        if (warm >= model->size || (!hasTraffic_ && free.size() >= model->size)) {
+            const FreeEngines members(free.begin(), free.begin() + static_cast<ptrdiff_t>(model->size));
+            free.erase(free.begin(), free.begin() + static_cast<ptrdiff_t>(model->size));
+            createReplica(fabric, *model, members, orders);
+            return true;
+        }
+        if (warm > 0 && completesSoon(*model, fabric, free, orders))
+            free.erase(free.begin(), free.begin() + static_cast<ptrdiff_t>(warm));
     }
     return false;
 }
@@ -428,7 +472,8 @@
         Engine& engine = engines_.at(members[rank]->info.id);
         engine.orderedMembership = Membership { .group = plan.group, .epoch = epoch, .rank = rank, .state = MemberState::Joining };
         engine.info.membership = engine.orderedMembership;
-        engine.isOrderPending = true;
+        engine.isJoinAccepted = false;
+        engine.joinOrderedAt = now;
         engine.lastOrderAt = now;
         engine.pendingJoinEpoch = epoch;
     }
@@ -436,6 +481,20 @@
     plans_[plan.group] = std::move(plan);
 }
 
+// Records that an engine is in no group of this epoch any more. Its answer may belong to an order that it carried out
+// before a newer join, so it says nothing about groups with a higher epoch; and an engine that never was a member may
+// still be in another group.
+void ReplicaPlanner::noteLeave(Engine& engine, uint64_t epoch)
+{
+    const bool wasReported = engine.reportedMembership && engine.reportedMembership->epoch == epoch;
+    const bool wasOrdered = engine.orderedMembership && engine.orderedMembership->epoch == epoch && engine.isJoinAccepted;
+    if (!wasReported && !wasOrdered)
+        return;
+    engine.leftEpoch = std::max(engine.leftEpoch, epoch);
+    engine.lastOrderAt = options_.clock();
+}
+
+// A result changes only what its order was about: the engine may have got newer orders since.
 void ReplicaPlanner::noteResult(const EngineOrder& order, OrderResult result)
 {
     const auto found = engines_.find(order.engine);
@@ -443,21 +502,25 @@
         return;
     Engine& engine = found->second;
     const bool wasAccepted = result == OrderResult::Begun || result == OrderResult::Done;
-    if (result == OrderResult::Unreachable || result == OrderResult::WrongEngine)
+    const bool isSameAddress = engine.info.address == order.address && engine.info.port == order.port;
+    if (isSameAddress && (result == OrderResult::Unreachable || result == OrderResult::WrongEngine))
         engine.isDead = true;
-    if (order.kind == EngineOrderKind::Leave && wasAccepted) {
-        engine.orderedMembership.reset();
-        engine.info.membership.reset();
-        engine.isOrderPending = true;
-        engine.lastOrderAt = options_.clock();
+    if (order.kind == EngineOrderKind::Leave && wasAccepted)
+        noteLeave(engine, order.epoch);
+    const bool isNewestJoin = order.kind == EngineOrderKind::Join && engine.orderedMembership && engine.orderedMembership->epoch == order.epoch;
+    if (isNewestJoin && wasAccepted) {
+        engine.isJoinAccepted = true;
+        engine.joinOrderedAt = options_.clock();
     }
     // The join had no effect, so the reported state applies again at once.
     if (order.kind == EngineOrderKind::Join && !wasAccepted && result != OrderResult::Unknown) {
-        engine.isOrderPending = engine.isOrderPending && result != OrderResult::Refused && result != OrderResult::Fenced;
+        if (isNewestJoin)
+            engine.orderedMembership.reset();
         if (engine.pendingJoinEpoch == order.epoch)
             engine.pendingJoinEpoch = 0;
     }
-    if (order.kind == EngineOrderKind::Stage && !wasAccepted && result != OrderResult::Unknown) {
+    engine.info.membership = believe(engine, options_);
+    if (order.kind == EngineOrderKind::Stage && engine.stagingModel == order.model && !wasAccepted && result != OrderResult::Unknown) {
         engine.stagingModel.clear();
         engine.stageRefusedAt = options_.clock();
     }
--- a/packages/replicas/ReplicaPlanner.h
+++ b/packages/replicas/ReplicaPlanner.h
@@ -2,6 +2,7 @@
 
 #include "proxy/EndpointInfo.h"
 #include "proxy/ProxyConfiguration.h"
+#include "replicas/DomainValue.h"
 #include "replicas/EngineOrder.h"
 
 #include <functional>
@@ -13,9 +14,10 @@
 // the caller passes in what the engines report, sends the returned orders and passes back their results.
 //
 // Loading weights from the weight store takes much longer than a failed replica may be down, so recovery
-// avoids loads where it can. Once there is traffic, replicas are formed only from engines whose hosts hold
-// a copy of the model. Copies are staged in advance on idle engines and on members of smaller replicas.
-// Such a member is a spare: it keeps serving until it has to replace a lost member of a larger replica.
+// avoids loads where it can. Once there is traffic, replicas are formed only from engines that are warm for the
+// model: the host holds a copy, or the engine served the model last. Copies are staged in advance, on serving engines
+// too. A member of a replica that holds a copy of another model keeps serving, and after a loss in its fabric domain it
+// can serve either model (see DomainValue.h).
 //
 // Only one planner at a time gives orders for a service. A successor rebuilds its state from what the
 // engines report.
@@ -42,11 +44,16 @@
 public:
     struct Options {
         Clock clock;
-        Millis orderTrustTime { 1500 }; // ms for which an order overrides the state that the engine reports
+        Millis orderTrustTime { 1500 }; // ms for which a join without an answer overrides the state that the engine reports
+        Millis acceptedTrustTime { 6000 }; // ms for which an accepted join overrides older reports
+        Millis takeoverDelay { 1000 }; // ms of a new term without joins: reports may not show the last orders of the previous planner
         Millis discoveryQuietTime { 1000 }; // ms without a new engine before the first replicas are formed
         Millis drainTimeout { 9500 }; // ms for a closed replica to finish its requests; a leaving member stays for 10 s
         Millis orderRetryInterval { 2500 }; // ms after which an order that had no effect is repeated
-        size_t targetSpares = 2; // hosts in a fabric domain with a copy of a large model outside its replicas
+        Millis reserveTime { 3000 }; // ms for which engines wait for a copy that completes a replica of a model in more need
+        Millis surplusTime { 2500 }; // ms for which a model must have a surplus before it gives up replicas: losses are repaired sooner
+        Millis transferInterval { 1000 }; // ms between two replicas that are taken from one model for another
+        size_t targetSpares = 2; // engines of smaller replicas in a fabric domain that are counted for a large model at the start
     };
 
     explicit ReplicaPlanner(Options options);
@@ -92,9 +99,12 @@
     static constexpr Millis never { -3600000 };
 
     struct Engine {
-        EndpointInfo info; // as reported, overridden by recent orders
-        std::optional<Membership> orderedMembership; // membership that the last order results in; unset: none
-        bool isOrderPending = false; // the reported state does not show the last order yet
+        EndpointInfo info; // as reported, but with the membership that the planner believes in
+        std::optional<Membership> reportedMembership;
+        std::optional<Membership> orderedMembership; // that the newest join results in, until a report shows it
+        bool isJoinAccepted = false; // the engine accepted that join
+        Millis joinOrderedAt = never; // when that join was ordered or accepted
+        uint64_t leftEpoch = 0; // the engine was in the group of this epoch and left; memberships up to it have ended
         bool isDead = false; // it did not answer
         bool isUnlisted = false; // still serving, but gets no new work from the planner
         Millis lastOrderAt = never;
@@ -117,54 +127,58 @@
         Millis closedAt = never;
     };
 
-    // Hosts in a fabric domain whose engines do not serve the model, by whether they hold a copy of it.
-    struct CopyCount {
-        size_t idle = 0; // with a copy or loading it, engine in no replica
-        size_t serving = 0; // with a copy or loading it, engine in a replica of another model
-        size_t cold = 0; // without a copy, engine in no replica
-    };
-
-    // The value of one more copy of a model.
-    struct CopyValue {
-        double enginesGained = 0; // engines that it helps bring into service; 0: no copy is needed
-        bool mayUseServingHost = false; // a host whose engine serves in a smaller replica may hold it
+    // The engines of a fabric domain, and the most valuable copies to load there.
+    struct Domain {
+        std::vector<Engine*> engines;
+        std::vector<Engine*> hosts; // of DomainState::hosts, in the same order
+        DomainState state;
+        std::optional<CopyChoice> choice; // for this state
     };
 
     using FreeEngines = std::vector<const Engine*>;
 
+    static std::optional<Membership> believe(Engine& engine, const Options& options);
+    void refreshBeliefs();
     void maintainReplicas(std::vector<EngineOrder>& orders);
     void maintainReplica(const ReplicaView& replica, std::vector<EngineOrder>& orders);
     bool hasPendingNewerJoin(const ReplicaView& replica) const;
     void drainReplica(const ReplicaView& replica, std::vector<EngineOrder>& orders);
     void dissolveReplica(const ReplicaView& replica, std::vector<EngineOrder>& orders);
+    void noteLeave(Engine& engine, uint64_t epoch);
     void formReplicas(std::vector<EngineOrder>& orders);
     bool formReplicaIn(const std::string& fabric, FreeEngines& free, std::vector<EngineOrder>& orders);
     void createReplica(const std::string& fabric, const ReplicaModel& model, const FreeEngines& members, std::vector<EngineOrder>& orders);
-    void drainSpares(const std::string& fabric, const FreeEngines& free, std::vector<EngineOrder>& orders);
+    bool completesSoon(const ReplicaModel& model, const std::string& fabric, const FreeEngines& free, std::vector<EngineOrder>& orders);
+    bool drainSpares(const ReplicaModel& model, const std::string& fabric, size_t required, std::vector<EngineOrder>& orders);
+    void drainGroups(const std::set<std::string>& groups, std::vector<EngineOrder>& orders);
+    bool isDraining(const Engine& engine) const;
+    bool isLoadedSoon(const Engine& engine, const ReplicaModel& model) const;
     void stageCopies(std::vector<EngineOrder>& orders);
+    void stageSecondCopies(std::vector<EngineOrder>& orders);
+    void updateDomainState(Domain& domain) const;
+    DomainHost describeHost(const Engine& engine) const;
+    const ReplicaModel* chooseSecondModel(const Engine& engine) const;
+    std::vector<ModelWeight> modelWeights() const;
+    size_t loadLimit(double gainPerLoad) const;
     void rebalance(std::vector<EngineOrder>& orders);
-    bool isSteady() const;
-    bool hasSurplus(const ReplicaModel& donor, const ReplicaModel& recipient) const;
-    bool transferReplica(const ReplicaModel& donor, const ReplicaModel& recipient, std::vector<EngineOrder>& orders);
+    bool hasLastingSurplus(const ReplicaModel& donor, const ReplicaModel& recipient);
+    bool hasSurplus(const ReplicaModel& donor, double taken, const ReplicaModel& recipient, double gained) const;
+    bool transferReplicas(const ReplicaModel& donor, const ReplicaModel& recipient, std::vector<EngineOrder>& orders);
     void stageCopy(const ReplicaModel& model, Engine& engine, std::vector<EngineOrder>& orders);
     double scarcity(const ReplicaModel& model) const;
-    bool isReserved(const Engine& engine, const ReplicaModel& model) const;
-    CopyValue evaluateCopy(const ReplicaModel& model, const CopyCount& count) const;
-    CopyCount countCopies(const ReplicaModel& model, const std::string& fabric) const;
-    double countSpares(const ReplicaModel& model) const;
     bool isLarge(const ReplicaModel& model) const;
-    std::set<std::string> fabrics() const;
-    const Engine* chooseHost(const ReplicaModel& model, const std::string& fabric, bool mayUseServingHost) const;
-    bool mayDonate(const ReplicaModel& donor, const ReplicaModel& recipient, size_t required) const;
+    bool mayDonate(const ReplicaModel& donor, const ReplicaModel& recipient, size_t replicas) const;
     std::vector<const Engine*> findSpares(const ReplicaModel& model, const std::string& fabric) const;
     bool isServing(const Engine& engine) const;
     const ReplicaModel* modelOf(const Engine& engine) const;
-    std::map<std::string, FreeEngines> findFreeEngines() const;
+    ModelSet modelBit(const std::string& model) const;
+    void updateDomains();
     bool isFree(const Engine& engine) const;
     bool isWarm(const Engine& engine, const std::string& model) const;
     bool hasCopy(const Engine& engine, const std::string& model) const;
     std::vector<const ReplicaModel*> modelsByNeed() const;
     void updateCounts();
+    double expectedSpares(const ReplicaModel& model) const;
     double enginesFor(const std::string& model) const;
     size_t countActiveLoads() const;
     bool isInitialFormation() const;
@@ -179,7 +193,12 @@
     std::map<std::string, Engine> engines_; // by id
     std::map<std::string, ReplicaPlan> plans_; // by group
     std::map<std::string, double> engineCounts_; // engines in whole replicas, those being formed included, by model
-    std::map<std::pair<std::string, std::string>, size_t> idleCopies_; // free engines with a copy, by fabric domain and model
+    std::set<std::string> wholeGroups_; // groups of whole replicas
+    std::map<std::string, Domain> domains_; // by fabric domain
+    std::vector<ModelWeight> weights_; // with which the copies in domains_ were chosen
+    Millis termStartedAt_ = never;
+    Millis transferredAt_ = never;
+    std::map<std::pair<std::string, std::string>, Millis> surplusSince_; // by donor and recipient
     uint64_t lastEpoch_ = 0;
     uint64_t term_ = 0;
     Millis lastEngineAddedAt_ { 0 };
--- a/tests/ReplicaPlannerTest.cpp
+++ b/tests/ReplicaPlannerTest.cpp
@@ -131,11 +131,11 @@
         planner_.noteTraffic();
     }
 
-    // Returns a live engine in a replica of the model in the given fabric domain; empty if there is none.
-    std::string findMember(const std::string& model, const std::string& fabric) const
+    // Returns a live engine in a replica of the model, in the given fabric domain or in any; empty if there is none.
+    std::string findMember(const std::string& model, const std::string& fabric = {}) const
     {
         for (const auto& [id, engine] : engines_) {
-            if (engine.fabric == fabric && engine.model == model && engine.membership && dead_.count(id) == 0)
+            if ((fabric.empty() || engine.fabric == fabric) && engine.model == model && engine.membership && dead_.count(id) == 0)
                 return id;
         }
         return {};
@@ -221,9 +221,17 @@
         addEngines(fabric, 10);
     startTraffic();
     ASSERT_EQ(countServing(largeModel), 6U);
-    killEngine(findMember(largeModel, "f1"));
+    const std::string first = findMember(largeModel);
+    std::string second;
+    for (const char* fabric : { "f1", "f2", "f3", "f4", "f5", "f6" }) {
+        if (engines_.at(first).fabric != fabric && second.empty())
+            second = findMember(largeModel, fabric);
+    }
+    ASSERT_FALSE(second.empty());
+    killEngine(first);
     step();
-    killEngine(findMember(largeModel, "f2"));
+    killEngine(second);
+    EXPECT_EQ(countServing(largeModel), 4U);
     for (int i = 0; i < 6; ++i)
         step();
     EXPECT_EQ(countServing(largeModel), 6U);
@@ -261,12 +269,13 @@
     for (const char* fabric : { "f1", "f2", "f3" })
         addEngines(fabric, 10);
     startTraffic();
-    // All spares of the large model in f1 lose their copies, and many engines without copies are added elsewhere.
+    // All hosts in one domain lose their second copies, and many engines without copies are added elsewhere.
+    const std::string fabric = engines_.at(findMember(largeModel)).fabric;
     for (auto& [id, engine] : engines_) {
-        if (engine.fabric == "f1" && engine.model == smallModel)
-            engine.staged = { smallModel };
+        if (engine.fabric == fabric)
+            engine.staged = { engine.model };
     }
-    const std::string lost = findMember(largeModel, "f1");
+    const std::string lost = findMember(largeModel, fabric);
     killEngine(lost);
     engines_.erase(lost);
     addEngines("f4", 20);
@@ -277,7 +286,7 @@
     const auto first = std::find_if(executed_.begin() + static_cast<ptrdiff_t>(before), executed_.end(), isFirstStage);
     ASSERT_NE(first, executed_.end());
     EXPECT_EQ(first->model, largeModel);
-    EXPECT_EQ(engines_.at(first->engine).fabric, "f1");
+    EXPECT_EQ(engines_.at(first->engine).fabric, fabric);
 }
 
 // An engine that loses its connection to the platform keeps serving, although its entry expires. Its replica is kept
