Move replicas between models by their work and by the use of their slots

Change: a model gives up replicas only if it has had a surplus by its part of the work for 2.5 s and its own slots are in use by at most 85 in 100, as the dispatcher sees them over all nodes. The engines that complete a large replica are judged by the replicas that they break up.

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -199,6 +199,7 @@
         if (proxy_.hasReceivedRequest() || !settings_.isFirstStart)
             planner.noteTraffic();
         planner.setTerm(presence_.term());
+        planner.noteUtilization(dispatcher_.utilization(name));
         logReplicas(name, planner);
         for (EngineOrder& order : planner.plan()) {
             order.fencingToken = presence_.term();
--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -152,6 +152,22 @@
     return usage;
 }
 
+std::map<std::string, double> Dispatcher::utilization(const std::string& service) const
+{
+    std::map<std::string, double> utilization;
+    for (const auto& [key, loads] : loadsByModel_) {
+        double slots = 0;
+        double used = 0;
+        for (const TargetLoad* load : loads) {
+            slots += load->target.slots;
+            used += std::min<double>(load->target.slots, load->running + currentPeerRunning(*load));
+        }
+        if (key.first == service && slots > 0)
+            utilization[key.second] = used / slots;
+    }
+    return utilization;
+}
+
 // Returns the load of other nodes on the target: the sum of their usage reports, or without any report the last load
 // that the endpoint reported, with exponential decay.
 double Dispatcher::currentPeerRunning(const TargetLoad& load) const
--- a/packages/proxy/Dispatcher.h
+++ b/packages/proxy/Dispatcher.h
@@ -72,6 +72,9 @@
     // Returns the usage of this node by hashTarget() of the target's id.
     std::map<uint32_t, TargetUsage> ownUsage() const;
 
+    // Returns the fraction of the targets' slots in use, over all nodes, by model.
+    std::map<std::string, double> utilization(const std::string& service) const;
+
     // Places queued requests and refuses those that waited too long. Call periodically.
     void tick();
 
--- a/packages/replicas/ReplicaCopies.cpp
+++ b/packages/replicas/ReplicaCopies.cpp
@@ -19,8 +19,8 @@
 // Resolution of the models' scarcity when copies are valued. Coarse, so that choices stay valid for longer.
 static constexpr double scarcityStep = 0.25;
 static constexpr double minWorkFraction = 0.01;
-// Engines per unit of work of a smaller model relative to a larger one from which on it gives replicas to that.
-static constexpr double largeTransferMargin = 1.25;
+// Fraction of its slots in use up to which a model may give up replicas. Above it, its own requests would wait.
+static constexpr double maxDonorUtilization = 0.85;
 
 // Returns whether so many of the donor's replicas may be broken up to complete a replica of the recipient. That brings a
 // whole larger replica back, so the recipient may already have more engines per unit of work than the donor, by up to the
@@ -315,13 +315,14 @@
 }
 
 // Returns whether the donor would still have at least as many engines per unit of work as the recipient after a
-// transfer. A larger replica is not worth breaking up smaller ones unless its model lacks engines by more than the
-// smaller replicas hold as its spares.
+// transfer, and room for its own requests.
 bool ReplicaPlanner::hasSurplus(const ReplicaModel& donor, double taken, const ReplicaModel& recipient, double gained) const
 {
-    const double margin = donor.size < recipient.size ? largeTransferMargin : 1;
     const double remaining = enginesFor(donor.name) - taken;
-    return remaining > 0 && remaining / std::max(minWorkFraction, donor.workFraction) >= margin * (enginesFor(recipient.name) + gained) / std::max(minWorkFraction, recipient.workFraction);
+    const auto utilization = utilization_.find(donor.name);
+    const double used = utilization == utilization_.end() ? 0 : utilization->second * enginesFor(donor.name);
+    return remaining > 0 && used <= maxDonorUtilization * remaining
+        && remaining / std::max(minWorkFraction, donor.workFraction) >= (enginesFor(recipient.name) + gained) / std::max(minWorkFraction, recipient.workFraction);
 }
 
 // Drains replicas of the donor whose engines form a replica of the recipient, in the fabric domain where that costs the
--- a/packages/replicas/ReplicaPlanner.cpp
+++ b/packages/replicas/ReplicaPlanner.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <cmath>
 #include <glog/logging.h>
 
 namespace hemlockweir {
@@ -139,6 +140,18 @@
     return found != engines_.end() && std::exchange(found->second.isDead, !isAlive) == isAlive;
 }
 
+void ReplicaPlanner::noteUtilization(const std::map<std::string, double>& utilization)
+{
+    const Millis now = options_.clock();
+    const auto age = static_cast<double>((now - std::exchange(utilizationNotedAt_, now)).count());
+    const double newWeight = 1 - std::exp2(-age / static_cast<double>(options_.utilizationHalfLife.count()));
+    for (const auto& [model, fraction] : utilization) {
+        const auto [known, isNew] = utilization_.try_emplace(model, fraction);
+        if (!isNew)
+            known->second += newWeight * (fraction - known->second);
+    }
+}
+
 // Adopts the groups that engines report, also those that another planner formed, and removes groups without members.
 void ReplicaPlanner::updatePlans()
 {
--- a/packages/replicas/ReplicaPlanner.h
+++ b/packages/replicas/ReplicaPlanner.h
@@ -52,6 +52,7 @@
         Millis orderRetryInterval { 2500 }; // ms after which an order that had no effect is repeated
         Millis reserveTime { 3000 }; // ms for which engines wait for a copy that completes a replica of a model in more need
         Millis surplusTime { 2500 }; // ms for which a model must have a surplus before it gives up replicas: losses are repaired sooner
+        Millis utilizationHalfLife { 1000 }; // ms, half-life of the moving average of a model's utilization
         Millis transferInterval { 1000 }; // ms between two replicas that are taken from one model for another
         size_t targetSpares = 2; // engines of smaller replicas in a fabric domain that are counted for a large model at the start
     };
@@ -78,6 +79,9 @@
     // Records that requests are being served. From then on loads are slow and compete for the store's bandwidth.
     void noteTraffic() { hasTraffic_ = true; }
 
+    // Records the fraction of the slots of each model's replicas that is in use, by model. Used as a moving average.
+    void noteUtilization(const std::map<std::string, double>& utilization);
+
     // Returns the orders to send now. The caller must pass the result of each to noteResult().
     std::vector<EngineOrder> plan();
     void noteResult(const EngineOrder& order, OrderResult result);
@@ -198,6 +202,8 @@
     std::vector<ModelWeight> weights_; // with which the copies in domains_ were chosen
     Millis termStartedAt_ = never;
     Millis transferredAt_ = never;
+    Millis utilizationNotedAt_ = never;
+    std::map<std::string, double> utilization_; // fraction of the slots in use, moving average by model
     std::map<std::pair<std::string, std::string>, Millis> surplusSince_; // by donor and recipient
     uint64_t lastEpoch_ = 0;
     uint64_t term_ = 0;
