Bound endless answers, keep slow streams, finish a planned stop, share contended slots

What went wrong for others, looked for here, each with a test: - Bytes without end: an interim answer, a chunk header or extension, a trailer and an event without an end were read without a bound, and a large answer piled up for a caller that did not read. Each is bounded now and counts as the endpoint's fault (EndlessResponse, ten places, fast and a byte at a time). - Stalled streams: a byte now and then counted as progress.

Load: members cut off from the platform never show in the list that they are ready, and their replicas never opened: the planner asks them. All nodes sent their queue to a new replica, and all their requests to a broken one when its backoff ended: nodes take their part of contended slots per interval, and probe a suspect at different times. A rejection that names a lost member is told to all nodes.

--- a/packages/gateway/EngineOrders.cpp
+++ b/packages/gateway/EngineOrders.cpp
@@ -62,8 +62,9 @@
     callServer(context_, pool_, { .address = engine.address, .port = engine.port, .request = adapter_.formatReportRequest(engine.address, engine.port), .timeout = options_.probeTimeout, .mayReuse = false },
         [this, id = engine.id, startedAtMs = engine.startedAtMs](const absl::StatusOr<CallAnswer>& answer) {
             // Another process may have taken over the address in the meantime.
-            const bool isSameProcess = answer.ok() && adapter_.readReportStartedAt(answer->body).value_or(startedAtMs) == startedAtMs;
-            options_.onProbed(id, isSameProcess);
+            const EngineReport report = answer.ok() ? adapter_.readReport(answer->body) : EngineReport {};
+            const bool isSameProcess = answer.ok() && report.startedAtMs.value_or(startedAtMs) == startedAtMs;
+            options_.onProbed(id, isSameProcess, report.membership);
         });
 }
 
--- a/packages/gateway/EngineOrders.h
+++ b/packages/gateway/EngineOrders.h
@@ -20,7 +20,7 @@
         size_t maxConcurrentOrders = 48; // more wait in a queue, so that none times out while this node is busy with the others
         std::function<bool()> mayOrder; // whether this node still is the planner, checked again when an order is sent
         std::function<void(const EngineOrder&, OrderResult)> onResult;
-        std::function<void(const std::string& engine, bool isAlive)> onProbed;
+        std::function<void(const std::string& engine, bool isAlive, const std::optional<Membership>&)> onProbed; // with the membership that it reports
     };
 
     EngineOrders(boost::asio::io_context& context, Options options, const PlatformAdapter& adapter, DecisionLog& log, ProxyMetrics& metrics);
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -76,7 +76,7 @@
               .clock = clock_,
               .mayOrder = [this] { return presence_.isPlanner(); },
               .onResult = [this](const EngineOrder& order, OrderResult result) { handleOrderResult(order, result); },
-              .onProbed = [this](const std::string& engine, bool isAlive) { handleProbeResult(engine, isAlive); },
+              .onProbed = [this](const std::string& engine, bool isAlive, const std::optional<Membership>& membership) { handleProbeResult(engine, isAlive, membership); },
           },
           adapter_, log_, metrics_)
     , readyServer_(context, controlServerOptions(settings_.ready))
@@ -303,10 +303,15 @@
         crashes_.noteEndpointDown(endpoint);
 }
 
-void Gateway::handleProbeResult(const std::string& engine, bool isAlive)
+void Gateway::handleProbeResult(const std::string& engine, bool isAlive, const std::optional<Membership>& membership)
 {
     if (!isAlive)
         crashes_.noteEndpointDown(engine);
+    bool hasNews = false;
+    for (auto& [name, planner] : planners_)
+        hasNews = (isAlive && membership && planner.noteReport(engine, *membership)) || hasNews;
+    if (hasNews)
+        requestPlan();
     bool hasChanged = false;
     for (auto& [name, planner] : planners_)
         hasChanged = planner.noteProbe(engine, isAlive) || hasChanged;
@@ -364,6 +369,11 @@
     log_.noteChange("settings_reloaded", { { "grace_ms", std::to_string(settings_.grace.count()) }, { "retry_allowance", std::to_string(settings->retryAllowance) } });
 }
 
+void Gateway::noteUnexpectedError(const std::string& error)
+{
+    log_.noteFailure("unexpected_error", { { "error", error } });
+}
+
 void Gateway::stop(std::function<void()> onStopped)
 {
     if (isStopping_)
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -30,6 +30,9 @@
     // period. An error changes nothing.
     void reload(const absl::StatusOr<GatewaySettings>& settings);
 
+    // Logs an exception that a handler of the event loop threw.
+    void noteUnexpectedError(const std::string& error);
+
     // Shuts down gracefully: readiness checks fail from now on, new requests are accepted until the balancer has
     // removed the node, running requests finish, and then `onStopped` is called.
     void stop(std::function<void()> onStopped);
@@ -50,7 +53,7 @@
     void probeUnverified();
     void probeReplica(const std::string& service, const std::string& head);
     void handleOrderResult(const EngineOrder& order, OrderResult result);
-    void handleProbeResult(const std::string& engine, bool isAlive);
+    void handleProbeResult(const std::string& engine, bool isAlive, const std::optional<Membership>& membership);
     void handleConnectionLost(const std::string& endpoint);
     void logReplicas(const std::string& service, const ReplicaPlanner& planner);
     void requestPlan();
--- a/packages/gateway/PlatformAdapter.h
+++ b/packages/gateway/PlatformAdapter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/KvStore.h"
+#include "proxy/EndpointInfo.h"
 #include "proxy/ProxyContext.h"
 #include "replicas/EngineOrder.h"
 
@@ -9,6 +10,14 @@
 
 namespace hemlockweir {
 
+// What an engine reports when it is asked.
+struct EngineReport {
+    std::optional<int64_t> startedAtMs; // ms since the Unix epoch
+    std::optional<Membership> membership; // absent if the engine is in no replica
+
+    bool operator==(const EngineReport&) const = default;
+};
+
 struct PlatformAdapter {
     KvStore store;
     std::string configurationKey; // store key of the operators' configuration
@@ -21,7 +30,7 @@
     std::function<std::string(const EngineOrder&)> formatOrder; // returns an HTTP request
     std::function<OrderResult(int status)> readOrderResult;
     std::function<std::string(const std::string& address, uint16_t port)> formatReportRequest; // returns an HTTP request
-    std::function<std::optional<int64_t>(const std::string& body)> readReportStartedAt; // start of the reporting engine, ms since the Unix epoch; absent if the body doesn't contain it
+    std::function<EngineReport(const std::string& body)> readReport; // fields that the body doesn't contain are absent
 };
 
 } // namespace hemlockweir
--- a/packages/http/ClientConnection.cpp
+++ b/packages/http/ClientConnection.cpp
@@ -49,6 +49,7 @@
     request_ = std::move(request);
     isExchanging_ = true;
     hasHead_ = false;
+    interimAnswers_ = 0;
     ++exchanges_;
     startParser();
     if (request_.starts_with("HEAD "))
@@ -138,6 +139,12 @@
         if (continues)
             unread_ = pending.substr(consumed);
     }
+    // The parser consumes a body as it arrives, but keeps an incomplete head, chunk header or trailer, which some servers
+    // in trouble never end.
+    if (continues && unread_.size() > options_.headBytes) {
+        end(ExchangeEnd::Malformed);
+        return;
+    }
     if (continues && !isClosed_)
         waitForBytes();
 }
@@ -160,6 +167,10 @@
             return false;
         }
         if (parser_->is_done() && parser_->get().result_int() / 100 == 1) {
+            if (++interimAnswers_ > options_.interimAnswers) {
+                end(ExchangeEnd::Malformed);
+                return false;
+            }
             startParser(); // interim (1xx) answer; the final one follows
             continue;
         }
--- a/packages/http/ClientConnection.h
+++ b/packages/http/ClientConnection.h
@@ -51,7 +51,8 @@
         std::string address; // IP address
         uint16_t port = 0;
         Clock clock;
-        size_t headBytes = 64 * 1024; // bytes, limit of an answer's head
+        size_t headBytes = 64 * 1024; // bytes, limit of an answer's head, of one chunk's header and of the trailer
+        int interimAnswers = 8; // limit of interim (1xx) answers before the final one
     };
 
     // Callbacks of an exchange. None is called after close().
@@ -110,6 +111,7 @@
     Millis idleSince_ { 0 };
     Millis keepAliveTimeout_;
     uint64_t exchanges_ = 0;
+    int interimAnswers_ = 0; // of the current exchange
     bool isConnected_ = false;
     bool wasConnected_ = false;
     bool isExchanging_ = false;
--- a/packages/http/RequestServer.cpp
+++ b/packages/http/RequestServer.cpp
@@ -1,6 +1,7 @@
 #include "http/RequestServer.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 
 namespace hemlockweir {
 
@@ -85,8 +86,29 @@
     acceptor_.close(ignored);
 }
 
+// Accepts the connections that the kernel has queued: closing the acceptor would reset them, with the requests that their
+// callers have sent.
+void RequestServer::acceptQueued()
+{
+    error_code error;
+    acceptor_.cancel(error);
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+        SocketWriter::Socket socket(acceptor_.get_executor());
+        acceptor_.accept(socket, error);
+        if (!error)
+            addConnection(std::move(socket));
+    }
+}
+
+bool RequestServer::isBusy() const
+{
+    return std::any_of(connections_.begin(), connections_.end(), [](const auto& connection) { return connection->isBusy(); });
+}
+
 void RequestServer::closeGracefully()
 {
+    acceptQueued();
     stopListening();
     const auto connections = connections_;
     for (const auto& connection : connections)
--- a/packages/http/RequestServer.h
+++ b/packages/http/RequestServer.h
@@ -38,7 +38,8 @@
     // Makes each further answer say `Connection: close`. Connections are still accepted.
     void closeAfterAnswers();
 
-    // Stops listening. Idle connections are closed now, busy ones once their answer has been sent.
+    // Stops listening. Requests that have arrived are still read, on connections that were not accepted yet too. Idle
+    // connections are closed now, busy ones once their answer has been sent.
     void closeGracefully();
 
     // Stops listening and closes all connections immediately, even if their request is unanswered.
@@ -49,8 +50,12 @@
 
     size_t connectionCount() const { return connections_.size(); }
 
+    // Returns whether a request is being read or answered on any connection.
+    bool isBusy() const;
+
 private:
     void accept();
+    void acceptQueued();
     void addConnection(SocketWriter::Socket socket);
     void stopListening();
 
--- a/packages/http/ServerConnection.cpp
+++ b/packages/http/ServerConnection.cpp
@@ -266,6 +266,10 @@
 void ServerConnection::closeWhenIdle()
 {
     closesAfterAnswer_ = true;
+    const std::shared_ptr<ServerConnection> self = shared_from_this();
+    // A request may have arrived that was not read yet.
+    if (!isClosed_ && state_ == State::ReadingHead && unread_.empty())
+        readBytes();
     const bool isIdle = state_ == State::ReadingHead && unread_.empty();
     if (isIdle)
         closeSocket();
--- a/packages/http/ServerConnection.h
+++ b/packages/http/ServerConnection.h
@@ -78,6 +78,10 @@
     std::function<void()> onCallerDisconnected;
 
     bool isOpen() const { return !isClosed_; }
+
+    // Returns whether a request is being read or answered, or part of an answer is still to be sent.
+    bool isBusy() const { return !isClosed_ && (state_ == State::Answering || state_ == State::ReadingBody || !unread_.empty() || unsentBytes() > 0); }
+
     size_t unsentBytes() const { return writer_.unsentBytes(); }
 
 private:
--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -16,6 +16,8 @@
 static constexpr double newSampleWeight = 0.1;
 // Consecutive rejections, without a response between them, after which a target counts as failed.
 static constexpr uint32_t rejectionsPerFailure = 3;
+// Contended slots that a node may have saved up to take at once.
+static constexpr double maxClaims = 3;
 // Fraction of a target's slots in use above which nodes compete for the remaining ones.
 static constexpr double contendedFraction = 0.75;
 
@@ -253,13 +255,48 @@
     const Queue& queue = queues_[{ request.service, request.model }];
     request.isLate = !request.hasResponseStarted && isLate(queue, request);
     request.yieldsToUrgent = !request.hasResponseStarted && request.priority > queue.mostUrgentPriority && now - queue.mostUrgentAt < options_.urgencyWindow;
+    const QueueKey key { request.service, request.model };
+    const bool isClaim = !request.hasResponseStarted && isContended(key);
+    if (isClaim && !mayClaim(key))
+        return false;
     const TargetLoad* chosen = chooseTarget(loadsFor(request.service, request.model), request, options_.domain, now, peers_.size() + 1, options_.random);
     if (!chosen)
         return false;
+    if (isClaim)
+        queues_[key].claims -= 1;
     place(std::move(request), loads_.at(chosen->target.id));
     return true;
 }
 
+double Dispatcher::countFreeSlots(const QueueKey& key) const
+{
+    const Millis now = options_.clock();
+    double free = 0;
+    for (const TargetLoad* load : loadsFor(key.first, key.second))
+        free += load->suspectUntil > now ? 0 : std::max(0.0, load->target.slots - load->usedSlots());
+    return free;
+}
+
+// Returns whether fewer slots are free than nodes may want one.
+bool Dispatcher::isContended(const QueueKey& key) const
+{
+    return !peers_.empty() && countFreeSlots(key) <= static_cast<double>(peers_.size());
+}
+
+// Returns whether this node may take one of the contended slots. All nodes see them free at the same time, e.g. those of a
+// replica that has just opened, and without a limit each would send its queue there. Each takes its part of them per
+// interval; a slot that this node freed itself is its own.
+bool Dispatcher::mayClaim(const QueueKey& key)
+{
+    Queue& queue = queues_[key];
+    const Millis now = options_.clock();
+    const double part = countFreeSlots(key) / static_cast<double>(peers_.size() + 1);
+    const double intervals = static_cast<double>((now - queue.claimsUpdatedAt).count()) / static_cast<double>(options_.claimInterval.count());
+    queue.claimsUpdatedAt = now;
+    queue.claims = std::min(maxClaims, queue.claims + part * std::min(1.0, intervals));
+    return queue.claims >= 1;
+}
+
 void Dispatcher::place(PlacementRequest request, TargetLoad& load)
 {
     ++load.running;
@@ -315,6 +352,7 @@
     if (load.running > 0)
         --load.running;
     const QueueKey key { load.target.service, load.target.model };
+    queues_[key].claims = std::min(maxClaims, queues_[key].claims + 1);
     const bool hasWaiting = !queues_[key].waiting.empty();
     if (hasWaiting)
         placeWaiting(key);
@@ -364,8 +402,13 @@
         return;
     TargetLoad& load = *found->second;
     const Millis now = options_.clock();
-    if (now - load.lastResponseAt > options_.recentResponseWindow)
-        load.suspectUntil = std::max(load.suspectUntil, now + options_.suspectBackoff);
+    if (now - load.lastResponseAt <= options_.recentResponseWindow)
+        return;
+    // The backoff differs from node to node, and the first request is a probe: if it fails, the others learn of it before
+    // they try.
+    const auto spread = static_cast<int64_t>(options_.random() % static_cast<uint64_t>(options_.suspectBackoff.count() + 1));
+    load.suspectUntil = std::max(load.suspectUntil, now + options_.suspectBackoff + Millis(spread));
+    load.consecutiveFailures = std::max<uint32_t>(1, load.consecutiveFailures);
 }
 
 void Dispatcher::noteSuccess(const std::string& targetId)
--- a/packages/proxy/Dispatcher.h
+++ b/packages/proxy/Dispatcher.h
@@ -26,6 +26,7 @@
         Millis urgencyWindow { 1000 }; // ms, for which requests yield after a more urgent one arrived
         double maxWaitObjectives = 2.0; // longest wait as a multiple of the objective, while the time to first byte is unknown
         size_t maxWaiting = 400; // queued requests per model
+        Millis claimInterval { 45 }; // ms, in which a node may take its part of the contended slots; about the age of peers' reports
         Millis rejectionBackoff { 100 }; // ms, without new requests to a target after it rejected one
         std::function<void(const Target&, bool isUnresponsive)> onSuspect; // a target failed; unresponsive: it sent no response
         std::function<void()> onUsageChanged; // local usage changed and should be published immediately
@@ -92,10 +93,15 @@
         double firstByteMs = 0; // ms, moving average of the time from placement to the first byte
         int mostUrgentPriority = std::numeric_limits<int>::max(); // of the recent requests
         Millis mostUrgentAt { 0 }; // when the most urgent of the recent requests arrived
+        double claims = 0; // contended slots that this node may take
+        Millis claimsUpdatedAt { 0 };
     };
     using QueueKey = std::pair<std::string, std::string>; // service and model
 
     bool tryPlace(PlacementRequest& request);
+    double countFreeSlots(const QueueKey& key) const;
+    bool isContended(const QueueKey& key) const;
+    bool mayClaim(const QueueKey& key);
     void place(PlacementRequest request, TargetLoad& load);
     void refuse(PlacementRequest request, RefusalReason reason, size_t requestsAhead);
     void updateStartRate(Queue& queue);
--- a/packages/proxy/EndpointInfo.h
+++ b/packages/proxy/EndpointInfo.h
@@ -38,7 +38,6 @@
     std::string domain; // failure domain
     std::string fabric; // fabric domain; engines only
     uint32_t slots = 1; // concurrent requests
-    uint64_t orders = 0; // orders accepted since its start
     int64_t startedAtMs = 0; // ms since the Unix epoch
     bool isLeaving = false; // shutting down: gets no new requests
     std::string model; // model loaded in the engine; empty: none
--- a/packages/proxy/EventSplitter.cpp
+++ b/packages/proxy/EventSplitter.cpp
@@ -34,7 +34,7 @@
     return std::nullopt;
 }
 
-void EventSplitter::feed(std::string_view bytes, const std::function<void(std::string_view)>& onEvent)
+bool EventSplitter::feed(std::string_view bytes, const std::function<void(std::string_view)>& onEvent)
 {
     pending_ += bytes;
     size_t start = 0;
@@ -52,6 +52,7 @@
         onEvent(event);
     }
     pending_.erase(0, start);
+    return pending_.size() <= maxEventBytes;
 }
 
 } // namespace hemlockweir
--- a/packages/proxy/EventSplitter.h
+++ b/packages/proxy/EventSplitter.h
@@ -12,9 +12,12 @@
 
 class EventSplitter {
 public:
+    static constexpr size_t maxEventBytes = 256 * 1024;
+
     // Parses the next bytes and calls onEvent with each complete event, including its blank line. Skips events whose id
-    // is not greater than the last one, since a resumed stream may repeat events.
-    void feed(std::string_view bytes, const std::function<void(std::string_view)>& onEvent);
+    // is not greater than the last one, since a resumed stream may repeat events. Returns false if an event is longer than
+    // maxEventBytes.
+    bool feed(std::string_view bytes, const std::function<void(std::string_view)>& onEvent);
 
     // Discards the bytes of an incomplete event.
     void discardPartial() { pending_.clear(); }
--- a/packages/proxy/Proxy.h
+++ b/packages/proxy/Proxy.h
@@ -31,8 +31,8 @@
     // Starts a graceful shutdown: every response asks its caller to close the connection. Connections are still accepted.
     void startShutdown() { server_.closeAfterAnswers(); }
 
-    // Returns whether no request is in progress.
-    bool isIdle() const { return flows_.empty(); }
+    // Returns whether no request is being read or in progress, and every answer has been sent.
+    bool isIdle() const { return flows_.empty() && !server_.isBusy(); }
 
     // Stops listening and closes idle connections.
     void stopListening() { server_.closeGracefully(); }
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -136,7 +136,7 @@
         context_.dispatcher.release(target.id);
         return;
     }
-    attempt_.emplace(Attempt { .target = target, .sentAt = now, .lastByteAt = now });
+    attempt_.emplace(Attempt { .target = target, .sentAt = now, .progressAt = now });
     lastTarget_ = target.id;
     ++sends_;
     const auto self = shared_from_this();
@@ -218,7 +218,7 @@
         if (reason == "connection_lost")
             context_.crashes.noteConnectionLost(fingerprint(), attempt.target.id);
     }
-    context_.log.noteFailure("send_failed", { { "request", requestId_ }, { "organisation", organisation_ }, { "route", route_.name }, { "endpoint", attempt.target.id }, { "model", model_ }, { "reason", std::string(reason) }, { "sent_ms_ago", std::to_string((now - attempt.sentAt).count()) }, { "heard_ms_ago", std::to_string((now - attempt.lastByteAt).count()) }, { "last_event", eventSplitter_.lastId() ? std::to_string(*eventSplitter_.lastId()) : "none" }, { "may_have_run", wasSent ? "true" : "false" } });
+    context_.log.noteFailure("send_failed", { { "request", requestId_ }, { "organisation", organisation_ }, { "route", route_.name }, { "endpoint", attempt.target.id }, { "model", model_ }, { "reason", std::string(reason) }, { "sent_ms_ago", std::to_string((now - attempt.sentAt).count()) }, { "heard_ms_ago", std::to_string((now - attempt.progressAt).count()) }, { "last_event", eventSplitter_.lastId() ? std::to_string(*eventSplitter_.lastId()) : "none" }, { "may_have_run", wasSent ? "true" : "false" } });
     attempt.connection->close();
     endAttempt(reason);
     eventSplitter_.discardPartial();
@@ -282,9 +282,10 @@
             retryOrFail("connect_timeout", true);
         return;
     }
-    if (now - attempt_->lastByteAt < inactivityTimeout(route_, attempt_->head.has_value()) || !route_.isRetryable())
+    if (now - attempt_->progressAt < inactivityTimeout(route_, attempt_->head.has_value()) || !route_.isRetryable())
         return;
-    if (canRetry(ExecutionState::MayHaveRun, executions_ + 1))
+    // A slow stream is not given up unless another endpoint may continue it.
+    if (canRetry(ExecutionState::MayHaveRun, executions_ + 1) && context_.retries.hasBudget(service_))
         retryOrFail("endpoint_silent", true);
 }
 
--- a/packages/proxy/ProxyFlow.h
+++ b/packages/proxy/ProxyFlow.h
@@ -41,7 +41,7 @@
         Target target;
         std::shared_ptr<ClientConnection> connection;
         Millis sentAt { 0 };
-        Millis lastByteAt { 0 }; // when the last byte of the response arrived
+        Millis progressAt { 0 }; // when the head, the last part of the body or, of a stream, the last complete event arrived
         std::optional<ResponseHead> head;
         std::string body; // buffered until the response is complete; empty for streams
     };
@@ -64,7 +64,9 @@
     void handleEnd(ExchangeEnd how);
     void handleCompleteResponse();
     void handleRejection(const ResponseHead& head);
+    void handleEvents(std::string_view bytes);
     void sendEvent(std::string_view event);
+    bool cutSlowCaller();
     void startStream(const ResponseHead& head);
     bool isStreaming() const;
 
--- a/packages/proxy/ProxyFlowAnswer.cpp
+++ b/packages/proxy/ProxyFlowAnswer.cpp
@@ -17,9 +17,11 @@
 void ProxyFlow::handleHead(const ResponseHead& head)
 {
     Attempt& attempt = *attempt_;
-    attempt.lastByteAt = context_.clock();
+    attempt.progressAt = context_.clock();
     const auto id = findHeader(head.headers, context_.headers.requestId);
-    if (id && *id != requestId_) {
+    // A reused connection may still deliver a second, late answer to an earlier request. Only the id tells them apart.
+    const bool isUnidentified = !id && !requestId_.empty() && !attempt.connection->isFirstExchange();
+    if (isUnidentified || (id && *id != requestId_)) {
         retryOrFail("answer_of_another_request", true);
         return;
     }
@@ -60,11 +62,14 @@
     const bool isWrongEndpoint = head.status == statusMisdirected;
     const std::string reason = isWrongEndpoint ? "not_that_endpoint" : "endpoint_rejected";
     const std::string target = attempt_->target.id;
-    context_.log.noteFailure("send_rejected", { { "request", requestId_ }, { "endpoint", target }, { "status", std::to_string(head.status) } });
+    context_.log.noteFailure("send_rejected", { { "request", requestId_ }, { "endpoint", target }, { "status", std::to_string(head.status) }, { "caused_by", std::string(findHeader(head.headers, context_.headers.faultyEndpoint).value_or("")) } });
     // An endpoint with another identity has replaced the target, which is gone. One that only rejects may be full, or its
     // replica has lost a member.
-    if (isWrongEndpoint)
-        context_.dispatcher.noteFailure(target, false);
+    const auto faulty = findHeader(head.headers, context_.headers.faultyEndpoint);
+    // The head of a replica names the member that it lost. It will reject all requests, so the other nodes are told.
+    const bool hasLostMember = !model_.empty() && faulty && !faulty->empty() && *faulty != target;
+    if (isWrongEndpoint || hasLostMember)
+        context_.dispatcher.noteFailure(target, hasLostMember);
     else if (!model_.empty())
         context_.dispatcher.noteRejection(target);
     endAttempt(reason);
@@ -83,15 +88,14 @@
 {
     if (!attempt_ || !attempt_->head)
         return;
-    attempt_->lastByteAt = context_.clock();
     if (isStreaming()) {
-        const auto self = shared_from_this();
-        context_.dispatcher.noteSuccess(attempt_->target.id);
-        eventSplitter_.feed(bytes, [this](std::string_view event) { sendEvent(event); });
+        handleEvents(bytes);
         return;
     }
+    attempt_->progressAt = context_.clock();
     if (isHeadSent_) {
         options_.caller->sendBody(bytes);
+        cutSlowCaller();
         return;
     }
     attempt_->body += bytes;
@@ -104,6 +108,28 @@
     options_.caller->sendBody(std::exchange(attempt_->body, {}));
 }
 
+// Forwards the complete events of a stream. Only they count as progress: an endpoint in trouble may send a byte now and
+// then without ever completing an event.
+void ProxyFlow::handleEvents(std::string_view bytes)
+{
+    const auto self = shared_from_this();
+    bool hasEvent = false;
+    const bool isBounded = eventSplitter_.feed(bytes, [&](std::string_view event) {
+        hasEvent = true;
+        sendEvent(event);
+    });
+    if (isDone_ || !attempt_)
+        return;
+    if (!isBounded) {
+        retryOrFail("malformed_answer", true);
+        return;
+    }
+    if (!hasEvent)
+        return;
+    attempt_->progressAt = context_.clock();
+    context_.dispatcher.noteSuccess(attempt_->target.id);
+}
+
 void ProxyFlow::startStream(const ResponseHead& head)
 {
     isHeadSent_ = true;
@@ -121,11 +147,20 @@
         startStream(*attempt_->head);
     times_.noteEvent(context_.clock());
     options_.caller->sendBody(event);
+    cutSlowCaller();
+}
+
+// Ends the flow if too many bytes wait for the caller to read them. Returns whether it did.
+bool ProxyFlow::cutSlowCaller()
+{
     if (options_.caller->unsentBytes() <= maxUnsentBytes)
-        return;
+        return false;
+    if (attempt_)
+        attempt_->connection->close();
     endAttempt("caller_too_slow");
     options_.caller->abort();
     finish("abandoned", "caller_too_slow");
+    return true;
 }
 
 void ProxyFlow::handleEnd(ExchangeEnd how)
--- a/packages/proxy/RetryWindow.cpp
+++ b/packages/proxy/RetryWindow.cpp
@@ -32,14 +32,20 @@
     counts.requests[static_cast<size_t>(counts.newest) % buckets] += 1;
 }
 
-bool RetryWindow::tryConsume(const std::string& service)
+bool RetryWindow::hasBudget(const std::string& service)
 {
-    Counts& counts = currentCounts(service);
+    const Counts& counts = currentCounts(service);
     const double requests = std::accumulate(counts.requests.begin(), counts.requests.end(), 0.0);
     const double retries = std::accumulate(counts.retries.begin(), counts.retries.end(), 0.0);
     const double allowed = safetyFactor * (options_.retriesPerRequest * requests + options_.allowance / static_cast<double>(nodes_));
-    if (retries + 1 > allowed)
+    return retries + 1 <= allowed;
+}
+
+bool RetryWindow::tryConsume(const std::string& service)
+{
+    if (!hasBudget(service))
         return false;
+    Counts& counts = currentCounts(service);
     counts.retries[static_cast<size_t>(counts.newest) % buckets] += 1;
     return true;
 }
--- a/packages/proxy/RetryWindow.h
+++ b/packages/proxy/RetryWindow.h
@@ -25,6 +25,9 @@
     // Counts a caller's request to a service.
     void noteRequest(const std::string& service);
 
+    // Returns whether the budget allows another retry.
+    bool hasBudget(const std::string& service);
+
     // Consumes one retry; returns false if the budget is exhausted.
     bool tryConsume(const std::string& service);
 
--- a/packages/replicas/ReplicaPlanner.cpp
+++ b/packages/replicas/ReplicaPlanner.cpp
@@ -120,12 +120,29 @@
 {
     std::vector<EndpointInfo> unverified;
     for (const auto& [id, engine] : engines_) {
-        if (engine.isUnlisted || engine.isDead)
+        const bool isJoinUnreported = engine.orderedMembership && engine.isJoinAccepted && options_.clock() - engine.joinOrderedAt >= options_.reportDelay;
+        if (engine.isUnlisted || engine.isDead || isJoinUnreported)
             unverified.push_back(engine.info);
     }
     return unverified;
 }
 
+bool ReplicaPlanner::noteReport(const std::string& engineId, const Membership& membership)
+{
+    const auto found = engines_.find(engineId);
+    if (found == engines_.end())
+        return false;
+    Engine& engine = found->second;
+    std::optional<Membership>& ordered = engine.orderedMembership;
+    if (!ordered || ordered->group != membership.group || ordered->epoch != membership.epoch)
+        return false;
+    const bool isNews = *ordered != membership;
+    ordered = membership;
+    engine.joinOrderedAt = options_.clock();
+    engine.info.membership = believe(engine, options_);
+    return isNews;
+}
+
 void ReplicaPlanner::setTerm(uint64_t term)
 {
     if (term != term_)
--- a/packages/replicas/ReplicaPlanner.h
+++ b/packages/replicas/ReplicaPlanner.h
@@ -50,6 +50,7 @@
         Millis discoveryQuietTime { 1000 }; // ms without a new engine before the first replicas are formed
         Millis drainTimeout { 9500 }; // ms for a closed replica to finish its requests; a leaving member stays for 10 s
         Millis orderRetryInterval { 2500 }; // ms after which an order that had no effect is repeated
+        Millis reportDelay { 700 }; // ms after which the list should show an accepted join
         Millis reserveTime { 3000 }; // ms for which engines wait for a copy that completes a replica of a model in more need
         Millis surplusTime { 2500 }; // ms for which a model must have a surplus before it gives up replicas: losses are repaired sooner
         Millis utilizationHalfLife { 1000 }; // ms, half-life of the moving average of a model's utilization
@@ -64,10 +65,14 @@
     // may still be serving.
     void setEngines(const std::vector<EndpointInfo>& engines, const EngineProfile& profile);
 
-    // Returns the engines whose liveness must be probed: those that serve but are no longer listed, and those
-    // that are still listed but did not answer.
+    // Returns the engines that must be probed: those that serve but are no longer listed, those that are still listed but
+    // did not answer, and those that accepted a join which the list does not show. The latter may have lost their
+    // connection to the platform.
     std::vector<EndpointInfo> findUnverified() const;
 
+    // Records the membership that an engine reported itself when it was probed. Returns true if it is news.
+    bool noteReport(const std::string& engine, const Membership& membership);
+
     // Records whether an engine answered a probe. Returns true if its liveness changed.
     bool noteProbe(const std::string& engine, bool isAlive);
 
--- a/programs/hemlockweir.cpp
+++ b/programs/hemlockweir.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "config/TomlReader.h"
+#include "gateway/EventLoop.h"
 #include "node/Node.h"
 #include "platform/Adapter.h"
 
@@ -99,7 +100,7 @@
         });
     };
     waitForReload();
-    context.run();
+    runEventLoop(context, [&gateway](const std::string& error) { gateway.noteUnexpectedError(error); });
     return 0;
 }
 
--- a/tests/ProxyFlowTest.cpp
+++ b/tests/ProxyFlowTest.cpp
@@ -1,6 +1,7 @@
 #include "proxy/Proxy.h"
 #include "support/ScriptedEndpoint.h"
 
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 // Tests of the proxy with real connections on one event loop: a caller, and endpoints with scripted responses.
@@ -18,6 +19,7 @@
     .seal = "Test-Seal",
     .load = "Test-Load",
     .notRun = "Test-Not-Run",
+    .faultyEndpoint = "Test-Faulty",
     .model = "Test-Model",
     .tokenCounts = "Test-Tokens",
     .urgency = "Test-Urgency",
@@ -310,4 +312,128 @@
     EXPECT_TRUE(exchange(request("/order/8", "r5")).starts_with("HTTP/1.1 200 "));
 }
 
+// An endpoint in trouble may send bytes that are no response, without end, until the node closes the connection.
+struct EndlessBytes {
+    const char* where;
+    std::string start; // of the response
+    std::string flood; // repeated
+    std::string path;
+};
+
+void PrintTo(const EndlessBytes& bytes, std::ostream* out)
+{
+    *out << bytes.where;
+}
+
+class EndlessResponse : public ProxyFlowTest, public testing::WithParamInterface<EndlessBytes> {
+protected:
+    // Bytes that may arrive until the connection is closed: the limits of the node, and what the sockets buffer.
+    static constexpr size_t maxFloodedBytes = 12 * 1024 * 1024;
+};
+
+TEST_P(EndlessResponse, IsCutWithinBoundsAndTheRequestEnds)
+{
+    configure();
+    for (ScriptedEndpoint* endpoint : { &first_, &second_ })
+        endpoint->setScript([&](int) { return ScriptedResponse { GetParam().start, Ending::Flood, GetParam().flood }; });
+    const Millis start = clock_();
+    const std::string answer = exchange(request(GetParam().path, "r1"));
+    EXPECT_LT(clock_() - start, Millis(2500)) << "before the request's deadline";
+    EXPECT_TRUE(answer.empty() || answer.starts_with("HTTP/1.1 50") || answer.find("\r\n0\r\n") == std::string::npos) << "must not look complete: " << answer.substr(0, 200);
+    runUntil(context_, [this] { return static_cast<size_t>(first_.peerCloses() + second_.peerCloses()) == requestCount(); });
+    EXPECT_LE(first_.floodedBytes() + second_.floodedBytes(), maxFloodedBytes);
+}
+
+TEST_P(EndlessResponse, IsCutWhenItComesAByteAtATime)
+{
+    configure();
+    for (ScriptedEndpoint* endpoint : { &first_, &second_ })
+        endpoint->setScript([&](int) { return ScriptedResponse { GetParam().start, Ending::Drip, GetParam().flood }; });
+    const Millis start = clock_();
+    while (clock_() - start < Millis(10)) { }
+    ScriptedCaller caller(context_, proxy_.port());
+    caller.send(request(GetParam().path, "r1"));
+    runUntil(context_, [this] {
+        proxy_.tick();
+        return requestCount() > 0 && static_cast<size_t>(first_.peerCloses() + second_.peerCloses()) == requestCount() && proxy_.flowCount() == 0;
+    });
+    EXPECT_LT(clock_() - start, Millis(2500)) << "within the request's deadline";
+}
+
+std::string sealedHead(const std::string& more)
+{
+    return "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Seal: s\r\n" + more;
+}
+
+const std::string kilobyte(1024, 'x');
+
+INSTANTIATE_TEST_SUITE_P(Places, EndlessResponse,
+    testing::Values(EndlessBytes { "no protocol", "", kilobyte, "/look/1" },
+        EndlessBytes { "status line", "HTTP/1.1 200 ", kilobyte, "/look/1" },
+        EndlessBytes { "one header", "HTTP/1.1 200 OK\r\nA: ", kilobyte, "/look/1" },
+        EndlessBytes { "headers", "HTTP/1.1 200 OK\r\n", "Name: value\r\n", "/look/1" },
+        EndlessBytes { "interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n", "/look/1" },
+        EndlessBytes { "chunk size", sealedHead("Transfer-Encoding: chunked\r\n\r\n"), std::string(1024, '0'), "/look/1" },
+        EndlessBytes { "chunk extension", sealedHead("Transfer-Encoding: chunked\r\n\r\n5;"), kilobyte, "/look/1" },
+        EndlessBytes { "trailer", sealedHead("Transfer-Encoding: chunked\r\n\r\n0\r\n"), "Name: value\r\n", "/look/1" },
+        EndlessBytes { "unsealed body", "HTTP/1.1 200 OK\r\n\r\n", kilobyte, "/look/1" },
+        EndlessBytes { "event", streamHead("r1"), chunk(kilobyte), "/draft/1" }));
+
+// The caller stops reading a response that has no end.
+TEST_F(ProxyFlowTest, BytesOfALargeResponseDoNotPileUpForASlowCaller)
+{
+    configure();
+    script([](int) { return ScriptedResponse { sealedHead("\r\n"), Ending::Flood, std::string(64 * 1024, 'x') }; });
+    boost::asio::ip::tcp::socket caller(context_);
+    caller.connect({ boost::asio::ip::make_address("127.0.0.1"), proxy_.port() });
+    boost::asio::write(caller, boost::asio::buffer(request("/look/1", "r1")));
+    runUntil(context_, [this] { return first_.peerCloses() + second_.peerCloses() == 1; });
+    EXPECT_LE(first_.floodedBytes() + second_.floodedBytes(), 24U * 1024 * 1024);
+}
+
+// A stream that sends a byte now and then, but never a whole event, is stalled.
+TEST_F(ProxyFlowTest, StreamThatDripsBytesIsContinuedElsewhere)
+{
+    configure();
+    const auto drip = [](int) { return ScriptedResponse { streamHead("r1") + chunk(event(1)) + "40\r\n", Ending::Drip, "x" }; };
+    const auto rest = [](int) { return ScriptedResponse { streamHead("r1") + chunk(event(2)) + "0\r\n\r\n" }; };
+    int sends = 0;
+    const ScriptedEndpoint::Script both = [&](int) { return ++sends == 1 ? drip(1) : rest(1); };
+    script(both);
+    ScriptedCaller caller(context_, proxy_.port());
+    caller.send(request("/draft/1", "r1"));
+    runUntil(context_, [this] {
+        proxy_.tick();
+        return requestCount() == 2 && proxy_.flowCount() == 0;
+    });
+    caller.readUntil("0\r\n\r\n");
+}
+
+// A slow stream is sound. Without budget for a retry nothing could continue it, so it must not be cut.
+TEST_F(ProxyFlowTest, SlowStreamIsNotCutWhenNoRetryIsAllowed)
+{
+    configure();
+    retries_.setLimits(0, 0);
+    script([](int) { return ScriptedResponse { streamHead("r1") + chunk(event(1)), Ending::Hold }; });
+    ScriptedCaller caller(context_, proxy_.port());
+    caller.send(request("/draft/1", "r1"));
+    runUntil(context_, [this] { return requestCount() == 1; });
+    caller.readUntil(event(1));
+    clockOffset_ = Millis(1500);
+    proxy_.tick();
+    EXPECT_EQ(proxy_.flowCount(), 1U);
+    EXPECT_EQ(first_.peerCloses() + second_.peerCloses(), 0);
+}
+
+// A second, late answer without an id arrives where the answer to the next request is expected.
+TEST_F(ProxyFlowTest, LateSecondAnswerWithoutAnIdIsNotForwarded)
+{
+    configure();
+    dispatcher_.setTargets("desk", { target("e1", first_) });
+    first_.setScript([](int count) { return ScriptedResponse { count == 1 ? sealedResponse("r1", "one") : "HTTP/1.1 200 OK\r\nTest-Seal: s\r\nContent-Length: 3\r\n\r\none" }; });
+    EXPECT_TRUE(exchange(request("/look/1", "r1")).ends_with("one"));
+    const std::string second = exchange(request("/look/2", "r2"));
+    EXPECT_FALSE(second.starts_with("HTTP/1.1 200")) << second;
+}
+
 } // namespace
--- a/tests/ReplicaPlannerTest.cpp
+++ b/tests/ReplicaPlannerTest.cpp
@@ -484,4 +484,29 @@
     EXPECT_TRUE(executed_.empty()) << "a balanced fleet must not change";
 }
 
+// Replays kcs-nairobi-large scale-1: engines that lose their connection to the platform accept joins, but the list never
+// shows that they are ready.
+TEST_F(PlannerTest, MemberThatReportsItselfReadyCountsAlthoughTheListDoesNotShowIt)
+{
+    profile_.models = { { .name = smallModel, .size = 2, .loadTime = Millis(12000), .warmTime = Millis(1100) } };
+    addEngines("f1", 2);
+    std::vector<EndpointInfo> list;
+    for (const auto& [id, engine] : engines_)
+        list.push_back(engine);
+    std::vector<EngineOrder> opens;
+    for (int i = 0; i < 20 && opens.empty(); ++i) {
+        now_ += Millis(250);
+        planner_.setEngines(list, profile_);
+        for (const EngineOrder& order : planner_.plan()) {
+            planner_.noteResult(order, execute(order));
+            if (order.kind == EngineOrderKind::Open)
+                opens.push_back(order);
+        }
+        for (const EndpointInfo& unverified : planner_.findUnverified())
+            planner_.noteReport(unverified.id, *engines_.at(unverified.id).membership);
+    }
+    ASSERT_EQ(opens.size(), 1U);
+    EXPECT_EQ(opens.front().group, engines_.begin()->second.membership->group);
+}
+
 } // namespace
--- a/tests/RequestServerTest.cpp
+++ b/tests/RequestServerTest.cpp
@@ -61,4 +61,22 @@
     busy.readUntil("whole");
 }
 
+// A planned stop must not reset connections that the kernel has queued, nor requests that were not read yet.
+TEST_F(RequestServerTest, GracefulCloseAnswersRequestsThatHaveArrived)
+{
+    ScriptedCaller kept(context_, server_.port());
+    runUntil(context_, [this] { return server_.connectionCount() == 1; });
+    ScriptedCaller queued(context_, server_.port());
+    kept.send(request);
+    queued.send(request);
+    server_.closeGracefully();
+    EXPECT_TRUE(server_.isBusy());
+    runUntil(context_, [this] { return requestConnections_.size() == 2; });
+    for (const auto& connection : requestConnections_)
+        connection->answer(200, {}, "whole");
+    kept.readUntil("whole");
+    queued.readUntil("whole");
+    EXPECT_FALSE(server_.isBusy());
+}
+
 } // namespace
--- a/tests/support/ScriptedEndpoint.cpp
+++ b/tests/support/ScriptedEndpoint.cpp
@@ -69,6 +69,32 @@
     });
 }
 
+void ScriptedEndpoint::flood(const std::shared_ptr<Connection>& connection, const std::string& bytes)
+{
+    const auto sent = std::make_shared<std::string>(bytes);
+    asio::async_write(connection->socket, asio::buffer(*sent), [this, connection, sent](const error_code& error, size_t size) {
+        floodedBytes_ += size;
+        if (error)
+            ++peerCloses_;
+        else
+            flood(connection, *sent);
+    });
+}
+
+void ScriptedEndpoint::drip(const std::shared_ptr<Connection>& connection, const std::string& bytes, size_t at)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(acceptor_.get_executor(), std::chrono::milliseconds(20));
+    timer->async_wait([this, connection, bytes, at, timer](const error_code&) {
+        error_code error;
+        asio::write(connection->socket, asio::buffer(&bytes[at % bytes.size()], 1), error);
+        floodedBytes_ += error ? 0 : 1;
+        if (error)
+            ++peerCloses_;
+        else
+            drip(connection, bytes, at + 1);
+    });
+}
+
 void ScriptedEndpoint::answer(const std::shared_ptr<Connection>& connection, const std::string& request)
 {
     requests_.push_back(request);
@@ -77,6 +103,10 @@
     asio::write(connection->socket, asio::buffer(answer.bytes), error);
     if (answer.ending == Ending::Hold)
         connection->isOnHold = true;
+    if (answer.ending == Ending::Flood)
+        flood(connection, answer.flood);
+    if (answer.ending == Ending::Drip)
+        drip(connection, answer.flood, 0);
     if (answer.ending == Ending::Reset) {
         // A reset discards bytes that the peer has not read yet, so the peer gets time to read them.
         const auto timer = std::make_shared<asio::steady_timer>(acceptor_.get_executor(), std::chrono::milliseconds(50));
--- a/tests/support/ScriptedEndpoint.h
+++ b/tests/support/ScriptedEndpoint.h
@@ -18,11 +18,14 @@
     Close, // closes its side of the connection
     Reset, // resets the connection
     Hold, // keeps the connection open without sending more
+    Flood, // sends ScriptedResponse::flood again and again until the peer closes the connection
+    Drip, // the same, a byte every 20 ms
 };
 
 struct ScriptedResponse {
     std::string bytes;
     Ending ending = Ending::Keep;
+    std::string flood; // for Flood and Drip
 };
 
 class ScriptedEndpoint {
@@ -38,20 +41,26 @@
     // Returns the received requests with head and body.
     const std::vector<std::string>& requests() const { return requests_; }
 
-    // Returns the number of connections that the peer closed after a response with Ending::Hold.
+    // Returns the number of connections that the peer closed after a response with Ending::Hold, Flood or Drip.
     int peerCloses() const { return peerCloses_; }
 
+    // Returns the bytes that were sent by Flood and Drip.
+    size_t floodedBytes() const { return floodedBytes_; }
+
 private:
     struct Connection;
 
     void accept();
     void read(const std::shared_ptr<Connection>& connection);
     void answer(const std::shared_ptr<Connection>& connection, const std::string& request);
+    void flood(const std::shared_ptr<Connection>& connection, const std::string& bytes);
+    void drip(const std::shared_ptr<Connection>& connection, const std::string& bytes, size_t at);
 
     boost::asio::ip::tcp::acceptor acceptor_;
     Script script_;
     std::vector<std::string> requests_;
     int peerCloses_ = 0;
+    size_t floodedBytes_ = 0;
 };
 
 // Runs the event loop until the condition is true; fails the test after ten seconds.
