Keep an accepted join until the engine or the list contradicts it

The list showed the members in no group all that time, the belief in the join ended after 6 s, and the planner gave the head to another group.

Change: only a newer entry, a leave, a restart or the engine's own report ends the belief in an accepted join. Test: AcceptedJoinOutlivesAnOutageOfTheStore.

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -309,7 +309,7 @@
         crashes_.noteEndpointDown(engine);
     bool hasNews = false;
     for (auto& [name, planner] : planners_)
-        hasNews = (isAlive && membership && planner.noteReport(engine, *membership)) || hasNews;
+        hasNews = (isAlive && planner.noteReport(engine, membership)) || hasNews;
     if (hasNews)
         requestPlan();
     bool hasChanged = false;
--- a/packages/replicas/ReplicaPlanner.cpp
+++ b/packages/replicas/ReplicaPlanner.cpp
@@ -62,18 +62,19 @@
     updatePlans();
 }
 
-// Returns the membership to assume for an engine. Reports lag behind orders: a report of an older membership, or of none,
-// does not undo a join that the engine accepted, and one of a group that it left does not bring that group back. Epochs
-// tell which is older, because an engine never joins a group with a lower epoch.
+// Returns the membership to assume for an engine. The list lags behind orders, for as long as the engine can't reach the
+// platform's store: an entry with an older membership, or with none, does not undo a join that the engine accepted, and one
+// of a group that it left does not bring that group back. Epochs tell which is older, because an engine never joins a group
+// with a lower epoch. Only the engine itself may contradict an accepted join (noteReport).
 std::optional<Membership> ReplicaPlanner::believe(Engine& engine, const Options& options)
 {
     const std::optional<Membership>& reported = engine.reportedMembership;
     const bool isReportValid = reported && reported->epoch > engine.leftEpoch;
     std::optional<Membership>& ordered = engine.orderedMembership;
     if (ordered) {
-        const Millis trustTime = engine.isJoinAccepted ? options.acceptedTrustTime : options.orderTrustTime;
         const bool isSuperseded = ordered->epoch <= engine.leftEpoch || (isReportValid && reported->epoch >= ordered->epoch);
-        if (isSuperseded || options.clock() - engine.joinOrderedAt > trustTime)
+        const bool isExpired = !engine.isJoinAccepted && options.clock() - engine.joinOrderedAt > options.orderTrustTime;
+        if (isSuperseded || isExpired)
             ordered.reset();
     }
     if (ordered)
@@ -127,18 +128,25 @@
     return unverified;
 }
 
-bool ReplicaPlanner::noteReport(const std::string& engineId, const Membership& membership)
+bool ReplicaPlanner::noteReport(const std::string& engineId, const std::optional<Membership>& membership)
 {
     const auto found = engines_.find(engineId);
     if (found == engines_.end())
         return false;
     Engine& engine = found->second;
     std::optional<Membership>& ordered = engine.orderedMembership;
-    if (!ordered || ordered->group != membership.group || ordered->epoch != membership.epoch)
+    if (!ordered || !engine.isJoinAccepted)
         return false;
-    const bool isNews = *ordered != membership;
-    ordered = membership;
-    engine.joinOrderedAt = options_.clock();
+    const bool isMember = membership && ordered->group == membership->group && ordered->epoch == membership->epoch;
+    if (!isMember && options_.clock() - engine.joinOrderedAt < options_.acceptedTrustTime)
+        return false;
+    const bool isNews = ordered != membership;
+    if (isMember) {
+        ordered = membership;
+        engine.joinOrderedAt = options_.clock();
+    } else {
+        ordered.reset();
+    }
     engine.info.membership = believe(engine, options_);
     return isNews;
 }
--- a/packages/replicas/ReplicaPlanner.h
+++ b/packages/replicas/ReplicaPlanner.h
@@ -45,7 +45,7 @@
     struct Options {
         Clock clock;
         Millis orderTrustTime { 1500 }; // ms for which a join without an answer overrides the state that the engine reports
-        Millis acceptedTrustTime { 6000 }; // ms for which an accepted join overrides older reports
+        Millis acceptedTrustTime { 1500 }; // ms after which the engine's own report may contradict a join that it accepted
         Millis takeoverDelay { 1000 }; // ms of a new term without joins: reports may not show the last orders of the previous planner
         Millis discoveryQuietTime { 1000 }; // ms without a new engine before the first replicas are formed
         Millis drainTimeout { 9500 }; // ms for a closed replica to finish its requests; a leaving member stays for 10 s
@@ -70,8 +70,8 @@
     // connection to the platform.
     std::vector<EndpointInfo> findUnverified() const;
 
-    // Records the membership that an engine reported itself when it was probed. Returns true if it is news.
-    bool noteReport(const std::string& engine, const Membership& membership);
+    // Records the membership that an engine reported itself when it was probed; unset: none. Returns true if it is news.
+    bool noteReport(const std::string& engine, const std::optional<Membership>& membership);
 
     // Records whether an engine answered a probe. Returns true if its liveness changed.
     bool noteProbe(const std::string& engine, bool isAlive);
--- a/tests/ReplicaPlannerTest.cpp
+++ b/tests/ReplicaPlannerTest.cpp
@@ -503,10 +503,37 @@
                 opens.push_back(order);
         }
         for (const EndpointInfo& unverified : planner_.findUnverified())
-            planner_.noteReport(unverified.id, *engines_.at(unverified.id).membership);
+            planner_.noteReport(unverified.id, engines_.at(unverified.id).membership);
     }
     ASSERT_EQ(opens.size(), 1U);
     EXPECT_EQ(opens.front().group, engines_.begin()->second.membership->group);
 }
 
+// Regression test (notekas-koplieta-grown, hunt-72b4-23): the store was away when a replica formed, so the list showed its
+// members in no group for seven seconds, and the planner gave them to another one.
+TEST_F(PlannerTest, AcceptedJoinOutlivesAnOutageOfTheStore)
+{
+    profile_.models = { { .name = smallModel, .size = 2, .loadTime = Millis(12000), .warmTime = Millis(1100) } };
+    addEngines("f1", 2);
+    std::vector<EndpointInfo> list;
+    for (const auto& [id, engine] : engines_)
+        list.push_back(engine);
+    size_t joins = 0;
+    for (int i = 0; i < 80; ++i) {
+        now_ += Millis(250);
+        planner_.setEngines(list, profile_);
+        for (const EngineOrder& order : planner_.plan()) {
+            joins += order.kind == EngineOrderKind::Join ? 1 : 0;
+            planner_.noteResult(order, execute(order));
+        }
+    }
+    EXPECT_EQ(joins, 2U) << "20 s";
+    // An engine that says itself that it is in no group is free again.
+    planner_.noteReport(engines_.begin()->first, std::nullopt);
+    bool hasLeave = false;
+    for (const EngineOrder& order : planner_.plan())
+        hasLeave = hasLeave || order.kind == EngineOrderKind::Leave;
+    EXPECT_TRUE(hasLeave) << "the other member leaves the incomplete group";
+}
+
 } // namespace
