Mend three linter findings

Found by the linter over all units: a field of Gateway that nothing reads since the planner's timer replaced a posted call, an integer division in a test's brute force, and the name of a print function. No behaviour and no check changes.

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -34,8 +34,7 @@
 static constexpr Millis exitMargin { 500 };
 
 Gateway::Gateway(asio::io_context& context, GatewaySettings settings, const MakeAdapter& makeAdapter)
-    : context_(context)
-    , settings_(std::move(settings))
+    : settings_(std::move(settings))
     , clock_(makeSteadyClock())
     , random_(makeSystemRandom())
     , log_({ .clock = clock_ })
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -61,7 +61,6 @@
     void sweep();
     void checkStop();
 
-    boost::asio::io_context& context_;
     GatewaySettings settings_;
     Clock clock_;
     Random random_;
--- a/tests/DomainValueTest.cpp
+++ b/tests/DomainValueTest.cpp
@@ -19,8 +19,10 @@
     const std::function<void(size_t)> assign = [&](size_t host) {
         if (host == hosts.size()) {
             double value = 0;
-            for (size_t model = 0; model < models.size(); ++model)
-                value += static_cast<double>(chosen[model] / models[model].size * models[model].size) * models[model].engineValue;
+            for (size_t model = 0; model < models.size(); ++model) {
+                const size_t inReplicas = chosen[model] - chosen[model] % models[model].size;
+                value += static_cast<double>(inReplicas) * models[model].engineValue;
+            }
             best = std::max(best, value);
             return;
         }
--- a/tests/ProxyFlowTest.cpp
+++ b/tests/ProxyFlowTest.cpp
@@ -323,9 +323,9 @@
     std::string path;
 };
 
-void PrintTo(const EndlessBytes& bytes, std::ostream* out)
+std::ostream& operator<<(std::ostream& out, const EndlessBytes& bytes)
 {
-    *out << bytes.where;
+    return out << bytes.where;
 }
 
 class EndlessResponse : public ProxyFlowTest, public testing::WithParamInterface<EndlessBytes> {
