--- /dev/null
+++ b/packages/proxy/DispatcherLoads.cpp
@@ -0,0 +1,147 @@
+#include "proxy/Dispatcher.h"
+
+#include <algorithm>
+#include <cmath>
+
+// The part of Dispatcher that keeps the load of the targets: what this node placed and what the other nodes reported.
+
+namespace hemlockweir {
+
+void Dispatcher::indexLoads()
+{
+    loadsByHash_.clear();
+    loadsByModel_.clear();
+    for (auto& [id, load] : loads_) {
+        loadsByHash_[hashTarget(id)] = &load;
+        loadsByModel_[{ load.target.service, load.target.model }].push_back(&load);
+    }
+}
+
+// Returns the prompt time that remains of a report of this age: the target has processed prompts since.
+static double remainingPromptMs(const TargetUsage& use, Millis age)
+{
+    return std::max(0.0, use.promptMs - static_cast<double>(age.count()));
+}
+
+void Dispatcher::applyUsageChange(uint32_t hash, const TargetUsage& before, Millis receivedBefore, const TargetUsage& after)
+{
+    const auto found = loadsByHash_.find(hash);
+    if (found == loadsByHash_.end())
+        return;
+    TargetLoad& load = *found->second;
+    const Millis now = options_.clock();
+    load.peerRunning = std::max(0.0, load.peerRunning + after.running - before.running);
+    load.peerRunningUpdatedAt = now;
+    load.peerPromptsDoneAtMs = std::max(load.peerPromptsDoneAtMs, static_cast<double>(now.count())) + after.promptMs - remainingPromptMs(before, now - receivedBefore);
+}
+
+// Updates only the targets in the previous and in the new report of the peer, since a report changes the usage of one
+// node only.
+void Dispatcher::updatePeerUsage(const std::string& node, PeerUsage usage)
+{
+    if (peers_.empty()) {
+        peers_.insert_or_assign(node, std::move(usage));
+        recomputePeerLoad();
+        return;
+    }
+    PeerUsage& before = peers_[node];
+    for (const auto& [hash, use] : before.byTarget) {
+        const auto after = usage.byTarget.find(hash);
+        applyUsageChange(hash, use, before.receivedAt, after == usage.byTarget.end() ? TargetUsage {} : after->second);
+    }
+    for (const auto& [hash, use] : usage.byTarget) {
+        if (before.byTarget.count(hash) == 0)
+            applyUsageChange(hash, {}, usage.receivedAt, use);
+    }
+    before = std::move(usage);
+}
+
+void Dispatcher::dropStalePeers()
+{
+    const Millis now = options_.clock();
+    if (std::erase_if(peers_, [&](const auto& entry) { return now - entry.second.receivedAt > options_.peerUsageLifetime; }) > 0)
+        recomputePeerLoad();
+}
+
+void Dispatcher::recomputePeerLoad()
+{
+    const Millis now = options_.clock();
+    for (auto& [id, load] : loads_) {
+        const uint32_t hash = hashTarget(id);
+        double peerRunning = 0;
+        double promptMs = 0;
+        for (const auto& [node, peer] : peers_) {
+            const auto found = peer.byTarget.find(hash);
+            if (found == peer.byTarget.end())
+                continue;
+            peerRunning += found->second.running;
+            promptMs += remainingPromptMs(found->second, now - peer.receivedAt);
+        }
+        load.peerRunning = peerRunning;
+        load.peerRunningUpdatedAt = now;
+        load.peerPromptsDoneAtMs = static_cast<double>(now.count()) + promptMs;
+    }
+}
+
+std::map<uint32_t, TargetUsage> Dispatcher::ownUsage() const
+{
+    const auto now = static_cast<double>(options_.clock().count());
+    std::map<uint32_t, TargetUsage> usage;
+    for (const auto& [id, load] : loads_) {
+        if (load.running > 0)
+            usage.emplace(hashTarget(id), TargetUsage { .running = load.running, .promptMs = static_cast<uint32_t>(std::max(0.0, load.promptsDoneAtMs - now)) });
+    }
+    return usage;
+}
+
+std::map<std::string, double> Dispatcher::utilization(const std::string& service) const
+{
+    std::map<std::string, double> utilization;
+    for (const auto& [key, loads] : loadsByModel_) {
+        double slots = 0;
+        double used = 0;
+        for (const TargetLoad* load : loads) {
+            slots += load->target.slots;
+            used += std::min<double>(load->target.slots, load->running + currentPeerRunning(*load));
+        }
+        if (key.first == service && slots > 0)
+            utilization[key.second] = used / slots;
+    }
+    return utilization;
+}
+
+// Returns the load of other nodes on the target: the sum of their usage reports, or without any report the last load
+// that the endpoint reported, with exponential decay.
+double Dispatcher::currentPeerRunning(const TargetLoad& load) const
+{
+    if (!peers_.empty())
+        return load.peerRunning;
+    const auto age = static_cast<double>((options_.clock() - load.peerRunningUpdatedAt).count());
+    return load.peerRunning * std::exp2(-age / static_cast<double>(options_.peerLoadHalfLife.count()));
+}
+
+const std::vector<const TargetLoad*>& Dispatcher::loadsFor(const std::string& service, const std::string& model) const
+{
+    static const std::vector<const TargetLoad*> none;
+    const auto found = loadsByModel_.find({ service, model });
+    return found == loadsByModel_.end() ? none : found->second;
+}
+
+size_t Dispatcher::countTargets(const std::string& service, const std::string& model) const
+{
+    const Millis now = options_.clock();
+    const std::vector<const TargetLoad*>& loads = loadsFor(service, model);
+    return static_cast<size_t>(std::count_if(loads.begin(), loads.end(), [&](const TargetLoad* load) { return load->suspectUntil <= now; }));
+}
+
+void Dispatcher::noteReportedLoad(const std::string& targetId, uint32_t running, uint32_t waiting)
+{
+    const auto found = loads_.find(targetId);
+    if (found == loads_.end() || !peers_.empty())
+        return;
+    TargetLoad& load = found->second;
+    load.peerRunning = std::max(0.0, static_cast<double>(running) + waiting - load.running);
+    load.peerRunningUpdatedAt = options_.clock();
+}
+
+} // namespace hemlockweir
