Let the dripping stream outlast its chunk, and record the large site's score

The test of a stream that drips passed on the old code too: its chunk of 64 bytes ended after 1.3 s and the next byte was malformed.

--- a/tests/ProxyFlowTest.cpp
+++ b/tests/ProxyFlowTest.cpp
@@ -398,7 +398,7 @@
 TEST_F(ProxyFlowTest, StreamThatDripsBytesIsContinuedElsewhere)
 {
     configure();
-    const auto drip = [](int) { return ScriptedResponse { streamHead("r1") + chunk(event(1)) + "40\r\n", Ending::Drip, "x" }; };
+    const auto drip = [](int) { return ScriptedResponse { streamHead("r1") + chunk(event(1)) + "4000\r\n", Ending::Drip, "x" }; };
     const auto rest = [](int) { return ScriptedResponse { streamHead("r1") + chunk(event(2)) + "0\r\n\r\n" }; };
     int sends = 0;
     const ScriptedEndpoint::Script both = [&](int) { return ++sends == 1 ? drip(1) : rest(1); };
