Count the free slots once a placement, and list a test's engines in one place

Cause: each placement summed the free slots of the model's targets twice, once to see whether they are contended and once for this node's part; and six places of the planner's test built the same list. Change: the sum is passed on, the fixture has one function. No behaviour, bound or assertion changes.

--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -129,8 +129,9 @@
     request.isLate = !request.hasResponseStarted && isLate(queue, request);
     request.yieldsToUrgent = !request.hasResponseStarted && request.priority > queue.mostUrgentPriority && now - queue.mostUrgentAt < options_.urgencyWindow;
     const QueueKey key { request.service, request.model };
-    const bool isClaim = !request.hasResponseStarted && isContended(key);
-    if (isClaim && !mayClaim(key))
+    const double freeSlots = request.hasResponseStarted ? 0 : countFreeSlots(key);
+    const bool isClaim = !request.hasResponseStarted && isContended(freeSlots);
+    if (isClaim && !mayClaim(queues_[key], freeSlots))
         return false;
     const TargetLoad* chosen = chooseTarget(loadsFor(request.service, request.model), request, options_.domain, now, peers_.size() + 1, options_.random);
     if (!chosen)
@@ -151,19 +152,18 @@
 }
 
 // Returns whether fewer slots are free than nodes may want one.
-bool Dispatcher::isContended(const QueueKey& key) const
+bool Dispatcher::isContended(double freeSlots) const
 {
-    return !peers_.empty() && countFreeSlots(key) <= static_cast<double>(peers_.size());
+    return !peers_.empty() && freeSlots <= static_cast<double>(peers_.size());
 }
 
 // Returns whether this node may take one of the contended slots. All nodes see them free at the same time, e.g. those of a
 // replica that has just opened, and without a limit each would send its queue there. Each takes its part of them per
 // interval; a slot that this node freed itself is its own.
-bool Dispatcher::mayClaim(const QueueKey& key)
+bool Dispatcher::mayClaim(Queue& queue, double freeSlots)
 {
-    Queue& queue = queues_[key];
     const Millis now = options_.clock();
-    const double part = countFreeSlots(key) / static_cast<double>(peers_.size() + 1);
+    const double part = freeSlots / static_cast<double>(peers_.size() + 1);
     const double intervals = static_cast<double>((now - queue.claimsUpdatedAt).count()) / static_cast<double>(options_.claimInterval.count());
     queue.claimsUpdatedAt = now;
     queue.claims = std::min(maxClaims, queue.claims + part * std::min(1.0, intervals));
--- a/packages/proxy/Dispatcher.h
+++ b/packages/proxy/Dispatcher.h
@@ -100,8 +100,8 @@
 
     bool tryPlace(PlacementRequest& request);
     double countFreeSlots(const QueueKey& key) const;
-    bool isContended(const QueueKey& key) const;
-    bool mayClaim(const QueueKey& key);
+    bool isContended(double freeSlots) const;
+    bool mayClaim(Queue& queue, double freeSlots);
     void place(PlacementRequest request, TargetLoad& load);
     void refuse(PlacementRequest request, RefusalReason reason, size_t requestsAhead);
     void updateStartRate(Queue& queue);
--- a/tests/ReplicaPlannerTest.cpp
+++ b/tests/ReplicaPlannerTest.cpp
@@ -33,6 +33,15 @@
         }
     }
 
+    // Returns the engines as the platform lists them.
+    std::vector<EndpointInfo> listEngines() const
+    {
+        std::vector<EndpointInfo> list;
+        for (const auto& [id, engine] : engines_)
+            list.push_back(engine);
+        return list;
+    }
+
     // Runs steps until the planner gives no more orders. Returns the number of orders.
     size_t runUntilIdle()
     {
@@ -51,10 +60,7 @@
     {
         now_ += Millis(250);
         finishLoads();
-        std::vector<EndpointInfo> list;
-        for (const auto& [id, engine] : engines_)
-            list.push_back(engine);
-        planner_.setEngines(list, profile_);
+        planner_.setEngines(listEngines(), profile_);
         const std::vector<EngineOrder> orders = planner_.plan();
         for (const EngineOrder& order : orders)
             planner_.noteResult(order, execute(order));
@@ -353,16 +359,10 @@
 {
     profile_.models = { { .name = smallModel, .size = 2, .loadTime = Millis(12000), .warmTime = Millis(1100) } };
     addEngines("f1", 2);
-    const auto list = [this] {
-        std::vector<EndpointInfo> engines;
-        for (const auto& [id, engine] : engines_)
-            engines.push_back(engine);
-        return engines;
-    };
     std::vector<std::vector<EngineOrder>> rounds;
     while (rounds.size() < 2) {
         now_ += Millis(3000);
-        planner_.setEngines(list(), profile_);
+        planner_.setEngines(listEngines(), profile_);
         const std::vector<EngineOrder> orders = planner_.plan();
         for (const EngineOrder& order : orders)
             planner_.noteResult(order, OrderResult::Unknown);
@@ -374,7 +374,7 @@
         execute(order);
     for (int i = 0; i < 20; ++i) {
         now_ += Millis(250);
-        planner_.setEngines(list(), profile_);
+        planner_.setEngines(listEngines(), profile_);
         for (const EngineOrder& order : planner_.plan())
             EXPECT_FALSE(order.kind == EngineOrderKind::Open && order.epoch == rounds[0].front().epoch);
     }
@@ -388,9 +388,7 @@
     ReplicaPlanner other({ .clock = [this] { return now_; } });
     planner_.setTerm(7);
     other.setTerm(8);
-    std::vector<EndpointInfo> list;
-    for (const auto& [id, engine] : engines_)
-        list.push_back(engine);
+    const std::vector<EndpointInfo> list = listEngines();
     std::set<std::string> names;
     std::set<std::string> otherNames;
     for (ReplicaPlanner* planner : { &planner_, &other }) {
@@ -412,9 +410,7 @@
     earlier.setTerm(7);
     planner_.setTerm(8);
     addEngines("f1", 10);
-    std::vector<EndpointInfo> list;
-    for (const auto& [id, engine] : engines_)
-        list.push_back(engine);
+    const std::vector<EndpointInfo> list = listEngines();
     uint64_t lastEarlierEpoch = 0;
     // The engines never report its orders as carried out, so the earlier planner forms new groups in each round.
     for (int round = 0; round < earlierRounds; ++round) {
@@ -490,9 +486,7 @@
 {
     profile_.models = { { .name = smallModel, .size = 2, .loadTime = Millis(12000), .warmTime = Millis(1100) } };
     addEngines("f1", 2);
-    std::vector<EndpointInfo> list;
-    for (const auto& [id, engine] : engines_)
-        list.push_back(engine);
+    const std::vector<EndpointInfo> list = listEngines();
     std::vector<EngineOrder> opens;
     for (int i = 0; i < 20 && opens.empty(); ++i) {
         now_ += Millis(250);
@@ -515,9 +509,7 @@
 {
     profile_.models = { { .name = smallModel, .size = 2, .loadTime = Millis(12000), .warmTime = Millis(1100) } };
     addEngines("f1", 2);
-    std::vector<EndpointInfo> list;
-    for (const auto& [id, engine] : engines_)
-        list.push_back(engine);
+    const std::vector<EndpointInfo> list = listEngines();
     size_t joins = 0;
     for (int i = 0; i < 80; ++i) {
         now_ += Millis(250);
