Withhold what may not be sent any more, bound answers, refuse ambiguous requests

UsageExchange.RestartedNode* passes also with the old comparison and is kept as a check of the path only.

Ruled out: a hole at maySend for reused connections (they are written at once).

--- a/packages/gateway/EngineOrders.cpp
+++ b/packages/gateway/EngineOrders.cpp
@@ -35,7 +35,7 @@
     ++ordersInFlight_;
     const Millis sentAt = options_.clock();
     // Uses a new connection: if a reused one turned out dead, it would be unknown whether the engine accepted the order.
-    callServer(context_, pool_, { .address = order.address, .port = order.port, .request = adapter_.formatOrder(order), .timeout = options_.orderTimeout, .mayReuse = false },
+    callServer(context_, pool_, { .address = order.address, .port = order.port, .request = adapter_.formatOrder(order), .timeout = options_.orderTimeout, .mayReuse = false, .maySend = options_.mayOrder },
         [this, order, sentAt](const absl::StatusOr<CallAnswer>& answer) {
             --ordersInFlight_;
             OrderResult result = OrderResult::Unknown;
@@ -43,6 +43,8 @@
                 result = adapter_.readOrderResult(answer->status);
             else if (absl::IsUnavailable(answer.status()))
                 result = OrderResult::Unreachable;
+            else if (absl::IsCancelled(answer.status()))
+                result = OrderResult::Unsent;
             finish(order, result, sentAt);
             sendNext();
         });
--- a/packages/gateway/EngineOrders.h
+++ b/packages/gateway/EngineOrders.h
@@ -26,7 +26,7 @@
     EngineOrders(boost::asio::io_context& context, Options options, const PlatformAdapter& adapter, DecisionLog& log, ProxyMetrics& metrics);
 
     // Sends an order, at once or after others, and reports its result to onResult. An order that this node may not give
-    // any more when its turn comes is reported as Unsent.
+    // any more when its turn comes, or when the engine has accepted the connection, is reported as Unsent.
     void send(const EngineOrder& order);
 
     // Requests an engine's report and calls onProbed. The engine counts as alive if it answers and has not restarted
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -61,6 +61,7 @@
     , usage_(context,
           {
               .clock = clock_,
+              .random = random_,
               .node = settings_.node,
               .address = settings_.peers,
               .ownUsage = [this] { return dispatcher_.ownUsage(); },
--- a/packages/gateway/KvStore.h
+++ b/packages/gateway/KvStore.h
@@ -49,6 +49,12 @@
     std::vector<std::string> removals;
 };
 
+// A lease. Its keys are removed when it ends.
+struct KvLease {
+    uint64_t id = 0;
+    Millis ttl { 0 }; // ms, as the store granted it: from the arrival of the call, or of the last renewal
+};
+
 struct KvStore {
     template <typename T>
     using Done = std::function<void(absl::StatusOr<T>)>;
@@ -57,8 +63,8 @@
     std::function<void(const std::string& prefix, bool mayBeStale, Done<KvItems>)> list; // all items with a prefix
     std::function<void(const std::string& prefix, uint64_t after, Millis wait, Done<KvChanges>)> watch; // answers at the first change, or after `wait`
     std::function<void(const KvTransaction&, Done<uint64_t>)> commit; // returns the new revision of the store
-    std::function<void(Millis ttl, Done<uint64_t>)> grantLease; // returns the id of the lease
-    std::function<void(uint64_t lease, Done<Millis>)> renewLease; // returns the TTL of the lease
+    std::function<void(Millis ttl, Done<KvLease>)> grantLease; // the store may grant another TTL than requested
+    std::function<void(uint64_t lease, Done<Millis>)> renewLease; // returns the TTL of the lease; 0: unchanged
     std::function<void(uint64_t lease)> endLease;
 };
 
--- a/packages/gateway/PeerSnapshots.cpp
+++ b/packages/gateway/PeerSnapshots.cpp
@@ -51,7 +51,7 @@
 void PeerSnapshots::requestSnapshot(const Endpoint& peer)
 {
     std::string request = absl::StrCat("GET ", std::string(path), "?version=", configuration_.version(), "&revision=", store_.revision(), " HTTP/1.1\r\nHost: ", peer.toString(), "\r\n\r\n");
-    callServer(context_, pool_, { .address = peer.address, .port = peer.port, .request = std::move(request), .timeout = options_.timeout },
+    callServer(context_, pool_, { .address = peer.address, .port = peer.port, .request = std::move(request), .timeout = options_.timeout, .maxBodyBytes = StoreSnapshot::maxBytes },
         [this, from = peer.toString()](const absl::StatusOr<CallAnswer>& answer) {
             // On failure, the next interval picks a node at random again.
             if (!answer.ok())
--- a/packages/gateway/PeerSnapshots.h
+++ b/packages/gateway/PeerSnapshots.h
@@ -34,6 +34,7 @@
 // A node's copy of the store's data, restricted to what is newer than the data of the requesting node.
 struct StoreSnapshot {
     static constexpr uint32_t currentFormat = 1;
+    static constexpr size_t maxBytes = 32 * 1024 * 1024; // encoded
     static constexpr uint32_t maxConfigurationBytes = 8 * 1024 * 1024;
     static constexpr uint32_t maxEntries = 20000;
 
--- a/packages/gateway/Presence.cpp
+++ b/packages/gateway/Presence.cpp
@@ -47,22 +47,24 @@
 void Presence::acquireLease()
 {
     const Millis sentAt = options_.clock();
-    adapter_.store.grantLease(options_.leaseTtl, [this, sentAt](absl::StatusOr<uint64_t> lease) {
+    adapter_.store.grantLease(options_.leaseTtl, [this, sentAt](absl::StatusOr<KvLease> lease) {
         if (!lease.ok()) {
             timer_.callAfter(options_.renewInterval);
             return;
         }
-        lease_ = *lease;
-        extendLease(sentAt);
+        lease_ = lease->id;
+        extendLease(sentAt, lease->ttl);
         applyKeys();
         timer_.callAfter(options_.renewInterval);
     });
 }
 
 // The store starts the lease when the call arrives. The time of sending is a safe lower bound for that.
-void Presence::extendLease(Millis sentAt)
+void Presence::extendLease(Millis sentAt, Millis ttl)
 {
-    leaseEndsAt_ = sentAt + options_.leaseTtl;
+    if (ttl.count() > 0)
+        grantedTtl_ = ttl;
+    leaseEndsAt_ = sentAt + grantedTtl_;
 }
 
 void Presence::renew()
@@ -70,7 +72,7 @@
     const Millis sentAt = options_.clock();
     adapter_.store.renewLease(lease_, [this, sentAt](absl::StatusOr<Millis> ttl) {
         if (ttl.ok()) {
-            extendLease(sentAt);
+            extendLease(sentAt, *ttl);
         } else if (absl::IsNotFound(ttl.status())) {
             log_.noteChange("lease_lost", { { "lease", std::to_string(lease_) } });
             lease_ = 0;
--- a/packages/gateway/Presence.h
+++ b/packages/gateway/Presence.h
@@ -60,7 +60,7 @@
     void applyKeys();
     void claim();
     void setRole(bool isPlanner, uint64_t term);
-    void extendLease(Millis sentAt);
+    void extendLease(Millis sentAt, Millis ttl);
 
     Options options_;
     const PlatformAdapter& adapter_;
@@ -69,6 +69,7 @@
     StoreFollower& store_;
     std::vector<Peer> peers_;
     uint64_t lease_ = 0;
+    Millis grantedTtl_ { 0 }; // as the store granted it
     Millis leaseEndsAt_ { 0 };
     uint64_t term_ = 0;
     Millis writtenAt_ { -3600000 }; // last write of a key
--- a/packages/gateway/UsageExchange.cpp
+++ b/packages/gateway/UsageExchange.cpp
@@ -15,6 +15,18 @@
 // Number of messages that report one crash. More than one, because datagrams may be lost.
 static constexpr int messagesPerCrash = 3;
 
+bool UsageSequence::accept(uint64_t sequence)
+{
+    const auto incarnationOf = [](uint64_t of) { return of >> 32; };
+    const bool isSameProcess = incarnationOf(sequence) == incarnationOf(last_);
+    if (isSameProcess ? sequence <= last_ : incarnationOf(sequence) == previousIncarnation_)
+        return false;
+    if (!isSameProcess)
+        previousIncarnation_ = incarnationOf(last_);
+    last_ = sequence;
+    return true;
+}
+
 UsageExchange::UsageExchange(asio::io_context& context, Options options, DecisionLog& log)
     : options_(std::move(options))
     , log_(log)
@@ -35,9 +47,7 @@
         socket_.non_blocking(true, error);
     if (error)
         return absl::UnavailableError("can't bind " + options_.address.toString() + " for other nodes: " + error.message());
-    // The sequence starts from the wall clock. After a restart it is above the previous one, so that peers accept the
-    // messages immediately.
-    sequence_ = static_cast<uint64_t>(std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count()) << 16;
+    sequence_ = UsageSequence::start(options_.random);
     receive();
     publish();
     return absl::OkStatus();
@@ -119,10 +129,8 @@
         log_.noteChange("peer_unreadable", { { "peer", sender_.address().to_string() }, { "error", message.ok() ? "unknown format" : std::string(message.status().message()) } });
         return;
     }
-    uint64_t& last = lastSequence_[message->node];
-    if (message->sequence <= last)
+    if (!sequences_[message->node].accept(message->sequence))
         return;
-    last = message->sequence;
     PeerUsage usage { .receivedAt = options_.clock() };
     for (const UsageRow& row : message->rows) {
         if (row.isSuspect)
--- a/packages/gateway/UsageExchange.h
+++ b/packages/gateway/UsageExchange.h
@@ -53,7 +53,7 @@
 
     uint32_t format = currentFormat;
     std::string node;
-    uint64_t sequence = 0; // increases with each message, also over restarts
+    uint64_t sequence = 0; // of this message; see UsageSequence
     std::vector<UsageRow> rows;
     std::vector<CrashRow> crashes;
 
@@ -65,10 +65,27 @@
     auto operator<=>(const UsageMessage&) const = default;
 };
 
+// Accepts the messages of one node in order. A message that arrives late, even from before a restart, must not replace
+// newer usage. The high half of a sequence is drawn at each start of the process, because the time of day may jump and
+// nothing else outlives a restart; the low half counts messages.
+class UsageSequence {
+public:
+    // Returns the first sequence of a process.
+    static uint64_t start(const Random& random) { return random() << 32; }
+
+    // Returns whether a message is newer than all accepted ones, and records it if so.
+    bool accept(uint64_t sequence);
+
+private:
+    uint64_t last_ = 0;
+    std::optional<uint64_t> previousIncarnation_; // high half of the sequences of the process before
+};
+
 class UsageExchange {
 public:
     struct Options {
         Clock clock;
+        Random random;
         std::string node;
         Endpoint address; // UDP, of this node
         Millis minInterval { 60 }; // ms between two regular messages
@@ -109,7 +126,7 @@
     boost::asio::ip::udp::endpoint sender_;
     RepeatingTimer timer_;
     std::vector<boost::asio::ip::udp::endpoint> peers_;
-    std::map<std::string, uint64_t> lastSequence_; // by node
+    std::map<std::string, UsageSequence> sequences_; // by node
     std::set<uint32_t> suspects_;
     std::vector<std::pair<CrashRow, int>> crashes_; // with the number of messages still to carry it
     uint64_t sequence_ = 0;
--- a/packages/http/ClientConnection.cpp
+++ b/packages/http/ClientConnection.cpp
@@ -49,6 +49,7 @@
     request_ = std::move(request);
     isExchanging_ = true;
     hasHead_ = false;
+    wasSent_ = false;
     interimAnswers_ = 0;
     ++exchanges_;
     startParser();
@@ -87,7 +88,6 @@
         self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
         self->socket_.non_blocking(true, ignored);
         self->isConnected_ = true;
-        self->wasConnected_ = true;
         self->waitForBytes();
         self->sendRequest();
     });
@@ -95,6 +95,12 @@
 
 void ClientConnection::sendRequest()
 {
+    if (hooks_.maySend && !hooks_.maySend()) {
+        // Posted, so that no callback runs before exchange() returns.
+        asio::post(socket_.get_executor(), [self = shared_from_this()] { self->end(ExchangeEnd::Withheld); });
+        return;
+    }
+    wasSent_ = true;
     const std::string request = std::exchange(request_, {});
     writer_.write(request, shared_from_this());
 }
--- a/packages/http/ClientConnection.h
+++ b/packages/http/ClientConnection.h
@@ -41,6 +41,7 @@
 enum class ExchangeEnd {
     Complete, // the whole answer was received
     NotConnected, // connection refused or host unreachable; no byte was sent
+    Withheld, // Hooks::maySend forbade it; no byte was sent
     Broken, // closed or reset before the answer was complete; the server may have executed the request
     Malformed, // not a valid HTTP answer; the server may have executed the request
 };
@@ -57,6 +58,9 @@
 
     // Callbacks of an exchange. None is called after close().
     struct Hooks {
+        // Returns whether the request may still be sent, now that there is a connection: a permission may have expired
+        // meanwhile, above all if this process was paused. May be empty.
+        std::function<bool()> maySend;
         std::function<void(const ResponseHead&)> onHead;
         std::function<void(std::string_view)> onBody;
         std::function<void(ExchangeEnd)> onEnd;
@@ -74,8 +78,8 @@
     // Returns whether another exchange may follow on this connection.
     bool isReusable() const { return isConnected_ && !isExchanging_ && keepsAlive_; }
 
-    // Returns whether the connection was ever established. Until then no byte was sent.
-    bool wasConnected() const { return wasConnected_; }
+    // Returns whether the request of the current or last exchange was written, at least in part.
+    bool wasSent() const { return wasSent_; }
 
     // Returns whether this is the first exchange of the connection.
     bool isFirstExchange() const { return exchanges_ <= 1; }
@@ -113,7 +117,7 @@
     uint64_t exchanges_ = 0;
     int interimAnswers_ = 0; // of the current exchange
     bool isConnected_ = false;
-    bool wasConnected_ = false;
+    bool wasSent_ = false;
     bool isExchanging_ = false;
     bool hasHead_ = false;
     bool keepsAlive_ = true;
--- a/packages/http/RequestScanner.cpp
+++ b/packages/http/RequestScanner.cpp
@@ -5,6 +5,7 @@
 #include <cctype>
 #include <charconv>
 #include <optional>
+#include <utility>
 
 namespace hemlockweir {
 
@@ -95,6 +96,19 @@
     return std::any_of(text.begin(), text.end(), [](unsigned char c) { return (c < ' ' && c != '\t') || c == 0x7f; });
 }
 
+// Returns whether the path has a segment "." or "..", also if its dots or separators are percent-encoded.
+static bool hasDotSegment(std::string_view target)
+{
+    std::string path = lowercase(target.substr(0, target.find('?')));
+    constexpr std::array<std::pair<std::string_view, std::string_view>, 4> equivalents { { { "%2e", "." }, { "%2f", "/" }, { "%5c", "/" }, { "\\", "/" } } };
+    for (const auto& [from, to] : equivalents) {
+        for (size_t at = path.find(from); at != std::string::npos; at = path.find(from, at + to.size()))
+            path.replace(at, from.size(), to);
+    }
+    path += '/';
+    return path.find("/./") != std::string::npos || path.find("/../") != std::string::npos;
+}
+
 static bool isKnownMethod(std::string_view method)
 {
     constexpr std::array<std::string_view, 7> methods { "GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS" };
@@ -112,7 +126,7 @@
     const std::string_view method = line.substr(0, first);
     const std::string_view target = line.substr(first + 1, last - first - 1);
     const std::string_view version = line.substr(last + 1);
-    if (!isToken(method) || !target.starts_with('/') || !isPrintable(target) || !version.starts_with("HTTP/"))
+    if (!isToken(method) || !target.starts_with('/') || !isPrintable(target) || hasDotSegment(target) || !version.starts_with("HTTP/"))
         return ScanVerdict::BadRequest;
     if (version != "HTTP/1.1" && version != "HTTP/1.0")
         return ScanVerdict::VersionNotSupported;
@@ -155,6 +169,8 @@
                 return refuse(ScanVerdict::BadRequest);
             check.isChunked = true;
         }
+        if (name == "host")
+            ++check.hosts;
         if (name == "expect")
             expectsContinue = lowercase(value) == "100-continue";
         if (name != "content-length")
@@ -171,6 +187,15 @@
     return check;
 }
 
+bool hasBareLineFeed(std::string_view head)
+{
+    for (size_t at = head.find('\n'); at != std::string_view::npos; at = head.find('\n', at + 1)) {
+        if (at == 0 || head[at - 1] != '\r')
+            return true;
+    }
+    return false;
+}
+
 ScanVerdict RequestScanner::checkHead()
 {
     const HeadCheck check = checkRequestHead(head_, false);
--- a/packages/http/RequestScanner.h
+++ b/packages/http/RequestScanner.h
@@ -33,13 +33,18 @@
 struct HeadCheck {
     ScanVerdict verdict = ScanVerdict::Ok;
     size_t bodyLength = 0; // bytes, from Content-Length; 0 when absent or chunked
+    int hosts = 0; // Host headers
     bool isChunked = false; // chunked transfer encoding
     bool waitsForContinue = false; // the caller waits for "100 Continue" before it sends the body
 };
 
-// Checks one head, including its closing blank line. `allowsChunks` permits chunked bodies.
+// Checks one head, including its closing blank line. `allowsChunks` permits chunked bodies. Paths with dot segments are
+// refused: a server that resolves them would serve another path than the one that a route was chosen for.
 HeadCheck checkRequestHead(std::string_view head, bool allowsChunks);
 
+// Returns whether a line feed without a carriage return before it ends a line of the head, or of its received part.
+bool hasBareLineFeed(std::string_view head);
+
 // Scans the requests of one connection. Every received byte must pass through scan(), in order.
 class RequestScanner {
 public:
--- a/packages/http/ServerConnection.cpp
+++ b/packages/http/ServerConnection.cpp
@@ -101,6 +101,10 @@
         parser_->eager(true);
     }
     const size_t end = unread_.find(headEnd);
+    if (hasBareLineFeed(std::string_view(unread_).substr(0, end))) {
+        refuse(static_cast<int>(ScanVerdict::BadRequest), "malformed_head");
+        return false;
+    }
     if (end == std::string::npos || end + headEnd.size() > options_.limits->request.headBytes) {
         if (unread_.size() > options_.limits->request.headBytes)
             refuse(static_cast<int>(ScanVerdict::HeadTooLarge), "head_too_large");
@@ -111,6 +115,12 @@
         refuse(static_cast<int>(check.verdict), "malformed_head");
         return false;
     }
+    // RFC 9112, 3.2: a request of HTTP/1.1 names exactly one host.
+    const bool isHttp11 = std::string_view(unread_).substr(0, unread_.find('\r')).ends_with("HTTP/1.1");
+    if (check.hosts > 1 || (isHttp11 && check.hosts == 0)) {
+        refuse(static_cast<int>(ScanVerdict::BadRequest), "not_one_host");
+        return false;
+    }
     if (check.bodyLength > options_.limits->request.bodyBytes) {
         refuse(static_cast<int>(ScanVerdict::PayloadTooLarge), "body_too_large");
         return false;
--- a/packages/http/StatusCodes.h
+++ b/packages/http/StatusCodes.h
@@ -6,6 +6,7 @@
 
 inline constexpr int statusOk = 200;
 inline constexpr int statusNoContent = 204;
+inline constexpr int statusBadRequest = 400;
 inline constexpr int statusUnauthorized = 401;
 inline constexpr int statusNotFound = 404;
 inline constexpr int statusRequestTimeout = 408;
--- a/packages/proxy/ForwardedHeaders.cpp
+++ b/packages/proxy/ForwardedHeaders.cpp
@@ -14,6 +14,13 @@
     return std::any_of(names.begin(), names.end(), [name](std::string_view other) { return isSameHeaderName(name, other); });
 }
 
+static bool isEndToEndHeader(const ProxyHeaders& names, std::string_view name)
+{
+    const std::array<std::string_view, 14> kept { names.requestId, names.deadline, names.key, names.organisation, names.expectEndpoint, names.seal, names.load,
+        names.notRun, names.faultyEndpoint, names.model, names.tokenCounts, names.promptPrefix, names.urgency, names.lastEventId };
+    return std::any_of(kept.begin(), kept.end(), [name](std::string_view other) { return isSameHeaderName(name, other); });
+}
+
 // Returns whether the Connection header lists the name as a hop-by-hop header.
 static bool isListedInConnectionHeader(const std::vector<HeaderLine>& headers, std::string_view name)
 {
@@ -28,10 +35,12 @@
     return false;
 }
 
-std::vector<HeaderLine> removeHopByHopHeaders(const std::vector<HeaderLine>& headers)
+std::vector<HeaderLine> removeHopByHopHeaders(const ProxyHeaders& names, const std::vector<HeaderLine>& headers)
 {
     std::vector<HeaderLine> forwardable;
-    std::copy_if(headers.begin(), headers.end(), std::back_inserter(forwardable), [&](const HeaderLine& header) { return !isHopByHopHeader(header.name) && !isListedInConnectionHeader(headers, header.name); });
+    std::copy_if(headers.begin(), headers.end(), std::back_inserter(forwardable), [&](const HeaderLine& header) {
+        return !isHopByHopHeader(header.name) && (isEndToEndHeader(names, header.name) || !isListedInConnectionHeader(headers, header.name));
+    });
     return forwardable;
 }
 
--- a/packages/proxy/ForwardedHeaders.h
+++ b/packages/proxy/ForwardedHeaders.h
@@ -1,14 +1,15 @@
 #pragma once
 
-#include "http/ClientConnection.h"
+#include "proxy/ProxyContext.h"
 
 // Header helpers: which headers are forwarded, the load that an endpoint reports, and the size of a prompt.
 
 namespace hemlockweir {
 
 // Returns the headers without hop-by-hop headers (RFC 9110, 7.6.1), whether well-known or listed in the Connection
-// header. Content-Length is removed too: whoever forwards the body sets it again.
-std::vector<HeaderLine> removeHopByHopHeaders(const std::vector<HeaderLine>& headers);
+// header. Content-Length is removed too: whoever forwards the body sets it again. Headers that the proxy or the endpoint
+// acts on are kept even if the Connection header lists them.
+std::vector<HeaderLine> removeHopByHopHeaders(const ProxyHeaders& names, const std::vector<HeaderLine>& headers);
 
 // Running and queued requests at an endpoint, from all nodes.
 struct EndpointLoad {
--- a/packages/proxy/ForwardedRequest.cpp
+++ b/packages/proxy/ForwardedRequest.cpp
@@ -18,7 +18,7 @@
 {
     const ServerRequest& request = forwarded.request;
     std::string text = absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\n");
-    for (const HeaderLine& header : removeHopByHopHeaders(request.headers)) {
+    for (const HeaderLine& header : removeHopByHopHeaders(names, request.headers)) {
         const bool isOldEvent = forwarded.lastEvent && isSameHeaderName(header.name, names.lastEventId);
         if (!isSetByProxy(names, header.name) && !isOldEvent)
             absl::StrAppend(&text, header.name, ": ", header.value, "\r\n");
--- a/packages/proxy/ProxyContext.h
+++ b/packages/proxy/ProxyContext.h
@@ -24,6 +24,7 @@
     std::string faultyEndpoint; // of a rejection: id of the endpoint that caused it
     std::string model;
     std::string tokenCounts; // prompt tokens and maximum response tokens
+    std::string promptPrefix; // parts of the prompt that requests share
     std::string urgency; // priority at an engine, 0 is most urgent
     std::string lastEventId; // id of the event after which a stream is resumed
 };
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -17,6 +17,7 @@
 // Reserved before the caller's deadline for the transfer of the response to the caller.
 static constexpr Millis deadlineMargin { 10 };
 static constexpr Millis defaultDeadline { 60000 };
+static constexpr size_t maxRequestIdBytes = 128;
 
 ProxyFlow::ProxyFlow(ProxyContext& context, Options options)
     : context_(context)
@@ -26,13 +27,12 @@
 
 void ProxyFlow::start()
 {
-    requestId_ = std::string(requestHeader(context_.headers.requestId));
     times_.startedAt = options_.request.startedAt;
     options_.caller->onCallerDisconnected = [self = weak_from_this()] {
         if (const auto flow = self.lock())
             flow->cancel();
     };
-    if (!findRoute())
+    if (!readRequestId() || !findRoute())
         return;
     if (isCrashBlocked()) {
         sendError(statusInternalError, "crashes_endpoints");
@@ -44,6 +44,29 @@
     requestPlacement(objectiveAt, priority_);
 }
 
+static bool isValidRequestId(std::string_view id)
+{
+    return id.size() <= maxRequestIdBytes && std::all_of(id.begin(), id.end(), [](unsigned char c) { return c > ' ' && c < 0x7f; });
+}
+
+// Reads the request's id, or makes one if the caller sent none. If it is invalid, sends an error and returns false.
+bool ProxyFlow::readRequestId()
+{
+    const std::string& name = context_.headers.requestId;
+    std::vector<HeaderLine>& headers = options_.request.headers;
+    std::erase_if(headers, [&](const HeaderLine& header) { return isSameHeaderName(header.name, name) && header.value.empty(); });
+    const auto count = std::count_if(headers.begin(), headers.end(), [&](const HeaderLine& header) { return isSameHeaderName(header.name, name); });
+    if (count == 0)
+        headers.push_back({ name, makeRandomId(context_.random) });
+    const std::string_view id = requestHeader(name);
+    if (count <= 1 && isValidRequestId(id)) {
+        requestId_ = id;
+        return true;
+    }
+    sendError(statusBadRequest, "invalid_request_id");
+    return false;
+}
+
 // Finds the route and the organisation of the request. If there is none, sends an error and returns false.
 bool ProxyFlow::findRoute()
 {
@@ -144,12 +167,21 @@
     attempt_->connection = context_.pool.acquire(target.address, target.port, route_.isRetryable());
     attempt_->connection->exchange(formatRequest(target),
         {
+            .maySend = [self] { return self->maySend(); },
             .onHead = [self](const ResponseHead& head) { self->handleHead(head); },
             .onBody = [self](std::string_view bytes) { self->handleBody(bytes); },
             .onEnd = [self](ExchangeEnd how) { self->handleEnd(how); },
         });
 }
 
+// Returns whether a request that waited for its connection may still be sent. The time left that it tells the endpoint is
+// that of its placement: after a pause of this process the endpoint would work on it for too long, or for nobody.
+bool ProxyFlow::maySend() const
+{
+    const Millis now = context_.clock();
+    return attempt_ && now < deadlineAt_ && now - attempt_->sentAt <= connectTimeout;
+}
+
 std::string ProxyFlow::formatRequest(const Target& target) const
 {
     return formatForwardedRequest(context_.headers,
@@ -209,7 +241,7 @@
 {
     const Attempt attempt = *attempt_;
     const Millis now = context_.clock();
-    const bool wasSent = attempt.connection->wasConnected();
+    const bool wasSent = attempt.connection->wasSent();
     if (isTargetFault)
         context_.dispatcher.noteFailure(attempt.target.id, !attempt.head && reason != "malformed_answer");
     if (wasSent) {
@@ -277,7 +309,7 @@
 
 void ProxyFlow::checkInactivity(Millis now)
 {
-    if (!attempt_->connection->wasConnected()) {
+    if (!attempt_->connection->wasSent()) {
         if (now - attempt_->sentAt >= connectTimeout)
             retryOrFail("connect_timeout", true);
         return;
@@ -301,7 +333,7 @@
     }
     if (isQueued_)
         context_.dispatcher.cancel(options_.id);
-    if (attempt_ && attempt_->connection->wasConnected())
+    if (attempt_ && attempt_->connection->wasSent())
         executionState_ = ExecutionState::MayHaveRun;
     if (attempt_)
         attempt_->connection->close();
--- a/packages/proxy/ProxyFlow.h
+++ b/packages/proxy/ProxyFlow.h
@@ -52,18 +52,21 @@
         MayHaveRun,
     };
 
+    bool readRequestId();
     bool findRoute();
     void readLimits();
     void requestPlacement(Millis objectiveAt, int priority);
     void handlePlacement(const Target& target);
     void handleRefusal(const PlacementRefusal& refusal);
     std::string formatRequest(const Target& target) const;
+    bool maySend() const;
 
     void handleHead(const ResponseHead& head);
     void handleBody(std::string_view bytes);
     void handleEnd(ExchangeEnd how);
     void handleCompleteResponse();
     void handleRejection(const ResponseHead& head);
+    std::vector<HeaderLine> responseHeaders(const ResponseHead& head) const;
     void handleEvents(std::string_view bytes);
     void sendEvent(std::string_view event);
     bool cutSlowCaller();
--- a/packages/proxy/ProxyFlowAnswer.cpp
+++ b/packages/proxy/ProxyFlowAnswer.cpp
@@ -27,7 +27,8 @@
     }
     if (const auto load = parseLoad(findHeader(head.headers, context_.headers.load).value_or("")))
         context_.dispatcher.noteReportedLoad(attempt.target.id, load->running, load->waiting);
-    const bool isRejection = head.status == statusMisdirected || findHeader(head.headers, context_.headers.notRun);
+    // A bad request is one at any endpoint, so it is not sent to another although it did not run.
+    const bool isRejection = head.status == statusMisdirected || (findHeader(head.headers, context_.headers.notRun) && head.status != statusBadRequest);
     if (isRejection) {
         handleRejection(head);
         return;
@@ -84,6 +85,15 @@
         sendError(statusUnavailable, reason, defaultRetryAfter);
 }
 
+// Returns the headers of a response as forwarded to the caller. They always name the request.
+std::vector<HeaderLine> ProxyFlow::responseHeaders(const ResponseHead& head) const
+{
+    std::vector<HeaderLine> headers = removeHopByHopHeaders(context_.headers, head.headers);
+    if (!findHeader(headers, context_.headers.requestId))
+        headers.push_back({ context_.headers.requestId, requestId_ });
+    return headers;
+}
+
 void ProxyFlow::handleBody(std::string_view bytes)
 {
     if (!attempt_ || !attempt_->head)
@@ -104,7 +114,7 @@
     // The response is too large to buffer: from here on it is forwarded as it arrives and can't be retried.
     isHeadSent_ = true;
     times_.firstByteAt = context_.clock();
-    options_.caller->startAnswer(attempt_->head->status, removeHopByHopHeaders(attempt_->head->headers), attempt_->head->bodyLength);
+    options_.caller->startAnswer(attempt_->head->status, responseHeaders(*attempt_->head), attempt_->head->bodyLength);
     options_.caller->sendBody(std::exchange(attempt_->body, {}));
 }
 
@@ -136,7 +146,7 @@
     times_.firstByteAt = context_.clock();
     if (attempt_)
         context_.dispatcher.noteFirstByte(service_, model_, times_.firstByteAt - attempt_->sentAt);
-    options_.caller->startAnswer(head.status, removeHopByHopHeaders(head.headers), std::nullopt);
+    options_.caller->startAnswer(head.status, responseHeaders(head), std::nullopt);
 }
 
 void ProxyFlow::sendEvent(std::string_view event)
@@ -175,6 +185,10 @@
         retryOrFail("connection_refused", true);
         return;
     }
+    if (how == ExchangeEnd::Withheld) {
+        retryOrFail("connect_timeout", false);
+        return;
+    }
     // A pooled connection that closes before the response is no evidence of an endpoint failure: it may have been stale.
     const bool isTargetFault = attempt_->connection->isFirstExchange() || attempt_->head;
     retryOrFail(how == ExchangeEnd::Malformed ? "malformed_answer" : "connection_lost", isTargetFault);
@@ -201,7 +215,7 @@
         options_.caller->finishAnswer();
     } else {
         times_.firstByteAt = context_.clock();
-        options_.caller->answer(head.status, removeHopByHopHeaders(head.headers), attempt.body);
+        options_.caller->answer(head.status, responseHeaders(head), attempt.body);
     }
     if (head.status / 100 != 2)
         finish("failed", "endpoint_error");
--- a/tests/FollowersTest.cpp
+++ b/tests/FollowersTest.cpp
@@ -363,6 +363,24 @@
     waitUntil([&] { return first->isPlanner(); });
 }
 
+// The store may grant a shorter TTL than requested. Its keys end with that one, and another node becomes planner.
+TEST_F(PresenceTest, PlannerStopsWithTheTtlThatTheStoreGranted)
+{
+    store_.setMaxLeaseTtl(Millis(400));
+    const auto first = makeNode("n1", roles_);
+    waitUntil([&] { return first->isPlanner(); });
+    store_.setDown(true);
+    const Millis leaseEnd = store_.lastLeaseEnd();
+    Millis lastPlanned { 0 };
+    waitUntil([&] {
+        const Millis now = clock_();
+        if (first->isPlanner())
+            lastPlanned = now;
+        return !first->isPlanner();
+    });
+    EXPECT_LT(lastPlanned, leaseEnd);
+}
+
 TEST_F(PresenceTest, ClaimWithLostAnswerTakesEffect)
 {
     store_.loseAnswers(2);
--- /dev/null
+++ b/tests/UsageExchangeTest.cpp
@@ -0,0 +1,76 @@
+#include "gateway/UsageExchange.h"
+
+#include "support/ScriptedEndpoint.h"
+
+#include <glog/logging.h>
+#include <gtest/gtest.h>
+
+// Tests the usage that nodes send each other, over real sockets, across restarts.
+
+using namespace hemlockweir;
+
+namespace {
+
+class UsageExchangeTest : public testing::Test {
+protected:
+    // A node that runs `running` requests on one target.
+    std::unique_ptr<UsageExchange> makeNode(const std::string& name, uint16_t port, uint32_t running, uint64_t incarnation)
+    {
+        auto node = std::make_unique<UsageExchange>(context_,
+            UsageExchange::Options {
+                .clock = clock_,
+                .random = [incarnation] { return incarnation; },
+                .node = name,
+                .address = { .address = "127.0.0.1", .port = port },
+                .ownUsage = [running] { return std::map<uint32_t, TargetUsage> { { 1, { .running = running } } }; },
+                .onUsage = [this](const std::string& from, const PeerUsage& usage) { received_[from] = usage.byTarget.at(1).running; },
+            },
+            log_);
+        CHECK(node->start().ok());
+        node->setPeers({ { .node = "a", .address = "127.0.0.1:" + std::to_string(portA) }, { .node = "b", .address = "127.0.0.1:" + std::to_string(portB) } });
+        return node;
+    }
+
+    static constexpr uint16_t portA = 17531;
+    static constexpr uint16_t portB = 17532;
+
+    boost::asio::io_context context_;
+    Clock clock_ = makeSteadyClock();
+    DecisionLog log_ { { .clock = clock_, .descriptor = -1 } };
+    std::map<std::string, uint32_t> received_; // requests on the target, by the node that reported them
+};
+
+// Sequences once began at the time of day, which may jump. After a restart under a clock that had jumped back, the other
+// nodes ignored a node's usage until the clock had caught up.
+TEST_F(UsageExchangeTest, RestartedNodeIsHeardWhateverItsSequence)
+{
+    const auto receiver = makeNode("b", portB, 0, 1);
+    for (const uint64_t incarnation : { 6, 5, 9, 2 }) {
+        const auto running = static_cast<uint32_t>(incarnation);
+        const auto sender = makeNode("a", portA, running, incarnation);
+        runUntil(context_, [&] { return received_["a"] == running; });
+    }
+}
+
+TEST(UsageSequenceTest, AcceptsEachMessageOfAProcessOnceAndInOrder)
+{
+    UsageSequence sequence;
+    const uint64_t start = UsageSequence::start([] { return uint64_t { 7 }; });
+    EXPECT_TRUE(sequence.accept(start + 1));
+    EXPECT_TRUE(sequence.accept(start + 3));
+    EXPECT_FALSE(sequence.accept(start + 3));
+    EXPECT_FALSE(sequence.accept(start + 2));
+}
+
+TEST(UsageSequenceTest, LateMessageOfTheProcessBeforeIsIgnored)
+{
+    UsageSequence sequence;
+    const uint64_t before = UsageSequence::start([] { return uint64_t { 9 }; });
+    const uint64_t after = UsageSequence::start([] { return uint64_t { 4 }; });
+    EXPECT_TRUE(sequence.accept(before + 1));
+    EXPECT_TRUE(sequence.accept(after + 1));
+    EXPECT_FALSE(sequence.accept(before + 2));
+    EXPECT_TRUE(sequence.accept(after + 2));
+}
+
+} // namespace
--- a/tests/support/FakeKvStore.cpp
+++ b/tests/support/FakeKvStore.cpp
@@ -142,14 +142,15 @@
                 });
             },
         .grantLease =
-            [this](Millis ttl, KvStore::Done<uint64_t> done) {
+            [this](Millis ttl, KvStore::Done<KvLease> done) {
                 post([this, ttl, done] {
                     if (isDown_) {
                         done(downStatus);
                         return;
                     }
-                    leases_[++lastLease_] = { .ttl = ttl, .endsAt = now_() + ttl };
-                    done(lastLease_);
+                    const Millis granted = std::min(ttl, maxLeaseTtl_);
+                    leases_[++lastLease_] = { .ttl = granted, .endsAt = now_() + granted };
+                    done(KvLease { .id = lastLease_, .ttl = granted });
                 });
             },
         .renewLease =
--- a/tests/support/FakeKvStore.h
+++ b/tests/support/FakeKvStore.h
@@ -32,6 +32,9 @@
     // Makes the next `count` transactions take effect but return Unknown.
     void loseAnswers(int count) { answersToLose_ = count; }
 
+    // Grants leases of at most this TTL.
+    void setMaxLeaseTtl(Millis ttl) { maxLeaseTtl_ = ttl; }
+
     size_t calls() const { return calls_; }
 
     // Returns when the most recently granted lease expires unless it is renewed.
@@ -57,6 +60,7 @@
     uint64_t historyStart_ = 0;
     uint64_t lastLease_ = 0;
     size_t calls_ = 0;
+    Millis maxLeaseTtl_ { 600000 };
     int answersToLose_ = 0;
     bool isDown_ = false;
     bool retainsHistory_ = true;
