Let left-over engines serve across fabric domains, and keep nodes from meeting on the same replicas

(2) Of 2,240 late prism-match streams in the logs 1,198 had paused for 300 to 600 ms, on replicas of one fabric domain, 695 began late, some 300 were moved: prompts of several nodes met on one replica. A simulation of 37 nodes before 33 replicas shows both reasons: each node took the best of all replicas for a long prompt, the same one for all; and a node saved the right to a contended slot, so that 36 in 100 requests of a burst came to a replica without one.

Change: spanning replicas, used last and broken up as soon as a fabric domain can complete one of its own; samples by the placements that a node can't know of yet; a freed slot is taken at its replica and only for a request that waits now.

Also: changes of the list of endpoints are logged one by one only on the planner, as counts elsewhere.

--- a/packages/gateway/EndpointFollower.cpp
+++ b/packages/gateway/EndpointFollower.cpp
@@ -35,6 +35,14 @@
     return entries;
 }
 
+void EndpointFollower::logChanges()
+{
+    const ChangeCounts counts = std::exchange(unlogged_, {});
+    if (counts == ChangeCounts {})
+        return;
+    log_.noteChange("endpoints_changed", { { "found", std::to_string(counts.found) }, { "leaving", std::to_string(counts.leaving) }, { "gone", std::to_string(counts.gone) }, { "endpoints", std::to_string(endpoints_.size()) }, { "store_revision", std::to_string(store_.revision()) }, { "list_age_ms", std::to_string((options_.clock() - store_.answeredAt()).count()) } });
+}
+
 // Returns whether the entry was new.
 bool EndpointFollower::applyItem(const KvItem& item)
 {
@@ -49,9 +57,13 @@
             log_.noteChange("endpoint_unreadable", { { "key", item.key }, { "revision", std::to_string(item.revision) }, { "error", std::string(info.status().message()) } });
         return wasKnown;
     }
-    if (previous == known_.end())
+    const bool isFound = previous == known_.end();
+    const bool startsLeaving = !isFound && info->isLeaving && !previous->second.info.isLeaving;
+    unlogged_.found += isFound ? 1 : 0;
+    unlogged_.leaving += startsLeaving ? 1 : 0;
+    if (isFound && logsEachChange())
         log_.noteChange("endpoint_found", { { "endpoint", info->id }, { "service", info->service }, { "domain", info->domain }, { "fabric", info->fabric }, { "revision", std::to_string(item.revision) } });
-    else if (info->isLeaving && !previous->second.info.isLeaving)
+    if (startsLeaving && logsEachChange())
         log_.noteChange("endpoint_leaving", { { "endpoint", info->id }, { "service", info->service }, { "revision", std::to_string(item.revision) } });
     known_.insert_or_assign(item.key, KnownEndpoint { std::move(*info), item });
     return true;
@@ -66,7 +78,9 @@
     const size_t removed = std::erase_if(known_, [this](const auto& entry) {
         if (store_.find(entry.first))
             return false;
-        log_.noteChange("endpoint_gone", { { "endpoint", entry.second.info.id }, { "service", entry.second.info.service }, { "store_revision", std::to_string(store_.revision()) } });
+        ++unlogged_.gone;
+        if (logsEachChange())
+            log_.noteChange("endpoint_gone", { { "endpoint", entry.second.info.id }, { "service", entry.second.info.service }, { "store_revision", std::to_string(store_.revision()) } });
         return true;
     });
     std::erase_if(loggedUnreadable_, [this](const auto& entry) { return !store_.find(entry.first); });
--- a/packages/gateway/EndpointFollower.h
+++ b/packages/gateway/EndpointFollower.h
@@ -14,6 +14,7 @@
     struct Options {
         Clock clock;
         Millis gracePeriod { 2600 }; // ms after the store's recovery for which expired entries are retained
+        std::function<bool()> logsEachChange; // whether this node acts on single changes; empty: it does not
         std::function<void()> onChange; // called after each answer of the store or of another node, even without a change
     };
 
@@ -24,6 +25,10 @@
     // Returns the number of changes of the list so far.
     uint64_t changeCount() const { return changeCount_; }
 
+    // Logs how many endpoints appeared, began to leave and went since the last call, if any did. All nodes see each change;
+    // single changes are logged only where logsEachChange says so. Call periodically.
+    void logChanges();
+
     // Returns the undecoded entries of the endpoints, for a node that can't reach the store.
     std::vector<KvItem> entries() const;
 
@@ -34,7 +39,17 @@
         KvItem item;
     };
 
+    // Changes of the list since the last summary.
+    struct ChangeCounts {
+        size_t found = 0;
+        size_t leaving = 0;
+        size_t gone = 0;
+
+        bool operator==(const ChangeCounts&) const = default;
+    };
+
     void update();
+    bool logsEachChange() const { return options_.logsEachChange && options_.logsEachChange(); }
     bool applyItem(const KvItem& item);
     bool removeMissing();
 
@@ -45,6 +60,7 @@
     std::vector<EndpointInfo> endpoints_;
     std::map<std::string, KnownEndpoint> known_; // by key
     uint64_t changeCount_ = 0;
+    ChangeCounts unlogged_;
     std::map<std::string, uint64_t> loggedUnreadable_; // last logged revision of invalid entries, by key
 };
 
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -47,7 +47,7 @@
     , proxy_(context, { .address = settings_.callers.address, .port = settings_.callers.port, .clock = clock_ }, proxyContext_)
     , store_(context, { .clock = clock_, .prefixes = { adapter_.configurationKey, adapter_.endpointPrefix, Presence::keyPrefix } }, adapter_.store, log_)
     , configuration_({ .onConfiguration = [this](std::shared_ptr<const RouteTable> routes) { applyConfiguration(std::move(routes)); } }, store_, adapter_, log_)
-    , endpoints_({ .clock = clock_, .onChange = [this] { applyEndpoints(); } }, store_, adapter_, log_)
+    , endpoints_({ .clock = clock_, .logsEachChange = [this] { return presence_.isPlanner(); }, .onChange = [this] { applyEndpoints(); } }, store_, adapter_, log_)
     , presence_(context,
           {
               .clock = clock_,
@@ -354,6 +354,7 @@
     metrics_.setGauge("hemlockweir_proxy_flows", "Requests at work", static_cast<double>(proxy_.flowCount()));
     metrics_.setGauge("hemlockweir_proxy_connections", "Open connections of callers", static_cast<double>(proxy_.connectionCount()));
     metrics_.setGauge("hemlockweir_store_age_seconds", "Since the store last answered for the configuration, the endpoints and the nodes", std::chrono::duration<double>(clock_() - store_.answeredAt()).count());
+    endpoints_.logChanges();
     log_.reportOmitted();
     sweepTimer_.callAfter(sweepInterval);
 }
--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -16,6 +16,8 @@
 static constexpr double newSampleWeight = 0.1;
 // Consecutive rejections, without a response between them, after which a target counts as failed.
 static constexpr uint32_t rejectionsPerFailure = 3;
+// Time constant of the moving average of the placements.
+static constexpr double placementRateMs = 1000;
 // Contended slots that a node may have saved up to take at once.
 static constexpr double maxClaims = 3;
 // Fraction of a target's slots in use above which nodes compete for the remaining ones.
@@ -114,7 +116,9 @@
     }
 }
 
-bool Dispatcher::tryPlace(PlacementRequest& request)
+// Places a request if a target has a slot for it. Where slots are contended, a request goes to the target that `freed` one
+// for this node, if any: the other nodes see few free slots too, and would meet on them.
+bool Dispatcher::tryPlace(PlacementRequest& request, const TargetLoad* freed)
 {
     const Millis now = options_.clock();
     if (peers_.empty()) {
@@ -132,21 +136,40 @@
     const double freeSlots = request.hasResponseStarted ? 0 : countFreeSlots(key);
     const bool isClaim = !request.hasResponseStarted && isContended(freeSlots);
     if (isClaim && !mayClaim(queues_[key], freeSlots))
-        return false;
-    const TargetLoad* chosen = chooseTarget(loadsFor(request.service, request.model), request, options_.domain, now, peers_.size() + 1, options_.random);
+        return tryPlaceOnSpanning(request, queue);
+    const bool takesFreed = isClaim && freed && !freed->target.isSpanning() && canAccept(*freed, request, now);
+    const TargetLoad* chosen = takesFreed ? freed : chooseTarget(loadsFor(key).local, request, options_.domain, now, countUnseenPlacements(queue), options_.random);
     if (!chosen)
-        return false;
+        return tryPlaceOnSpanning(request, queue);
     if (isClaim)
         queues_[key].claims -= 1;
     place(std::move(request), loads_.at(chosen->target.id));
     return true;
 }
 
+// Places a request that found no slot on the other replicas of its model on one that spans fabric domains, if a response
+// from there is not late only because of it.
+bool Dispatcher::tryPlaceOnSpanning(PlacementRequest& request, const Queue& queue)
+{
+    const std::vector<const TargetLoad*>& loads = loadsFor({ request.service, request.model }).spanning;
+    if (loads.empty())
+        return false;
+    const Millis now = options_.clock();
+    const Millis firstByte(static_cast<int64_t>(queue.firstByteMs * loads.front()->target.timeFactor));
+    if (!request.hasResponseStarted && !request.isLate && now + firstByte >= request.objectiveAt)
+        return false;
+    const TargetLoad* chosen = chooseTarget(loads, request, options_.domain, now, countUnseenPlacements(queue), options_.random);
+    if (!chosen)
+        return false;
+    place(std::move(request), loads_.at(chosen->target.id));
+    return true;
+}
+
 double Dispatcher::countFreeSlots(const QueueKey& key) const
 {
     const Millis now = options_.clock();
     double free = 0;
-    for (const TargetLoad* load : loadsFor(key.first, key.second))
+    for (const TargetLoad* load : loadsFor(key).local)
         free += load->suspectUntil > now ? 0 : std::max(0.0, load->target.slots - load->usedSlots());
     return free;
 }
@@ -164,14 +187,29 @@
 {
     const Millis now = options_.clock();
     const double part = freeSlots / static_cast<double>(peers_.size() + 1);
-    const double intervals = static_cast<double>((now - queue.claimsUpdatedAt).count()) / static_cast<double>(options_.claimInterval.count());
+    const double intervals = static_cast<double>((now - queue.claimsUpdatedAt).count()) / static_cast<double>(options_.reportAge.count());
     queue.claimsUpdatedAt = now;
     queue.claims = std::min(maxClaims, queue.claims + part * std::min(1.0, intervals));
     return queue.claims >= 1;
 }
 
+double Dispatcher::decayedPlacementRate(const Queue& queue, Millis now)
+{
+    return queue.placementsPerMs * std::exp(-static_cast<double>((now - queue.placedAt).count()) / placementRateMs);
+}
+
+// Returns the expected number of requests that the other nodes have placed, but not reported yet. They place as many as this
+// one.
+double Dispatcher::countUnseenPlacements(const Queue& queue) const
+{
+    return decayedPlacementRate(queue, options_.clock()) * static_cast<double>(options_.reportAge.count()) * static_cast<double>(peers_.size());
+}
+
 void Dispatcher::place(PlacementRequest request, TargetLoad& load)
 {
+    Queue& queue = queues_[{ request.service, request.model }];
+    queue.placementsPerMs = decayedPlacementRate(queue, options_.clock()) + 1 / placementRateMs;
+    queue.placedAt = options_.clock();
     ++load.running;
     const Target target = load.target;
     const double promptMs = target.promptMs(request.promptTokens);
@@ -225,10 +263,11 @@
     if (load.running > 0)
         --load.running;
     const QueueKey key { load.target.service, load.target.model };
-    queues_[key].claims = std::min(maxClaims, queues_[key].claims + 1);
     const bool hasWaiting = !queues_[key].waiting.empty();
     if (hasWaiting)
-        placeWaiting(key);
+        queues_[key].claims = std::min(maxClaims, queues_[key].claims + 1);
+    if (hasWaiting)
+        placeWaiting(key, &load);
     else
         reportIfContended(load);
 }
@@ -317,10 +356,10 @@
     return request.objectiveAt <= options_.clock() + Millis(static_cast<int64_t>(queue.firstByteMs));
 }
 
-void Dispatcher::noteFirstByte(const std::string& service, const std::string& model, Millis time)
+void Dispatcher::noteFirstByte(const Target& target, Millis time)
 {
-    Queue& queue = queues_[{ service, model }];
-    const auto sample = static_cast<double>(time.count());
+    Queue& queue = queues_[{ target.service, target.model }];
+    const double sample = static_cast<double>(time.count()) / target.timeFactor;
     queue.firstByteMs = queue.firstByteMs > 0 ? queue.firstByteMs + newSampleWeight * (sample - queue.firstByteMs) : sample;
 }
 
@@ -347,9 +386,9 @@
     queue.startsPerSecond = 1 / (interval + newSampleWeight * (1 / rate - interval));
 }
 
-// Places the queued requests of a model in order. The callbacks may call submit() or release(); a nested call returns
-// immediately, and the outer one continues.
-void Dispatcher::placeWaiting(const QueueKey& key)
+// Places the queued requests of a model in order, the first one where a slot was `freed`. The callbacks may call submit() or
+// release(); a nested call returns immediately, and the outer one continues.
+void Dispatcher::placeWaiting(const QueueKey& key, const TargetLoad* freed)
 {
     if (isPlacing_)
         return;
@@ -360,7 +399,7 @@
         PlacementRequest request = std::move(*next);
         queue.waiting.erase(next);
         --waitingCount_;
-        if (tryPlace(request)) {
+        if (tryPlace(request, std::exchange(freed, nullptr))) {
             updateStartRate(queue);
             continue;
         }
--- a/packages/proxy/Dispatcher.h
+++ b/packages/proxy/Dispatcher.h
@@ -26,7 +26,7 @@
         Millis urgencyWindow { 1000 }; // ms, for which requests yield after a more urgent one arrived
         double maxWaitObjectives = 2.0; // longest wait as a multiple of the objective, while the time to first byte is unknown
         size_t maxWaiting = 400; // queued requests per model
-        Millis claimInterval { 45 }; // ms, in which a node may take its part of the contended slots; about the age of peers' reports
+        Millis reportAge { 45 }; // ms, about the age of peers' reports; in this time a node may take its part of the contended slots
         Millis rejectionBackoff { 100 }; // ms, without new requests to a target after it rejected one
         std::function<void(const Target&, bool isUnresponsive)> onSuspect; // a target failed; unresponsive: it sent no response
         std::function<void()> onUsageChanged; // local usage changed and should be published immediately
@@ -60,8 +60,8 @@
     // Records that an endpoint responds.
     void noteSuccess(const std::string& targetId);
 
-    // Records the time from the placement of a request to the first byte of its response.
-    void noteFirstByte(const std::string& service, const std::string& model, Millis time);
+    // Records the time from the placement of a request on a target to the first byte of its response.
+    void noteFirstByte(const Target& target, Millis time);
 
     // Records that a peer got no response from a target. The target gets no new requests for `suspectBackoff`, unless
     // this node received a response from it within `recentResponseWindow`.
@@ -90,28 +90,38 @@
         double startsPerSecond = 0; // moving average of the rate at which queued requests start
         Millis lastStartAt { 0 };
         Millis waitingSince { 0 }; // when the queue last became non-empty
-        double firstByteMs = 0; // ms, moving average of the time from placement to the first byte
+        double firstByteMs = 0; // ms, moving average of the time from placement to the first byte, at a time factor of 1
         int mostUrgentPriority = std::numeric_limits<int>::max(); // of the recent requests
         Millis mostUrgentAt { 0 }; // when the most urgent of the recent requests arrived
         double claims = 0; // contended slots that this node may take
         Millis claimsUpdatedAt { 0 };
+        double placementsPerMs = 0; // moving average of this node's placements
+        Millis placedAt { 0 };
     };
     using QueueKey = std::pair<std::string, std::string>; // service and model
 
-    bool tryPlace(PlacementRequest& request);
+    bool tryPlace(PlacementRequest& request, const TargetLoad* freed = nullptr);
+    bool tryPlaceOnSpanning(PlacementRequest& request, const Queue& queue);
     double countFreeSlots(const QueueKey& key) const;
     bool isContended(double freeSlots) const;
     bool mayClaim(Queue& queue, double freeSlots);
     void place(PlacementRequest request, TargetLoad& load);
     void refuse(PlacementRequest request, RefusalReason reason, size_t requestsAhead);
     void updateStartRate(Queue& queue);
-    void placeWaiting(const QueueKey& key);
+    static double decayedPlacementRate(const Queue& queue, Millis now);
+    double countUnseenPlacements(const Queue& queue) const;
+    void placeWaiting(const QueueKey& key, const TargetLoad* freed = nullptr);
     void expire(Queue& queue);
     Millis latestStart(const Queue& queue, const PlacementRequest& request) const;
     bool goesBefore(const Queue& queue, const PlacementRequest& one, const PlacementRequest& other) const;
     std::list<PlacementRequest>::iterator findNext(Queue& queue);
     size_t countAhead(const Queue& queue, const PlacementRequest& request) const;
-    const std::vector<const TargetLoad*>& loadsFor(const std::string& service, const std::string& model) const;
+    // The targets of one model.
+    struct ModelLoads {
+        std::vector<const TargetLoad*> local; // plain endpoints, and replicas within a fabric domain
+        std::vector<const TargetLoad*> spanning;
+    };
+    const ModelLoads& loadsFor(const QueueKey& key) const;
     void indexLoads();
     double currentPeerRunning(const TargetLoad& load) const;
     void recomputePeerLoad();
@@ -126,7 +136,7 @@
     std::map<std::string, TargetLoad> loads_; // by endpoint id
     std::map<std::string, std::vector<Target>> targets_; // by service, as set last
     std::unordered_map<uint32_t, TargetLoad*> loadsByHash_; // by hashTarget() of the id
-    std::map<QueueKey, std::vector<const TargetLoad*>> loadsByModel_;
+    std::map<QueueKey, ModelLoads> loadsByModel_;
     std::map<QueueKey, Queue> queues_;
     std::map<std::string, PeerUsage> peers_; // by node
     size_t waitingCount_ = 0;
--- a/packages/proxy/DispatcherLoads.cpp
+++ b/packages/proxy/DispatcherLoads.cpp
@@ -13,7 +13,8 @@
     loadsByModel_.clear();
     for (auto& [id, load] : loads_) {
         loadsByHash_[hashTarget(id)] = &load;
-        loadsByModel_[{ load.target.service, load.target.model }].push_back(&load);
+        ModelLoads& loads = loadsByModel_[{ load.target.service, load.target.model }];
+        (load.target.isSpanning() ? loads.spanning : loads.local).push_back(&load);
     }
 }
 
@@ -100,7 +101,8 @@
     for (const auto& [key, loads] : loadsByModel_) {
         double slots = 0;
         double used = 0;
-        for (const TargetLoad* load : loads) {
+        // Spanning replicas are used last, so they tell nothing about the need for others.
+        for (const TargetLoad* load : loads.local) {
             slots += load->target.slots;
             used += std::min<double>(load->target.slots, load->running + currentPeerRunning(*load));
         }
@@ -120,18 +122,21 @@
     return load.peerRunning * std::exp2(-age / static_cast<double>(options_.peerLoadHalfLife.count()));
 }
 
-const std::vector<const TargetLoad*>& Dispatcher::loadsFor(const std::string& service, const std::string& model) const
+const Dispatcher::ModelLoads& Dispatcher::loadsFor(const QueueKey& key) const
 {
-    static const std::vector<const TargetLoad*> none;
-    const auto found = loadsByModel_.find({ service, model });
+    static const ModelLoads none;
+    const auto found = loadsByModel_.find(key);
     return found == loadsByModel_.end() ? none : found->second;
 }
 
 size_t Dispatcher::countTargets(const std::string& service, const std::string& model) const
 {
     const Millis now = options_.clock();
-    const std::vector<const TargetLoad*>& loads = loadsFor(service, model);
-    return static_cast<size_t>(std::count_if(loads.begin(), loads.end(), [&](const TargetLoad* load) { return load->suspectUntil <= now; }));
+    const auto countUsable = [now](const std::vector<const TargetLoad*>& loads) {
+        return static_cast<size_t>(std::count_if(loads.begin(), loads.end(), [now](const TargetLoad* load) { return load->suspectUntil <= now; }));
+    };
+    const ModelLoads& loads = loadsFor({ service, model });
+    return countUsable(loads.local) + countUsable(loads.spanning);
 }
 
 void Dispatcher::noteReportedLoad(const std::string& targetId, uint32_t running, uint32_t waiting)
--- a/packages/proxy/Placement.cpp
+++ b/packages/proxy/Placement.cpp
@@ -32,10 +32,12 @@
     return static_cast<uint32_t>(hash ^ (hash >> 32));
 }
 
-size_t sampleSize(size_t freeTargets, size_t nodes, double promptMs)
+size_t sampleSize(size_t freeTargets, double unseenPlacements)
 {
-    constexpr size_t minSampleSize = 3;
-    return promptMs > longPromptMs ? freeTargets : std::max(minSampleSize, freeTargets / std::max<size_t>(1, nodes));
+    constexpr double minSampleSize = 3;
+    // The best of this many samples is, on average, in the middle of the best 1 + unseenPlacements targets.
+    const double samples = 2 * static_cast<double>(freeTargets) / (1 + unseenPlacements);
+    return static_cast<size_t>(std::max(minSampleSize, samples));
 }
 
 // Returns whether the target can process one more prompt without pausing its streams for longer than allowed. A target
@@ -49,8 +51,7 @@
     return wait + load.target.promptMs(request.promptTokens) <= budgetMs;
 }
 
-// Returns whether the target is not suspect or excluded, and has a free slot and enough prompt budget for the request.
-static bool canAccept(const TargetLoad& load, const PlacementRequest& request, Millis now)
+bool canAccept(const TargetLoad& load, const PlacementRequest& request, Millis now)
 {
     if (load.suspectUntil > now || request.excludedEndpoints.count(load.target.id) > 0)
         return false;
@@ -72,7 +73,7 @@
     return load.promptWaitMs(now) + utilization * intervalMs;
 }
 
-const TargetLoad* chooseTarget(const std::vector<const TargetLoad*>& loads, const PlacementRequest& request, const std::string& ownDomain, Millis now, size_t nodes, const Random& random)
+const TargetLoad* chooseTarget(const std::vector<const TargetLoad*>& loads, const PlacementRequest& request, const std::string& ownDomain, Millis now, double unseenPlacements, const Random& random)
 {
     std::vector<const TargetLoad*> free;
     std::copy_if(loads.begin(), loads.end(), std::back_inserter(free), [&](const TargetLoad* load) { return canAccept(*load, request, now); });
@@ -80,7 +81,7 @@
         return nullptr;
     const TargetLoad* best = nullptr;
     double bestCost = 0;
-    const size_t samples = std::min(free.size(), sampleSize(free.size(), nodes, free.front()->target.promptMs(request.promptTokens)));
+    const size_t samples = std::min(free.size(), sampleSize(free.size(), unseenPlacements));
     for (size_t i = 0; i < samples; ++i) {
         std::swap(free[i], free[i + random() % (free.size() - i)]);
         const double cost = placementCostMs(*free[i], ownDomain, now);
--- a/packages/proxy/Placement.h
+++ b/packages/proxy/Placement.h
@@ -85,18 +85,20 @@
 // Returns the hash that identifies a target in messages between nodes.
 uint32_t hashTarget(const std::string& targetId);
 
-// Returns how many of the free targets to compare for a request whose prompt takes `promptMs` to process. Between
-// two usage reports all nodes know the same loads; if each chose the best of all targets, they would overload the
-// same one, so each node samples. For a long prompt all targets are compared: its placement is published
-// immediately, and it delays every request on its target.
-size_t sampleSize(size_t freeTargets, size_t nodes, double promptMs);
+// Returns how many of the free targets to compare. Between two usage reports all nodes know the same loads; if each
+// chose the best of all targets, they would overload the same one. So each node samples, and the fewer, the more requests
+// the other nodes place before it knows of them.
+size_t sampleSize(size_t freeTargets, double unseenPlacements);
 
 // ms. The placement of a prompt that takes longer than this is published to the other nodes immediately.
 inline constexpr double longPromptMs = 15;
 
+// Returns whether the target is not suspect or excluded, and has a free slot and enough prompt budget for the request.
+bool canAccept(const TargetLoad& load, const PlacementRequest& request, Millis now);
+
 // Returns the target for a request: among a random sample, the one with the shortest expected delay due to queued
 // prompts and batch size. Targets in the node's own failure domain are preferred when the delay is about equal.
 // Returns null if no target has a free slot or all of them already failed the request.
-const TargetLoad* chooseTarget(const std::vector<const TargetLoad*>& loads, const PlacementRequest& request, const std::string& ownDomain, Millis now, size_t nodes, const Random& random);
+const TargetLoad* chooseTarget(const std::vector<const TargetLoad*>& loads, const PlacementRequest& request, const std::string& ownDomain, Millis now, double unseenPlacements, const Random& random);
 
 } // namespace hemlockweir
--- a/packages/proxy/ProxyFlowAnswer.cpp
+++ b/packages/proxy/ProxyFlowAnswer.cpp
@@ -145,7 +145,7 @@
     isHeadSent_ = true;
     times_.firstByteAt = context_.clock();
     if (attempt_)
-        context_.dispatcher.noteFirstByte(service_, model_, times_.firstByteAt - attempt_->sentAt);
+        context_.dispatcher.noteFirstByte(attempt_->target, times_.firstByteAt - attempt_->sentAt);
     options_.caller->startAnswer(head.status, responseHeaders(head), std::nullopt);
 }
 
--- a/packages/proxy/Target.cpp
+++ b/packages/proxy/Target.cpp
@@ -1,10 +1,30 @@
 #include "proxy/Target.h"
 
+#include <set>
+
 namespace hemlockweir {
 
+using GroupKey = std::pair<std::string, uint64_t>; // name and epoch
+
+// Returns the groups whose members are in more than one fabric domain.
+static std::set<GroupKey> findSpanningGroups(const std::vector<EndpointInfo>& endpoints)
+{
+    std::map<GroupKey, const std::string*> fabrics;
+    std::set<GroupKey> spanning;
+    for (const EndpointInfo& endpoint : endpoints) {
+        if (!endpoint.membership)
+            continue;
+        const GroupKey key { endpoint.membership->group, endpoint.membership->epoch };
+        if (*fabrics.try_emplace(key, &endpoint.fabric).first->second != endpoint.fabric)
+            spanning.insert(key);
+    }
+    return spanning;
+}
+
 std::vector<Target> findTargets(const std::vector<EndpointInfo>& endpoints, const EndpointService& service)
 {
     std::vector<Target> targets;
+    const std::set<GroupKey> spanning = service.engines && service.engines->spanningTimeFactor > 1 ? findSpanningGroups(endpoints) : std::set<GroupKey>();
     for (const EndpointInfo& endpoint : endpoints) {
         if (endpoint.service != service.name || endpoint.isLeaving)
             continue;
@@ -22,9 +42,11 @@
                 continue;
             target.model = endpoint.model;
             target.slots = service.engines->slots;
+            if (spanning.count({ endpoint.membership->group, endpoint.membership->epoch }) > 0)
+                target.timeFactor = service.engines->spanningTimeFactor;
             if (const ReplicaModel* model = service.engines->findModel(endpoint.model)) {
-                target.promptMsPerToken = service.engines->promptMsPerToken(*model);
-                target.eventIntervalMs = service.engines->fullBatchEventIntervalMs(*model);
+                target.promptMsPerToken = service.engines->promptMsPerToken(*model) * target.timeFactor;
+                target.eventIntervalMs = service.engines->fullBatchEventIntervalMs(*model) * target.timeFactor;
             }
         }
         targets.push_back(std::move(target));
--- a/packages/proxy/Target.h
+++ b/packages/proxy/Target.h
@@ -19,6 +19,10 @@
     uint32_t slots = 1; // concurrent requests
     double promptMsPerToken = 0; // ms to process a prompt token; 0: prompts cost no time
     double eventIntervalMs = 0; // ms between two events of each stream in a full batch; 0: unknown
+    double timeFactor = 1; // factor on the times of the model: above 1 if the replica spans fabric domains
+
+    // Returns whether the replica spans fabric domains: it is slower than others of its model.
+    bool isSpanning() const { return timeFactor > 1; }
 
     // Returns the time in ms to process a prompt.
     double promptMs(uint32_t tokens) const { return promptMsPerToken * tokens; }
--- a/packages/replicas/ReplicaBeliefs.cpp
+++ b/packages/replicas/ReplicaBeliefs.cpp
@@ -66,8 +66,11 @@
 // Applies the passing of time to what is believed of each engine.
 void ReplicaPlanner::refreshBeliefs()
 {
-    for (auto& [id, engine] : engines_)
+    for (auto& [id, engine] : engines_) {
         engine.info.membership = believe(engine, options_);
+        if (!std::exchange(engine.wasFree, isFree(engine)))
+            engine.freeSince = options_.clock();
+    }
     updatePlans();
 }
 
@@ -166,6 +169,7 @@
             plan.startedAt = now;
             plan.fabric = engine.info.fabric;
         }
+        plan.isSpanning = plan.isSpanning || engine.info.fabric != plan.fabric;
         plan.epoch = std::max(plan.epoch, membership.epoch);
         if (plan.model.empty())
             plan.model = engine.info.model;
--- a/packages/replicas/ReplicaCopies.cpp
+++ b/packages/replicas/ReplicaCopies.cpp
@@ -39,7 +39,7 @@
     std::vector<const Engine*> spares;
     for (const Engine* engine : domains_.at(fabric).engines) {
         const ReplicaModel* servedModel = modelOf(*engine);
-        if (servedModel && servedModel->size < model.size && isServing(*engine) && hasCopy(*engine, model.name))
+        if (servedModel && servedModel->size < model.size && !isReclaimable(*engine) && isServing(*engine) && hasCopy(*engine, model.name))
             spares.push_back(engine);
     }
     // Sorted by group, because two spares from the same replica cost only that one replica.
@@ -74,7 +74,7 @@
     }
     for (const Engine* engine : domains_.at(fabric).engines)
         soon += isDraining(*engine) && isWarm(*engine, model.name) && !engine->isDead && !engine->info.isLeaving ? 1 : 0;
-    if (warm + soon >= model.size)
+    if (warm + soon >= model.size || reclaimMembers(model, fabric, model.size - warm - soon, orders))
         return true;
     // Complete only the remains of a larger replica: at least half of its engines must be free.
     return 2 * warm >= model.size && drainSpares(model, fabric, model.size - warm, orders);
@@ -147,7 +147,8 @@
         DomainHost host = describeHost(*engine);
         const ReplicaModel* model = modelOf(*engine);
         const ModelSet bit = model ? modelBit(model->name) : 0;
-        if (bit != 0 && wholeGroups_.count(engine->info.membership->group) > 0 && !isDraining(*engine)) {
+        // Members of spanning replicas count as free, because they are reclaimed as soon as a replica can be completed.
+        if (bit != 0 && wholeGroups_.count(engine->info.membership->group) > 0 && !isDraining(*engine) && !isReclaimable(*engine)) {
             const auto [found, isNew] = replicas.try_emplace(engine->info.membership->group, static_cast<int>(state.replicas.size()));
             if (isNew)
                 state.replicas.push_back(static_cast<size_t>(model - profile_.models.data()));
@@ -337,7 +338,7 @@
     };
     std::map<std::string, std::vector<ReplicaView>> replicasByFabric;
     for (ReplicaView& replica : findReplicas()) {
-        if (replica.model == donor.name && replica.isReady() && !replica.isLeaving && replica.head()->membership->state == MemberState::Open)
+        if (replica.model == donor.name && !replica.isSpanning && replica.isReady() && !replica.isLeaving && replica.head()->membership->state == MemberState::Open)
             replicasByFabric[replica.fabric].push_back(std::move(replica));
     }
     const auto countWarm = [&](const ReplicaView& replica) {
--- a/packages/replicas/ReplicaPlanner.cpp
+++ b/packages/replicas/ReplicaPlanner.cpp
@@ -45,6 +45,7 @@
         const ReplicaModel* model = profile_.findModel(plan.model);
         ReplicaView replica { .group = group, .epoch = plan.epoch, .model = plan.model, .fabric = plan.fabric };
         replica.size = model ? model->size : 0;
+        replica.isSpanning = plan.isSpanning;
         replica.members.resize(std::max(replica.size, plan.members.size()));
         for (size_t rank = 0; rank < plan.members.size(); ++rank) {
             const auto found = engines_.find(plan.members[rank]);
@@ -111,7 +112,7 @@
     const Millis now = options_.clock();
     const EndpointInfo* head = replica.head();
     const bool isBroken = head && head->membership->state == MemberState::Broken;
-    if (!replica.isWhole() || isBroken || hasPendingNewerJoin(replica)) {
+    if (!replica.isWhole() || isBroken || plan.isReclaimed || hasPendingNewerJoin(replica)) {
         dissolveReplica(replica, orders);
         return;
     }
@@ -239,7 +240,7 @@
     for (const ReplicaView& replica : findReplicas()) {
         if (!replica.isWhole())
             continue;
-        engineCounts_[replica.model] += static_cast<double>(replica.size);
+        engineCounts_[replica.model] += effectiveEngines(plans_.at(replica.group), *profile_.findModel(replica.model));
         wholeGroups_.insert(replica.group);
     }
 }
@@ -298,11 +299,15 @@
         return;
     if (hasTraffic_ && options_.clock() - termStartedAt_ < options_.takeoverDelay)
         return;
+    std::map<std::string, FreeEngines> leftOver; // by failure domain
     for (const auto& [fabric, domain] : domains_) {
         FreeEngines free;
         std::copy_if(domain.engines.begin(), domain.engines.end(), std::back_inserter(free), [this](const Engine* engine) { return isFree(*engine); });
         while (!free.empty() && formReplicaIn(fabric, free, orders)) { }
+        for (const Engine* engine : free)
+            leftOver[engine->info.domain].push_back(engine);
     }
+    formSpanningReplicas(leftOver, orders);
 }
 
 // Forms one replica from the free engines of a fabric domain. Returns false if none can be formed. Engines that are
@@ -334,8 +339,10 @@
     const Millis now = options_.clock();
     const uint64_t epoch = ++lastEpoch_;
     ReplicaPlan plan { .group = absl::StrCat("g", term_, "-", epoch), .model = model.name, .fabric = fabric, .epoch = epoch, .startedAt = now };
-    for (const Engine* member : members)
+    for (const Engine* member : members) {
         plan.members.push_back(member->info.id);
+        plan.isSpanning = plan.isSpanning || member->info.fabric != fabric;
+    }
     for (size_t rank = 0; rank < members.size(); ++rank) {
         EngineOrder order = makeOrder(EngineOrderKind::Join, *members[rank], plan.group, epoch);
         order.model = model.name;
@@ -349,7 +356,7 @@
         engine.lastOrderAt = now;
         engine.pendingJoinEpoch = epoch;
     }
-    engineCounts_[model.name] += static_cast<double>(model.size);
+    engineCounts_[model.name] += effectiveEngines(plan, model);
     plans_[plan.group] = std::move(plan);
 }
 
--- a/packages/replicas/ReplicaPlanner.h
+++ b/packages/replicas/ReplicaPlanner.h
@@ -19,6 +19,10 @@
 // too. A member of a replica that holds a copy of another model keeps serving, and after a loss in its fabric domain it
 // can serve either model (see DomainValue.h).
 //
+// Engines that are left over in their fabric domains form replicas that span several domains of one failure domain. These
+// are slow, so they are the last ones to get requests, and they are broken up as soon as a fabric domain can complete a
+// replica of its own with one of their members (see SpanningReplicas.cpp).
+//
 // Only one planner at a time gives orders for a service. A successor rebuilds its state from what the
 // engines report.
 
@@ -29,8 +33,9 @@
     std::string group;
     uint64_t epoch = 0;
     std::string model;
-    std::string fabric;
+    std::string fabric; // of the head
     size_t size = 0; // number of members that the model needs
+    bool isSpanning = false; // its members are in several fabric domains
     std::vector<const EndpointInfo*> members; // by rank; null: missing, dead, or already in another group
     bool isLeaving = false; // a member is shutting down
     bool hasDeadMember = false;
@@ -55,6 +60,7 @@
         Millis surplusTime { 2500 }; // ms for which a model must have a surplus before it gives up replicas: losses are repaired sooner
         Millis utilizationHalfLife { 1000 }; // ms, half-life of the moving average of a model's utilization
         Millis transferInterval { 1000 }; // ms between two replicas that are taken from one model for another
+        Millis leftOverTime { 1000 }; // ms for which an engine must have been free before it joins a spanning replica: a loss may need it
         size_t targetSpares = 2; // engines of smaller replicas in a fabric domain that are counted for a large model at the start
     };
 
@@ -119,6 +125,8 @@
         Millis lastOrderAt = never;
         uint64_t pendingJoinEpoch = 0; // of the newest join order that it may still carry out
         std::string lastModel; // of its latest group
+        Millis freeSince = never; // valid while it is free
+        bool wasFree = false;
         std::string stagingModel; // model that its host is loading; empty: none
         Millis stagingStartedAt = never;
         Millis stageRefusedAt = never;
@@ -131,6 +139,8 @@
         std::string fabric;
         std::vector<std::string> members;
         uint64_t epoch = 0;
+        bool isSpanning = false;
+        bool isReclaimed = false; // being broken up for a replica within a fabric domain
         Millis startedAt = never;
         Millis openedAt = never;
         Millis closedAt = never;
@@ -156,6 +166,12 @@
     void noteLeave(Engine& engine, uint64_t epoch);
     void formReplicas(std::vector<EngineOrder>& orders);
     bool formReplicaIn(const std::string& fabric, FreeEngines& free, std::vector<EngineOrder>& orders);
+    void formSpanningReplicas(std::map<std::string, FreeEngines>& freeByDomain, std::vector<EngineOrder>& orders);
+    bool formSpanningReplica(const ReplicaModel& model, FreeEngines& free, std::vector<EngineOrder>& orders);
+    bool keepsCopies(const Engine& engine, const std::string& model) const;
+    bool isReclaimable(const Engine& engine) const;
+    bool reclaimMembers(const ReplicaModel& model, const std::string& fabric, size_t required, std::vector<EngineOrder>& orders);
+    double effectiveEngines(const ReplicaPlan& plan, const ReplicaModel& model) const;
     void createReplica(const std::string& fabric, const ReplicaModel& model, const FreeEngines& members, std::vector<EngineOrder>& orders);
     bool completesSoon(const ReplicaModel& model, const std::string& fabric, const FreeEngines& free, std::vector<EngineOrder>& orders);
     bool drainSpares(const ReplicaModel& model, const std::string& fabric, size_t required, std::vector<EngineOrder>& orders);
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -171,7 +171,7 @@
     constexpr Millis firstByte { 150 };
     constexpr Millis service { 400 };
     dispatcher_.setTargets("engines", { target("e1", 8) });
-    dispatcher_.noteFirstByte("engines", "m", firstByte);
+    dispatcher_.noteFirstByte(target("e1", 1), firstByte);
     std::map<uint64_t, Millis> arrivedAt;
     std::multimap<Millis, std::string> ends;
     size_t onTime = 0;
@@ -245,7 +245,7 @@
 TEST_F(DispatcherTest, LateRequestsLeaveLastSlotsToOnesThatCanBeOnTime)
 {
     dispatcher_.setTargets("engines", { target("e1", 20) });
-    dispatcher_.noteFirstByte("engines", "m", Millis(200));
+    dispatcher_.noteFirstByte(target("e1", 1), Millis(200));
     for (int i = 0; i < 17; ++i)
         submit(0);
     ASSERT_EQ(placed_.size(), 17U);
@@ -261,7 +261,7 @@
 TEST_F(DispatcherTest, RetryAfterInAnOverloadIsLongAndSpread)
 {
     dispatcher_.setTargets("engines", { target("e1", 1) });
-    dispatcher_.noteFirstByte("engines", "m", Millis(300));
+    dispatcher_.noteFirstByte(target("e1", 1), Millis(300));
     submit(0);
     std::set<Millis> returns;
     for (int i = 0; i < 20; ++i) {
@@ -337,6 +337,39 @@
     EXPECT_EQ(placed_.count(second), 1U);
 }
 
+// Replays the burst of kcs-nairobi-large: all replicas are full, but for those that span fabric domains.
+TEST_F(DispatcherTest, SpanningReplicaServesWhatTheOthersHaveNoSlotFor)
+{
+    Target spanning = target("spanning", 2);
+    spanning.timeFactor = 2.5;
+    dispatcher_.setTargets("engines", { target("e1", 2), spanning });
+    for (int i = 0; i < 5; ++i)
+        submit(1);
+    EXPECT_EQ(placed_, (std::map<uint64_t, std::string> { { 1, "e1" }, { 2, "e1" }, { 3, "spanning" }, { 4, "spanning" } }));
+    dispatcher_.release("e1");
+    EXPECT_EQ(placed_.at(5), "e1");
+}
+
+// A spanning replica is slow: a request that it would make late waits for another one. Nobody else can serve a late one
+// sooner.
+TEST_F(DispatcherTest, SpanningReplicaGetsNoRequestThatItAloneWouldMakeLate)
+{
+    Target spanning = target("spanning", 4);
+    spanning.timeFactor = 2.5;
+    dispatcher_.setTargets("engines", { target("e1", 1), spanning });
+    dispatcher_.noteFirstByte(spanning, Millis(375)); // 150 ms on the others
+    submit(1);
+    const uint64_t urgent = submit(1, Millis(300));
+    const uint64_t patient = submit(1, Millis(1000));
+    EXPECT_EQ(placed_.count(urgent), 0U);
+    EXPECT_EQ(placed_.count(patient), 0U) << "the queue is in order";
+    dispatcher_.release("e1");
+    EXPECT_EQ(placed_.at(urgent), "e1");
+    EXPECT_EQ(placed_.at(patient), "spanning");
+    const uint64_t late = submit(1, Millis(100));
+    EXPECT_EQ(placed_.at(late), "spanning");
+}
+
 TEST_F(DispatcherTest, CountsRequestsOfOtherNodes)
 {
     dispatcher_.setTargets("engines", { target("e1", 4), target("e2", 4) });
@@ -364,7 +397,7 @@
     const Random random = makeSeededRandom(11);
     std::map<std::string, int> count;
     for (int node = 0; node < 30; ++node)
-        ++count[chooseTarget(pointers, {}, "a", now_, 30, random)->target.id];
+        ++count[chooseTarget(pointers, {}, "a", now_, 30.0, random)->target.id];
     const int most = std::max_element(count.begin(), count.end(), [](const auto& one, const auto& other) { return one.second < other.second; })->second;
     EXPECT_LE(most, 6);
 }
--- a/tests/FollowersTest.cpp
+++ b/tests/FollowersTest.cpp
@@ -6,7 +6,11 @@
 #include "support/FakeKvStore.h"
 #include "support/ScriptedEndpoint.h"
 
+#include <QScopeGuard>
+#include <algorithm>
+#include <array>
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 // Tests a node's copy of the platform's store while the store is unavailable, has lost its history, or loses answers.
 
@@ -178,6 +182,42 @@
     waitUntil([&] { return follower.endpoints().front().isLeaving; });
 }
 
+// With hundreds of endpoints, the lines of all nodes for each change were a third of the logs. One node logs each change,
+// the others log how many there were.
+TEST_F(FollowersTest, ChangesOfTheListAreLoggedAsCounts)
+{
+    std::array<int, 2> pipe {};
+    ASSERT_EQ(::pipe(pipe.data()), 0);
+    const auto closePipe = qScopeGuard([&] {
+        ::close(pipe[0]);
+        ::close(pipe[1]);
+    });
+    DecisionLog log({ .clock = clock_, .descriptor = pipe[1] });
+    const auto readLog = [&] {
+        std::array<char, 4096> bytes {};
+        const ssize_t size = ::read(pipe[0], bytes.data(), bytes.size());
+        return std::string(bytes.data(), static_cast<size_t>(std::max<ssize_t>(0, size)));
+    };
+    bool logsEach = false;
+    EndpointFollower follower({ .clock = clock_, .logsEachChange = [&] { return logsEach; }, .onChange = [] {} }, follower_, adapter_, log);
+    store_.put("endpoints/e1", "ready");
+    store_.put("endpoints/e2", "ready");
+    follower_.start();
+    waitUntil([&] { return follower.endpoints().size() == 2; });
+    follower.logChanges();
+    follower.logChanges();
+    const std::string counts = readLog();
+    EXPECT_NE(counts.find("event=endpoints_changed found=2 leaving=0 gone=0 endpoints=2"), std::string::npos) << counts;
+    EXPECT_EQ(std::count(counts.begin(), counts.end(), '\n'), 1) << counts;
+    logsEach = true;
+    store_.put("endpoints/e1", "leaving");
+    waitUntil([&] { return follower.endpoints().front().isLeaving; });
+    follower.logChanges();
+    const std::string single = readLog();
+    EXPECT_NE(single.find("event=endpoint_leaving endpoint=endpoints/e1"), std::string::npos) << single;
+    EXPECT_NE(single.find("found=0 leaving=1 gone=0"), std::string::npos) << single;
+}
+
 // The store rejects the calls of one of two nodes. That node reads from the other one, and uses the store again once
 // it answers.
 class PeerSnapshotsTest : public FollowersTest {
--- a/tests/LargeFleetTest.cpp
+++ b/tests/LargeFleetTest.cpp
@@ -1,6 +1,7 @@
 #include "support/SimulatedEngines.h"
 
 #include <gtest/gtest.h>
+#include <memory>
 #include <random>
 
 // Runs the planner over a fleet that loses engines all the time, with a list and results of orders that lag.
@@ -20,6 +21,13 @@
     Millis at;
 };
 
+// Engine-seconds of a fleet.
+struct EngineSeconds {
+    double alive = 0;
+    double serving = 0; // in replicas within one fabric domain
+    double spanning = 0; // in replicas that span fabric domains
+};
+
 class Fleet {
 public:
     Fleet(EngineProfile profile, Millis listLag, Millis maxResultDelay, uint64_t seed)
@@ -53,8 +61,8 @@
         lost_.emplace_back(id, engines_.now());
     }
 
-    // Engine-seconds of live engines, and of those in serving replicas, since the last call.
-    std::pair<double, double> takeEngineSeconds() { return { std::exchange(aliveSeconds_, 0), std::exchange(servingSeconds_, 0) }; }
+    // Returns the engine-seconds since the last call.
+    EngineSeconds takeEngineSeconds() { return std::exchange(seconds_, {}); }
 
 private:
     void step()
@@ -72,9 +80,13 @@
             planner_.noteResult(result.order, result.result);
             return true;
         });
-        aliveSeconds_ += static_cast<double>(engines_.countAlive()) * std::chrono::duration<double>(passInterval).count();
+        const double step = std::chrono::duration<double>(passInterval).count();
+        seconds_.alive += static_cast<double>(engines_.countAlive()) * step;
+        const auto spanning = static_cast<double>(engines_.countSpanning());
+        seconds_.spanning += spanning * step;
+        seconds_.serving -= spanning * step;
         for (const auto& [model, count] : engines_.countServing())
-            servingSeconds_ += static_cast<double>(count) * std::chrono::duration<double>(passInterval).count();
+            seconds_.serving += static_cast<double>(count) * step;
     }
 
     void noteLosses()
@@ -97,8 +109,7 @@
     Millis maxResultDelay_;
     std::vector<PendingResult> results_;
     std::vector<std::pair<std::string, Millis>> lost_;
-    double aliveSeconds_ = 0;
-    double servingSeconds_ = 0;
+    EngineSeconds seconds_;
 };
 
 EngineProfile makeProfile(size_t largeSize, size_t smallSize, size_t concurrentLoads)
@@ -135,42 +146,79 @@
 }
 
 // Replays the losses of kcs-nairobi-large: each 3 s eleven members of replicas in one failure domain are lost for good,
-// and from the 11th second on as many empty engines are added. Engines that serve nobody are the largest waste there.
-TEST(LargeFleet, KeepsEnginesServingUnderWavesOfLosses)
-{
-    constexpr int zones = 5;
-    constexpr int domainsPerZone = 8;
-    constexpr size_t enginesPerDomain = 19;
-    constexpr size_t lossesPerWave = 11;
-    Fleet fleet(makeProfile(8, 4, 95), Millis(300), Millis(20), 1);
-    const auto fabric = [](int zone, int domain) { return "z" + std::to_string(zone) + "d" + std::to_string(domain); };
-    for (int zone = 0; zone < zones; ++zone) {
-        for (int domain = 0; domain < domainsPerZone; ++domain)
-            fleet.engines().addEngines(fabric(zone, domain), enginesPerDomain);
+// and from the 11th second on as many empty engines are added.
+class WavesOfLosses : public testing::Test {
+protected:
+    static constexpr int zones = 5;
+    static constexpr int domainsPerZone = 8;
+    static constexpr size_t enginesPerDomain = 19;
+    static constexpr size_t lossesPerWave = 11;
+
+    static std::string fabric(int zone, int domain) { return "z" + std::to_string(zone) + "d" + std::to_string(domain); }
+
+    static std::unique_ptr<Fleet> startFleet(const EngineProfile& profile)
+    {
+        auto fleet = std::make_unique<Fleet>(profile, Millis(300), Millis(20), 1);
+        for (int zone = 0; zone < zones; ++zone) {
+            for (int domain = 0; domain < domainsPerZone; ++domain)
+                fleet->engines().addEngines(fabric(zone, domain), enginesPerDomain, "zone" + std::to_string(zone));
+        }
+        fleet->runFor(Millis(9000));
+        fleet->startTraffic();
+        return fleet;
     }
-    fleet.runFor(Millis(9000));
-    fleet.startTraffic();
-    const std::map<std::string, size_t> atStart = fleet.engines().countServing();
-    EXPECT_GE(atStart.at("large"), 300U);
-    EXPECT_GE(atStart.at("small"), 300U);
-    fleet.takeEngineSeconds();
-    for (int wave = 0; wave < 11; ++wave) {
-        const int zone = wave % zones;
-        for (size_t loss = 0; loss < lossesPerWave; ++loss) {
-            const std::vector<std::string> members = fleet.engines().findMembers(fabric(zone, static_cast<int>(fleet.draw(domainsPerZone))));
-            fleet.lose(members[fleet.draw(members.size())]);
+
+    static EngineSeconds loseEngines(Fleet& fleet)
+    {
+        fleet.takeEngineSeconds();
+        for (int wave = 0; wave < 11; ++wave) {
+            const int zone = wave % zones;
+            for (size_t loss = 0; loss < lossesPerWave; ++loss) {
+                const std::vector<std::string> members = fleet.engines().findMembers(fabric(zone, static_cast<int>(fleet.draw(domainsPerZone))));
+                fleet.lose(members[fleet.draw(members.size())]);
+            }
+            const int addedTo = (wave + 2) % zones;
+            if (wave >= 3)
+                fleet.engines().addEngines(fabric(addedTo, wave % domainsPerZone), lossesPerWave, "zone" + std::to_string(addedTo));
+            fleet.runFor(Millis(3000));
         }
-        if (wave >= 3)
-            fleet.engines().addEngines(fabric((wave + 2) % zones, wave % domainsPerZone), lossesPerWave);
-        fleet.runFor(Millis(3000));
+        return fleet.takeEngineSeconds();
     }
-    const auto [alive, serving] = fleet.takeEngineSeconds();
-    EXPECT_LE((alive - serving) / alive, 0.25) << "share of engine-seconds in no serving replica";
-    const std::map<std::string, size_t> atEnd = fleet.engines().countServing();
+};
+
+// Engines that serve nobody were the largest waste there.
+TEST_F(WavesOfLosses, KeepEnginesServing)
+{
+    const auto fleet = startFleet(makeProfile(8, 4, 95));
+    const std::map<std::string, size_t> atStart = fleet->engines().countServing();
+    EXPECT_GE(atStart.at("large"), 300U);
+    EXPECT_GE(atStart.at("small"), 300U);
+    const EngineSeconds seconds = loseEngines(*fleet);
+    EXPECT_LE((seconds.alive - seconds.serving) / seconds.alive, 0.25) << "share of engine-seconds in no serving replica";
+    const std::map<std::string, size_t> atEnd = fleet->engines().countServing();
     EXPECT_GE(2 * atEnd.at("large"), atEnd.at("small")) << "losses must not drain the large model";
     EXPECT_GE(2 * atEnd.at("small"), atEnd.at("large"));
-    EXPECT_TRUE(fleet.engines().violations().empty()) << fleet.engines().violations().front();
-    RecordProperty("idle_share_percent", static_cast<int>(100 * (alive - serving) / alive));
+    EXPECT_TRUE(fleet->engines().violations().empty()) << fleet->engines().violations().front();
+    RecordProperty("idle_share_percent", static_cast<int>(100 * (seconds.alive - seconds.serving) / seconds.alive));
+}
+
+// Fabric domains of 19 engines leave three over, and losses leave fragments. They serve together, slowly, and take nothing
+// from the replicas within fabric domains.
+TEST_F(WavesOfLosses, LeftOverEnginesServeInSpanningReplicas)
+{
+    constexpr double timeFactor = 2.5;
+    EngineProfile profile = makeProfile(8, 4, 95);
+    const EngineSeconds without = loseEngines(*startFleet(profile));
+    EXPECT_EQ(without.spanning, 0);
+    profile.spanningTimeFactor = timeFactor;
+    const auto fleet = startFleet(profile);
+    const EngineSeconds with = loseEngines(*fleet);
+    RecordProperty("local_percent", static_cast<int>(100 * with.serving / with.alive));
+    RecordProperty("spanning_percent", static_cast<int>(100 * with.spanning / with.alive));
+    RecordProperty("local_percent_before", static_cast<int>(100 * without.serving / without.alive));
+    EXPECT_GE(with.serving / with.alive, 0.98 * without.serving / without.alive);
+    EXPECT_LE((with.alive - with.serving - with.spanning) / with.alive, 0.12) << "share of engine-seconds in no serving replica";
+    EXPECT_TRUE(fleet->engines().violations().empty()) << fleet->engines().violations().front();
 }
 
 } // namespace
--- a/tests/support/SimulatedEngines.h
+++ b/tests/support/SimulatedEngines.h
@@ -22,11 +22,11 @@
     {
     }
 
-    void addEngines(const std::string& fabric, size_t count)
+    void addEngines(const std::string& fabric, size_t count, const std::string& domain = "a")
     {
         for (size_t i = 0; i < count; ++i) {
             const std::string id = fabric + "-" + std::to_string(++added_);
-            engines_[id].info = { .id = id, .service = "engines", .address = "127.0.0.1", .port = 1, .domain = "a", .fabric = fabric, .startedAtMs = 1 };
+            engines_[id].info = { .id = id, .service = "engines", .address = "127.0.0.1", .port = 1, .domain = domain, .fabric = fabric, .startedAtMs = 1 };
         }
     }
 
@@ -100,6 +100,17 @@
         return serving;
     }
 
+    // Returns the engines in such replicas whose members are in several fabric domains.
+    size_t countSpanning() const
+    {
+        size_t spanning = 0;
+        for (const auto& [id, engine] : engines_) {
+            if (engine.info.membership && engine.info.membership->rank == 0 && engine.info.membership->state == MemberState::Open && isWhole(engine) && isSpanning(engine))
+                spanning += engine.members.size();
+        }
+        return spanning;
+    }
+
     size_t countAlive() const
     {
         return static_cast<size_t>(std::count_if(engines_.begin(), engines_.end(), [](const auto& entry) { return entry.second.isAlive; }));
@@ -189,6 +200,11 @@
         });
     }
 
+    bool isSpanning(const Engine& head) const
+    {
+        return std::any_of(head.members.begin(), head.members.end(), [&](const std::string& id) { return engines_.at(id).info.fabric != head.info.fabric; });
+    }
+
     std::vector<EndpointInfo> snapshot() const
     {
         std::vector<EndpointInfo> list;
