Mend two linter findings in the spanning replicas

Cause: a structured binding captured by a lambda, which clang rejects, and a vector that grows in a loop. Ruled out: the other 36 changed units, linted clean. After: the file passes the linter, LargeFleetTest passes as before. Conclusion: no change of behaviour.

--- a/packages/replicas/SpanningReplicas.cpp
+++ b/packages/replicas/SpanningReplicas.cpp
@@ -35,7 +35,8 @@
     if (profile_.spanningTimeFactor <= 1)
         return;
     const Millis now = options_.clock();
-    for (auto& [domain, free] : freeByDomain) {
+    for (auto& entry : freeByDomain) {
+        FreeEngines& free = entry.second;
         std::erase_if(free, [&](const Engine* engine) { return now - engine->freeSince < options_.leftOverTime; });
         bool hasFormed = true;
         while (hasFormed) {
@@ -70,6 +71,7 @@
             ++membersByGroup[engine->info.membership->group];
     }
     std::vector<std::pair<size_t, std::string>> groups;
+    groups.reserve(membersByGroup.size());
     for (const auto& [group, members] : membersByGroup)
         groups.emplace_back(members, group);
     std::sort(groups.rbegin(), groups.rend());
