--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -18,7 +18,7 @@
 static constexpr uint32_t rejectionsPerFailure = 3;
 // Time constant of the moving average of the placements.
 static constexpr double placementRateMs = 1000;
-// Contended slots that a node may have saved up to take at once.
+// Contended slots that a node may take at once.
 static constexpr double maxClaims = 3;
 // Fraction of a target's slots in use above which nodes compete for the remaining ones.
 static constexpr double contendedFraction = 0.75;
@@ -263,13 +263,14 @@
     if (load.running > 0)
         --load.running;
     const QueueKey key { load.target.service, load.target.model };
-    const bool hasWaiting = !queues_[key].waiting.empty();
-    if (hasWaiting)
-        queues_[key].claims = std::min(maxClaims, queues_[key].claims + 1);
-    if (hasWaiting)
-        placeWaiting(key, &load);
-    else
+    Queue& queue = queues_[key];
+    if (queue.waiting.empty()) {
         reportIfContended(load);
+        return;
+    }
+    if (!load.target.isSpanning())
+        queue.claims = std::min(maxClaims, queue.claims + 1);
+    placeWaiting(key, &load);
 }
 
 void Dispatcher::noteFailure(const std::string& targetId, bool isUnresponsive)
--- a/tests/PromptSpreadTest.cpp
+++ b/tests/DispatcherFleetTest.cpp
@@ -4,8 +4,7 @@
 #include <memory>
 #include <random>
 
-// Replays the large model of kcs-nairobi-large in a burst: 37 nodes place long prompts on 33 replicas and know each
-// other's placements late. A replica processes one prompt after the other, and its streams pause meanwhile.
+// Runs the dispatchers of many nodes that know each other's placements late, under loads of kcs-nairobi-large.
 
 using namespace hemlockweir;
 
@@ -30,7 +29,8 @@
     uint32_t running = 0;
 };
 
-// The nodes and the replicas, for one run.
+// Replays the large model of kcs-nairobi-large in a burst: 37 nodes place long prompts on 33 replicas. A replica processes one
+// prompt after the other, and its streams pause meanwhile.
 class Fleet {
 public:
     struct Node {
@@ -214,4 +214,71 @@
 
 INSTANTIATE_TEST_SUITE_P(RequestsPerSecond, PromptSpread, testing::Values(290, 350, 400, 500, 600));
 
+// Replays kcs-nairobi-large scale-1: all 37 nodes have a queue when a replica opens. Each saw 14 free slots and sent its
+// queue there; the engine rejected most of it.
+TEST(DispatcherFleet, NodesShareTheSlotsOfANewReplica)
+{
+    constexpr uint32_t engineQueue = 28; // requests that an engine queues beyond its slots
+    Millis now { 1000 };
+    size_t placed = 0;
+    const auto makeTarget = [](const std::string& id) { return Target { .id = id, .service = "engines", .model = "m", .address = "127.0.0.1", .port = 1, .domain = "a", .slots = slots }; };
+    std::vector<std::unique_ptr<Dispatcher>> fleet;
+    for (size_t i = 0; i < nodeCount; ++i)
+        fleet.push_back(std::make_unique<Dispatcher>(Dispatcher::Options { .clock = [&now] { return now; }, .random = makeSeededRandom(i + 1), .domain = "a" }));
+    const auto exchangeUsage = [&] {
+        for (size_t to = 0; to < nodeCount; ++to) {
+            for (size_t from = 0; from < nodeCount; ++from) {
+                PeerUsage usage { .byTarget = fleet[from]->ownUsage(), .receivedAt = now };
+                if (from == 0)
+                    usage.byTarget[hashTarget("full")] = { .running = slots };
+                if (from != to)
+                    fleet[to]->updatePeerUsage("n" + std::to_string(from), usage);
+            }
+        }
+    };
+    for (const auto& dispatcher : fleet)
+        dispatcher->setTargets("engines", { makeTarget("full") });
+    exchangeUsage();
+    uint64_t id = 0;
+    for (const auto& dispatcher : fleet) {
+        for (int i = 0; i < 10; ++i)
+            dispatcher->submit({ .id = ++id, .service = "engines", .model = "m", .arrivedAt = now, .objectiveAt = now + Millis(500), .deadlineAt = now + Millis(6000), .onPlaced = [&placed](const Target&) { ++placed; }, .onRefused = [](const PlacementRefusal&) {} });
+    }
+    now += Millis(500);
+    for (const auto& dispatcher : fleet)
+        dispatcher->setTargets("engines", { makeTarget("full"), makeTarget("new") });
+    for (int i = 0; i < 8; ++i) {
+        now += Millis(45);
+        for (const auto& dispatcher : fleet)
+            dispatcher->tick();
+        exchangeUsage();
+        EXPECT_LE(placed, slots + engineQueue) << "no more than the engine takes";
+    }
+    EXPECT_GE(placed, slots) << "all slots are used within some reports";
+}
+
+// Replays kcs-nairobi-large scale-1: the backoff of a broken replica ended at the same time on all 37 nodes, and each sent
+// it as many requests as it had free slots.
+TEST(DispatcherFleet, NodesProbeASuspectTargetOneAfterTheOther)
+{
+    Millis now { 1000 };
+    size_t placed = 0;
+    std::vector<std::unique_ptr<Dispatcher>> fleet;
+    for (size_t i = 0; i < nodeCount; ++i) {
+        fleet.push_back(std::make_unique<Dispatcher>(Dispatcher::Options { .clock = [&now] { return now; }, .random = makeSeededRandom(i + 1), .domain = "a" }));
+        fleet.back()->setTargets("engines", { { .id = "e1", .service = "engines", .model = "m", .address = "127.0.0.1", .port = 1, .domain = "a", .slots = slots } });
+        fleet.back()->notePeerFailure(hashTarget("e1"));
+    }
+    uint64_t id = 0;
+    while (placed == 0 && now < Millis(5000)) {
+        now += Millis(20);
+        for (const auto& dispatcher : fleet) {
+            for (int i = 0; i < 3; ++i)
+                dispatcher->submit({ .id = ++id, .service = "engines", .model = "m", .arrivedAt = now, .objectiveAt = now + Millis(500), .deadlineAt = now + Millis(6000), .onPlaced = [&placed](const Target&) { ++placed; }, .onRefused = [](const PlacementRefusal&) {} });
+        }
+    }
+    EXPECT_GE(placed, 1U);
+    EXPECT_LE(placed, 5U) << "requests within 20 ms, before a report of the first failure arrives";
+}
+
 } // namespace
