Name the reply that a test's condition holds, so that g++ 12 on arm64 builds it

On arm64 scripts/demo and scripts/test stopped at tests/SharedClaimsProcessTest.cpp:33: g++ 12 reports the QByteArray in the temporary reply of a lambda's condition as maybe uninitialised in its destructor (-Werror=maybe-uninitialized). The reply is always initialised: the warning is a false one, that x86-64 did not give. The reply has a name now; the condition checks the same.

Ruled out: another file with the same warning (the build before the change, run without -k, named only this one; the issue's run with -k 0 named no other). Before: scripts/demo on a fresh arm64 machine ended with 'build stopped' after 4 min 43 s.

--- a/tests/SharedClaimsProcessTest.cpp
+++ b/tests/SharedClaimsProcessTest.cpp
@@ -30,7 +30,10 @@
             cluster.startNode({ .name = node, .domain = "a", .seeds = { "n1", "n2", "n3" }, .advertised = node + ".in", .settings = sharing });
         ASSERT_EQ(cluster.publish(makeServiceFile(2)), 0);
         for (const std::string& node : names())
-            ASSERT_TRUE(waitUntil([&] { return cluster.call("GET", cluster.urlOf(node) + "/orders", {}, { { "Authorization", "Bearer caller-key" } }).status == 200 && countLivePeers(node) == nodes - 1; }));
+            ASSERT_TRUE(waitUntil([&] {
+                const Answer answer = cluster.call("GET", cluster.urlOf(node) + "/orders", {}, { { "Authorization", "Bearer caller-key" } });
+                return answer.status == 200 && countLivePeers(node) == nodes - 1;
+            }));
         aggregator = findAggregator();
         ASSERT_FALSE(aggregator.empty());
         other = aggregator == "n1" ? "n2" : "n1";
