--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -22,7 +22,9 @@
     fi
 }
 
+# Builds the given targets, or everything. CMAKE_ARGS: more arguments for CMake, separated by spaces.
 build() {
-    cmake -S . -B "$BUILD_DIR" -G Ninja "$@" >/dev/null
-    cmake --build "$BUILD_DIR" -j "${BUILD_JOBS:-$(nproc)}"
+    # shellcheck disable=SC2086
+    cmake -S . -B "$BUILD_DIR" -G Ninja ${CMAKE_ARGS:-} >/dev/null
+    cmake --build "$BUILD_DIR" -j "${BUILD_JOBS:-$(nproc)}" ${1:+--target "$@"}
 }
