Log requests that are left at the exit, and when and on which connection a request arrived

Nor did any line tell a request on a new connection from one on a kept one, or one that arrived after SIGTERM. Each flow that is left is ended now when the process exits and writes its line; every request_done has its number on its connection and its arrival relative to the start of the shutdown.

One change for callers comes with it: a request that still waits for a slot at the exit gets 503, since it did not run, instead of a closed connection.

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -384,7 +384,7 @@
     stopStartedAt_ = clock_();
     onStopped_ = std::move(onStopped);
     presence_.resign();
-    proxy_.startShutdown();
+    proxy_.startShutdown({ .startedAt = stopStartedAt_, .endsAt = stopStartedAt_ + settings_.grace - exitMargin });
 }
 
 // Finishes the shutdown once the balancer has removed the node and all requests are answered, or the grace period
@@ -402,6 +402,7 @@
     if ((!proxy_.isIdle() && !isGraceOver) || !onStopped_)
         return;
     log_.noteChange("gateway_stopped", { { "requests_left", std::to_string(proxy_.flowCount()) }, { "took_ms", std::to_string(elapsed.count()) } });
+    proxy_.endShutdown();
     log_.reportOmitted();
     std::exchange(onStopped_, {})();
 }
--- a/packages/http/ServerConnection.cpp
+++ b/packages/http/ServerConnection.cpp
@@ -159,6 +159,7 @@
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     request.startedAt = startedAt_;
+    request.number = ++requestCount_;
     request.headers.reserve(16);
     for (const auto& field : message)
         request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
--- a/packages/http/ServerConnection.h
+++ b/packages/http/ServerConnection.h
@@ -18,6 +18,7 @@
     std::vector<HeaderLine> headers;
     std::string body;
     Millis startedAt { 0 }; // time at which its first byte was read
+    uint64_t number = 1; // position among the requests of its connection
 
     // Returns the value of a header, or an empty text when it is absent.
     std::string_view header(std::string_view name) const { return findHeader(headers, name).value_or(std::string_view()); }
@@ -110,6 +111,7 @@
     std::string unread_;
     std::optional<Parser> parser_;
     Millis startedAt_ { 0 }; // start of the current request, idle time or lingering
+    uint64_t requestCount_ = 0;
     State state_ = State::ReadingHead;
     bool keepsAlive_ = true;
     bool isHttp10_ = false;
--- a/packages/proxy/Proxy.cpp
+++ b/packages/proxy/Proxy.cpp
@@ -46,6 +46,19 @@
     });
 }
 
+void Proxy::startShutdown(const ShutdownWindow& window)
+{
+    proxyContext_.shutdown = window;
+    server_.closeAfterAnswers();
+}
+
+void Proxy::endShutdown()
+{
+    const auto flows = flows_;
+    for (const auto& [id, flow] : flows)
+        flow->handleExit();
+}
+
 void Proxy::tick()
 {
     const auto flows = flows_;
--- a/packages/proxy/Proxy.h
+++ b/packages/proxy/Proxy.h
@@ -29,7 +29,10 @@
     const std::shared_ptr<const RouteTable>& routes() const { return routes_; }
 
     // Starts a graceful shutdown: every response asks its caller to close the connection. Connections are still accepted.
-    void startShutdown() { server_.closeAfterAnswers(); }
+    void startShutdown(const ShutdownWindow& window);
+
+    // Ends the requests that are left when the process exits.
+    void endShutdown();
 
     // Returns whether no request is being read or in progress, and every answer has been sent.
     bool isIdle() const { return flows_.empty() && !server_.isBusy(); }
--- a/packages/proxy/ProxyContext.h
+++ b/packages/proxy/ProxyContext.h
@@ -29,6 +29,14 @@
     std::string lastEventId; // id of the event after which a stream is resumed
 };
 
+// The time of a graceful shutdown.
+struct ShutdownWindow {
+    Millis startedAt { 0 };
+    Millis endsAt { 0 }; // when the process exits, even if requests are left
+
+    auto operator<=>(const ShutdownWindow&) const = default;
+};
+
 struct ProxyContext {
     Clock clock;
     Random random;
@@ -39,6 +47,7 @@
     CrashList& crashes;
     DecisionLog& log;
     ProxyMetrics& metrics;
+    std::optional<ShutdownWindow> shutdown; // set while this node shuts down
 };
 
 } // namespace hemlockweir
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -341,6 +341,20 @@
     fail("timeout");
 }
 
+void ProxyFlow::handleExit()
+{
+    if (isDone_)
+        return;
+    if (isQueued_)
+        context_.dispatcher.cancel(options_.id);
+    if (attempt_ && attempt_->connection->wasSent())
+        executionState_ = ExecutionState::MayHaveRun;
+    if (attempt_)
+        attempt_->connection->close();
+    endAttempt("stopped");
+    fail("stopped");
+}
+
 // Ends the flow because the caller closed its connection.
 void ProxyFlow::cancel()
 {
@@ -371,6 +385,7 @@
             .sends = sends_,
             .endpoint = lastTarget_,
             .configurationVersion = options_.routes ? std::optional<uint64_t>(options_.routes->configuration().version) : std::nullopt,
+            .numberOnConnection = options_.request.number,
         });
     options_.onDone(options_.id);
 }
--- a/packages/proxy/ProxyFlow.h
+++ b/packages/proxy/ProxyFlow.h
@@ -28,6 +28,10 @@
     // Ends the flow at its deadline, or retries when the endpoint doesn't respond. Call periodically.
     void checkTimeouts();
 
+    // Ends the flow because the process exits now. A request that did not run is refused as such; an unfinished response
+    // is aborted.
+    void handleExit();
+
     uint64_t id() const { return options_.id; }
 
 private:
--- a/packages/proxy/RequestOutcome.cpp
+++ b/packages/proxy/RequestOutcome.cpp
@@ -2,6 +2,12 @@
 
 namespace hemlockweir {
 
+// Returns when the request arrived relative to the start of the shutdown; negative if it arrived before.
+static std::string formatArrival(const ProxyContext& context, Millis startedAt)
+{
+    return context.shutdown ? std::to_string((startedAt - context.shutdown->startedAt).count()) : "none";
+}
+
 void noteOutcome(ProxyContext& context, const RequestOutcome& outcome)
 {
     const Millis now = context.clock();
@@ -24,6 +30,8 @@
         LogField { "sends", std::to_string(outcome.sends) },
         LogField { "endpoint", outcome.endpoint },
         LogField { "config_version", outcome.configurationVersion ? std::to_string(*outcome.configurationVersion) : "none" },
+        LogField { "number_on_connection", std::to_string(outcome.numberOnConnection) },
+        LogField { "after_stop_ms", formatArrival(context, outcome.times.startedAt) },
     };
     if (isServed)
         context.log.note("request_done", fields);
--- a/packages/proxy/RequestOutcome.h
+++ b/packages/proxy/RequestOutcome.h
@@ -18,6 +18,7 @@
     int sends = 0; // number of sends to endpoints
     std::string endpoint; // endpoint that the request was sent to last
     std::optional<uint64_t> configurationVersion; // version in force when the request arrived
+    uint64_t numberOnConnection = 1; // position among the requests of the caller's connection
 };
 
 // Updates the metrics and writes one log line for the request.
