Show that a shutdown cuts streams that the gateway took too late

Each must be answered completely or refused at once with 503 and Retry-After, and the short ones must be served.

--- /dev/null
+++ b/tests/GatewayShutdownProcessTest.cpp
@@ -0,0 +1,126 @@
+// Tests that a gateway that shuts down interrupts no request that it has taken since, with real processes: whatever
+// arrives late is answered completely or refused at once.
+
+#include "http/ClientConnection.h"
+#include "http/StatusCodes.h"
+#include "support/GatewayCluster.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+namespace hemlockweir {
+
+static constexpr int tokensPerEvent = 5; // of the engines' stand-ins
+// A stream of this many events takes longer than the gateway exists after the last connections are accepted: 5.2 s at an
+// event each 20 ms.
+static constexpr int longStreamEvents = 260;
+// The timeout of the routes, less the time that an answer needs to arrive. It ends a stream of a slow stand-in.
+static constexpr Millis routeTimeout { 5900 };
+static constexpr int shortStreamEvents = 10;
+// The balancer may send new connections for this time after SIGTERM, in ms.
+static constexpr int lastSendMs = 3400;
+static constexpr int sendIntervalMs = 200;
+
+namespace {
+
+    // A stream and what its caller received.
+    struct Stream {
+        std::string id;
+        std::shared_ptr<ClientConnection> connection;
+        Millis sentAt { 0 }; // after SIGTERM
+        int events = 0;
+        std::optional<ResponseHead> head;
+        std::string received;
+        std::optional<ExchangeEnd> end;
+        Millis lasted { 0 };
+
+        bool isWhole() const { return end == ExchangeEnd::Complete && head->status == statusOk && received.find(absl::StrCat("id: ", events, "\n")) != std::string::npos; }
+        bool isRefused() const { return end == ExchangeEnd::Complete && head->status == statusUnavailable && findHeader(head->headers, "Retry-After"); }
+    };
+
+    class GatewayShutdown : public testing::Test {
+    protected:
+        std::shared_ptr<Stream> send(int events, Millis sentAt)
+        {
+            const QString address = QString::fromStdString(cluster_.frontOf(gateway_));
+            const auto stream = std::make_shared<Stream>(Stream { .id = absl::StrCat("r", streams_.size() + 1), .sentAt = sentAt, .events = events });
+            const Millis now = clock_();
+            stream->connection = std::make_shared<ClientConnection>(context_, ClientConnection::Options { .address = address.section(':', 0, 0).toStdString(), .port = static_cast<uint16_t>(address.section(':', 1).toInt()), .clock = clock_ });
+            const std::string model = events == longStreamEvents ? "large" : "small";
+            stream->connection->exchange(absl::StrCat("POST /", model, "/1 HTTP/1.1\r\nHost: soak.test\r\nX-Request-Id: ", stream->id, "\r\nX-Key: key-1\r\nX-Deadline-Ms: 60000\r\nX-Model: ", model, "\r\nX-Token-Counts: 100,", events * tokensPerEvent, "\r\nContent-Length: 0\r\n\r\n"),
+                {
+                    .onHead = [stream](const ResponseHead& head) { stream->head = head; },
+                    .onBody = [stream](std::string_view bytes) { stream->received += bytes; },
+                    .onEnd =
+                        [this, stream, now](ExchangeEnd how) {
+                            stream->end = how;
+                            stream->lasted = clock_() - now;
+                        },
+                });
+            streams_.push_back(stream);
+            return stream;
+        }
+
+        bool runUntil(const std::function<bool()>& condition)
+        {
+            return waitUntil([&] {
+                context_.restart();
+                context_.poll();
+                return condition();
+            });
+        }
+
+        bool isServed(int events)
+        {
+            const auto stream = send(events, Millis(0));
+            return runUntil([&] { return stream->end.has_value(); }) && stream->isWhole();
+        }
+
+        bool wasRun(const std::string& id)
+        {
+            for (const std::string& engine : cluster_.engines()) {
+                for (const QJsonObject& run : cluster_.processes().effects(engine, "run")) {
+                    if (run["request"].toString().toStdString() == id)
+                        return true;
+                }
+            }
+            return false;
+        }
+
+        GatewayCluster cluster_;
+        const std::string gateway_ = "g1";
+        boost::asio::io_context context_;
+        Clock clock_ = makeSteadyClock();
+        std::vector<std::shared_ptr<Stream>> streams_;
+    };
+
+} // namespace
+
+TEST_F(GatewayShutdown, RequestTakenLateIsAnsweredCompletelyOrRefusedAtOnce)
+{
+    ASSERT_TRUE(runUntil([&] { return isServed(shortStreamEvents); }));
+    ASSERT_TRUE(runUntil([&] { return isServed(longStreamEvents); }));
+    streams_.clear();
+    const Millis stoppedAt = clock_();
+    cluster_.processes().terminate(gateway_);
+    Millis nextAt { 0 };
+    while (nextAt < Millis(lastSendMs)) {
+        ASSERT_TRUE(runUntil([&] { return clock_() - stoppedAt >= nextAt; }));
+        for (const int events : { longStreamEvents, shortStreamEvents })
+            send(events, clock_() - stoppedAt);
+        nextAt += Millis(sendIntervalMs);
+    }
+    EXPECT_TRUE(runUntil([&] { return std::all_of(streams_.begin(), streams_.end(), [](const auto& stream) { return stream->end.has_value(); }); }));
+    for (const auto& stream : streams_) {
+        const std::string what = absl::StrCat("request ", stream->id, " of ", stream->events, " events, sent ", stream->sentAt.count(), " ms after SIGTERM");
+        // The listener may be closed already if this test was slow.
+        if (stream->end == ExchangeEnd::NotConnected || !stream->end)
+            continue;
+        EXPECT_TRUE(stream->isWhole() || stream->isRefused() || stream->lasted >= routeTimeout) << what << " was interrupted after " << stream->received.size() << " bytes";
+        EXPECT_TRUE(!stream->isRefused() || !wasRun(stream->id)) << what << " was refused as not run, but ran";
+        EXPECT_TRUE(stream->events != shortStreamEvents || stream->isWhole()) << what << " had time to end, but was refused";
+    }
+}
+
+} // namespace hemlockweir
