Take no request at a shutdown that may not end before the exit

Cause: work was admitted during a graceful shutdown without a look at the time that is left. The node accepts connections for 3.5 s because the balancer needs up to two seconds to remove it, and goes on sending where fewer than half of a failure domain's nodes are in rotation; it exits grace - 500 ms after the signal, whatever runs.

Now a flow that begins while the node shuts down, or gets a slot then, or still waits for one, is compared with the time left: the longest recent run of its route plus a margin (ServiceTimes), the route's timeout if none is known. What does not fit is refused at once with 503, Retry-After 0.1 s and a close; another node runs it whole. The check is in the flow, so that new and kept connections, queued connections and slow senders are covered alike.

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -43,7 +43,8 @@
     , pool_(context, { .clock = clock_ })
     , retries_({ .clock = clock_, .window = settings_.retryWindow, .retriesPerRequest = settings_.retriesPerRequest, .allowance = settings_.retryAllowance })
     , crashes_({ .clock = clock_, .onConnectionLost = [this](const std::string& endpoint) { handleConnectionLost(endpoint); }, .onCrash = [this](uint64_t request, uint32_t endpoint) { usage_.addCrash({ .request = request, .endpoint = endpoint }); } })
-    , proxyContext_ { .clock = clock_, .random = random_, .headers = adapter_.headers, .dispatcher = dispatcher_, .pool = pool_, .retries = retries_, .crashes = crashes_, .log = log_, .metrics = metrics_ }
+    , serviceTimes_({ .clock = clock_ })
+    , proxyContext_ { .clock = clock_, .random = random_, .headers = adapter_.headers, .dispatcher = dispatcher_, .pool = pool_, .retries = retries_, .crashes = crashes_, .serviceTimes = serviceTimes_, .log = log_, .metrics = metrics_ }
     , proxy_(context, { .address = settings_.callers.address, .port = settings_.callers.port, .clock = clock_ }, proxyContext_)
     , store_(context, { .clock = clock_, .prefixes = { adapter_.configurationKey, adapter_.endpointPrefix, Presence::keyPrefix } }, adapter_.store, log_)
     , configuration_({ .onConfiguration = [this](std::shared_ptr<const RouteTable> routes) { applyConfiguration(std::move(routes)); } }, store_, adapter_, log_)
@@ -398,7 +399,7 @@
         hasStoppedListening_ = true;
         proxy_.stopListening();
     }
-    const bool isGraceOver = elapsed >= settings_.grace - exitMargin;
+    const bool isGraceOver = clock_() >= proxyContext_.shutdown->endsAt;
     if ((!proxy_.isIdle() && !isGraceOver) || !onStopped_)
         return;
     log_.noteChange("gateway_stopped", { { "requests_left", std::to_string(proxy_.flowCount()) }, { "took_ms", std::to_string(elapsed.count()) } });
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -71,6 +71,7 @@
     ConnectionPool pool_;
     RetryWindow retries_;
     CrashList crashes_;
+    ServiceTimes serviceTimes_;
     ProxyContext proxyContext_;
     Proxy proxy_;
     StoreFollower store_;
--- a/packages/proxy/Proxy.cpp
+++ b/packages/proxy/Proxy.cpp
@@ -1,5 +1,7 @@
 #include "proxy/Proxy.h"
 
+#include <algorithm>
+
 namespace hemlockweir {
 
 Proxy::Proxy(boost::asio::io_context& context, const Options& options, ProxyContext& shared)
@@ -38,6 +40,10 @@
 void Proxy::setRoutes(std::shared_ptr<const RouteTable> routes)
 {
     routes_ = std::move(routes);
+    proxyContext_.serviceTimes.retainIf([this](const std::string& name) {
+        const std::vector<Route>& known = routes_->configuration().routes;
+        return std::any_of(known.begin(), known.end(), [&](const Route& route) { return route.name == name; });
+    });
     const CallerLimits& limits = routes_->configuration().limits;
     server_.setLimits({
         .request = { .headBytes = limits.headBytes, .bodyBytes = limits.bodyBytes },
--- a/packages/proxy/ProxyContext.h
+++ b/packages/proxy/ProxyContext.h
@@ -6,6 +6,7 @@
 #include "proxy/Dispatcher.h"
 #include "proxy/ProxyMetrics.h"
 #include "proxy/RetryWindow.h"
+#include "proxy/ServiceTimes.h"
 
 // State shared by all requests of one node.
 
@@ -45,6 +46,7 @@
     ConnectionPool& pool;
     RetryWindow& retries;
     CrashList& crashes;
+    ServiceTimes& serviceTimes;
     DecisionLog& log;
     ProxyMetrics& metrics;
     std::optional<ShutdownWindow> shutdown; // set while this node shuts down
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -39,6 +39,10 @@
         return;
     }
     readLimits();
+    if (!endsBeforeExit()) {
+        refuseForExit();
+        return;
+    }
     const Millis objectiveAt = options_.request.startedAt + (route_.objective.count() > 0 ? route_.objective : route_.timeout);
     context_.retries.noteRequest(service_);
     requestPlacement(objectiveAt, priority_);
@@ -113,6 +117,19 @@
         eventSplitter_.setLastId(lastId);
 }
 
+// Returns whether a request that would run from now on ends before this process does, if it shuts down.
+bool ProxyFlow::endsBeforeExit() const
+{
+    return !context_.shutdown || endsInTime(context_.shutdown->endsAt - context_.clock(), context_.serviceTimes.longest(route_.name), route_.timeout);
+}
+
+// Refuses a request that has not run, because this process would end before its response. The caller reaches another node.
+void ProxyFlow::refuseForExit()
+{
+    context_.log.noteFailure("request_refused", { { "request", requestId_ }, { "route", route_.name }, { "reason", "stopping" }, { "time_left_ms", std::to_string((context_.shutdown->endsAt - context_.clock()).count()) }, { "longest_ms", std::to_string(context_.serviceTimes.longest(route_.name).value_or(route_.timeout).count()) } });
+    sendError(statusUnavailable, "stopping", stoppingRetryAfter);
+}
+
 void ProxyFlow::requestPlacement(Millis objectiveAt, int priority)
 {
     PlacementRequest request {
@@ -159,6 +176,11 @@
         context_.dispatcher.release(target.id);
         return;
     }
+    if (mayRefuse() && !endsBeforeExit()) {
+        context_.dispatcher.release(target.id);
+        refuseForExit();
+        return;
+    }
     attempt_.emplace(Attempt { .target = target, .sentAt = now, .progressAt = now });
     lastTarget_ = target.id;
     ++sends_;
@@ -174,6 +196,21 @@
         });
 }
 
+// Returns whether the request can be refused as not run.
+bool ProxyFlow::mayRefuse() const
+{
+    return executionState_ == ExecutionState::NotRun && !isHeadSent_;
+}
+
+// Refuses a queued request that no longer ends before the exit of this process.
+void ProxyFlow::leaveQueue()
+{
+    context_.dispatcher.cancel(options_.id);
+    isQueued_ = false;
+    times_.stopWaiting(context_.clock());
+    refuseForExit();
+}
+
 // Returns whether a request that waited for its connection may still be sent. The time left that it tells the endpoint is
 // that of its placement: after a pause of this process the endpoint would work on it for too long, or for nobody.
 bool ProxyFlow::maySend() const
@@ -329,6 +366,8 @@
     if (now < deadlineAt_) {
         if (attempt_)
             checkInactivity(now);
+        else if (isQueued_ && mayRefuse() && !endsBeforeExit())
+            leaveQueue();
         return;
     }
     if (isQueued_)
--- a/packages/proxy/ProxyFlow.h
+++ b/packages/proxy/ProxyFlow.h
@@ -39,6 +39,8 @@
     static constexpr int maxUnexecutedSends = 2;
     // Retry-After of a refused request when the reason gives no estimate.
     static constexpr Millis defaultRetryAfter { 500 };
+    // Retry-After of a request that a stopping node refuses: other nodes can serve it at once.
+    static constexpr Millis stoppingRetryAfter { 100 };
 
     // One send of the request to an endpoint.
     struct Attempt {
@@ -59,6 +61,10 @@
     bool readRequestId();
     bool findRoute();
     void readLimits();
+    bool endsBeforeExit() const;
+    bool mayRefuse() const;
+    void refuseForExit();
+    void leaveQueue();
     void requestPlacement(Millis objectiveAt, int priority);
     void handlePlacement(const Target& target);
     void handleRefusal(const PlacementRefusal& refusal);
--- a/packages/proxy/ProxyFlowAnswer.cpp
+++ b/packages/proxy/ProxyFlowAnswer.cpp
@@ -207,6 +207,8 @@
         context_.crashes.noteAnswered(fingerprint());
     endAttempt("answered");
     const ResponseHead& head = *attempt.head;
+    if (head.status / 100 == 2)
+        context_.serviceTimes.note(route_.name, context_.clock() - attempt.sentAt);
     if (route_.kind == RequestKind::Stream && head.status / 100 == 2) {
         if (!isHeadSent_)
             startStream(head);
--- a/tests/ProxyFlowTest.cpp
+++ b/tests/ProxyFlowTest.cpp
@@ -336,4 +336,108 @@
     EXPECT_FALSE(second.starts_with("HTTP/1.1 200")) << second;
 }
 
+class ProxyShutdown : public ProxyFlowTest {
+protected:
+    // Starts a shutdown that ends this time from now.
+    void startShutdown(Millis timeLeft) { proxy_.startShutdown({ .startedAt = clock_(), .endsAt = clock_() + timeLeft }); }
+
+    // A sample of how long the requests of a route run.
+    void noteServiceTime(const std::string& route, Millis longest)
+    {
+        serviceTimes_.note(route, longest / 3); // a single sample has a margin of twice its time
+        ASSERT_EQ(serviceTimes_.longest(route), longest);
+    }
+};
+
+// Seen in an incident: a stream was taken shortly before the listener closed, and cut when the process ended.
+TEST_F(ProxyShutdown, RequestThatWouldNotEndBeforeTheExitIsRefusedAtOnce)
+{
+    configure();
+    script([](int) { return ScriptedResponse { .bytes = streamHead("r1") + chunk(event(1)), .ending = Ending::Hold }; });
+    noteServiceTime("draft", Millis(1200));
+    startShutdown(Millis(1000));
+    const std::string answer = exchange(request("/draft/7", "r1"));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+    EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
+    EXPECT_NE(answer.find("Connection: close\r\n"), std::string::npos) << answer;
+    EXPECT_EQ(requestCount(), 0U);
+}
+
+TEST_F(ProxyShutdown, RequestThatEndsBeforeTheExitIsServed)
+{
+    configure();
+    script([](int) { return ScriptedResponse { sealedResponse("r1", "whole") }; });
+    noteServiceTime("draft", Millis(1200));
+    noteServiceTime("order", Millis(600));
+    startShutdown(Millis(1000));
+    EXPECT_TRUE(exchange(request("/order/7", "r1")).ends_with("whole"));
+}
+
+// The timeout of the routes is 3000 ms.
+TEST_F(ProxyShutdown, UnknownRequestIsTakenOnlyWithTimeForItsTimeout)
+{
+    configure();
+    script([](int) { return ScriptedResponse { sealedResponse("r1", "whole") }; });
+    startShutdown(Millis(4000));
+    EXPECT_TRUE(exchange(request("/order/7", "r1")).ends_with("whole"));
+    clockOffset_ += Millis(1500);
+    EXPECT_TRUE(exchange(request("/look/7", "r2")).starts_with("HTTP/1.1 503 "));
+    EXPECT_EQ(requestCount(), 1U);
+}
+
+// The wait for a slot takes the time that the request needs.
+TEST_F(ProxyShutdown, QueuedRequestIsRefusedOnceItCanNotEnd)
+{
+    configure();
+    Target full = target("e1", first_);
+    full.slots = 1;
+    dispatcher_.setTargets("desk", { full });
+    script([](int) { return ScriptedResponse { .bytes = streamHead("r1") + chunk(event(1)), .ending = Ending::Hold }; });
+    ScriptedCaller running(context_, proxy_.port());
+    running.send(request("/draft/1", "r1"));
+    running.readUntil(event(1));
+    noteServiceTime("look", Millis(900));
+    startShutdown(Millis(1000));
+    ScriptedCaller queued(context_, proxy_.port());
+    queued.send(request("/look/2", "r2"));
+    runUntil(context_, [this] { return dispatcher_.waitingCount() == 1; });
+    clockOffset_ += Millis(150);
+    proxy_.tick();
+    queued.readUntil("HTTP/1.1 503 ");
+    EXPECT_EQ(requestCount(), 1U);
+    EXPECT_EQ(dispatcher_.waitingCount(), 0U);
+}
+
+TEST_F(ProxyShutdown, RequestThatStillWaitsAtTheExitIsRefused)
+{
+    configure();
+    Target full = target("e1", first_);
+    full.slots = 1;
+    dispatcher_.setTargets("desk", { full });
+    script([](int) { return ScriptedResponse { .bytes = streamHead("r1") + chunk(event(1)), .ending = Ending::Hold }; });
+    ScriptedCaller running(context_, proxy_.port());
+    running.send(request("/draft/1", "r1"));
+    running.readUntil(event(1));
+    ScriptedCaller queued(context_, proxy_.port());
+    queued.send(request("/look/2", "r2"));
+    runUntil(context_, [this] { return dispatcher_.waitingCount() == 1; });
+    startShutdown(Millis(0));
+    proxy_.endShutdown();
+    queued.readUntil("HTTP/1.1 503 ");
+    runUntil(context_, [this] { return peerCloses() == 1; });
+    EXPECT_EQ(proxy_.flowCount(), 0U);
+}
+
+// A stopping node learns from the requests that it serves how long they run.
+TEST_F(ProxyShutdown, CompleteResponsesTellHowLongRequestsRun)
+{
+    configure();
+    script([](int) { return ScriptedResponse { sealedResponse("r1", "whole") }; });
+    exchange(request("/order/7", "r1"));
+    EXPECT_TRUE(serviceTimes_.longest("order").has_value());
+    script([](int) { return ScriptedResponse { .bytes = {}, .ending = Ending::Reset }; });
+    exchange(request("/look/7", "r2"));
+    EXPECT_FALSE(serviceTimes_.longest("look").has_value());
+}
+
 } // namespace
