--- a/tests/ProxyFlowTest.cpp
+++ b/tests/ProxyFlowTest.cpp
@@ -212,6 +212,58 @@
     EXPECT_TRUE(exchange(request("/order/8", "r5")).starts_with("HTTP/1.1 200 "));
 }
 
+class CrashingPart : public ProxyFlowTest {
+protected:
+    // Scripts endpoints that go down when they run a request with the part "bad0" in its prompt.
+    void configureEndpoints()
+    {
+        configure();
+        for (ScriptedEndpoint* endpoint : { &first_, &second_ })
+            endpoint->setScript([endpoint](int) {
+                const std::string& sent = endpoint->requests().back();
+                if (sent.find("bad0:") != std::string::npos)
+                    return ScriptedResponse { .bytes = {}, .ending = Ending::Reset };
+                const size_t id = sent.find("Test-Id: ") + 9;
+                return ScriptedResponse { streamHead(sent.substr(id, sent.find("\r\n", id) - id)) + chunk(event(1)) + "0\r\n\r\n" };
+            });
+    }
+
+    std::string draft(const std::string& id, const std::string& prefix)
+    {
+        const std::string answer = exchange(request("/draft/" + id, id, "Test-Prefix: " + prefix + "\r\n"));
+        for (const std::string& endpoint : std::exchange(lostOn_, {}))
+            crashes_.noteEndpointDown(endpoint);
+        // The endpoints have restarted since.
+        clockOffset_ += Millis(2000);
+        dispatcher_.setTargets("desk", {});
+        dispatcher_.setTargets("desk", { target("e1", first_), target("e2", second_) });
+        return answer;
+    }
+};
+
+// Seen on a day of the users: requests that share one part of their prompt, no two alike, crashed one engine after the other.
+TEST_F(CrashingPart, RequestsThatShareItAreStoppedAfterTheFifthCrash)
+{
+    configureEndpoints();
+    for (int i = 1; i <= 5; ++i)
+        draft("r" + std::to_string(i), "aa:40,bad0:165,f" + std::to_string(i) + ":300");
+    const size_t before = requestCount();
+    EXPECT_LE(before, 5U);
+    const std::string refused = draft("r6", "aa:40,bad0:165,f6:300");
+    EXPECT_TRUE(refused.starts_with("HTTP/1.1 500 ")) << refused;
+    EXPECT_EQ(refused.find("Retry-After"), std::string::npos);
+    EXPECT_EQ(requestCount(), before);
+}
+
+// Sound requests have the same caller and the same first part.
+TEST_F(CrashingPart, RequestsWithoutItAreServed)
+{
+    configureEndpoints();
+    for (int i = 1; i <= 5; ++i)
+        draft("r" + std::to_string(i), "aa:40,bad0:165,f" + std::to_string(i) + ":300");
+    EXPECT_TRUE(draft("r6", "aa:40,f6:300").starts_with("HTTP/1.1 200 "));
+}
+
 // An endpoint in trouble may send bytes that are no response, without end, until the node closes the connection.
 struct EndlessBytes {
     const char* where;
--- a/tests/support/ProxyTest.h
+++ b/tests/support/ProxyTest.h
@@ -23,6 +23,7 @@
     .faultyEndpoint = "Test-Faulty",
     .model = "Test-Model",
     .tokenCounts = "Test-Tokens",
+    .promptPrefix = "Test-Prefix",
     .urgency = "Test-Urgency",
     .lastEventId = "Last-Event-Id",
 };
