Stop requests that share a part of their prompt that crashes endpoints

The crash list knew only whole requests, and each of these came once or twice.

Now a crash is kept with the shared parts of the prompts that had brought no event. A part that is in three crashes of at least two requests, and that nothing else explains, is blocked at all nodes. All requests with the part began with the same first part, and so did sound ones: the last parts are examined first, explained crashes are not held against other parts, and a part that any node has seen answered is sound. Blocks are repeated in each message, for nodes that start later. A flow asks again when it gets its slot, and ends with 500 instead of 502 when it is stopped after a send.

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -4,6 +4,7 @@
 #include "http/StatusCodes.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
 #include <algorithm>
 
 namespace hemlockweir {
@@ -42,7 +43,7 @@
     , dispatcher_({ .clock = clock_, .random = random_, .domain = settings_.domain, .onSuspect = [this](const Target& target, bool isUnresponsive) { handleSuspect(target, isUnresponsive); }, .onUsageChanged = [this] { usage_.publishSoon(); } })
     , pool_(context, { .clock = clock_ })
     , retries_({ .clock = clock_, .window = settings_.retryWindow, .retriesPerRequest = settings_.retriesPerRequest, .allowance = settings_.retryAllowance })
-    , crashes_({ .clock = clock_, .onConnectionLost = [this](const std::string& endpoint) { handleConnectionLost(endpoint); }, .onCrash = [this](uint64_t request, uint32_t endpoint) { usage_.addCrash({ .request = request, .endpoint = endpoint }); } })
+    , crashes_({ .clock = clock_, .onConnectionLost = [this](const std::string& endpoint) { handleConnectionLost(endpoint); }, .onCrash = [this](const CrashReport& report) { publishCrash(report); }, .onSoundPart = [this](uint64_t part) { usage_.addSoundPart(part); }, .onBlocked = [this](uint64_t blocked, size_t crashes) { log_.noteChange("crashes_explained", { { "blocked", absl::StrFormat("%016x", blocked) }, { "crashes", std::to_string(crashes) } }); } })
     , serviceTimes_({ .clock = clock_ })
     , proxyContext_ { .clock = clock_, .random = random_, .headers = adapter_.headers, .dispatcher = dispatcher_, .pool = pool_, .retries = retries_, .crashes = crashes_, .serviceTimes = serviceTimes_, .log = log_, .metrics = metrics_ }
     , proxy_(context, { .address = settings_.callers.address, .port = settings_.callers.port, .clock = clock_ }, proxyContext_)
@@ -68,7 +69,10 @@
               .ownUsage = [this] { return dispatcher_.ownUsage(); },
               .onUsage = [this](const std::string& node, PeerUsage usage) { dispatcher_.updatePeerUsage(node, std::move(usage)); },
               .onSuspect = [this](uint32_t target) { handlePeerSuspect(target); },
-              .onCrash = [this](const CrashRow& crash) { crashes_.notePeerCrash(crash.request, crash.endpoint); },
+              .onCrash = [this](const CrashRow& crash) { crashes_.notePeerCrash({ .subject = { .request = crash.request, .sharedParts = crash.parts }, .endpoint = crash.endpoint }); },
+              .ownBlocks = [this] { return crashes_.ownBlocks(); },
+              .onBlock = [this](uint64_t blocked) { crashes_.notePeerBlock(blocked); },
+              .onSoundPart = [this](uint64_t part) { crashes_.notePeerSoundPart(part); },
           },
           log_)
     , snapshots_(context, { .clock = clock_, .random = random_, .control = settings_.control.toString(), .endpointPrefix = adapter_.endpointPrefix, .seeds = settings_.seeds }, store_, configuration_, endpoints_, log_)
@@ -304,6 +308,12 @@
         crashes_.noteEndpointDown(endpoint);
 }
 
+void Gateway::publishCrash(const CrashReport& report)
+{
+    usage_.addCrash({ .request = report.subject.request, .endpoint = report.endpoint, .parts = report.subject.sharedParts });
+    usage_.publishSoon();
+}
+
 void Gateway::handleProbeResult(const std::string& engine, bool isAlive, const std::optional<Membership>& membership)
 {
     if (!isAlive)
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -55,6 +55,7 @@
     void handleOrderResult(const EngineOrder& order, OrderResult result);
     void handleProbeResult(const std::string& engine, bool isAlive, const std::optional<Membership>& membership);
     void handleConnectionLost(const std::string& endpoint);
+    void publishCrash(const CrashReport& report);
     void logReplicas(const std::string& service, const ReplicaPlanner& planner);
     void requestPlan();
     void tick();
--- a/packages/gateway/UsageExchange.cpp
+++ b/packages/gateway/UsageExchange.cpp
@@ -12,8 +12,6 @@
 using boost::system::error_code;
 
 static constexpr size_t maxMessageBytes = 32 * 1024;
-// Number of messages that report one crash. More than one, because datagrams may be lost.
-static constexpr int messagesPerCrash = 3;
 
 bool UsageSequence::accept(uint64_t sequence)
 {
@@ -72,11 +70,7 @@
         message.rows.push_back({ .target = target, .running = use.running, .promptMs = use.promptMs });
     for (const uint32_t target : std::exchange(suspects_, {}))
         message.rows.push_back({ .target = target, .isSuspect = true });
-    for (auto& [crash, remaining] : crashes_) {
-        message.crashes.push_back(crash);
-        --remaining;
-    }
-    std::erase_if(crashes_, [](const auto& entry) { return entry.second <= 0; });
+    addReports(message);
     if (message.rows.size() > UsageMessage::maxRows)
         message.rows.resize(UsageMessage::maxRows);
     const QByteArray bytes = encodeBody(message);
@@ -89,11 +83,32 @@
     timer_.callAfter(options_.minInterval + options_.intervalPerPeer * static_cast<int64_t>(peers_.size()));
 }
 
+// Adds what this node found about requests that crash endpoints.
+void UsageExchange::addReports(UsageMessage& message)
+{
+    for (auto& [crash, remaining] : crashes_) {
+        message.crashes.push_back(crash);
+        --remaining;
+    }
+    std::erase_if(crashes_, [](const auto& entry) { return entry.second <= 0; });
+    for (auto& [part, remaining] : soundParts_) {
+        if (message.soundParts.size() == UsageMessage::maxSoundParts)
+            break;
+        message.soundParts.push_back(part);
+        --remaining;
+    }
+    std::erase_if(soundParts_, [](const auto& entry) { return entry.second <= 0; });
+    if (options_.ownBlocks)
+        message.blocks = options_.ownBlocks();
+    if (message.blocks.size() > UsageMessage::maxBlocks)
+        message.blocks.resize(UsageMessage::maxBlocks);
+}
+
 void UsageExchange::addCrash(const CrashRow& crash)
 {
     // Requests that ran beside the crashing one are suspected and reported too. As many as fit into a message are enough.
     if (crashes_.size() < UsageMessage::maxCrashes)
-        crashes_.emplace_back(crash, messagesPerCrash);
+        crashes_.emplace_back(crash, messagesPerReport);
 }
 
 void UsageExchange::publishSoon()
@@ -140,6 +155,14 @@
     }
     for (const CrashRow& crash : message->crashes)
         options_.onCrash(crash);
+    for (const uint64_t part : message->soundParts) {
+        if (options_.onSoundPart)
+            options_.onSoundPart(part);
+    }
+    for (const uint64_t blocked : message->blocks) {
+        if (options_.onBlock)
+            options_.onBlock(blocked);
+    }
     options_.onUsage(message->node, std::move(usage));
 }
 
--- a/packages/gateway/UsageExchange.h
+++ b/packages/gateway/UsageExchange.h
@@ -34,33 +34,40 @@
 
 // A request that crashed an endpoint.
 struct CrashRow {
+    static constexpr uint32_t maxParts = 8;
+
     uint64_t request = 0; // CrashList::fingerprint()
     uint32_t endpoint = 0; // hashTarget() of its id
+    std::vector<uint64_t> parts; // CrashList::hashSharedParts(), without those that are known to be sound
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(request, endpoint);
+        archive(request, endpoint, bounded(parts, maxParts));
     }
     auto operator<=>(const CrashRow&) const = default;
 };
 
 struct UsageMessage {
-    static constexpr uint32_t currentFormat = 3;
+    static constexpr uint32_t currentFormat = 4;
     static constexpr uint32_t maxNameBytes = 200;
     static constexpr uint32_t maxRows = 4000;
     static constexpr uint32_t maxCrashes = 64;
+    static constexpr uint32_t maxBlocks = 32;
+    static constexpr uint32_t maxSoundParts = 64;
 
     uint32_t format = currentFormat;
     std::string node;
     uint64_t sequence = 0; // of this message; see UsageSequence
     std::vector<UsageRow> rows;
     std::vector<CrashRow> crashes;
+    std::vector<uint64_t> blocks; // CrashList::ownBlocks()
+    std::vector<uint64_t> soundParts; // hashes of suspected parts of prompts that an endpoint has answered
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(format, bounded(node, maxNameBytes), sequence, bounded(rows, maxRows), bounded(crashes, maxCrashes));
+        archive(format, bounded(node, maxNameBytes), sequence, bounded(rows, maxRows), bounded(crashes, maxCrashes), bounded(blocks, maxBlocks), bounded(soundParts, maxSoundParts));
     }
     auto operator<=>(const UsageMessage&) const = default;
 };
@@ -96,6 +103,9 @@
         std::function<void(const std::string& node, PeerUsage)> onUsage; // a peer's usage was received
         std::function<void(uint32_t target)> onSuspect; // a peer got no answer from the target
         std::function<void(const CrashRow&)> onCrash; // a peer detected a crash
+        std::function<std::vector<uint64_t>()> ownBlocks; // returns what this node blocks because it crashes endpoints; may be empty
+        std::function<void(uint64_t blocked)> onBlock; // a peer blocks a request or a part of prompts; may be empty
+        std::function<void(uint64_t part)> onSoundPart; // a peer got a response to a suspected part; may be empty
     };
 
     UsageExchange(boost::asio::io_context& context, Options options, DecisionLog& log);
@@ -112,11 +122,18 @@
     // Reports a request that crashed an endpoint in the next few messages.
     void addCrash(const CrashRow& crash);
 
+    // Reports a suspected part of prompts that is sound in the next few messages.
+    void addSoundPart(uint64_t part) { soundParts_[part] = messagesPerReport; }
+
     // Sends the next message ahead of the regular interval, because other nodes should receive a change soon.
     void publishSoon();
 
 private:
+    // Number of messages that carry one report. More than one, because datagrams may be lost.
+    static constexpr int messagesPerReport = 3;
+
     void publish();
+    void addReports(UsageMessage& message);
     void receive();
     void handleMessage(const std::string& bytes);
 
@@ -129,6 +146,7 @@
     std::map<std::string, UsageSequence> sequences_; // by node
     std::set<uint32_t> suspects_;
     std::vector<std::pair<CrashRow, int>> crashes_; // with the number of messages still to carry it
+    std::map<uint64_t, int> soundParts_; // the same
     uint64_t sequence_ = 0;
     Millis publishedAt_ { 0 };
     bool isEarlyPublishScheduled_ = false;
--- a/packages/proxy/CrashList.cpp
+++ b/packages/proxy/CrashList.cpp
@@ -9,34 +9,73 @@
 
 // Two reports about the same endpoint within this time refer to the same crash, since a restart takes longer.
 static constexpr Millis sameCrashWindow { 1000 };
+// Shared parts of a prompt that are examined; a caller may name any number.
+static constexpr size_t maxSharedParts = 8;
 
 CrashList::CrashList(Options options)
     : options_(std::move(options))
 {
 }
 
-uint64_t CrashList::fingerprint(std::string_view caller, std::string_view method, std::string_view target, std::string_view body)
+static uint64_t hashTexts(std::initializer_list<std::string_view> texts)
 {
     uint64_t hash = stableHashStart;
-    for (const std::string_view part : { caller, method, target, body }) {
-        hash = extendStableHash(hash, part);
+    for (const std::string_view text : texts) {
+        hash = extendStableHash(hash, text);
         hash = extendStableHash(hash, std::string_view("\0", 1));
     }
     return hash;
 }
 
-CrashList::Request& CrashList::findOrCreate(uint64_t request)
+uint64_t CrashList::fingerprint(std::string_view caller, std::string_view method, std::string_view target, std::string_view body)
+{
+    return hashTexts({ caller, method, target, body });
+}
+
+std::vector<uint64_t> CrashList::hashSharedParts(std::string_view service, std::string_view prompt)
+{
+    std::vector<uint64_t> hashes;
+    size_t at = 0;
+    for (size_t comma = prompt.find(','); comma != std::string_view::npos && hashes.size() < maxSharedParts; comma = prompt.find(',', at)) {
+        const std::string_view part = prompt.substr(at, comma - at);
+        at = comma + 1;
+        const std::string_view id = part.substr(0, part.find(':'));
+        const size_t start = id.find_first_not_of(" \t");
+        if (start != std::string_view::npos)
+            hashes.push_back(hashTexts({ service, id.substr(start) }));
+    }
+    return hashes;
+}
+
+bool CrashList::isSound(uint64_t part) const
+{
+    return soundParts_.count(part) > 0;
+}
+
+// Returns the parts with a 0 in place of each sound one, so that the others keep their positions.
+std::vector<uint64_t> CrashList::withoutSoundParts(const std::vector<uint64_t>& parts) const
+{
+    std::vector<uint64_t> suspects = parts;
+    std::replace_if(
+        suspects.begin(), suspects.end(), [this](uint64_t part) { return isSound(part); }, 0);
+    return suspects;
+}
+
+// Drops the oldest elements beyond the limit.
+template <typename T>
+static void limitSize(std::vector<T>& elements, size_t limit)
 {
-    if (requests_.size() >= options_.maxRequests && requests_.count(request) == 0)
-        requests_.erase(std::min_element(requests_.begin(), requests_.end(), [](const auto& one, const auto& other) { return one.second.updatedAt < other.second.updatedAt; }));
-    Request& record = requests_[request];
-    record.updatedAt = options_.clock();
-    return record;
+    if (elements.size() > limit)
+        elements.erase(elements.begin(), elements.end() - static_cast<ptrdiff_t>(limit));
 }
 
-void CrashList::noteConnectionLost(uint64_t request, const std::string& endpoint)
+void CrashList::noteConnectionLost(const CrashSubject& subject, const std::string& endpoint, bool hasResponse)
 {
-    findOrCreate(request).unconfirmed.push_back({ .endpoint = hashTarget(endpoint), .at = options_.clock() });
+    LostConnection lost { .report = { .subject = { .request = subject.request }, .endpoint = hashTarget(endpoint) }, .at = options_.clock() };
+    if (!hasResponse)
+        lost.report.subject.sharedParts = withoutSoundParts(subject.sharedParts);
+    lost_.push_back(std::move(lost));
+    limitSize(lost_, options_.maxCrashes);
     if (options_.onConnectionLost)
         options_.onConnectionLost(endpoint);
 }
@@ -45,53 +84,195 @@
 {
     const uint32_t hash = hashTarget(endpoint);
     const Millis earliest = options_.clock() - options_.confirmationWindow;
-    for (auto& [id, request] : requests_) {
-        const auto found = std::find_if(request.unconfirmed.begin(), request.unconfirmed.end(), [&](const Crash& lost) { return lost.endpoint == hash && lost.at >= earliest; });
-        if (found == request.unconfirmed.end())
+    std::vector<LostConnection> confirmed;
+    std::copy_if(lost_.begin(), lost_.end(), std::back_inserter(confirmed), [&](const LostConnection& lost) { return lost.report.endpoint == hash && lost.at >= earliest; });
+    std::erase_if(lost_, [hash](const LostConnection& lost) { return lost.report.endpoint == hash; });
+    std::set<CrashReport> reported;
+    for (const LostConnection& lost : confirmed) {
+        addCrash(lost.report, lost.at);
+        if (reported.insert(lost.report).second && options_.onCrash)
+            options_.onCrash(lost.report);
+    }
+}
+
+void CrashList::notePeerCrash(const CrashReport& report)
+{
+    for (const uint64_t part : report.subject.sharedParts) {
+        if (isSound(part) && options_.onSoundPart)
+            options_.onSoundPart(part);
+    }
+    addCrash({ .subject = { .request = report.subject.request, .sharedParts = withoutSoundParts(report.subject.sharedParts) }, .endpoint = report.endpoint }, options_.clock());
+}
+
+void CrashList::addCrash(const CrashReport& report, Millis at)
+{
+    hasNewEvidence_ = true;
+    auto crash = std::find_if(crashes_.begin(), crashes_.end(), [&](const Crash& known) { return known.endpoint == report.endpoint && std::chrono::abs(known.at - at) < sameCrashWindow; });
+    if (crash == crashes_.end()) {
+        crashes_.push_back({ .endpoint = report.endpoint, .at = at });
+        limitSize(crashes_, options_.maxCrashes);
+        crash = crashes_.end() - 1;
+    }
+    std::vector<uint64_t>& parts = crash->suspects[report.subject.request];
+    if (parts.size() < report.subject.sharedParts.size())
+        parts = report.subject.sharedParts;
+}
+
+void CrashList::noteAnswered(uint64_t request)
+{
+    std::erase_if(lost_, [request](const LostConnection& lost) { return lost.report.subject.request == request; });
+    for (Crash& crash : crashes_)
+        hasNewEvidence_ = crash.suspects.erase(request) > 0 || hasNewEvidence_;
+    std::erase_if(crashes_, [](const Crash& crash) { return crash.suspects.empty(); });
+    blocks_.erase(request);
+}
+
+void CrashList::noteSoundParts(const std::vector<uint64_t>& parts)
+{
+    for (const uint64_t part : parts) {
+        const bool isNew = !isSound(part);
+        if (isNew && soundParts_.size() >= options_.maxSoundParts)
             continue;
-        addCrash(request, hash, found->at);
-        std::erase_if(request.unconfirmed, [hash](const Crash& lost) { return lost.endpoint == hash; });
-        if (options_.onCrash)
-            options_.onCrash(id, hash);
+        soundParts_[part] = options_.clock();
+        if (isNew)
+            clearPart(part);
+    }
+}
+
+void CrashList::notePeerSoundPart(uint64_t part)
+{
+    if (isSound(part) || soundParts_.size() >= options_.maxSoundParts)
+        return;
+    soundParts_[part] = options_.clock();
+    clearPart(part);
+}
+
+// Withdraws the suspicion against a part, and tells the other nodes if there was one.
+void CrashList::clearPart(uint64_t part)
+{
+    bool wasSuspect = blocks_.erase(part) > 0;
+    for (Crash& crash : crashes_) {
+        for (auto& [request, parts] : crash.suspects) {
+            wasSuspect = wasSuspect || std::find(parts.begin(), parts.end(), part) != parts.end();
+            std::replace(parts.begin(), parts.end(), part, uint64_t { 0 });
+        }
+    }
+    if (!wasSuspect)
+        return;
+    hasNewEvidence_ = true;
+    if (options_.onSoundPart)
+        options_.onSoundPart(part);
+}
+
+void CrashList::notePeerBlock(uint64_t blocked)
+{
+    if (isSound(blocked)) {
+        if (options_.onSoundPart)
+            options_.onSoundPart(blocked);
+        return;
     }
+    Block& block = blocks_[blocked];
+    block.expiresAt = std::max(block.expiresAt, options_.clock() + options_.peerBlockLifetime);
 }
 
-void CrashList::notePeerCrash(uint64_t request, uint32_t endpoint)
+std::map<uint64_t, CrashList::Evidence> CrashList::collectPartEvidence() const
 {
-    addCrash(findOrCreate(request), endpoint, options_.clock());
+    std::map<uint64_t, Evidence> evidence;
+    for (size_t i = 0; i < crashes_.size(); ++i) {
+        for (const auto& [request, parts] : crashes_[i].suspects) {
+            for (size_t position = 0; position < parts.size(); ++position) {
+                if (parts[position] == 0)
+                    continue;
+                Evidence& found = evidence[parts[position]];
+                found.position = std::max(found.position, position);
+                found.crashes.insert(i);
+                found.requests.insert(request);
+            }
+        }
+    }
+    return evidence;
 }
 
-void CrashList::addCrash(Request& request, uint32_t endpoint, Millis at)
+// Blocks a part or a request that is a suspect in enough crashes that nothing else explains; these are explained then. Lifts
+// an earlier block if something else explains them now.
+void CrashList::blockIfUnexplained(uint64_t blocked, const std::set<size_t>& crashes, std::set<size_t>& explained)
 {
-    const bool isKnown = std::any_of(request.crashes.begin(), request.crashes.end(), [&](const Crash& crash) {
-        return crash.endpoint == endpoint && std::chrono::abs(crash.at - at) < sameCrashWindow;
+    const auto unexplained = static_cast<size_t>(std::count_if(crashes.begin(), crashes.end(), [&](size_t crash) { return explained.count(crash) == 0; }));
+    if (unexplained < options_.crashThreshold) {
+        if (unexplained < crashes.size())
+            blocks_.erase(blocked);
+        return;
+    }
+    explained.insert(crashes.begin(), crashes.end());
+    Block& block = blocks_[blocked];
+    if (!std::exchange(block.isOwn, true) && options_.onBlocked)
+        options_.onBlocked(blocked, crashes.size());
+    block.expiresAt = std::max(block.expiresAt, crashes_[*crashes.rbegin()].at + options_.retention);
+}
+
+void CrashList::findBlocks()
+{
+    if (!std::exchange(hasNewEvidence_, false) || crashes_.size() < options_.crashThreshold)
+        return;
+    std::set<size_t> explained;
+    const std::map<uint64_t, Evidence> evidence = collectPartEvidence();
+    std::vector<std::pair<uint64_t, const Evidence*>> parts;
+    for (const auto& [part, found] : evidence)
+        parts.emplace_back(part, &found);
+    std::stable_sort(parts.begin(), parts.end(), [](const auto& one, const auto& other) {
+        return std::pair(one.second->position, one.second->crashes.size()) > std::pair(other.second->position, other.second->crashes.size());
     });
-    if (!isKnown)
-        request.crashes.push_back({ .endpoint = endpoint, .at = at });
-    request.updatedAt = options_.clock();
+    for (const auto& [part, found] : parts) {
+        if (found->requests.size() >= options_.requestThreshold)
+            blockIfUnexplained(part, found->crashes, explained);
+    }
+    std::map<uint64_t, std::set<size_t>> requests;
+    for (size_t i = 0; i < crashes_.size(); ++i) {
+        for (const auto& [request, suspectParts] : crashes_[i].suspects)
+            requests[request].insert(i);
+    }
+    for (const auto& [request, crashes] : requests)
+        blockIfUnexplained(request, crashes, explained);
 }
 
-void CrashList::noteAnswered(uint64_t request)
+// Returns whether the request or part is blocked, and if so extends the block.
+bool CrashList::extendBlock(uint64_t blocked)
 {
-    requests_.erase(request);
+    const auto found = blocks_.find(blocked);
+    const Millis now = options_.clock();
+    if (found == blocks_.end() || found->second.expiresAt <= now)
+        return false;
+    found->second = { .expiresAt = now + options_.retention, .isOwn = true };
+    return true;
 }
 
-bool CrashList::isBlocked(uint64_t request) const
+std::optional<uint64_t> CrashList::findBlock(const CrashSubject& subject)
 {
-    const auto found = requests_.find(request);
-    return found != requests_.end() && found->second.crashes.size() >= options_.crashThreshold;
+    findBlocks();
+    const auto part = std::find_if(subject.sharedParts.begin(), subject.sharedParts.end(), [this](uint64_t shared) { return extendBlock(shared); });
+    if (part != subject.sharedParts.end())
+        return *part;
+    return extendBlock(subject.request) ? std::optional<uint64_t>(subject.request) : std::nullopt;
+}
+
+std::vector<uint64_t> CrashList::ownBlocks() const
+{
+    std::vector<uint64_t> own;
+    for (const auto& [blocked, block] : blocks_) {
+        if (block.isOwn)
+            own.push_back(blocked);
+    }
+    return own;
 }
 
 void CrashList::sweep()
 {
     const Millis now = options_.clock();
-    for (auto& [id, request] : requests_)
-        std::erase_if(request.unconfirmed, [&](const Crash& lost) { return now - lost.at > options_.confirmationWindow; });
-    std::erase_if(requests_, [&](const auto& entry) {
-        const Request& request = entry.second;
-        const bool isSuspect = !request.crashes.empty() || !request.unconfirmed.empty();
-        return !isSuspect || now - request.updatedAt > options_.retention;
-    });
+    std::erase_if(lost_, [&](const LostConnection& lost) { return now - lost.at > options_.confirmationWindow; });
+    if (std::erase_if(crashes_, [&](const Crash& crash) { return now - crash.at > options_.retention; }) > 0)
+        hasNewEvidence_ = true;
+    std::erase_if(blocks_, [&](const auto& entry) { return entry.second.expiresAt <= now; });
+    std::erase_if(soundParts_, [&](const auto& entry) { return now - entry.second > options_.soundPartLifetime; });
 }
 
 } // namespace hemlockweir
--- a/packages/proxy/CrashList.h
+++ b/packages/proxy/CrashList.h
@@ -4,30 +4,58 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
-// Detects requests that crash every endpoint that runs them, and blocks them before they take down one endpoint
-// after another. The caller repeats such a request with the same path and body, on any node; a fingerprint of the
-// request identifies the repetitions. Performs no I/O.
+// Detects what crashes every endpoint that runs it, and blocks it before it takes down one endpoint after another: a
+// request that its caller repeats, on any node, or a part of a prompt that different requests share. Performs no I/O.
 //
 // A lost connection alone is no evidence of a crash: the endpoint may have failed this one response only. It counts
-// as a crash once the endpoint is found to be down. Other requests that ran on the endpoint at that time become
-// suspects as well; a suspect is cleared as soon as an endpoint answers it.
+// as a crash once the endpoint is found to be down. All requests that ran on the endpoint at that time are suspects; a
+// suspect is cleared as soon as an endpoint answers it.
+//
+// A part of a prompt is blocked when it explains enough crashes by itself. Prompts that share a part mostly share the parts
+// before it too, so the last parts are examined first, and a crash that is explained is not held against another part. A
+// part that was answered, here or at another node, is sound.
 
 namespace hemlockweir {
 
+// What identifies a request to the crash list.
+struct CrashSubject {
+    uint64_t request = 0; // CrashList::fingerprint()
+    std::vector<uint64_t> sharedParts; // hashes of the parts of its prompt that other requests may have, in their order; 0: known to be sound
+
+    auto operator<=>(const CrashSubject&) const = default;
+};
+
+// A request that ran on an endpoint which crashed.
+struct CrashReport {
+    CrashSubject subject;
+    uint32_t endpoint = 0; // hashTarget() of its id
+
+    auto operator<=>(const CrashReport&) const = default;
+};
+
 class CrashList {
 public:
     struct Options {
         Clock clock;
-        size_t crashThreshold = 3; // crashes after which a request is blocked; two may be coincidence
+        size_t crashThreshold = 3; // crashes after which a request or a part is blocked; two may be coincidence
+        size_t requestThreshold = 2; // different requests that must have crashed with a part before the part is blocked
         Millis confirmationWindow { 6000 }; // ms, for which a lost connection can still be confirmed as a crash; the endpoint list lags by some seconds
-        Millis retention { 60000 }; // ms, for which a request is tracked after its last crash
-        size_t maxRequests = 2000; // tracked requests; beyond this the oldest are evicted
+        Millis retention { 60000 }; // ms, for which a crash counts, and a block holds after its last crash or request
+        Millis soundPartLifetime { 600000 }; // ms, for which a part counts as sound after a response
+        Millis peerBlockLifetime { 5000 }; // ms, for which a block of another node holds after it was last reported
+        size_t maxCrashes = 300; // crashes and lost connections to track; beyond this the oldest are dropped
+        size_t maxSoundParts = 4000; // beyond this no more parts are remembered until others expire
         std::function<void(const std::string& endpoint)> onConnectionLost; // asks to check whether the endpoint is alive; may be empty
-        std::function<void(uint64_t request, uint32_t endpoint)> onCrash; // a crash found by this node, to be published; may be empty
+        std::function<void(const CrashReport&)> onCrash; // a crash found by this node, to be published; may be empty
+        std::function<void(uint64_t part)> onSoundPart; // a suspected part is sound, to be published; may be empty
+        std::function<void(uint64_t blocked, size_t crashes)> onBlocked; // this node found what explains so many crashes; may be empty
     };
 
     explicit CrashList(Options options);
@@ -35,44 +63,86 @@
     // Returns the fingerprint of a request. Repetitions of a request by the same caller have the same fingerprint.
     static uint64_t fingerprint(std::string_view caller, std::string_view method, std::string_view target, std::string_view body);
 
-    // Records that the connection on which an endpoint ran the request was lost.
-    void noteConnectionLost(uint64_t request, const std::string& endpoint);
+    // Returns the hashes of the shared parts of a prompt, "ID:TOKENS,ID:TOKENS,...": all but the last one, which belongs to the
+    // request itself. The same part of another service has another hash.
+    static std::vector<uint64_t> hashSharedParts(std::string_view service, std::string_view prompt);
+
+    // Records that the connection on which an endpoint ran the request was lost. `hasResponse` states whether part of the
+    // response had arrived: then the endpoint had survived the prompt.
+    void noteConnectionLost(const CrashSubject& subject, const std::string& endpoint, bool hasResponse);
 
     // Records that an endpoint is down. Requests that lost their connection to it within confirmationWindow may have
     // crashed it.
     void noteEndpointDown(const std::string& endpoint);
 
-    // Applies a crash found by another node; `endpoint` is hashTarget() of its id.
-    void notePeerCrash(uint64_t request, uint32_t endpoint);
+    // Applies a crash found by another node.
+    void notePeerCrash(const CrashReport& report);
 
-    // Clears a request that an endpoint answered.
+    // Clears a request that an endpoint answered completely.
     void noteAnswered(uint64_t request);
 
-    // Returns whether the request crashed so many endpoints that it must not be sent to another one.
-    bool isBlocked(uint64_t request) const;
+    // Records that an endpoint answered a request with these parts completely.
+    void noteSoundParts(const std::vector<uint64_t>& parts);
+
+    // Applies what another node reported: a part is sound, or a request or part is blocked.
+    void notePeerSoundPart(uint64_t part);
+    void notePeerBlock(uint64_t blocked);
+
+    // Returns the fingerprint of the request, or the hash of a part of its prompt, if it crashed so many endpoints that it must
+    // not be sent to another one; nullopt if the request may be sent. A block holds on while requests ask for what is blocked.
+    std::optional<uint64_t> findBlock(const CrashSubject& subject);
+    bool isBlocked(const CrashSubject& subject) { return findBlock(subject).has_value(); }
+
+    // Returns what this node found to crash endpoints, to be published to nodes that have started since.
+    std::vector<uint64_t> ownBlocks() const;
 
     // Removes expired entries. Call periodically.
     void sweep();
 
-    bool isEmpty() const { return requests_.empty(); }
+    // Returns whether nothing is suspected.
+    bool isEmpty() const { return crashes_.empty() && lost_.empty() && blocks_.empty(); }
 
 private:
+    // A lost connection; the endpoint's state is not known yet.
+    struct LostConnection {
+        CrashReport report;
+        Millis at { 0 };
+    };
+
+    // A crash of an endpoint, and the requests that it ran, with their suspected parts.
     struct Crash {
         uint32_t endpoint = 0; // hashTarget() of its id
         Millis at { 0 };
+        std::map<uint64_t, std::vector<uint64_t>> suspects; // by fingerprint
+    };
+
+    struct Block {
+        Millis expiresAt { 0 };
+        bool isOwn = false; // found by this node and not only reported by another
     };
 
-    struct Request {
-        std::vector<Crash> crashes;
-        std::vector<Crash> unconfirmed; // lost connections; the endpoint's state is not known yet
-        Millis updatedAt { 0 };
+    // The crashes in which a part or request is a suspect.
+    struct Evidence {
+        size_t position = 0; // largest position of the part in a prompt
+        std::set<size_t> crashes; // indices in crashes_
+        std::set<uint64_t> requests;
     };
 
-    void addCrash(Request& request, uint32_t endpoint, Millis at);
-    Request& findOrCreate(uint64_t request);
+    bool isSound(uint64_t part) const;
+    std::vector<uint64_t> withoutSoundParts(const std::vector<uint64_t>& parts) const;
+    void addCrash(const CrashReport& report, Millis at);
+    void clearPart(uint64_t part);
+    void findBlocks();
+    std::map<uint64_t, Evidence> collectPartEvidence() const;
+    void blockIfUnexplained(uint64_t blocked, const std::set<size_t>& crashes, std::set<size_t>& explained);
+    bool extendBlock(uint64_t blocked);
 
     Options options_;
-    std::map<uint64_t, Request> requests_; // by fingerprint
+    std::vector<LostConnection> lost_;
+    std::vector<Crash> crashes_; // in order of time
+    std::unordered_map<uint64_t, Millis> soundParts_; // time of the last response
+    std::map<uint64_t, Block> blocks_; // by fingerprint or hash of a part
+    bool hasNewEvidence_ = false; // blocks_ has to be computed again
 };
 
 } // namespace hemlockweir
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -35,7 +35,7 @@
     if (!readRequestId() || !findRoute())
         return;
     if (isCrashBlocked()) {
-        sendError(statusInternalError, "crashes_endpoints");
+        endCrashing();
         return;
     }
     readLimits();
@@ -176,6 +176,11 @@
         context_.dispatcher.release(target.id);
         return;
     }
+    if (isCrashBlocked()) {
+        context_.dispatcher.release(target.id);
+        endCrashing();
+        return;
+    }
     if (mayRefuse() && !endsBeforeExit()) {
         context_.dispatcher.release(target.id);
         refuseForExit();
@@ -268,9 +273,29 @@
     return CrashList::fingerprint(requestHeader(context_.headers.key), options_.request.method, options_.request.target, options_.request.body);
 }
 
+std::vector<uint64_t> ProxyFlow::sharedPromptParts() const
+{
+    return CrashList::hashSharedParts(service_, requestHeader(context_.headers.promptPrefix));
+}
+
+// Returns whether the request, or a part of its prompt, crashes endpoints.
 bool ProxyFlow::isCrashBlocked() const
 {
-    return !context_.crashes.isEmpty() && context_.crashes.isBlocked(fingerprint());
+    if (context_.crashes.isEmpty())
+        return false;
+    const std::optional<uint64_t> blocked = context_.crashes.findBlock({ .request = fingerprint(), .sharedParts = sharedPromptParts() });
+    if (blocked)
+        context_.log.noteFailure("request_blocked", { { "request", requestId_ }, { "organisation", organisation_ }, { "route", route_.name }, { "blocked", absl::StrFormat("%016x", *blocked) }, { "sends", std::to_string(sends_) } });
+    return blocked.has_value();
+}
+
+// Ends a request that crashes endpoints. The error has no Retry-After: no repetition will be served.
+void ProxyFlow::endCrashing()
+{
+    if (isHeadSent_)
+        fail("crashes_endpoints");
+    else
+        sendError(statusInternalError, "crashes_endpoints");
 }
 
 // Ends a failed attempt, records the failure and excludes the endpoint from further attempts.
@@ -285,7 +310,7 @@
         executionState_ = ExecutionState::MayHaveRun;
         ++executions_;
         if (reason == "connection_lost")
-            context_.crashes.noteConnectionLost(fingerprint(), attempt.target.id);
+            context_.crashes.noteConnectionLost({ .request = fingerprint(), .sharedParts = sharedPromptParts() }, attempt.target.id, attempt.hasBody);
     }
     context_.log.noteFailure("send_failed", { { "request", requestId_ }, { "organisation", organisation_ }, { "route", route_.name }, { "endpoint", attempt.target.id }, { "model", model_ }, { "reason", std::string(reason) }, { "sent_ms_ago", std::to_string((now - attempt.sentAt).count()) }, { "heard_ms_ago", std::to_string((now - attempt.progressAt).count()) }, { "last_event", eventSplitter_.lastId() ? std::to_string(*eventSplitter_.lastId()) : "none" }, { "may_have_run", wasSent ? "true" : "false" } });
     attempt.connection->close();
@@ -309,7 +334,7 @@
     const auto self = shared_from_this();
     noteFailedSend(reason, isTargetFault);
     if (isCrashBlocked())
-        fail("crashes_endpoints");
+        endCrashing();
     else if (canRetry(executionState_, executions_) && context_.retries.tryConsume(service_))
         retry();
     else
--- a/packages/proxy/ProxyFlow.h
+++ b/packages/proxy/ProxyFlow.h
@@ -50,6 +50,7 @@
         Millis progressAt { 0 }; // when the head, the last part of the body or, of a stream, the last complete event arrived
         std::optional<ResponseHead> head;
         std::string body; // buffered until the response is complete; empty for streams
+        bool hasBody = false; // part of the body or, of a stream, a complete event arrived
     };
 
     // Whether an endpoint may have run the request.
@@ -87,7 +88,9 @@
     void retryOrFail(std::string_view reason, bool isTargetFault);
     bool canRetry(ExecutionState state, int executions) const;
     uint64_t fingerprint() const;
+    std::vector<uint64_t> sharedPromptParts() const;
     bool isCrashBlocked() const;
+    void endCrashing();
     void noteFailedSend(std::string_view reason, bool isTargetFault);
     void retry();
     void fail(std::string_view reason);
--- a/packages/proxy/ProxyFlowAnswer.cpp
+++ b/packages/proxy/ProxyFlowAnswer.cpp
@@ -103,6 +103,7 @@
         return;
     }
     attempt_->progressAt = context_.clock();
+    attempt_->hasBody = true;
     if (isHeadSent_) {
         options_.caller->sendBody(bytes);
         cutSlowCaller();
@@ -136,6 +137,7 @@
     }
     if (!hasEvent)
         return;
+    attempt_->hasBody = true;
     attempt_->progressAt = context_.clock();
     context_.dispatcher.noteSuccess(attempt_->target.id);
 }
@@ -207,8 +209,10 @@
         context_.crashes.noteAnswered(fingerprint());
     endAttempt("answered");
     const ResponseHead& head = *attempt.head;
-    if (head.status / 100 == 2)
+    if (head.status / 100 == 2) {
+        context_.crashes.noteSoundParts(sharedPromptParts());
         context_.serviceTimes.note(route_.name, context_.clock() - attempt.sentAt);
+    }
     if (route_.kind == RequestKind::Stream && head.status / 100 == 2) {
         if (!isHeadSent_)
             startStream(head);
--- a/tests/UsageExchangeTest.cpp
+++ b/tests/UsageExchangeTest.cpp
@@ -4,6 +4,7 @@
 
 #include <glog/logging.h>
 #include <gtest/gtest.h>
+#include <set>
 
 // Tests the usage that nodes send each other, over real sockets, across restarts.
 
@@ -24,6 +25,10 @@
                 .address = { .address = "127.0.0.1", .port = port },
                 .ownUsage = [running] { return std::map<uint32_t, TargetUsage> { { 1, { .running = running } } }; },
                 .onUsage = [this](const std::string& from, const PeerUsage& usage) { received_[from] = usage.byTarget.at(1).running; },
+                .onCrash = [this](const CrashRow& crash) { crashes_.push_back(crash); },
+                .ownBlocks = [name] { return name == "a" ? std::vector<uint64_t> { 11, 12 } : std::vector<uint64_t>(); },
+                .onBlock = [this](uint64_t blocked) { blocks_.insert(blocked); },
+                .onSoundPart = [this](uint64_t part) { soundParts_.push_back(part); },
             },
             log_);
         CHECK(node->start().ok());
@@ -38,8 +43,36 @@
     Clock clock_ = makeSteadyClock();
     DecisionLog log_ { { .clock = clock_, .descriptor = -1 } };
     std::map<std::string, uint32_t> received_; // requests on the target, by the node that reported them
+    std::vector<CrashRow> crashes_;
+    std::set<uint64_t> blocks_;
+    std::vector<uint64_t> soundParts_;
 };
 
+TEST_F(UsageExchangeTest, PeersLearnWhatCrashesEndpointsAndWhatIsSound)
+{
+    const auto receiver = makeNode("b", portB, 0, 1);
+    const auto sender = makeNode("a", portA, 0, 2);
+    const CrashRow crash { .request = 7, .endpoint = 3, .parts = { 0, 200 } };
+    sender->addCrash(crash);
+    sender->addSoundPart(100);
+    runUntil(context_, [&] { return crashes_.size() >= 3 && soundParts_.size() >= 3; });
+    EXPECT_EQ(crashes_, std::vector<CrashRow>(3, crash));
+    EXPECT_EQ(soundParts_, std::vector<uint64_t>(3, 100));
+    EXPECT_EQ(blocks_, (std::set<uint64_t> { 11, 12 })) << "also to a node that started after they were found";
+}
+
+// As many reports as an outage of many endpoints brings must not keep the usage from the other nodes.
+TEST_F(UsageExchangeTest, ReportsBeyondTheLimitsOfAMessageDoNotStopTheUsage)
+{
+    const auto receiver = makeNode("b", portB, 0, 1);
+    const auto sender = makeNode("a", portA, 5, 2);
+    for (uint64_t i = 0; i < 500; ++i) {
+        sender->addCrash({ .request = i, .endpoint = 1, .parts = std::vector<uint64_t>(CrashRow::maxParts, i) });
+        sender->addSoundPart(i);
+    }
+    runUntil(context_, [&] { return received_["a"] == 5 && soundParts_.size() >= 1500; });
+}
+
 // Sequences once began at the time of day, which may jump. After a restart under a clock that had jumped back, the other
 // nodes ignored a node's usage until the clock had caught up.
 TEST_F(UsageExchangeTest, RestartedNodeIsHeardWhateverItsSequence)
