Take a stream that ends inside an event for a broken one

An answer may come with neither a length nor chunks and end with its connection, a stream too. Such a stream that an endpoint broke off in the middle of an event ended for its caller as if it were complete: the bytes of the event were dropped and the end was sent. So did a framed stream whose last event was incomplete, and the stream of an endpoint that should continue another one and answered 200 with a text. It is continued elsewhere now, or aborted, and counts as a lost connection for the crash list.

BrokenAnswers.StreamThatEndsInsideAnEvent* (two) failed before.

--- a/packages/proxy/EventSplitter.h
+++ b/packages/proxy/EventSplitter.h
@@ -19,6 +19,9 @@
     // maxEventBytes.
     bool feed(std::string_view bytes, const std::function<void(std::string_view)>& onEvent);
 
+    // Returns whether the last event is incomplete.
+    bool hasPartial() const { return !pending_.empty(); }
+
     // Discards the bytes of an incomplete event.
     void discardPartial() { pending_.clear(); }
 
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -309,7 +309,7 @@
     if (wasSent) {
         executionState_ = ExecutionState::MayHaveRun;
         ++executions_;
-        if (reason == "connection_lost")
+        if (reason == "connection_lost" || reason == "stream_truncated")
             context_.crashes.noteConnectionLost({ .request = fingerprint(), .sharedParts = sharedPromptParts() }, attempt.target.id, attempt.hasBody);
     }
     context_.log.noteFailure("send_failed", { { "request", requestId_ }, { "organisation", organisation_ }, { "route", route_.name }, { "endpoint", attempt.target.id }, { "model", model_ }, { "reason", std::string(reason) }, { "sent_ms_ago", std::to_string((now - attempt.sentAt).count()) }, { "heard_ms_ago", std::to_string((now - attempt.progressAt).count()) }, { "last_event", eventSplitter_.lastId() ? std::to_string(*eventSplitter_.lastId()) : "none" }, { "may_have_run", wasSent ? "true" : "false" } });
--- a/packages/proxy/ProxyFlowAnswer.cpp
+++ b/packages/proxy/ProxyFlowAnswer.cpp
@@ -204,6 +204,11 @@
         retryOrFail("malformed_answer", true);
         return;
     }
+    // A stream without a length ends with its connection, also if the endpoint broke it off.
+    if (isStreaming() && eventSplitter_.hasPartial()) {
+        retryOrFail("stream_truncated", true);
+        return;
+    }
     context_.dispatcher.noteSuccess(attempt.target.id);
     if (!context_.crashes.isEmpty())
         context_.crashes.noteAnswered(fingerprint());
--- a/tests/ProxyFlowTest.cpp
+++ b/tests/ProxyFlowTest.cpp
@@ -1,5 +1,6 @@
 #include "support/ProxyTest.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
@@ -492,4 +493,123 @@
     EXPECT_FALSE(serviceTimes_.longest("look").has_value());
 }
 
+class BrokenAnswers : public ProxyFlowTest {
+protected:
+    BrokenAnswers() { tick(); }
+
+    // Checks the timeouts of the requests, as the gateway does, so that one that no endpoint takes is refused.
+    void tick()
+    {
+        proxy_.tick();
+        timer_.expires_after(Millis(20));
+        timer_.async_wait([this](const boost::system::error_code& error) {
+            if (!error)
+                tick();
+        });
+    }
+
+    // Sends a request to endpoints that are not suspected of earlier failures.
+    std::string exchangeAnew(const std::string& path, const std::string& id)
+    {
+        clockOffset_ += Millis(10000);
+        dispatcher_.setTargets("desk", {});
+        dispatcher_.setTargets("desk", { target("e1", first_), target("e2", second_) });
+        return exchange(request(path, id));
+    }
+
+    boost::asio::steady_timer timer_ { context_ };
+};
+
+// An answer without a length or chunks ends with its connection, and so does a broken one.
+TEST_F(BrokenAnswers, StreamThatEndsInsideAnEventIsContinuedElsewhere)
+{
+    configure();
+    const std::string head = "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n";
+    int sends = 0;
+    script([&](int) {
+        if (++sends == 1)
+            return ScriptedResponse { .bytes = head + event(1) + "id: 2\nda", .ending = Ending::Close };
+        return ScriptedResponse { .bytes = head + event(2) + event(3), .ending = Ending::Close };
+    });
+    const std::string answer = exchange(request("/draft/7", "r1"));
+    EXPECT_EQ(answer.substr(answer.find("\r\n\r\n") + 4), chunk(event(1)) + chunk(event(2)) + chunk(event(3)) + "0\r\n\r\n");
+}
+
+TEST_F(BrokenAnswers, StreamThatEndsInsideAnEventNeverLooksComplete)
+{
+    configure();
+    for (const std::string last : { "id: 2", "id: 2\ndata: tok\n", "i" }) {
+        script([&](int) { return ScriptedResponse { .bytes = streamHead("r1") + chunk(event(1)) + chunk(last) + "0\r\n\r\n", .ending = Ending::Keep }; });
+        const std::string answer = exchangeAnew("/once/7", "r1");
+        EXPECT_TRUE(answer.ends_with(chunk(event(1)))) << answer;
+    }
+}
+
+// A faulty engine wrote an earlier refusal once more on a kept connection. Its "not run" is not about the request that waits there.
+TEST_F(BrokenAnswers, EarlierRefusalOnAKeptConnectionIsNoAnswer)
+{
+    configure();
+    dispatcher_.setTargets("desk", { target("e1", first_) });
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nTest-Id: r1\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    const std::string unnamed = "HTTP/1.1 503 Busy\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    first_.setScript([&](int count) { return ScriptedResponse { count == 1 ? refusal : count == 2 ? refusal + sealedResponse("r2", "whole")
+                                                                                                  : unnamed + sealedResponse("r3", "whole") }; });
+    EXPECT_TRUE(exchange(request("/look/1", "r1")).starts_with("HTTP/1.1 503 "));
+    dispatcher_.setTargets("desk", {});
+    dispatcher_.setTargets("desk", { target("e1", first_) });
+    const std::string second = exchange(request("/look/2", "r2"));
+    EXPECT_TRUE(second.starts_with("HTTP/1.1 502 ")) << second;
+    EXPECT_EQ(first_.requests().size(), 2U);
+}
+
+TEST_F(BrokenAnswers, RequestBehindAnEarlierRefusalRunsOnce)
+{
+    configure();
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nTest-Id: r1\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    script([&](int) { return ScriptedResponse { refusal }; });
+    EXPECT_TRUE(exchangeAnew("/order/1", "r1").starts_with("HTTP/1.1 503 "));
+    const size_t before = requestCount();
+    script([&](int) { return ScriptedResponse { refusal + sealedResponse("r2", "whole") }; });
+    const std::string second = exchangeAnew("/order/2", "r2");
+    EXPECT_TRUE(second.starts_with("HTTP/1.1 502 ")) << second;
+    EXPECT_EQ(requestCount(), before + 1);
+}
+
+// The endpoint that should continue a broken stream answers with something else. Its caller sees neither that answer nor an end.
+TEST_F(BrokenAnswers, WhatIsNoContinuationOfAStreamIsNotForwarded)
+{
+    configure();
+    const std::vector<ScriptedResponse> answers {
+        { "HTTP/1.1 500 Error\r\nTest-Id: r1\r\nTest-Seal: t\r\nContent-Length: 5\r\n\r\nbad\n\n" },
+        { "HTTP/1.1 404 Gone\r\nTest-Id: r1\r\nTest-Seal: t\r\nContent-Length: 5\r\n\r\nbad\n\n" },
+        { "HTTP/1.1 503 Busy\r\nTest-Id: r1\r\nTest-Seal: t\r\nContent-Length: 5\r\n\r\nbad\n\n" },
+        { "HTTP/1.1 503 Busy\r\nTest-Id: r1\r\nTest-Not-Run: 1\r\nContent-Length: 5\r\n\r\nbad\n\n" },
+        { "HTTP/1.1 500 Error\r\n\r\nbad\n\n", Ending::Close },
+        { "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Seal: t\r\nContent-Length: 3\r\n\r\nbad" },
+        { "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Seal: t\r\n\r\nbad", Ending::Close },
+        { "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Seal: t\r\nContent-Le", Ending::Close },
+        { "bad\n\n", Ending::Close },
+    };
+    for (const ScriptedResponse& second : answers) {
+        int sends = 0;
+        script([&](int) { return ++sends == 1 ? ScriptedResponse { .bytes = streamHead("r1") + chunk(event(1)), .ending = Ending::Reset } : second; });
+        const std::string answer = exchangeAnew("/draft/7", "r1");
+        EXPECT_TRUE(answer.ends_with("\r\n\r\n" + chunk(event(1)))) << second.bytes << "\nled to\n"
+                                                                    << answer;
+    }
+}
+
+// An engine stopped in the middle of its answer's head and closed.
+TEST_F(BrokenAnswers, HeadThatStopsInTheMiddleIsNoAnswer)
+{
+    configure();
+    const std::string whole = sealedResponse("r1", "whole");
+    const size_t headBytes = whole.find("\r\n\r\n") + 4;
+    for (size_t bytes = 0; bytes < headBytes; ++bytes) {
+        script([&](int) { return ScriptedResponse { .bytes = whole.substr(0, bytes), .ending = Ending::Close }; });
+        const std::string answer = exchangeAnew("/order/7", "r1");
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << bytes << " bytes led to " << answer;
+    }
+}
+
 } // namespace
