Forward no bytes that are no event in a stream

Text with no field of server-sent events and no comment makes the answer malformed now: the stream is continued elsewhere or aborted. Empty lines, comments and fields that only an endpoint knows are forwarded as before.

The last row of BrokenAnswers.WhatIsNoContinuation* failed before; EventsInAnyForm* guards what stays allowed.

--- a/packages/proxy/EventSplitter.cpp
+++ b/packages/proxy/EventSplitter.cpp
@@ -1,5 +1,7 @@
 #include "proxy/EventSplitter.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace hemlockweir {
@@ -34,6 +36,22 @@
     return std::nullopt;
 }
 
+// Returns whether the text is empty, or a line of it is a comment or starts with the name of a field (HTML, 9.2.6).
+static bool isEvent(std::string_view text)
+{
+    if (text.find_first_not_of("\r\n") == std::string_view::npos)
+        return true;
+    constexpr std::array<std::string_view, 5> starts { "id:", "data:", "event:", "retry:", ":" };
+    for (size_t at = 0; at < text.size(); at = text.find('\n', at) + 1) {
+        const std::string_view line = text.substr(at);
+        if (std::any_of(starts.begin(), starts.end(), [line](std::string_view start) { return line.starts_with(start); }))
+            return true;
+        if (text.find('\n', at) == std::string_view::npos)
+            break;
+    }
+    return false;
+}
+
 bool EventSplitter::feed(std::string_view bytes, const std::function<void(std::string_view)>& onEvent)
 {
     pending_ += bytes;
@@ -44,6 +62,8 @@
             break;
         const std::string_view event = std::string_view(pending_).substr(start, end - start);
         start = end;
+        if (!isEvent(event))
+            return false;
         const std::optional<uint64_t> id = parseId(event);
         if (id && lastId_ && *id <= *lastId_)
             continue;
--- a/packages/proxy/EventSplitter.h
+++ b/packages/proxy/EventSplitter.h
@@ -16,7 +16,7 @@
 
     // Parses the next bytes and calls onEvent with each complete event, including its blank line. Skips events whose id
     // is not greater than the last one, since a resumed stream may repeat events. Returns false if an event is longer than
-    // maxEventBytes.
+    // maxEventBytes, or if bytes in its place are none: they have no field of server-sent events and no comment.
     bool feed(std::string_view bytes, const std::function<void(std::string_view)>& onEvent);
 
     // Returns whether the last event is incomplete.
--- a/packages/proxy/ProxyFlowAnswer.cpp
+++ b/packages/proxy/ProxyFlowAnswer.cpp
@@ -125,13 +125,13 @@
 {
     const auto self = shared_from_this();
     bool hasEvent = false;
-    const bool isBounded = eventSplitter_.feed(bytes, [&](std::string_view event) {
+    const bool isEventStream = eventSplitter_.feed(bytes, [&](std::string_view event) {
         hasEvent = true;
         sendEvent(event);
     });
     if (isDone_ || !attempt_)
         return;
-    if (!isBounded) {
+    if (!isEventStream) {
         retryOrFail("malformed_answer", true);
         return;
     }
--- a/tests/ProxyFlowTest.cpp
+++ b/tests/ProxyFlowTest.cpp
@@ -589,6 +589,7 @@
         { "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Seal: t\r\n\r\nbad", Ending::Close },
         { "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Seal: t\r\nContent-Le", Ending::Close },
         { "bad\n\n", Ending::Close },
+        { streamHead("r1") + chunk("HTTP/1.1 500 Error\r\nContent-Length: 3\r\n\r\nbad\n\n") + "0\r\n\r\n" },
     };
     for (const ScriptedResponse& second : answers) {
         int sends = 0;
@@ -599,6 +600,19 @@
     }
 }
 
+// Comments, empty lines and fields that only an endpoint knows belong to a stream.
+TEST_F(BrokenAnswers, EventsInAnyFormAreForwarded)
+{
+    configure();
+    const std::string events = ": wait\n\nversions: 2\nid: 1\ndata: a\n\n\n\nretry: 5\r\n\r\ndata: b\n\n";
+    script([&](int) { return ScriptedResponse { streamHead("r1") + chunk(events) + "0\r\n\r\n" }; });
+    const std::string answer = exchangeAnew("/draft/7", "r1");
+    std::string received;
+    for (const std::string part : { ": wait\n\n", "versions: 2\nid: 1\ndata: a\n\n", "\n\n", "retry: 5\r\n\r\n", "data: b\n\n" })
+        received += chunk(part);
+    EXPECT_TRUE(answer.ends_with(received + "0\r\n\r\n")) << answer;
+}
+
 // An engine stopped in the middle of its answer's head and closed.
 TEST_F(BrokenAnswers, HeadThatStopsInTheMiddleIsNoAnswer)
 {
