--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -120,13 +120,14 @@
 // Returns whether a request that would run from now on ends before this process does, if it shuts down.
 bool ProxyFlow::endsBeforeExit() const
 {
-    return !context_.shutdown || endsInTime(context_.shutdown->endsAt - context_.clock(), context_.serviceTimes.longest(route_.name), route_.timeout);
+    return !context_.shutdown || endsInTime(context_.shutdown->endsAt - context_.clock(), context_.serviceTimes.longest(route_.name), deadlineAt_ - context_.clock());
 }
 
 // Refuses a request that has not run, because this process would end before its response. The caller reaches another node.
 void ProxyFlow::refuseForExit()
 {
-    context_.log.noteFailure("request_refused", { { "request", requestId_ }, { "route", route_.name }, { "reason", "stopping" }, { "time_left_ms", std::to_string((context_.shutdown->endsAt - context_.clock()).count()) }, { "longest_ms", std::to_string(context_.serviceTimes.longest(route_.name).value_or(route_.timeout).count()) } });
+    const std::optional<Millis> longest = context_.serviceTimes.longest(route_.name);
+    context_.log.noteFailure("request_refused", { { "request", requestId_ }, { "route", route_.name }, { "reason", "stopping" }, { "time_left_ms", std::to_string((context_.shutdown->endsAt - context_.clock()).count()) }, { "longest_ms", longest ? std::to_string(longest->count()) : "unknown" }, { "deadline_ms", std::to_string((deadlineAt_ - context_.clock()).count()) } });
     sendError(statusUnavailable, "stopping", stoppingRetryAfter);
 }
 
--- a/packages/proxy/ServiceTimes.cpp
+++ b/packages/proxy/ServiceTimes.cpp
@@ -33,8 +33,12 @@
     if (found == byRoute_.end())
         return std::nullopt;
     const Windows& windows = found->second;
-    const auto longest = static_cast<double>(std::max(windows.current.longest, windows.previous.longest).count());
-    const auto count = static_cast<double>(windows.current.count + windows.previous.count);
+    const Millis age = options_.clock() - windows.startedAt;
+    if (age >= 2 * options_.window)
+        return std::nullopt;
+    const Samples previous = age < options_.window ? windows.previous : Samples {};
+    const auto longest = static_cast<double>(std::max(windows.current.longest, previous.longest).count());
+    const auto count = static_cast<double>(windows.current.count + previous.count);
     return Millis(std::llround(longest * (1 + marginOfOneSample / std::sqrt(count))));
 }
 
@@ -43,12 +47,9 @@
     std::erase_if(byRoute_, [&](const auto& entry) { return !isKept(entry.first); });
 }
 
-bool endsInTime(Millis timeLeft, std::optional<Millis> longest, Millis routeTimeout)
+bool endsInTime(Millis timeLeft, std::optional<Millis> longest, Millis limit)
 {
-    if (timeLeft <= Millis(0))
-        return false;
-    const Millis needed = longest.value_or(routeTimeout);
-    return needed <= timeLeft;
+    return timeLeft > Millis(0) && std::min(longest.value_or(limit), limit) <= timeLeft;
 }
 
 } // namespace hemlockweir
--- a/packages/proxy/ServiceTimes.h
+++ b/packages/proxy/ServiceTimes.h
@@ -25,7 +25,7 @@
     void note(const std::string& route, Millis time);
 
     // Returns a time in ms within which a request of the route is expected to end, even a long one; nullopt without a
-    // sample. It is the longest of the recent samples plus a margin that is larger if there are few: responses vary in length
+    // recent sample. It is the longest of the recent samples plus a margin that is larger if there are few: responses vary in length
     // by an order of magnitude, so an average and its deviation miss the long ones.
     std::optional<Millis> longest(const std::string& route) const;
 
@@ -49,8 +49,8 @@
     std::map<std::string, Windows> byRoute_;
 };
 
-// Returns whether a request that is placed now ends in time. `longest` is ServiceTimes::longest() of its route; without it
-// the route's timeout counts, and without either the request is expected to end.
-bool endsInTime(Millis timeLeft, std::optional<Millis> longest, Millis routeTimeout);
+// Returns whether a request that is placed now ends in time. `longest` is ServiceTimes::longest() of its route. `limit` is the
+// time in ms after which it ends in any case, by its deadline.
+bool endsInTime(Millis timeLeft, std::optional<Millis> longest, Millis limit);
 
 } // namespace hemlockweir
