Let mistaken blocks end, and judge streams without a length and events by line

From the review of the second matter and of the broken streams, each with a test: - A block was renewed by each request that it stopped, and by other nodes, so a mistake would have lasted as long as requests came. It ends after ten minutes now in any case; what another node reported is not passed on; fingerprints of requests are not reported as blocks, since an answer at one node could not lift them at the others. - With 4,000 known parts an answer no longer cleared a suspected part. It does, also if the part is not remembered. - A part is sound for a minute after a response, not ten, so that one which begins to crash endpoints is found; it counts by service and model; an endpoint's first event proves it, not only the end. - A stream that ends with its connection before its first event was an empty, complete one, and proof that its prompt was sound. It is a broken one: an endpoint that crashes closes too. - A line end after the last event made a whole stream a broken one. A line that is no field was forwarded beside one that is, and an event of unknown fields alone was not forwarded. - The list is computed anew only for new evidence, a crash holds at most 256 suspects, and a request is hashed once.

--- a/packages/proxy/CrashList.cpp
+++ b/packages/proxy/CrashList.cpp
@@ -32,7 +32,7 @@
     return hashTexts({ caller, method, target, body });
 }
 
-std::vector<uint64_t> CrashList::hashSharedParts(std::string_view service, std::string_view prompt)
+std::vector<uint64_t> CrashList::hashSharedParts(std::string_view service, std::string_view model, std::string_view prompt)
 {
     std::vector<uint64_t> hashes;
     size_t at = 0;
@@ -42,7 +42,7 @@
         const std::string_view id = part.substr(0, part.find(':'));
         const size_t start = id.find_first_not_of(" \t");
         if (start != std::string_view::npos)
-            hashes.push_back(hashTexts({ service, id.substr(start) }));
+            hashes.push_back(hashTexts({ service, model, id.substr(start) }));
     }
     return hashes;
 }
@@ -106,16 +106,21 @@
 
 void CrashList::addCrash(const CrashReport& report, Millis at)
 {
-    hasNewEvidence_ = true;
     auto crash = std::find_if(crashes_.begin(), crashes_.end(), [&](const Crash& known) { return known.endpoint == report.endpoint && std::chrono::abs(known.at - at) < sameCrashWindow; });
     if (crash == crashes_.end()) {
         crashes_.push_back({ .endpoint = report.endpoint, .at = at });
         limitSize(crashes_, options_.maxCrashes);
         crash = crashes_.end() - 1;
     }
-    std::vector<uint64_t>& parts = crash->suspects[report.subject.request];
-    if (parts.size() < report.subject.sharedParts.size())
+    const bool isFull = crash->suspects.size() >= options_.maxSuspectsPerCrash;
+    if (isFull && crash->suspects.count(report.subject.request) == 0)
+        return;
+    const auto [suspect, isNew] = crash->suspects.try_emplace(report.subject.request);
+    std::vector<uint64_t>& parts = suspect->second;
+    const bool hasMoreParts = parts.size() < report.subject.sharedParts.size();
+    if (hasMoreParts)
         parts = report.subject.sharedParts;
+    hasNewEvidence_ = hasNewEvidence_ || isNew || hasMoreParts;
 }
 
 void CrashList::noteAnswered(uint64_t request)
@@ -131,9 +136,8 @@
 {
     for (const uint64_t part : parts) {
         const bool isNew = !isSound(part);
-        if (isNew && soundParts_.size() >= options_.maxSoundParts)
-            continue;
-        soundParts_[part] = options_.clock();
+        if (!isNew || soundParts_.size() < options_.maxSoundParts)
+            soundParts_[part] = options_.clock();
         if (isNew)
             clearPart(part);
     }
@@ -141,10 +145,8 @@
 
 void CrashList::notePeerSoundPart(uint64_t part)
 {
-    if (isSound(part) || soundParts_.size() >= options_.maxSoundParts)
-        return;
-    soundParts_[part] = options_.clock();
-    clearPart(part);
+    if (!isSound(part))
+        noteSoundParts({ part });
 }
 
 // Withdraws the suspicion against a part, and tells the other nodes if there was one.
@@ -164,15 +166,16 @@
         options_.onSoundPart(part);
 }
 
-void CrashList::notePeerBlock(uint64_t blocked)
+void CrashList::notePeerBlock(uint64_t part)
 {
-    if (isSound(blocked)) {
+    if (isSound(part)) {
         if (options_.onSoundPart)
-            options_.onSoundPart(blocked);
+            options_.onSoundPart(part);
         return;
     }
-    Block& block = blocks_[blocked];
-    block.expiresAt = std::max(block.expiresAt, options_.clock() + options_.peerBlockLifetime);
+    const Millis now = options_.clock();
+    Block& block = blocks_.try_emplace(part, Block { .foundAt = now, .isPart = true }).first->second;
+    block.expiresAt = std::max(block.expiresAt, now + options_.peerBlockLifetime);
 }
 
 std::map<uint64_t, CrashList::Evidence> CrashList::collectPartEvidence() const
@@ -195,7 +198,7 @@
 
 // Blocks a part or a request that is a suspect in enough crashes that nothing else explains; these are explained then. Lifts
 // an earlier block if something else explains them now.
-void CrashList::blockIfUnexplained(uint64_t blocked, const std::set<size_t>& crashes, std::set<size_t>& explained)
+void CrashList::blockIfUnexplained(uint64_t blocked, bool isPart, const std::set<size_t>& crashes, std::set<size_t>& explained)
 {
     const auto unexplained = static_cast<size_t>(std::count_if(crashes.begin(), crashes.end(), [&](size_t crash) { return explained.count(crash) == 0; }));
     if (unexplained < options_.crashThreshold) {
@@ -204,7 +207,7 @@
         return;
     }
     explained.insert(crashes.begin(), crashes.end());
-    Block& block = blocks_[blocked];
+    Block& block = blocks_.try_emplace(blocked, Block { .foundAt = options_.clock(), .isPart = isPart }).first->second;
     if (!std::exchange(block.isOwn, true) && options_.onBlocked)
         options_.onBlocked(blocked, crashes.size());
     block.expiresAt = std::max(block.expiresAt, crashes_[*crashes.rbegin()].at + options_.retention);
@@ -217,6 +220,7 @@
     std::set<size_t> explained;
     const std::map<uint64_t, Evidence> evidence = collectPartEvidence();
     std::vector<std::pair<uint64_t, const Evidence*>> parts;
+    parts.reserve(evidence.size());
     for (const auto& [part, found] : evidence)
         parts.emplace_back(part, &found);
     std::stable_sort(parts.begin(), parts.end(), [](const auto& one, const auto& other) {
@@ -224,7 +228,7 @@
     });
     for (const auto& [part, found] : parts) {
         if (found->requests.size() >= options_.requestThreshold)
-            blockIfUnexplained(part, found->crashes, explained);
+            blockIfUnexplained(part, true, found->crashes, explained);
     }
     std::map<uint64_t, std::set<size_t>> requests;
     for (size_t i = 0; i < crashes_.size(); ++i) {
@@ -232,17 +236,19 @@
             requests[request].insert(i);
     }
     for (const auto& [request, crashes] : requests)
-        blockIfUnexplained(request, crashes, explained);
+        blockIfUnexplained(request, false, crashes, explained);
 }
 
-// Returns whether the request or part is blocked, and if so extends the block.
+// Returns whether the request or part is blocked, and if so extends a block that this node found.
 bool CrashList::extendBlock(uint64_t blocked)
 {
     const auto found = blocks_.find(blocked);
     const Millis now = options_.clock();
     if (found == blocks_.end() || found->second.expiresAt <= now)
         return false;
-    found->second = { .expiresAt = now + options_.retention, .isOwn = true };
+    Block& block = found->second;
+    if (block.isOwn)
+        block.expiresAt = std::min(now + options_.retention, block.foundAt + options_.maxBlockTime);
     return true;
 }
 
@@ -259,7 +265,7 @@
 {
     std::vector<uint64_t> own;
     for (const auto& [blocked, block] : blocks_) {
-        if (block.isOwn)
+        if (block.isOwn && block.isPart)
             own.push_back(blocked);
     }
     return own;
--- a/packages/proxy/CrashList.h
+++ b/packages/proxy/CrashList.h
@@ -48,9 +48,11 @@
         size_t requestThreshold = 2; // different requests that must have crashed with a part before the part is blocked
         Millis confirmationWindow { 6000 }; // ms, for which a lost connection can still be confirmed as a crash; the endpoint list lags by some seconds
         Millis retention { 60000 }; // ms, for which a crash counts, and a block holds after its last crash or request
-        Millis soundPartLifetime { 600000 }; // ms, for which a part counts as sound after a response
+        Millis maxBlockTime { 600000 }; // ms, after which a block ends in any case: nothing that is blocked can prove to be sound
+        Millis soundPartLifetime { 60000 }; // ms, for which a part counts as sound after a response
         Millis peerBlockLifetime { 5000 }; // ms, for which a block of another node holds after it was last reported
         size_t maxCrashes = 300; // crashes and lost connections to track; beyond this the oldest are dropped
+        size_t maxSuspectsPerCrash = 256; // more requests on one endpoint are ignored
         size_t maxSoundParts = 4000; // beyond this no more parts are remembered until others expire
         std::function<void(const std::string& endpoint)> onConnectionLost; // asks to check whether the endpoint is alive; may be empty
         std::function<void(const CrashReport&)> onCrash; // a crash found by this node, to be published; may be empty
@@ -64,8 +66,8 @@
     static uint64_t fingerprint(std::string_view caller, std::string_view method, std::string_view target, std::string_view body);
 
     // Returns the hashes of the shared parts of a prompt, "ID:TOKENS,ID:TOKENS,...": all but the last one, which belongs to the
-    // request itself. The same part of another service has another hash.
-    static std::vector<uint64_t> hashSharedParts(std::string_view service, std::string_view prompt);
+    // request itself. The same part has another hash for another service or model.
+    static std::vector<uint64_t> hashSharedParts(std::string_view service, std::string_view model, std::string_view prompt);
 
     // Records that the connection on which an endpoint ran the request was lost. `hasResponse` states whether part of the
     // response had arrived: then the endpoint had survived the prompt.
@@ -81,19 +83,20 @@
     // Clears a request that an endpoint answered completely.
     void noteAnswered(uint64_t request);
 
-    // Records that an endpoint answered a request with these parts completely.
+    // Records that an endpoint survived these parts: it began to answer a request that has them.
     void noteSoundParts(const std::vector<uint64_t>& parts);
 
-    // Applies what another node reported: a part is sound, or a request or part is blocked.
+    // Applies what another node reported: a part is sound, or blocked.
     void notePeerSoundPart(uint64_t part);
-    void notePeerBlock(uint64_t blocked);
+    void notePeerBlock(uint64_t part);
 
     // Returns the fingerprint of the request, or the hash of a part of its prompt, if it crashed so many endpoints that it must
-    // not be sent to another one; nullopt if the request may be sent. A block holds on while requests ask for what is blocked.
+    // not be sent to another one; nullopt if the request may be sent. A block holds on while requests ask for what is blocked,
+    // up to maxBlockTime.
     std::optional<uint64_t> findBlock(const CrashSubject& subject);
     bool isBlocked(const CrashSubject& subject) { return findBlock(subject).has_value(); }
 
-    // Returns what this node found to crash endpoints, to be published to nodes that have started since.
+    // Returns the parts that this node itself found to crash endpoints, to be published to nodes that have started since.
     std::vector<uint64_t> ownBlocks() const;
 
     // Removes expired entries. Call periodically.
@@ -117,8 +120,10 @@
     };
 
     struct Block {
+        Millis foundAt { 0 };
         Millis expiresAt { 0 };
         bool isOwn = false; // found by this node and not only reported by another
+        bool isPart = false; // of prompts; else a request
     };
 
     // The crashes in which a part or request is a suspect.
@@ -134,7 +139,7 @@
     void clearPart(uint64_t part);
     void findBlocks();
     std::map<uint64_t, Evidence> collectPartEvidence() const;
-    void blockIfUnexplained(uint64_t blocked, const std::set<size_t>& crashes, std::set<size_t>& explained);
+    void blockIfUnexplained(uint64_t blocked, bool isPart, const std::set<size_t>& crashes, std::set<size_t>& explained);
     bool extendBlock(uint64_t blocked);
 
     Options options_;
--- a/packages/proxy/EventSplitter.cpp
+++ b/packages/proxy/EventSplitter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
 
 namespace hemlockweir {
@@ -36,20 +37,28 @@
     return std::nullopt;
 }
 
-// Returns whether the text is empty, or a line of it is a comment or starts with the name of a field (HTML, 9.2.6).
+// Returns whether a line of an event is empty, a comment or a field: a name that may be followed by a colon and a value. Names
+// that HTML (9.2.6) doesn't define are an endpoint's own, and need the colon.
+static bool isFieldOrComment(std::string_view line)
+{
+    constexpr std::array<std::string_view, 4> names { "id", "data", "event", "retry" };
+    if (line.ends_with('\r'))
+        line.remove_suffix(1);
+    const std::string_view name = line.substr(0, line.find(':'));
+    if (name.size() == line.size())
+        return line.empty() || std::find(names.begin(), names.end(), name) != names.end();
+    return std::all_of(name.begin(), name.end(), [](unsigned char c) { return std::isalnum(c) || c == '-' || c == '_'; });
+}
+
 static bool isEvent(std::string_view text)
 {
-    if (text.find_first_not_of("\r\n") == std::string_view::npos)
-        return true;
-    constexpr std::array<std::string_view, 5> starts { "id:", "data:", "event:", "retry:", ":" };
-    for (size_t at = 0; at < text.size(); at = text.find('\n', at) + 1) {
-        const std::string_view line = text.substr(at);
-        if (std::any_of(starts.begin(), starts.end(), [line](std::string_view start) { return line.starts_with(start); }))
-            return true;
-        if (text.find('\n', at) == std::string_view::npos)
-            break;
+    while (!text.empty()) {
+        const size_t end = std::min(text.find('\n'), text.size());
+        if (!isFieldOrComment(text.substr(0, end)))
+            return false;
+        text.remove_prefix(std::min(end + 1, text.size()));
     }
-    return false;
+    return true;
 }
 
 bool EventSplitter::feed(std::string_view bytes, const std::function<void(std::string_view)>& onEvent)
--- a/packages/proxy/EventSplitter.h
+++ b/packages/proxy/EventSplitter.h
@@ -16,11 +16,11 @@
 
     // Parses the next bytes and calls onEvent with each complete event, including its blank line. Skips events whose id
     // is not greater than the last one, since a resumed stream may repeat events. Returns false if an event is longer than
-    // maxEventBytes, or if bytes in its place are none: they have no field of server-sent events and no comment.
+    // maxEventBytes, or if one of its lines is neither a comment nor a field: such bytes are another answer.
     bool feed(std::string_view bytes, const std::function<void(std::string_view)>& onEvent);
 
-    // Returns whether the last event is incomplete.
-    bool hasPartial() const { return !pending_.empty(); }
+    // Returns whether the last event is incomplete. Line ends alone are no event.
+    bool hasPartial() const { return pending_.find_first_not_of("\r\n") != std::string::npos; }
 
     // Discards the bytes of an incomplete event.
     void discardPartial() { pending_.clear(); }
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -271,12 +271,14 @@
 // Returns a value that is the same for each repetition of the request by its caller.
 uint64_t ProxyFlow::fingerprint() const
 {
-    return CrashList::fingerprint(requestHeader(context_.headers.key), options_.request.method, options_.request.target, options_.request.body);
+    if (!fingerprint_)
+        fingerprint_ = CrashList::fingerprint(requestHeader(context_.headers.key), options_.request.method, options_.request.target, options_.request.body);
+    return *fingerprint_;
 }
 
 std::vector<uint64_t> ProxyFlow::sharedPromptParts() const
 {
-    return CrashList::hashSharedParts(service_, requestHeader(context_.headers.promptPrefix));
+    return CrashList::hashSharedParts(service_, model_, requestHeader(context_.headers.promptPrefix));
 }
 
 // Returns whether the request, or a part of its prompt, crashes endpoints.
--- a/packages/proxy/ProxyFlow.h
+++ b/packages/proxy/ProxyFlow.h
@@ -75,6 +75,7 @@
     void handleHead(const ResponseHead& head);
     void handleBody(std::string_view bytes);
     void handleEnd(ExchangeEnd how);
+    bool isTruncated() const;
     void handleCompleteResponse();
     void handleRejection(const ResponseHead& head);
     std::vector<HeaderLine> responseHeaders(const ResponseHead& head) const;
@@ -115,6 +116,7 @@
     std::string lastTarget_; // id of the endpoint that the request was sent to last
     std::set<std::string> excludedEndpoints_;
     EventSplitter eventSplitter_;
+    mutable std::optional<uint64_t> fingerprint_; // computed on first use
     ExecutionState executionState_ = ExecutionState::NotRun;
     int executions_ = 0; // endpoints that may have run the request
     int sends_ = 0; // all sends, including those that were not run
--- a/packages/proxy/ProxyFlowAnswer.cpp
+++ b/packages/proxy/ProxyFlowAnswer.cpp
@@ -137,7 +137,8 @@
     }
     if (!hasEvent)
         return;
-    attempt_->hasBody = true;
+    if (!std::exchange(attempt_->hasBody, true))
+        context_.crashes.noteSoundParts(sharedPromptParts());
     attempt_->progressAt = context_.clock();
     context_.dispatcher.noteSuccess(attempt_->target.id);
 }
@@ -196,6 +197,15 @@
     retryOrFail(how == ExchangeEnd::Malformed ? "malformed_answer" : "connection_lost", isTargetFault);
 }
 
+// Returns whether a stream that seems complete was broken off: inside an event or, where it ends with its connection, before
+// its first event. An endpoint that crashes closes the connection too.
+bool ProxyFlow::isTruncated() const
+{
+    const ResponseHead& head = *attempt_->head;
+    const bool endsWithConnection = !head.bodyLength && !findHeader(head.headers, "Transfer-Encoding");
+    return eventSplitter_.hasPartial() || (endsWithConnection && !attempt_->hasBody);
+}
+
 void ProxyFlow::handleCompleteResponse()
 {
     const auto self = shared_from_this();
@@ -204,8 +214,7 @@
         retryOrFail("malformed_answer", true);
         return;
     }
-    // A stream without a length ends with its connection, also if the endpoint broke it off.
-    if (isStreaming() && eventSplitter_.hasPartial()) {
+    if (isStreaming() && isTruncated()) {
         retryOrFail("stream_truncated", true);
         return;
     }
@@ -215,7 +224,8 @@
     endAttempt("answered");
     const ResponseHead& head = *attempt.head;
     if (head.status / 100 == 2) {
-        context_.crashes.noteSoundParts(sharedPromptParts());
+        if (attempt.hasBody)
+            context_.crashes.noteSoundParts(sharedPromptParts());
         context_.serviceTimes.note(route_.name, context_.clock() - attempt.sentAt);
     }
     if (route_.kind == RequestKind::Stream && head.status / 100 == 2) {
--- a/tests/CrashListTest.cpp
+++ b/tests/CrashListTest.cpp
@@ -262,9 +262,59 @@
     list_.notePeerBlock(deadly);
     now_ += Millis(4000);
     EXPECT_TRUE(isBlocked({ deadly }));
+    EXPECT_TRUE(list_.ownBlocks().empty());
+    now_ += Millis(5001);
+    EXPECT_FALSE(isBlocked({ deadly }));
+}
+
+TEST_F(CrashingParts, OwnBlocksOfPartsArePublishedAndThoseOfRequestsAreNot)
+{
+    for (int i = 0; i < 3; ++i)
+        crash({ first, deadly });
+    for (int i = 0; i < 3; ++i) {
+        list_.noteConnectionLost({ .request = 7 }, "f" + std::to_string(i), false);
+        list_.noteEndpointDown("f" + std::to_string(i));
+    }
+    EXPECT_TRUE(list_.isBlocked({ .request = 7 }));
+    EXPECT_TRUE(isBlocked({ deadly }));
     EXPECT_EQ(list_.ownBlocks(), std::vector<uint64_t> { deadly });
 }
 
+// Nothing that is blocked can prove to be sound, so a mistake must end by itself.
+TEST_F(CrashingParts, BlockEndsAfterItsLongestTimeEvenIfRequestsAskForIt)
+{
+    for (int i = 0; i < 3; ++i)
+        crash({ first });
+    const Millis start = now_;
+    while (isBlocked({ first }) && now_ - start < Millis(700000)) {
+        now_ += Millis(20000);
+        list_.sweep();
+    }
+    EXPECT_LE(now_ - start, Millis(640000));
+}
+
+// Callers decide how many parts there are.
+TEST_F(CrashingParts, AnswerLiftsABlockAlsoIfTooManyPartsAreKnown)
+{
+    for (uint64_t part = 1000; part < 6000; ++part)
+        list_.noteSoundParts({ part });
+    for (int i = 0; i < 3; ++i)
+        crash({ first });
+    EXPECT_TRUE(isBlocked({ first }));
+    list_.noteSoundParts({ first });
+    EXPECT_FALSE(isBlocked({ first }));
+}
+
+TEST_F(CrashingParts, PartThatCrashesEndpointsAfterAWhileIsBlocked)
+{
+    list_.noteSoundParts({ first });
+    now_ += Millis(61000);
+    list_.sweep();
+    for (int i = 0; i < 3; ++i)
+        crash({ first });
+    EXPECT_TRUE(isBlocked({ first }));
+}
+
 TEST_F(CrashingParts, UnusedBlockOfAnotherNodeExpires)
 {
     list_.notePeerBlock(deadly);
@@ -322,12 +372,13 @@
 
 TEST(SharedParts, AreAllButTheLast)
 {
-    const std::vector<uint64_t> parts = CrashList::hashSharedParts("lm", "aa:40, bb:165,cc:300");
+    const std::vector<uint64_t> parts = CrashList::hashSharedParts("lm", "m", "aa:40, bb:165,cc:300");
     EXPECT_EQ(parts.size(), 2U);
-    EXPECT_EQ(parts, CrashList::hashSharedParts("lm", "aa:41,bb:165,dd:7"));
-    EXPECT_NE(parts, CrashList::hashSharedParts("other", "aa:40,bb:165,cc:300"));
-    EXPECT_TRUE(CrashList::hashSharedParts("lm", "cc:300").empty());
-    EXPECT_TRUE(CrashList::hashSharedParts("lm", "").empty());
+    EXPECT_EQ(parts, CrashList::hashSharedParts("lm", "m", "aa:41,bb:165,dd:7"));
+    EXPECT_NE(parts, CrashList::hashSharedParts("other", "m", "aa:40,bb:165,cc:300"));
+    EXPECT_NE(parts, CrashList::hashSharedParts("lm", "n", "aa:40,bb:165,cc:300"));
+    EXPECT_TRUE(CrashList::hashSharedParts("lm", "m", "cc:300").empty());
+    EXPECT_TRUE(CrashList::hashSharedParts("lm", "m", "").empty());
 }
 
 TEST(SharedParts, AreBounded)
@@ -335,8 +386,8 @@
     std::string prompt;
     for (int i = 0; i < 1000; ++i)
         prompt += std::to_string(i) + ":1,";
-    EXPECT_LE(CrashList::hashSharedParts("lm", prompt).size(), 8U);
-    EXPECT_TRUE(CrashList::hashSharedParts("lm", ",,,").empty());
+    EXPECT_LE(CrashList::hashSharedParts("lm", "m", prompt).size(), 8U);
+    EXPECT_TRUE(CrashList::hashSharedParts("lm", "m", ",,,").empty());
 }
 
 TEST(Fingerprint, DiffersByCallerPathAndBody)
--- a/tests/ProxyFlowTest.cpp
+++ b/tests/ProxyFlowTest.cpp
@@ -545,6 +545,18 @@
     }
 }
 
+// An endpoint that crashes closes its connections in order.
+TEST_F(BrokenAnswers, StreamWithoutALengthThatEndsBeforeItsFirstEventIsContinuedElsewhere)
+{
+    configure();
+    const std::string head = "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n";
+    int sends = 0;
+    script([&](int) { return ScriptedResponse { .bytes = ++sends == 1 ? head : head + event(1), .ending = Ending::Close }; });
+    const std::string answer = exchange(request("/draft/7", "r1"));
+    EXPECT_TRUE(answer.ends_with("\r\n\r\n" + chunk(event(1)) + "0\r\n\r\n")) << answer;
+    EXPECT_EQ(lostOn_.size(), 1U) << "it may have crashed";
+}
+
 // A faulty engine wrote an earlier refusal once more on a kept connection. Its "not run" is not about the request that waits there.
 TEST_F(BrokenAnswers, EarlierRefusalOnAKeptConnectionIsNoAnswer)
 {
@@ -589,6 +601,9 @@
         { "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Seal: t\r\n\r\nbad", Ending::Close },
         { "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Seal: t\r\nContent-Le", Ending::Close },
         { "bad\n\n", Ending::Close },
+        { "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Seal: t\r\n\r\n", Ending::Close },
+        { streamHead("r1") + chunk("id: 2\nHTTP/1.1 500 Error: x\r\nContent-Length: 3\r\n\r\nbad\n\n") + "0\r\n\r\n" },
+        { streamHead("r1") + chunk("{\"error\": \"bad\"}\n\n") + "0\r\n\r\n" },
         { streamHead("r1") + chunk("HTTP/1.1 500 Error\r\nContent-Length: 3\r\n\r\nbad\n\n") + "0\r\n\r\n" },
     };
     for (const ScriptedResponse& second : answers) {
@@ -604,11 +619,11 @@
 TEST_F(BrokenAnswers, EventsInAnyFormAreForwarded)
 {
     configure();
-    const std::string events = ": wait\n\nversions: 2\nid: 1\ndata: a\n\n\n\nretry: 5\r\n\r\ndata: b\n\n";
+    const std::string events = ": wait\n\nversions: 2\nid: 1\ndata: a\n\n\n\nretry: 5\r\n\r\ndata: b\n\nx-own: 2\n\ndata\n\n\n";
     script([&](int) { return ScriptedResponse { streamHead("r1") + chunk(events) + "0\r\n\r\n" }; });
     const std::string answer = exchangeAnew("/draft/7", "r1");
     std::string received;
-    for (const std::string part : { ": wait\n\n", "versions: 2\nid: 1\ndata: a\n\n", "\n\n", "retry: 5\r\n\r\n", "data: b\n\n" })
+    for (const std::string part : { ": wait\n\n", "versions: 2\nid: 1\ndata: a\n\n", "\n\n", "retry: 5\r\n\r\n", "data: b\n\n", "x-own: 2\n\n", "data\n\n" })
         received += chunk(part);
     EXPECT_TRUE(answer.ends_with(received + "0\r\n\r\n")) << answer;
 }
