Obey what endpoints announce in their answers: that they leave, or want a pause

Neither header was read: a leaving endpoint was known from its entry in the store only, seconds late or not at all where the store is away, and a 503 with Retry-After was a rejection like others, after which the endpoint got the next request in 0.1 s.

EndpointNotices keeps, by endpoint and incarnation, until when this node sends nothing there: ten minutes after the last answer that says it leaves, and the time that a 503 asks for, 60 s at most; the later end holds. The list, a lapsed entry and an outage of the store change nothing. The dispatcher places no request there, first attempts, retries, queued requests and resumed streams alike. After a pause the endpoint gets a single request first. When all endpoints leave, a request is refused at once; when all pause, with the time at which the first is back. Seconds may have decimals; a date, a negative or unreadable value is an ordinary rejection, with a line in the log.

--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -38,6 +38,7 @@
 
 Dispatcher::Dispatcher(Options options)
     : options_(std::move(options))
+    , notices_({ .clock = options_.clock })
 {
 }
 
@@ -61,6 +62,7 @@
         if (old != before.end() && old->second.target.isSameTarget(target))
             load = old->second;
         load.target = target;
+        load.unavailableUntil = notices_.unavailableUntil(target.id, target.startedAtMs);
         loads_[target.id] = std::move(load);
     }
     indexLoads();
@@ -170,7 +172,7 @@
     const Millis now = options_.clock();
     double free = 0;
     for (const TargetLoad* load : loadsFor(key).local)
-        free += load->suspectUntil > now ? 0 : std::max(0.0, load->target.slots - load->usedSlots());
+        free += !load->isUsable(now) ? 0 : std::max(0.0, load->target.slots - load->usedSlots());
     return free;
 }
 
@@ -247,7 +249,7 @@
         wait = Millis(static_cast<int64_t>(1000.0 * static_cast<double>(requestsAhead + 1) / queue.startsPerSecond));
     const PlacementRefusal refusal {
         .reason = reason,
-        .retryAfter = chooseRetryAfter(request, wait),
+        .retryAfter = untilPauseEnds({ request.service, request.model }) + chooseRetryAfter(request, wait),
         .requestsAhead = requestsAhead,
         .targets = countTargets(request.service, request.model),
     };
@@ -298,6 +300,48 @@
     load.suspectUntil = std::max(load.suspectUntil, options_.clock() + options_.rejectionBackoff);
 }
 
+bool Dispatcher::noteLeaving(const Target& target)
+{
+    const bool isNews = notices_.noteLeaving(target.id, target.startedAtMs);
+    applyNotice(target);
+    return isNews;
+}
+
+void Dispatcher::notePause(const Target& target, Millis time)
+{
+    notices_.notePause(target.id, target.startedAtMs, time);
+    applyNotice(target);
+    const auto found = loads_.find(target.id);
+    if (found != loads_.end() && found->second.unavailableUntil > options_.clock())
+        found->second.consecutiveFailures = std::max(found->second.consecutiveFailures, 1U);
+}
+
+void Dispatcher::applyNotice(const Target& target)
+{
+    const auto found = loads_.find(target.id);
+    if (found != loads_.end() && found->second.target.startedAtMs == target.startedAtMs)
+        found->second.unavailableUntil = notices_.unavailableUntil(target.id, target.startedAtMs);
+}
+
+// Returns the time in ms until the first of the endpoints that asked for a pause may be used again; 0 if another one may be
+// used before, or if all of them leave.
+Millis Dispatcher::untilPauseEnds(const QueueKey& key) const
+{
+    const Millis now = options_.clock();
+    const ModelLoads& loads = loadsFor(key);
+    std::optional<Millis> first;
+    for (const auto* list : { &loads.local, &loads.spanning }) {
+        for (const TargetLoad* load : *list) {
+            if (load->unavailableUntil <= now)
+                return Millis(0);
+            const Millis end = notices_.pausedUntil(load->target.id, load->target.startedAtMs);
+            if (end > now)
+                first = std::min(first.value_or(end), end);
+        }
+    }
+    return first ? *first - now : Millis(0);
+}
+
 void Dispatcher::notePeerFailure(uint32_t target)
 {
     const auto found = loadsByHash_.find(target);
@@ -319,7 +363,8 @@
     const auto found = loads_.find(targetId);
     if (found == loads_.end())
         return;
-    found->second.consecutiveFailures = 0;
+    if (found->second.unavailableUntil <= options_.clock())
+        found->second.consecutiveFailures = 0;
     found->second.consecutiveRejections = 0;
     found->second.suspectUntil = Millis(0);
     found->second.lastResponseAt = options_.clock();
@@ -431,6 +476,7 @@
 void Dispatcher::tick()
 {
     dropStalePeers();
+    notices_.sweep();
     std::vector<QueueKey> keys;
     for (const auto& [key, queue] : queues_) {
         if (!queue.waiting.empty())
--- a/packages/proxy/Dispatcher.h
+++ b/packages/proxy/Dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Clock.h"
+#include "proxy/EndpointNotices.h"
 #include "proxy/Placement.h"
 
 #include <limits>
@@ -57,6 +58,12 @@
     // count as a failure.
     void noteRejection(const std::string& targetId);
 
+    // Records that an endpoint announced that it leaves: it gets no new request. Returns whether that is news.
+    bool noteLeaving(const Target& target);
+
+    // Records that an endpoint announced that it wants no request for a time in ms. Afterwards it gets a single one first.
+    void notePause(const Target& target, Millis time);
+
     // Records that an endpoint responds.
     void noteSuccess(const std::string& targetId);
 
@@ -108,6 +115,8 @@
     void place(PlacementRequest request, TargetLoad& load);
     void refuse(PlacementRequest request, RefusalReason reason, size_t requestsAhead);
     void updateStartRate(Queue& queue);
+    void applyNotice(const Target& target);
+    Millis untilPauseEnds(const QueueKey& key) const;
     static double decayedPlacementRate(const Queue& queue, Millis now);
     double countUnseenPlacements(const Queue& queue) const;
     void placeWaiting(const QueueKey& key, const TargetLoad* freed = nullptr);
@@ -133,6 +142,7 @@
     void dropStalePeers();
 
     Options options_;
+    EndpointNotices notices_;
     std::map<std::string, TargetLoad> loads_; // by endpoint id
     std::map<std::string, std::vector<Target>> targets_; // by service, as set last
     std::unordered_map<uint32_t, TargetLoad*> loadsByHash_; // by hashTarget() of the id
--- a/packages/proxy/DispatcherLoads.cpp
+++ b/packages/proxy/DispatcherLoads.cpp
@@ -133,7 +133,7 @@
 {
     const Millis now = options_.clock();
     const auto countUsable = [now](const std::vector<const TargetLoad*>& loads) {
-        return static_cast<size_t>(std::count_if(loads.begin(), loads.end(), [now](const TargetLoad* load) { return load->suspectUntil <= now; }));
+        return static_cast<size_t>(std::count_if(loads.begin(), loads.end(), [now](const TargetLoad* load) { return load->isUsable(now); }));
     };
     const ModelLoads& loads = loadsFor({ service, model });
     return countUsable(loads.local) + countUsable(loads.spanning);
--- a/packages/proxy/ForwardedHeaders.cpp
+++ b/packages/proxy/ForwardedHeaders.cpp
@@ -16,8 +16,8 @@
 
 static bool isEndToEndHeader(const ProxyHeaders& names, std::string_view name)
 {
-    const std::array<std::string_view, 14> kept { names.requestId, names.deadline, names.key, names.organisation, names.expectEndpoint, names.seal, names.load,
-        names.notRun, names.faultyEndpoint, names.model, names.tokenCounts, names.promptPrefix, names.urgency, names.lastEventId };
+    const std::array<std::string_view, 15> kept { names.requestId, names.deadline, names.key, names.organisation, names.expectEndpoint, names.seal, names.load,
+        names.notRun, names.leaving, names.faultyEndpoint, names.model, names.tokenCounts, names.promptPrefix, names.urgency, names.lastEventId };
     return std::any_of(kept.begin(), kept.end(), [name](std::string_view other) { return isSameHeaderName(name, other); });
 }
 
--- a/packages/proxy/Placement.h
+++ b/packages/proxy/Placement.h
@@ -58,12 +58,16 @@
     double peerPromptsDoneAtMs = 0; // the same for the prompts of other nodes, as if processed in parallel
     Millis lastResponseAt { 0 }; // when this node last received part of a response
     Millis suspectUntil { 0 }; // no request is placed on the target before this time
+    Millis unavailableUntil { 0 }; // the same, as the endpoint announced itself
     uint32_t consecutiveFailures = 0;
     uint32_t consecutiveRejections = 0;
 
     // Returns the number of occupied slots.
     double usedSlots() const { return running + peerRunning; }
 
+    // Returns whether requests may be placed on the target, if it has a slot.
+    bool isUsable(Millis now) const { return suspectUntil <= now && unavailableUntil <= now; }
+
     // Returns the time in ms until all prompts placed on the target are processed.
     double promptWaitMs(Millis now) const;
 };
@@ -93,7 +97,7 @@
 // ms. The placement of a prompt that takes longer than this is published to the other nodes immediately.
 inline constexpr double longPromptMs = 15;
 
-// Returns whether the target is not suspect or excluded, and has a free slot and enough prompt budget for the request.
+// Returns whether the target is usable and not excluded, and has a free slot and enough prompt budget for the request.
 bool canAccept(const TargetLoad& load, const PlacementRequest& request, Millis now);
 
 // Returns the target for a request: among a random sample, the one with the shortest expected delay due to queued
--- a/packages/proxy/ProxyContext.h
+++ b/packages/proxy/ProxyContext.h
@@ -22,6 +22,7 @@
     std::string seal; // signature of the endpoint, present on each of its responses
     std::string load; // running requests, queued requests and slots of an endpoint
     std::string notRun; // present if the endpoint did not run the request
+    std::string leaving; // "1" in an answer: the endpoint leaves
     std::string faultyEndpoint; // of a rejection: id of the endpoint that caused it
     std::string model;
     std::string tokenCounts; // prompt tokens and maximum response tokens
--- a/packages/proxy/ProxyFlow.h
+++ b/packages/proxy/ProxyFlow.h
@@ -77,6 +77,7 @@
     void handleEnd(ExchangeEnd how);
     bool isTruncated() const;
     void handleCompleteResponse();
+    void noteAnnouncements(const ResponseHead& head);
     void handleRejection(const ResponseHead& head);
     std::vector<HeaderLine> responseHeaders(const ResponseHead& head) const;
     void handleEvents(std::string_view bytes);
--- a/packages/proxy/ProxyFlowAnswer.cpp
+++ b/packages/proxy/ProxyFlowAnswer.cpp
@@ -13,6 +13,8 @@
 static constexpr size_t maxUnsentBytes = 512 * 1024;
 // Bytes of a non-stream response that are buffered, so that the request can be retried until the response is complete.
 static constexpr size_t maxBufferedBytes = 1024 * 1024;
+// Bytes of an unexpected header's value that are logged.
+static constexpr size_t maxLoggedBytes = 64;
 
 void ProxyFlow::handleHead(const ResponseHead& head)
 {
@@ -27,6 +29,7 @@
     }
     if (const auto load = parseLoad(findHeader(head.headers, context_.headers.load).value_or("")))
         context_.dispatcher.noteReportedLoad(attempt.target.id, load->running, load->waiting);
+    noteAnnouncements(head);
     // A bad request is one at any endpoint, so it is not sent to another although it did not run.
     const bool isRejection = head.status == statusMisdirected || (findHeader(head.headers, context_.headers.notRun) && head.status != statusBadRequest);
     if (isRejection) {
@@ -57,6 +60,21 @@
     attempt.head = head;
 }
 
+// Records what the endpoint announces of itself: that it leaves, or that it wants no request for some time.
+void ProxyFlow::noteAnnouncements(const ResponseHead& head)
+{
+    const Target& target = attempt_->target;
+    if (findHeader(head.headers, context_.headers.leaving) == "1" && context_.dispatcher.noteLeaving(target))
+        context_.log.noteChange("endpoint_announced", { { "endpoint", target.id }, { "what", "leaving" }, { "request", requestId_ } });
+    const auto text = findHeader(head.headers, "Retry-After");
+    if (head.status != statusUnavailable || !text)
+        return;
+    const std::optional<Millis> pause = parseRetryAfter(*text);
+    if (pause)
+        context_.dispatcher.notePause(target, *pause);
+    context_.log.noteFailure("endpoint_announced", { { "endpoint", target.id }, { "what", pause ? "pause" : "unreadable_pause" }, { "retry_after", std::string(text->substr(0, maxLoggedBytes)) }, { "request", requestId_ } });
+}
+
 // Handles a rejection: the endpoint did not run the request and never will.
 void ProxyFlow::handleRejection(const ResponseHead& head)
 {
--- a/packages/proxy/Target.cpp
+++ b/packages/proxy/Target.cpp
@@ -33,6 +33,7 @@
             .service = endpoint.service,
             .address = endpoint.address,
             .port = endpoint.port,
+            .startedAtMs = endpoint.startedAtMs,
             .domain = endpoint.domain,
             .slots = endpoint.slots,
         };
--- a/packages/proxy/Target.h
+++ b/packages/proxy/Target.h
@@ -15,6 +15,7 @@
     std::string model; // model that the replica serves; empty for plain endpoints
     std::string address; // IP address
     uint16_t port = 0;
+    int64_t startedAtMs = 0; // start of the endpoint's process, ms since the Unix epoch: its incarnation
     std::string domain; // failure domain
     uint32_t slots = 1; // concurrent requests
     double promptMsPerToken = 0; // ms to process a prompt token; 0: prompts cost no time
@@ -30,7 +31,7 @@
     bool operator==(const Target&) const = default;
 
     // Returns whether both describe the same endpoint with the same model, so that its known load stays valid.
-    bool isSameTarget(const Target& other) const { return id == other.id && address == other.address && port == other.port && model == other.model; }
+    bool isSameTarget(const Target& other) const { return id == other.id && address == other.address && port == other.port && startedAtMs == other.startedAtMs && model == other.model; }
 };
 
 // Returns the targets among the endpoints of a service: the endpoints that are not leaving, and for a service with
--- a/tests/ProxyFlowTest.cpp
+++ b/tests/ProxyFlowTest.cpp
@@ -545,6 +545,44 @@
     }
 }
 
+// An endpoint says in its answers that it leaves; its entry in the list may still say otherwise.
+TEST_F(BrokenAnswers, EndpointThatSaysItLeavesGetsNoMoreRequests)
+{
+    configure();
+    dispatcher_.setTargets("desk", { target("e1", first_) });
+    first_.setScript([](int) { return ScriptedResponse { "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Seal: s\r\nTest-Leaving: 1\r\nContent-Length: 5\r\n\r\nwhole" }; });
+    EXPECT_TRUE(exchange(request("/order/1", "r1")).ends_with("whole"));
+    EXPECT_TRUE(exchange(request("/order/2", "r2")).starts_with("HTTP/1.1 503 "));
+    second_.setScript([](int) { return ScriptedResponse { sealedResponse("r3", "whole") }; });
+    dispatcher_.setTargets("desk", { target("e1", first_), target("e2", second_) });
+    EXPECT_TRUE(exchange(request("/order/3", "r3")).ends_with("whole"));
+    EXPECT_EQ(first_.requests().size(), 1U);
+}
+
+TEST_F(BrokenAnswers, EndpointThatAsksForAPauseGetsNothingUntilItsEnd)
+{
+    configure();
+    first_.setScript([](int) { return ScriptedResponse { "HTTP/1.1 503 Busy\r\nTest-Id: r1\r\nTest-Not-Run: 1\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n" }; });
+    dispatcher_.setTargets("desk", { target("e1", first_) });
+    EXPECT_TRUE(exchange(request("/order/1", "r1")).starts_with("HTTP/1.1 503 "));
+    clockOffset_ += Millis(900);
+    const std::string early = exchange(request("/order/2", "r2"));
+    EXPECT_TRUE(early.starts_with("HTTP/1.1 503 ")) << early;
+    EXPECT_EQ(first_.requests().size(), 1U);
+    first_.setScript([](int) { return ScriptedResponse { sealedResponse("r3", "whole") }; });
+    clockOffset_ += Millis(700);
+    EXPECT_TRUE(exchange(request("/order/3", "r3")).ends_with("whole"));
+}
+
+TEST_F(BrokenAnswers, UnreadablePauseIsAnOrdinaryRejection)
+{
+    configure();
+    first_.setScript([](int count) { return ScriptedResponse { count == 1 ? "HTTP/1.1 503 Busy\r\nTest-Id: r1\r\nTest-Not-Run: 1\r\nRetry-After: soon\r\nContent-Length: 0\r\n\r\n" : sealedResponse("r2", "whole") }; });
+    dispatcher_.setTargets("desk", { target("e1", first_) });
+    EXPECT_TRUE(exchange(request("/order/1", "r1")).starts_with("HTTP/1.1 503 "));
+    EXPECT_TRUE(exchange(request("/order/2", "r2")).ends_with("whole"));
+}
+
 // An endpoint that crashes closes its connections in order.
 TEST_F(BrokenAnswers, StreamWithoutALengthThatEndsBeforeItsFirstEventIsContinuedElsewhere)
 {
--- a/tests/support/ProxyTest.h
+++ b/tests/support/ProxyTest.h
@@ -20,6 +20,7 @@
     .seal = "Test-Seal",
     .load = "Test-Load",
     .notRun = "Test-Not-Run",
+    .leaving = "Test-Leaving",
     .faultyEndpoint = "Test-Faulty",
     .model = "Test-Model",
     .tokenCounts = "Test-Tokens",
