End a request at its deadline and at the exit by one function

checkTimeouts and handleExit had the same nine lines but for the reason: they cancel the wait, note whether the endpoint may have run the request, close the connection and fail. Both call giveUp() now; behaviour is the same.

--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -398,28 +398,26 @@
             leaveQueue();
         return;
     }
+    giveUp("timeout");
+}
+
+// Stops waiting for a slot or a response, and reports the failure to the caller.
+void ProxyFlow::giveUp(std::string_view reason)
+{
     if (isQueued_)
         context_.dispatcher.cancel(options_.id);
     if (attempt_ && attempt_->connection->wasSent())
         executionState_ = ExecutionState::MayHaveRun;
     if (attempt_)
         attempt_->connection->close();
-    endAttempt("timeout");
-    fail("timeout");
+    endAttempt(reason);
+    fail(reason);
 }
 
 void ProxyFlow::handleExit()
 {
-    if (isDone_)
-        return;
-    if (isQueued_)
-        context_.dispatcher.cancel(options_.id);
-    if (attempt_ && attempt_->connection->wasSent())
-        executionState_ = ExecutionState::MayHaveRun;
-    if (attempt_)
-        attempt_->connection->close();
-    endAttempt("stopped");
-    fail("stopped");
+    if (!isDone_)
+        giveUp("stopped");
 }
 
 // Ends the flow because the caller closed its connection.
--- a/packages/proxy/ProxyFlow.h
+++ b/packages/proxy/ProxyFlow.h
@@ -95,6 +95,7 @@
     void endCrashing();
     void noteFailedSend(std::string_view reason, bool isTargetFault);
     void retry();
+    void giveUp(std::string_view reason);
     void fail(std::string_view reason);
     void sendError(int status, std::string_view reason, std::optional<Millis> retryAfter = std::nullopt);
     void checkInactivity(Millis now);
