--- a/review/2/play.cpp
+++ b/review/2/play.cpp
@@ -164,7 +164,7 @@
     if (engines.front()->joins == 0)
         return 2;
     std::this_thread::sleep_for(stopAfter);
-    record.note("SIGTERM to the planner");
+    record.note(join({ "SIGTERM to the planner; orders until now: ", std::to_string(allOrders), ", of these late: ", std::to_string(heldOrders) }));
     ::kill(static_cast<pid_t>(std::atoi(argv[5])), SIGTERM);
     std::this_thread::sleep_for(watchTime / 2);
     record.note(join({ "orders until now: ", std::to_string(allOrders), ", of these late: ", std::to_string(heldOrders) }));
