Take an answer without a length for broken if a write lost the connection

Cause: the write of the rest of the upload takes ECONNRESET from the socket and drops it; the next read then reports an orderly end, which completes an answer without a length. Asio runs the write before the read when both are ready. Ruled out: the parser, which tells a reset from a close when no write is pending (ResponseWithoutLength tests). Change: SocketWriter keeps the first error and says whether the connection was lost. A broken pipe is none: it follows the peer's orderly close. Conclusion: the cause is the lost error; the mend changes nothing for answers that the peer ended in order.

--- a/packages/http/ClientConnection.cpp
+++ b/packages/http/ClientConnection.cpp
@@ -193,7 +193,7 @@
         }
         if (parser_->is_done()) {
             // Bytes after a complete answer belong to no request, so the connection is not reused.
-            keepsAlive_ = keepsAlive_ && parser_->get().keep_alive() && consumed == size && writer_.unsentBytes() == 0;
+            keepsAlive_ = keepsAlive_ && parser_->get().keep_alive() && consumed == size && writer_.unsentBytes() == 0 && !writer_.hasFailed();
             if (!keepsAlive_)
                 closeSocket();
             end(ExchangeEnd::Complete);
@@ -240,7 +240,7 @@
     error_code error;
     bool isWhole = false;
     // Without a length, an orderly close marks the end of the answer.
-    if (isWaiting && isOrderly && hasHead_ && parser_->need_eof()) {
+    if (isWaiting && isOrderly && !writer_.hasLostConnection() && hasHead_ && parser_->need_eof()) {
         parser_->put_eof(error);
         isWhole = !error && parser_->is_done();
     }
--- a/packages/http/SocketWriter.cpp
+++ b/packages/http/SocketWriter.cpp
@@ -12,17 +12,32 @@
         unsent_ += bytes;
         return;
     }
-    boost::system::error_code error;
-    const size_t written = socket_.write_some(asio::buffer(bytes.data(), bytes.size()), error);
-    // Any other error also fails the next read, which ends the connection.
-    if (error && error != asio::error::would_block)
-        return;
-    if (written == bytes.size())
+    const size_t written = writeSome(bytes);
+    if (hasFailed() || written == bytes.size())
         return;
     unsent_ = bytes.substr(written);
     waitUntilWritable(keepAlive);
 }
 
+// Returns the number of bytes written. The first error is kept.
+size_t SocketWriter::writeSome(std::string_view bytes)
+{
+    if (hasFailed())
+        return 0;
+    boost::system::error_code error;
+    const size_t written = socket_.write_some(asio::buffer(bytes.data(), bytes.size()), error);
+    if (error != asio::error::would_block)
+        error_ = error;
+    return written;
+}
+
+// A peer that closes the connection in order and resets it afterwards makes writes fail with a broken pipe: the bytes
+// that it sent before its close can still be read.
+bool SocketWriter::hasLostConnection() const
+{
+    return hasFailed() && error_ != asio::error::broken_pipe;
+}
+
 void SocketWriter::waitUntilWritable(const std::shared_ptr<void>& keepAlive)
 {
     if (isWaiting_)
@@ -37,9 +52,8 @@
 
 void SocketWriter::writeRest(const std::shared_ptr<void>& keepAlive)
 {
-    boost::system::error_code error;
-    const size_t written = socket_.write_some(asio::buffer(unsent_), error);
-    if (error && error != asio::error::would_block) {
+    const size_t written = writeSome(unsent_);
+    if (hasFailed()) {
         unsent_.clear();
         return;
     }
