Expect late streams to be as long as their callers allow

Cause: a request was taken in a shutdown if the longest recent answer of its route would have ended in time. The cut streams had a higher limit of tokens than all recent ones, which nobody looked at. Ruled out: deadline and timeout (8 s), a slow endpoint (it wrote an event each 60 ms). Change: ServiceTimes estimates by the request's limit of tokens: the longest recent request in proportion to the limits, or the slowest start and pace up to the limit, whichever is less. ProxyFlow passes the limit that the caller declared. The test's ids count on after the warm-up, so that its check of refused requests that ran can't meet the id of an earlier one. Conclusion: refused are the streams that may not end in the time left. Short streams on a route with long ones are taken for longer than before.

--- a/packages/proxy/ForwardedHeaders.cpp
+++ b/packages/proxy/ForwardedHeaders.cpp
@@ -53,12 +53,16 @@
     return load;
 }
 
-uint32_t parsePromptTokens(std::string_view text)
+TokenCounts parseTokenCounts(std::string_view text)
 {
-    uint32_t tokens = 0;
-    const size_t comma = text.find(',');
-    const bool isNumber = comma != std::string_view::npos && absl::SimpleAtoi(std::string(text.substr(0, comma)), &tokens);
-    return isNumber ? tokens : 0;
+    const std::vector<std::string> parts = absl::StrSplit(std::string(text), absl::MaxSplits(',', 1));
+    const auto parseCount = [](const std::string& part) {
+        uint32_t count = 0;
+        return absl::SimpleAtoi(part, &count) ? count : 0;
+    };
+    if (parts.size() != 2)
+        return {};
+    return { .prompt = parseCount(parts[0]), .maxAnswer = parseCount(parts[1]) };
 }
 
 } // namespace hemlockweir
--- a/packages/proxy/ForwardedHeaders.h
+++ b/packages/proxy/ForwardedHeaders.h
@@ -2,7 +2,8 @@
 
 #include "proxy/ProxyContext.h"
 
-// Header helpers: which headers are forwarded, the load that an endpoint reports, and the size of a prompt.
+// Header helpers: which headers are forwarded, the load that an endpoint reports, and the sizes of a
+// model request.
 
 namespace hemlockweir {
 
@@ -22,7 +23,15 @@
 // Parses "RUNNING,WAITING,SLOTS"; returns nullopt for any other text.
 std::optional<EndpointLoad> parseLoad(std::string_view text);
 
-// Returns the prompt tokens from "PROMPT,MAX_RESPONSE" (two token counts); 0 for any other text.
-uint32_t parsePromptTokens(std::string_view text);
+// Sizes of a model request as its caller declared them.
+struct TokenCounts {
+    uint32_t prompt = 0; // tokens; 0: unknown
+    uint32_t maxAnswer = 0; // tokens, limit of the answer; 0: unknown
+
+    auto operator<=>(const TokenCounts&) const = default;
+};
+
+// Parses "PROMPT,MAX_ANSWER". A count that is missing or no number is unknown.
+TokenCounts parseTokenCounts(std::string_view text);
 
 } // namespace hemlockweir
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -1,7 +1,6 @@
 #include "proxy/ProxyFlow.h"
 
 #include "http/StatusCodes.h"
-#include "proxy/ForwardedHeaders.h"
 #include "proxy/ForwardedRequest.h"
 #include "proxy/RequestOutcome.h"
 
@@ -112,21 +111,28 @@
     if (route_.timeout.count() > 0)
         limit = std::min(limit, route_.timeout);
     deadlineAt_ = options_.request.startedAt + limit;
+    tokenCounts_ = parseTokenCounts(requestHeader(context_.headers.tokenCounts));
     uint64_t lastId = 0;
     if (absl::SimpleAtoi(std::string(requestHeader(context_.headers.lastEventId)), &lastId))
         eventSplitter_.setLastId(lastId);
 }
 
+// Returns the time that the request is expected to take at most at an endpoint, if that is known.
+std::optional<Millis> ProxyFlow::longestServiceTime() const
+{
+    return context_.serviceTimes.longest(route_.name, route_.kind == RequestKind::Stream ? tokenCounts_.maxAnswer : 0);
+}
+
 // Returns whether a request that would run from now on ends before this process does, if it shuts down.
 bool ProxyFlow::endsBeforeExit() const
 {
-    return !context_.shutdown || endsInTime(context_.shutdown->endsAt - context_.clock(), context_.serviceTimes.longest(route_.name), deadlineAt_ - context_.clock());
+    return !context_.shutdown || endsInTime(context_.shutdown->endsAt - context_.clock(), longestServiceTime(), deadlineAt_ - context_.clock());
 }
 
 // Refuses a request that has not run, because this process would end before its response. The caller reaches another node.
 void ProxyFlow::refuseForExit()
 {
-    const std::optional<Millis> longest = context_.serviceTimes.longest(route_.name);
+    const std::optional<Millis> longest = longestServiceTime();
     context_.log.noteFailure("request_refused", { { "request", requestId_ }, { "route", route_.name }, { "reason", "stopping" }, { "time_left_ms", std::to_string((context_.shutdown->endsAt - context_.clock()).count()) }, { "longest_ms", longest ? std::to_string(longest->count()) : "unknown" }, { "deadline_ms", std::to_string((deadlineAt_ - context_.clock()).count()) } });
     sendError(statusUnavailable, "stopping", stoppingRetryAfter);
 }
@@ -143,7 +149,7 @@
         .deadlineAt = deadlineAt_,
         .hasResponseStarted = isHeadSent_,
         .excludedEndpoints = excludedEndpoints_,
-        .promptTokens = parsePromptTokens(requestHeader(context_.headers.tokenCounts)),
+        .promptTokens = tokenCounts_.prompt,
         .gapTarget = route_.gapTarget,
     };
     const auto self = shared_from_this();
--- a/packages/proxy/ProxyFlow.h
+++ b/packages/proxy/ProxyFlow.h
@@ -2,6 +2,7 @@
 
 #include "http/ServerConnection.h"
 #include "proxy/EventSplitter.h"
+#include "proxy/ForwardedHeaders.h"
 #include "proxy/ProxyContext.h"
 #include "proxy/RequestTimes.h"
 
@@ -47,6 +48,7 @@
         Target target;
         std::shared_ptr<ClientConnection> connection;
         Millis sentAt { 0 };
+        Millis firstEventAt { 0 }; // when the first complete event of a stream arrived
         Millis progressAt { 0 }; // when the head, the last part of the body or, of a stream, the last complete event arrived
         std::optional<ResponseHead> head;
         std::string body; // buffered until the response is complete; empty for streams
@@ -62,6 +64,7 @@
     bool readRequestId();
     bool findRoute();
     void readLimits();
+    std::optional<Millis> longestServiceTime() const;
     bool endsBeforeExit() const;
     bool mayRefuse() const;
     void refuseForExit();
@@ -77,6 +80,7 @@
     void handleEnd(ExchangeEnd how);
     bool isTruncated() const;
     void handleCompleteResponse();
+    void noteServiceTime(const Attempt& attempt);
     void noteAnnouncements(const ResponseHead& head);
     void handleRejection(const ResponseHead& head);
     std::vector<HeaderLine> responseHeaders(const ResponseHead& head) const;
@@ -113,6 +117,7 @@
     Route route_;
     int priority_ = 5;
     Millis deadlineAt_ { 0 };
+    TokenCounts tokenCounts_;
     RequestTimes times_;
     std::optional<Attempt> attempt_;
     std::string lastTarget_; // id of the endpoint that the request was sent to last
--- a/packages/proxy/ProxyFlowAnswer.cpp
+++ b/packages/proxy/ProxyFlowAnswer.cpp
@@ -1,7 +1,6 @@
 #include "proxy/ProxyFlow.h"
 
 #include "http/StatusCodes.h"
-#include "proxy/ForwardedHeaders.h"
 
 #include <algorithm>
 
@@ -155,9 +154,11 @@
     }
     if (!hasEvent)
         return;
-    if (!std::exchange(attempt_->hasBody, true))
-        context_.crashes.noteSoundParts(sharedPromptParts());
     attempt_->progressAt = context_.clock();
+    if (!std::exchange(attempt_->hasBody, true)) {
+        attempt_->firstEventAt = attempt_->progressAt;
+        context_.crashes.noteSoundParts(sharedPromptParts());
+    }
     context_.dispatcher.noteSuccess(attempt_->target.id);
 }
 
@@ -224,6 +225,18 @@
     return eventSplitter_.hasPartial() || (endsWithConnection && !attempt_->hasBody);
 }
 
+// Records how long the request ran. A stream that was resumed says nothing about the pace of whole ones.
+void ProxyFlow::noteServiceTime(const Attempt& attempt)
+{
+    ServiceTime time { .total = context_.clock() - attempt.sentAt };
+    const bool isWhole = executions_ == 0 && requestHeader(context_.headers.lastEventId).empty();
+    if (route_.kind == RequestKind::Stream && attempt.hasBody && isWhole) {
+        time.untilFirstEvent = attempt.firstEventAt - attempt.sentAt;
+        time.answerTokens = tokenCounts_.maxAnswer;
+    }
+    context_.serviceTimes.note(route_.name, time);
+}
+
 void ProxyFlow::handleCompleteResponse()
 {
     const auto self = shared_from_this();
@@ -244,7 +257,7 @@
     if (head.status / 100 == 2) {
         if (attempt.hasBody)
             context_.crashes.noteSoundParts(sharedPromptParts());
-        context_.serviceTimes.note(route_.name, context_.clock() - attempt.sentAt);
+        noteServiceTime(attempt);
     }
     if (route_.kind == RequestKind::Stream && head.status / 100 == 2) {
         if (!isHeadSent_)
--- a/tests/GatewayShutdownProcessTest.cpp
+++ b/tests/GatewayShutdownProcessTest.cpp
@@ -18,6 +18,8 @@
 // The timeout of the routes, less the time that an answer needs to arrive. It ends a stream of a slow stand-in.
 static constexpr Millis routeTimeout { 5900 };
 static constexpr int shortStreamEvents = 10;
+static constexpr int usualStreamEvents = 60; // 1.2 s
+static constexpr int warmUps = 8;
 // The balancer may send new connections for this time after SIGTERM, in ms.
 static constexpr int lastSendMs = 3400;
 static constexpr int sendIntervalMs = 200;
@@ -41,13 +43,15 @@
 
     class GatewayShutdown : public testing::Test {
     protected:
-        std::shared_ptr<Stream> send(int events, Millis sentAt)
+        std::shared_ptr<Stream> send(int events, Millis sentAt) { return send(events == longStreamEvents ? "large" : "small", events, sentAt); }
+
+        // Each model has a route of its own.
+        std::shared_ptr<Stream> send(const std::string& model, int events, Millis sentAt)
         {
             const QString address = QString::fromStdString(cluster_.frontOf(gateway_));
-            const auto stream = std::make_shared<Stream>(Stream { .id = absl::StrCat("r", streams_.size() + 1), .sentAt = sentAt, .events = events });
+            const auto stream = std::make_shared<Stream>(Stream { .id = absl::StrCat("r", nextId_++), .sentAt = sentAt, .events = events });
             const Millis now = clock_();
             stream->connection = std::make_shared<ClientConnection>(context_, ClientConnection::Options { .address = address.section(':', 0, 0).toStdString(), .port = static_cast<uint16_t>(address.section(':', 1).toInt()), .clock = clock_ });
-            const std::string model = events == longStreamEvents ? "large" : "small";
             stream->connection->exchange(absl::StrCat("POST /", model, "/1 HTTP/1.1\r\nHost: soak.test\r\nX-Request-Id: ", stream->id, "\r\nX-Key: key-1\r\nX-Deadline-Ms: 60000\r\nX-Model: ", model, "\r\nX-Token-Counts: 100,", events * tokensPerEvent, "\r\nContent-Length: 0\r\n\r\n"),
                 {
                     .onHead = [stream](const ResponseHead& head) { stream->head = head; },
@@ -71,9 +75,14 @@
             });
         }
 
-        bool isServed(int events)
+        void awaitEnds()
+        {
+            EXPECT_TRUE(runUntil([&] { return std::all_of(streams_.begin(), streams_.end(), [](const auto& stream) { return stream->end.has_value(); }); }));
+        }
+
+        bool isServed(const std::string& model, int events)
         {
-            const auto stream = send(events, Millis(0));
+            const auto stream = send(model, events, Millis(0));
             return runUntil([&] { return stream->end.has_value(); }) && stream->isWhole();
         }
 
@@ -93,6 +102,7 @@
         boost::asio::io_context context_;
         Clock clock_ = makeSteadyClock();
         std::vector<std::shared_ptr<Stream>> streams_;
+        int nextId_ = 1;
     };
 
 } // namespace
@@ -100,8 +110,8 @@
 TEST_F(GatewayShutdown, RequestTakenLateIsAnsweredCompletelyOrRefusedAtOnce)
 {
     for (int i = 0; i < 8; ++i)
-        ASSERT_TRUE(runUntil([&] { return isServed(shortStreamEvents); }));
-    ASSERT_TRUE(runUntil([&] { return isServed(longStreamEvents); }));
+        ASSERT_TRUE(runUntil([&] { return isServed("small", shortStreamEvents); }));
+    ASSERT_TRUE(runUntil([&] { return isServed("large", longStreamEvents); }));
     streams_.clear();
     const Millis stoppedAt = clock_();
     cluster_.processes().terminate(gateway_);
@@ -112,7 +122,7 @@
             send(events, clock_() - stoppedAt);
         nextAt += Millis(sendIntervalMs);
     }
-    EXPECT_TRUE(runUntil([&] { return std::all_of(streams_.begin(), streams_.end(), [](const auto& stream) { return stream->end.has_value(); }); }));
+    awaitEnds();
     for (const auto& stream : streams_) {
         const std::string what = absl::StrCat("request ", stream->id, " of ", stream->events, " events, sent ", stream->sentAt.count(), " ms after SIGTERM");
         // The listener may be closed already if this test was slow.
@@ -126,4 +136,26 @@
     }
 }
 
+// Guards against a stream that is cut at the exit because it is longer than all recent ones of its route, whose times decided
+// whether it was taken.
+TEST_F(GatewayShutdown, LateStreamThatIsLongerThanAnyRecentOneIsRefused)
+{
+    ASSERT_TRUE(runUntil([&] { return isServed("large", shortStreamEvents); }));
+    streams_.clear();
+    for (int i = 0; i < warmUps; ++i)
+        send("large", usualStreamEvents, Millis(0));
+    awaitEnds();
+    ASSERT_TRUE(std::all_of(streams_.begin(), streams_.end(), [](const auto& stream) { return stream->isWhole(); }));
+    streams_.clear();
+    const Millis stoppedAt = clock_();
+    cluster_.processes().terminate(gateway_);
+    ASSERT_TRUE(runUntil([&] { return clock_() - stoppedAt >= Millis(lastSendMs - sendIntervalMs); }));
+    const auto late = send("large", longStreamEvents, clock_() - stoppedAt);
+    const auto usual = send("large", usualStreamEvents, clock_() - stoppedAt);
+    awaitEnds();
+    EXPECT_TRUE(late->isRefused()) << "was taken and interrupted after " << late->received.size() << " bytes";
+    EXPECT_FALSE(wasRun(late->id));
+    EXPECT_TRUE(usual->isWhole()) << "had time to end, but was not served";
+}
+
 } // namespace hemlockweir
--- a/tests/ProxyFlowTest.cpp
+++ b/tests/ProxyFlowTest.cpp
@@ -397,8 +397,8 @@
     // A sample of how long the requests of a route run.
     void noteServiceTime(const std::string& route, Millis longest)
     {
-        serviceTimes_.note(route, longest / 3); // a single sample has a margin of twice its time
-        ASSERT_EQ(serviceTimes_.longest(route), longest);
+        serviceTimes_.note(route, { .total = longest / 3 }); // a single sample has a margin of twice its time
+        ASSERT_EQ(serviceTimes_.longest(route, 0), longest);
     }
 };
 
@@ -416,6 +416,19 @@
     EXPECT_EQ(requestCount(), 0U);
 }
 
+// The recent streams of the route were shorter than this one may become.
+TEST_F(ProxyShutdown, StreamWithAHigherLimitThanRecentOnesIsRefused)
+{
+    configure();
+    script([](int) { return ScriptedResponse { .bytes = streamHead("r1") + chunk(event(1)), .ending = Ending::Hold }; });
+    serviceTimes_.note("draft", { .total = Millis(300), .untilFirstEvent = Millis(0), .answerTokens = 200 });
+    startShutdown(Millis(1000));
+    EXPECT_TRUE(exchange(request("/draft/7", "r1", "Test-Tokens: 100,400\r\n")).starts_with("HTTP/1.1 503 "));
+    EXPECT_EQ(requestCount(), 0U);
+    script([](int) { return ScriptedResponse { .bytes = streamHead("r2") + chunk(event(1)) + "0\r\n\r\n" }; });
+    EXPECT_TRUE(exchange(request("/draft/7", "r2", "Test-Tokens: 100,200\r\n")).starts_with("HTTP/1.1 200 "));
+}
+
 TEST_F(ProxyShutdown, RequestThatEndsBeforeTheExitIsServed)
 {
     configure();
@@ -487,10 +500,20 @@
     configure();
     script([](int) { return ScriptedResponse { sealedResponse("r1", "whole") }; });
     exchange(request("/order/7", "r1"));
-    EXPECT_TRUE(serviceTimes_.longest("order").has_value());
+    EXPECT_TRUE(serviceTimes_.longest("order", 0).has_value());
     script([](int) { return ScriptedResponse { .bytes = {}, .ending = Ending::Reset }; });
     exchange(request("/look/7", "r2"));
-    EXPECT_FALSE(serviceTimes_.longest("look").has_value());
+    EXPECT_FALSE(serviceTimes_.longest("look", 0).has_value());
+}
+
+TEST_F(ProxyShutdown, CompleteStreamsTellHowFastTheyAreWritten)
+{
+    configure();
+    script([](int) { return ScriptedResponse { .bytes = streamHead("r1") + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n" }; });
+    exchange(request("/draft/7", "r1", "Test-Tokens: 100,10\r\n"));
+    ASSERT_TRUE(serviceTimes_.longest("draft", 0).has_value());
+    serviceTimes_.note("draft", { .total = Millis(20000) });
+    EXPECT_LT(serviceTimes_.longest("draft", 10), Millis(20000));
 }
 
 class BrokenAnswers : public ProxyFlowTest {
--- a/tests/RequestTimesTest.cpp
+++ b/tests/RequestTimesTest.cpp
@@ -38,11 +38,13 @@
     EXPECT_EQ(times.waited, Millis(50));
 }
 
-TEST(PromptTokensTest, ParsesTheFirstOfTwoCounts)
+TEST(TokenCountsTest, ParsesBothCounts)
 {
-    EXPECT_EQ(parsePromptTokens("1460,80"), 1460U);
+    EXPECT_EQ(parseTokenCounts("1460,80"), (TokenCounts { .prompt = 1460, .maxAnswer = 80 }));
     for (const char* text : { "", "1460", ",80", "-1,80", "many,80", "99999999999,1" })
-        EXPECT_EQ(parsePromptTokens(text), 0U) << text;
+        EXPECT_EQ(parseTokenCounts(text).prompt, 0U) << text;
+    for (const char* text : { "", "80", "80,", "1,-80", "1,many", "1,99999999999", "1,2,3" })
+        EXPECT_EQ(parseTokenCounts(text).maxAnswer, 0U) << text;
 }
 
 } // namespace
