Form groups anew that an earlier planner did not open

Cause: only the planner that gave a join knows that it may still be carried out. The successor opened every adopted group that was whole and ready. Ruled out: a longer takeover delay (orders come up to 12 s late), a list of pending joins in the store (a killed planner writes none). Change: a ready group that is not open and whose epoch is of an earlier term is dissolved, and formed anew. Its members then refuse what earlier terms ordered.

--- a/packages/replicas/ReplicaPlanner.cpp
+++ b/packages/replicas/ReplicaPlanner.cpp
@@ -13,6 +13,11 @@
 // Low bits of an epoch, which count groups within a term. No term forms a million groups, so they do not overflow.
 static constexpr int epochCountBits = 20;
 
+uint64_t firstEpochOf(uint64_t term)
+{
+    return term << epochCountBits;
+}
+
 bool ReplicaView::isWhole() const
 {
     return size > 0 && members.size() == size && std::none_of(members.begin(), members.end(), [](const EndpointInfo* member) { return member == nullptr; });
@@ -35,7 +40,7 @@
     if (term != term_)
         termStartedAt_ = options_.clock();
     term_ = term;
-    lastEpoch_ = std::max(lastEpoch_, term << epochCountBits);
+    lastEpoch_ = std::max(lastEpoch_, firstEpochOf(term));
 }
 
 std::vector<ReplicaView> ReplicaPlanner::findReplicas() const
@@ -121,7 +126,10 @@
         return;
     }
     if (replica.isReady()) {
-        if (head->membership->state == MemberState::Ready && now - plan.openedAt >= options_.orderRetryInterval) {
+        const bool isUnopened = head->membership->state == MemberState::Ready;
+        if (isUnopened && isOfEarlierTerm(replica)) {
+            dissolveReplica(replica, orders);
+        } else if (isUnopened && now - plan.openedAt >= options_.orderRetryInterval) {
             plan.openedAt = now;
             orders.push_back(makeOrder(EngineOrderKind::Open, engines_.at(head->id), replica.group, replica.epoch));
         }
@@ -139,6 +147,13 @@
     return std::any_of(replica.members.begin(), replica.members.end(), [&](const EndpointInfo* member) { return member && engines_.at(member->id).pendingJoinEpoch > replica.epoch; });
 }
 
+// Returns whether an earlier planner formed the replica. Its members may still carry out newer joins of that planner, which
+// this one does not know of. Once they have joined a group of this term, they refuse all orders of earlier terms.
+bool ReplicaPlanner::isOfEarlierTerm(const ReplicaView& replica) const
+{
+    return replica.epoch < firstEpochOf(term_);
+}
+
 // Closes a replica, and dissolves it when its running requests have finished or the drain timeout is over.
 void ReplicaPlanner::drainReplica(const ReplicaView& replica, std::vector<EngineOrder>& orders)
 {
--- a/packages/replicas/ReplicaPlanner.h
+++ b/packages/replicas/ReplicaPlanner.h
@@ -24,10 +24,13 @@
 // replica of its own with one of their members (see SpanningReplicas.cpp).
 //
 // Only one planner at a time gives orders for a service. A successor rebuilds its state from what the
-// engines report.
+// engines report. It keeps replicas that are open, but forms those anew that its predecessor did not open.
 
 namespace hemlockweir {
 
+// Returns the lowest epoch of a planner's term. The epochs of a term are above those of all earlier ones.
+uint64_t firstEpochOf(uint64_t term);
+
 // A replica as its members report it.
 struct ReplicaView {
     std::string group;
@@ -161,6 +164,7 @@
     void maintainReplicas(std::vector<EngineOrder>& orders);
     void maintainReplica(const ReplicaView& replica, std::vector<EngineOrder>& orders);
     bool hasPendingNewerJoin(const ReplicaView& replica) const;
+    bool isOfEarlierTerm(const ReplicaView& replica) const;
     void drainReplica(const ReplicaView& replica, std::vector<EngineOrder>& orders);
     void dissolveReplica(const ReplicaView& replica, std::vector<EngineOrder>& orders);
     void noteLeave(Engine& engine, uint64_t epoch);
--- a/tests/ReplicaPlannerTest.cpp
+++ b/tests/ReplicaPlannerTest.cpp
@@ -427,6 +427,48 @@
         EXPECT_TRUE(!isJoin(order) || order.epoch > lastEarlierEpoch) << order.epoch;
 }
 
+// Guards against an open head that takes a join: a planner's join that got no answer was carried out after its successor had
+// opened the members' older group. The successor does not know of the join.
+TEST_F(PlannerTest, SuccessorFormsAnUnopenedGroupAnew)
+{
+    profile_.models = { { .name = smallModel, .size = 2, .loadTime = Millis(12000), .warmTime = Millis(1100) } };
+    addEngines("f1", 2);
+    const uint64_t earlierTerm = 7;
+    ReplicaPlanner earlier({ .clock = [this] { return now_; } });
+    earlier.setTerm(earlierTerm);
+    earlier.setEngines(listEngines(), profile_);
+    now_ += Millis(2000);
+    const std::vector<EngineOrder> joins = earlier.plan();
+    ASSERT_EQ(joins.size(), 2U);
+    for (const EngineOrder& order : joins)
+        execute(order);
+    planner_.setTerm(earlierTerm + 1);
+    planner_.noteTraffic();
+    runUntilIdle();
+    EXPECT_EQ(countServing(smallModel), 1U);
+    for (const EngineOrder& order : executed_)
+        EXPECT_FALSE(order.kind == EngineOrderKind::Open && order.epoch == joins.front().epoch);
+    // Engines refuse a join whose epoch is lower than that of their group.
+    for (const auto& [id, engine] : engines_)
+        EXPECT_GT(engine.membership->epoch, firstEpochOf(earlierTerm + 1));
+}
+
+// A successor of a later term adopts the open replicas as they are.
+TEST_F(PlannerTest, SuccessorOfALaterTermKeepsOpenReplicas)
+{
+    addEngines("f1", 10);
+    planner_.setTerm(7);
+    startTraffic();
+    const size_t before = executed_.size();
+    planner_ = ReplicaPlanner({ .clock = [this] { return now_; } });
+    planner_.setTerm(8);
+    planner_.noteTraffic();
+    runUntilIdle();
+    EXPECT_EQ(executed_.size(), before);
+    EXPECT_EQ(countServing(largeModel), 1U);
+    EXPECT_EQ(countServing(smallModel), 3U);
+}
+
 TEST_F(PlannerTest, ReplicaWithALeavingMemberIsClosedBeforeItsMembersLeave)
 {
     addEngines("f1", 10);
