Close no connection while its caller still reads the last answer

The connection was closed a second after the answer's last byte was queued, or at once when the listener closed in a planned stop. Cause: the linger timeout began before the answer was sent, and closeWhenIdle() did not look at unsent bytes. Change: the timeout begins once all is sent; until then the idle timeout counts from the last progress. An idle connection with unsent bytes lingers. Evidence: SlowReader.GetsTheWholeLastAnswer and GetsTheWholeAnswerOnAConnectionThatStopsBeingKept fail with the former rules (2 of 7 of the file), all pass now.

--- a/packages/http/ServerConnection.cpp
+++ b/packages/http/ServerConnection.cpp
@@ -259,6 +259,7 @@
     startedAt_ = options_.clock();
     unread_.clear();
     const auto shutDownWriting = [this] {
+        startedAt_ = options_.clock();
         error_code ignored; // the socket is closed after the linger timeout in any case
         socket_.shutdown(SocketWriter::Socket::shutdown_send, ignored);
     };
@@ -282,16 +283,30 @@
     if (!isClosed_ && state_ == State::ReadingHead && unread_.empty())
         readBytes();
     const bool isIdle = state_ == State::ReadingHead && unread_.empty();
-    if (isIdle)
+    if (!isIdle)
+        return;
+    if (unsentBytes() == 0)
         closeSocket();
+    else
+        linger();
+}
+
+// A caller that reads its answer slowly is idle only while it reads nothing.
+void ServerConnection::noteWriteProgress()
+{
+    const size_t unsent = unsentBytes();
+    if (unsent < std::exchange(unsentAtLastCheck_, unsent))
+        startedAt_ = options_.clock();
 }
 
 void ServerConnection::checkTimeouts()
 {
     if (isClosed_ || state_ == State::Answering)
         return;
-    const Millis waited = options_.clock() - startedAt_;
     const bool isIdle = state_ == State::ReadingHead && !parser_;
+    if (isIdle || state_ == State::Lingering)
+        noteWriteProgress();
+    const Millis waited = options_.clock() - startedAt_;
     if (isIdle) {
         if (waited >= options_.limits->idleTimeout)
             closeSocket();
@@ -301,7 +316,7 @@
     } else if (state_ == State::ReadingBody) {
         if (waited >= options_.limits->bodyTimeout)
             refuse(static_cast<int>(http::status::request_timeout), "body_timeout");
-    } else if (waited >= lingerTimeout) {
+    } else if (waited >= (unsentBytes() > 0 ? options_.limits->idleTimeout : lingerTimeout)) {
         closeSocket();
     }
 }
--- a/packages/http/ServerConnection.h
+++ b/packages/http/ServerConnection.h
@@ -70,7 +70,7 @@
     // Makes the next answer the last one: it says `Connection: close`.
     void closeAfterAnswer() { closesAfterAnswer_ = true; }
 
-    // Closes the connection after the current answer, or immediately when it is idle.
+    // Closes the connection after the current answer, or immediately when it is idle and its last answer was sent.
     void closeWhenIdle();
 
     void setLimits(std::shared_ptr<const ServerLimits> limits) { options_.limits = std::move(limits); }
@@ -103,6 +103,7 @@
     void deliver();
     void refuse(int status, std::string_view reason);
     void linger();
+    void noteWriteProgress();
     void closeSocket();
 
     Options options_;
@@ -112,6 +113,7 @@
     std::optional<Parser> parser_;
     Millis startedAt_ { 0 }; // start of the current request, idle time or lingering
     uint64_t requestCount_ = 0;
+    size_t unsentAtLastCheck_ = 0; // bytes
     State state_ = State::ReadingHead;
     bool keepsAlive_ = true;
     bool isHttp10_ = false;
--- a/tests/RequestServerTest.cpp
+++ b/tests/RequestServerTest.cpp
@@ -2,6 +2,9 @@
 
 #include "support/ScriptedEndpoint.h"
 
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
 #include <glog/logging.h>
 #include <gtest/gtest.h>
 
@@ -16,8 +19,10 @@
     RequestServerTest() { CHECK(server_.start().ok()); }
 
     boost::asio::io_context context_;
+    Millis clockOffset_ { 0 };
+    Clock clock_ = [this, steady = makeSteadyClock()] { return steady() + clockOffset_; };
     std::vector<std::shared_ptr<ServerConnection>> requestConnections_; // connection of each request, in order
-    RequestServer server_ { context_, { .address = "127.0.0.1", .clock = makeSteadyClock(), .onRequest = [this](const std::shared_ptr<ServerConnection>& connection, const ServerRequest&) { requestConnections_.push_back(connection); } } };
+    RequestServer server_ { context_, { .address = "127.0.0.1", .clock = clock_, .onRequest = [this](const std::shared_ptr<ServerConnection>& connection, const ServerRequest&) { requestConnections_.push_back(connection); } } };
 };
 
 // Found by the soak test (seed 2): an answer whose head was sent before a planned stop lacked `Connection: close`. The
@@ -79,4 +84,70 @@
     EXPECT_FALSE(server_.isBusy());
 }
 
+// A caller that reads nothing until it is told to.
+class SlowReader : public RequestServerTest {
+protected:
+    SlowReader()
+    {
+        socket_.connect({ boost::asio::ip::make_address("127.0.0.1"), server_.port() });
+        boost::asio::write(socket_, boost::asio::buffer(request));
+        runUntil(context_, [this] { return requestConnections_.size() == 1; });
+    }
+
+    // Reads while the server goes on writing. Returns the number of bytes until the end of the connection.
+    size_t readToEnd()
+    {
+        size_t total = 0;
+        std::array<char, 64 * 1024> buffer {};
+        bool hasEnded = false;
+        std::function<void()> read = [&] {
+            socket_.async_read_some(boost::asio::buffer(buffer), [&](const boost::system::error_code& error, size_t size) {
+                total += size;
+                hasEnded = error == boost::asio::error::eof;
+                if (!error)
+                    read();
+            });
+        };
+        read();
+        runUntil(context_, [&] { return hasEnded; });
+        socket_.close();
+        context_.poll(); // ends the pending read, which refers to this function's variables
+        return total;
+    }
+
+    const std::string body_ = std::string(32 * 1024 * 1024, 'x'); // more than the sockets of both sides buffer
+    boost::asio::ip::tcp::socket socket_ { context_ };
+};
+
+// Guards against an answer that is cut at its end: the connection was closed a second after the answer was complete,
+// although its caller had not read all of it.
+TEST_F(SlowReader, GetsTheWholeLastAnswer)
+{
+    server_.closeAfterAnswers();
+    requestConnections_[0]->answer(200, {}, body_);
+    clockOffset_ += Millis(2000);
+    server_.sweep();
+    EXPECT_TRUE(server_.isBusy());
+    EXPECT_GT(readToEnd(), body_.size());
+}
+
+// Guards against an answer that is cut in a planned stop because its connection, which is kept, counts as idle.
+TEST_F(SlowReader, GetsTheWholeAnswerOnAConnectionThatStopsBeingKept)
+{
+    requestConnections_[0]->answer(200, {}, body_);
+    server_.closeAfterAnswers();
+    server_.closeGracefully();
+    EXPECT_GT(readToEnd(), body_.size());
+}
+
+TEST_F(SlowReader, IsDisconnectedWhenItReadsNothingForTheIdleTimeout)
+{
+    server_.closeAfterAnswers();
+    requestConnections_[0]->answer(200, {}, body_);
+    server_.sweep();
+    clockOffset_ += Millis(3600000);
+    server_.sweep();
+    EXPECT_EQ(server_.connectionCount(), 0U);
+}
+
 } // namespace
