Let no odd entry of an endpoint raise the epochs of a planner

Found: a readable entry whose group has an epoch near 9e15, the largest that can be decoded, raised the planner's epochs beyond it. Entries of engines in the groups formed then are refused as unreadable, on all nodes. Change: an epoch of a later term than the planner's own is not taken over. FieldReader returns the fallback for a number out of range. Ruled out by tests, which pass on the earlier decoder too: nesting, unreadable bytes, ports, addresses and other numbers out of range (OddEntry.*).

--- a/packages/config/FieldReader.cpp
+++ b/packages/config/FieldReader.cpp
@@ -33,9 +33,10 @@
     const QJsonValue value = object_.value(QLatin1String(name));
     if (value.isUndefined())
         return fallback;
-    if (!value.isDouble() || !(value.toDouble() >= min && value.toDouble() <= max))
-        addError(name, "must be a number from " + std::to_string(min) + " to " + std::to_string(max));
-    return value.toDouble(fallback);
+    if (value.isDouble() && value.toDouble() >= min && value.toDouble() <= max)
+        return value.toDouble();
+    addError(name, "must be a number from " + std::to_string(min) + " to " + std::to_string(max));
+    return fallback;
 }
 
 uint32_t FieldReader::readUnsigned(const char* name, uint32_t fallback, uint32_t min, uint32_t max)
--- a/packages/replicas/ReplicaBeliefs.cpp
+++ b/packages/replicas/ReplicaBeliefs.cpp
@@ -36,7 +36,8 @@
         const ReplicaModel* stagingModel = profile_.findModel(engine.stagingModel);
         if (!stagingModel || hasCopy(engine, engine.stagingModel) || now - engine.stagingStartedAt >= stagingModel->loadTime * loadTimeoutFactor)
             engine.stagingModel.clear();
-        if (info.membership)
+        // No planner up to this one can have given an epoch of a later term. Taking one over would use up the epochs.
+        if (info.membership && info.membership->epoch < firstEpochOf(term_ + 1))
             lastEpoch_ = std::max(lastEpoch_, info.membership->epoch);
     }
     removeMissing(seen);
--- a/tests/ReplicaPlannerTest.cpp
+++ b/tests/ReplicaPlannerTest.cpp
@@ -469,6 +469,23 @@
     EXPECT_EQ(countServing(smallModel), 3U);
 }
 
+// Guards against an odd entry in the list that uses up the epochs: those above it could not be read back from the list, so that
+// no endpoint was left in it.
+TEST_F(PlannerTest, EpochThatNoPlannerGaveDoesNotRaiseTheOwnOnes)
+{
+    constexpr uint64_t largestReadableEpoch = 9000000000000000;
+    constexpr uint64_t term = 7;
+    addEngines("f1", 10);
+    addEngines("odd", 1);
+    engines_.at("odd-0").membership = Membership { .group = "odd", .epoch = largestReadableEpoch, .state = MemberState::Open };
+    planner_.setTerm(term);
+    runUntilIdle();
+    EXPECT_EQ(countServing(largeModel), 1U);
+    EXPECT_EQ(countServing(smallModel), 3U);
+    for (const EngineOrder& order : executed_)
+        EXPECT_TRUE(order.kind != EngineOrderKind::Join || order.epoch < firstEpochOf(term + 1)) << order.epoch;
+}
+
 TEST_F(PlannerTest, ReplicaWithALeavingMemberIsClosedBeforeItsMembersLeave)
 {
     addEngines("f1", 10);
