End the grace period of lapsed entries within three seconds of the store's return

Cause: missing entries were kept for 2.6 s after the first answer and until the next one, up to 2 s later; the first answer came up to 1.9 s after the store's return; and a cut watch of a moment was enough to start this. Ruled out: telling an outage of the store from one's own by revisions, by the entries that are left, or by other nodes, of which there may be none. Change: the period needs an outage of two heartbeats (setting heartbeat_ms), lasts 2.2 s and ends by a timer; while the store is unreachable an attempt starts each half second at the latest, also while another hangs. So it ends between 2.2 and 2.9 s after the store's return. A second outage within it starts it anew. Conclusion: both sides hold by construction: 2.2 s for endpoints to come back, less than 3 s until a gone one gets no requests.

--- a/packages/gateway/EndpointFollower.cpp
+++ b/packages/gateway/EndpointFollower.cpp
@@ -2,17 +2,22 @@
 
 namespace hemlockweir {
 
-EndpointFollower::EndpointFollower(Options options, StoreFollower& store, const PlatformAdapter& adapter, DecisionLog& log)
+EndpointFollower::EndpointFollower(boost::asio::io_context& context, Options options, StoreFollower& store, const PlatformAdapter& adapter, DecisionLog& log)
     : options_(std::move(options))
     , adapter_(adapter)
     , log_(log)
     , store_(store)
+    , graceTimer_(context, [this] {
+        if (store_.isReachable())
+            update();
+    })
 {
     store_.addListener([this] { update(); });
 }
 
 void EndpointFollower::update()
 {
+    noteOutage();
     bool hasChanged = false;
     for (const KvItem* item : store_.itemsWith(adapter_.endpointPrefix))
         hasChanged = applyItem(*item) || hasChanged;
@@ -26,6 +31,18 @@
     options_.onChange();
 }
 
+// Starts a grace period after an outage that may have let entries expire, or that cut the last grace period short.
+void EndpointFollower::noteOutage()
+{
+    if (outageEndedAt_ == store_.recoveredAt())
+        return;
+    const Millis outageBeganAt = store_.recoveredAt() - store_.outageTime();
+    if (store_.outageTime() < options_.lapseTime && outageBeganAt >= graceEndsAt())
+        return;
+    outageEndedAt_ = store_.recoveredAt();
+    graceTimer_.callAfter(graceEndsAt() - options_.clock());
+}
+
 std::vector<KvItem> EndpointFollower::entries() const
 {
     std::vector<KvItem> entries;
@@ -72,8 +89,7 @@
 // Returns whether an endpoint was removed.
 bool EndpointFollower::removeMissing()
 {
-    const bool isInGracePeriod = options_.clock() - store_.recoveredAt() < options_.gracePeriod;
-    if (isInGracePeriod)
+    if (options_.clock() < graceEndsAt())
         return false;
     const size_t removed = std::erase_if(known_, [this](const auto& entry) {
         if (store_.find(entry.first))
--- a/packages/gateway/EndpointFollower.h
+++ b/packages/gateway/EndpointFollower.h
@@ -3,9 +3,10 @@
 #include "gateway/PlatformAdapter.h"
 #include "gateway/StoreFollower.h"
 
-// Maintains the list of endpoints from the platform's store. Entries may expire while the store is unavailable,
-// because endpoints can't renew their leases. After the store recovers, expired entries stay in the list for a grace
-// period, in which their endpoints can register again.
+// Maintains the list of endpoints from the platform's store. Entries may expire while the store is unavailable, or soon
+// after, because endpoints can't renew them. After such an outage, missing entries stay in the list for a grace period, in which
+// their endpoints can register again. Whether the store was unavailable for all or only for this node can't be told, so an
+// endpoint that left meanwhile stays for as long.
 
 namespace hemlockweir {
 
@@ -13,12 +14,13 @@
 public:
     struct Options {
         Clock clock;
-        Millis gracePeriod { 2600 }; // ms after the store's recovery for which expired entries are retained
+        Millis lapseTime { 2400 }; // ms, a shorter outage lets no entry expire
+        Millis gracePeriod { 2200 }; // ms after the store's recovery for which expired entries are retained
         std::function<bool()> logsEachChange; // whether this node acts on single changes; empty: it does not
         std::function<void()> onChange; // called after each answer of the store or of another node, even without a change
     };
 
-    EndpointFollower(Options options, StoreFollower& store, const PlatformAdapter& adapter, DecisionLog& log);
+    EndpointFollower(boost::asio::io_context& context, Options options, StoreFollower& store, const PlatformAdapter& adapter, DecisionLog& log);
 
     const std::vector<EndpointInfo>& endpoints() const { return endpoints_; }
 
@@ -49,9 +51,11 @@
     };
 
     void update();
+    void noteOutage();
     bool logsEachChange() const { return options_.logsEachChange && options_.logsEachChange(); }
     bool applyItem(const KvItem& item);
     bool removeMissing();
+    Millis graceEndsAt() const { return outageEndedAt_ + options_.gracePeriod; }
 
     Options options_;
     const PlatformAdapter& adapter_;
@@ -59,6 +63,8 @@
     StoreFollower& store_;
     std::vector<EndpointInfo> endpoints_;
     std::map<std::string, KnownEndpoint> known_; // by key
+    RepeatingTimer graceTimer_;
+    Millis outageEndedAt_ { -3600000 }; // of the last outage that may have let entries expire; initially earlier than any real time
     uint64_t changeCount_ = 0;
     ChangeCounts unlogged_;
     std::map<std::string, uint64_t> loggedUnreadable_; // last logged revision of invalid entries, by key
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -28,6 +28,9 @@
 static constexpr Millis watchPausePerNode { 50 };
 static constexpr Millis minWatchPause { 200 };
 static constexpr Millis maxWatchPause { 1100 };
+// Shortest outage of the store, in heartbeats of the endpoints, that lets entries expire: three missed heartbeats, the first of
+// which may have been due before the outage was noticed.
+static constexpr int heartbeatsBeforeLapse = 2;
 // Time for which a stopping node still accepts connections. The balancer polls readiness once a second and removes a
 // node after two failures; new connections arrive until then.
 static constexpr Millis deregistrationDelay { 3500 };
@@ -49,7 +52,7 @@
     , proxy_(context, { .address = settings_.callers.address, .port = settings_.callers.port, .clock = clock_ }, proxyContext_)
     , store_(context, { .clock = clock_, .prefixes = { adapter_.configurationKey, adapter_.endpointPrefix, Presence::keyPrefix } }, adapter_.store, log_)
     , configuration_({ .onConfiguration = [this](std::shared_ptr<const RouteTable> routes) { applyConfiguration(std::move(routes)); } }, store_, adapter_, log_)
-    , endpoints_({ .clock = clock_, .logsEachChange = [this] { return presence_.isPlanner(); }, .onChange = [this] { applyEndpoints(); } }, store_, adapter_, log_)
+    , endpoints_(context, { .clock = clock_, .lapseTime = settings_.endpointHeartbeat * heartbeatsBeforeLapse, .logsEachChange = [this] { return presence_.isPlanner(); }, .onChange = [this] { applyEndpoints(); } }, store_, adapter_, log_)
     , presence_(context,
           {
               .clock = clock_,
--- a/packages/gateway/GatewaySettings.cpp
+++ b/packages/gateway/GatewaySettings.cpp
@@ -55,6 +55,7 @@
     if (const toml::table* platform = reader.readTable("platform")) {
         TableReader platformReader(*platform, file, "gateway.platform", errors);
         settings.store = requireEndpoint(platformReader, "store");
+        settings.endpointHeartbeat = Millis(platformReader.readInteger("heartbeat_ms", settings.endpointHeartbeat.count(), 1, maxMillis));
         platformReader.rejectUnknownKeys();
     } else {
         reader.addError("platform", "the table [gateway.platform] is required");
--- a/packages/gateway/GatewaySettings.h
+++ b/packages/gateway/GatewaySettings.h
@@ -19,6 +19,7 @@
 
     // [gateway.platform]
     Endpoint store; // TCP, key-value store
+    Millis endpointHeartbeat { 1200 }; // ms between two renewals of an endpoint's entry; three missed ones let it expire
 
     // [gateway.stop]
     Millis grace { 8000 }; // ms, from SIGTERM to SIGKILL
--- a/packages/gateway/StoreFollower.cpp
+++ b/packages/gateway/StoreFollower.cpp
@@ -49,6 +49,7 @@
     if (!isReachable()) {
         log_.noteChange("store_regained", { { "silent_ms", std::to_string((now - answeredAt_).count()) }, { "failed_calls", std::to_string(failures_) }, { "store_revision", std::to_string(revision_) } });
         recoveredAt_ = now;
+        outageTime_ = now - answeredAt_;
     }
     failures_ = 0;
     answeredAt_ = now;
@@ -56,14 +57,22 @@
         listener();
 }
 
+// Handles a failed call. While the store is unreachable, listAll() schedules the next attempt.
 void StoreFollower::noteFailure(const absl::Status& status)
 {
-    if (isReachable())
-        log_.noteChange("store_lost", { { "error", std::string(status.message()) }, { "silent_ms", std::to_string((options_.clock() - answeredAt_).count()) }, { "store_revision", std::to_string(revision_) } });
+    if (!isReachable())
+        return;
+    log_.noteChange("store_lost", { { "error", std::string(status.message()) }, { "silent_ms", std::to_string((options_.clock() - answeredAt_).count()) }, { "store_revision", std::to_string(revision_) } });
     isWatching_ = false;
     timer_.callAfter(backoffDelay(options_.timing.retryDelay, failures_++));
 }
 
+Millis StoreFollower::nextPause() const
+{
+    const bool isCatchingUp = options_.clock() - recoveredAt_ < options_.timing.catchUpTime;
+    return isCatchingUp ? std::min(options_.timing.pause, options_.timing.catchUpPause) : options_.timing.pause;
+}
+
 // Returns the delay before the next attempt: doubles with each consecutive failure, up to the maximum.
 Millis StoreFollower::backoffDelay(Millis initialDelay, uint32_t failureCount) const
 {
@@ -74,9 +83,20 @@
     return std::min(delay, maxDelay);
 }
 
+// While the store is unreachable, the next listing starts even if this one has got no answer by then: a call that began
+// before the store's recovery may hang until it times out.
+void StoreFollower::listAll()
+{
+    if (!isReachable())
+        timer_.callAfter(backoffDelay(options_.timing.retryDelay, failures_++));
+    listNext(std::make_shared<Listing>(Listing { .number = ++startedListings_ }));
+}
+
 void StoreFollower::listNext(const std::shared_ptr<Listing>& listing)
 {
     store_.list(options_.prefixes[listing->nextPrefix], false, [this, listing](const absl::StatusOr<KvItems>& items) {
+        if (listing->number <= obsoleteListings_)
+            return;
         if (!items.ok()) {
             noteFailure(items.status());
             return;
@@ -86,27 +106,33 @@
         // The watch starts at the revision of the first answer, so that it reports changes made between the answers.
         if (listing->nextPrefix == 0)
             listing->revision = items->revision;
-        if (++listing->nextPrefix < options_.prefixes.size()) {
+        if (++listing->nextPrefix < options_.prefixes.size())
             listNext(listing);
-            return;
-        }
-        items_ = std::move(listing->items);
-        revision_ = listing->revision;
-        hasData_ = true;
-        isWatching_ = true;
-        noteAnswer();
-        timer_.callAfter(options_.timing.pause);
+        else
+            applyListing(*listing);
     });
 }
 
+void StoreFollower::applyListing(Listing& listing)
+{
+    obsoleteListings_ = startedListings_;
+    items_ = std::move(listing.items);
+    revision_ = listing.revision;
+    hasData_ = true;
+    isWatching_ = true;
+    noteAnswer();
+    timer_.callAfter(nextPause());
+}
+
 void StoreFollower::watch()
 {
-    store_.watch(watchedPrefix_, revision_, options_.timing.wait, [this](const absl::StatusOr<KvChanges>& changes) {
+    const Millis wait = std::max(options_.timing.wait - nextPause(), options_.timing.wait / 2);
+    store_.watch(watchedPrefix_, revision_, wait, [this](const absl::StatusOr<KvChanges>& changes) {
         if (changes.ok()) {
             historyLossCount_ = 0;
             apply(*changes);
             noteAnswer();
-            timer_.callAfter(options_.timing.pause);
+            timer_.callAfter(nextPause());
             return;
         }
         if (!absl::IsOutOfRange(changes.status())) {
--- a/packages/gateway/StoreFollower.h
+++ b/packages/gateway/StoreFollower.h
@@ -14,10 +14,12 @@
 
 // Intervals of the calls to the store.
 struct FollowTiming {
-    Millis wait { 2000 }; // ms, one watch; a dead connection is detected soon after
+    Millis wait { 2000 }; // ms, one watch with the pause before it; a dead connection is detected soon after
     Millis pause { 100 }; // ms between two watches; changes made meanwhile arrive in one answer
+    Millis catchUpTime { 3000 }; // ms after the store's recovery in which many endpoints may register again
+    Millis catchUpPause { 200 }; // ms, longest pause between two watches in this time
     Millis retryDelay { 250 }; // ms after a failed call; doubles with each consecutive failure
-    Millis maxRetryDelay { 1000 }; // ms; expired entries reappear within two seconds of the store's recovery
+    Millis maxRetryDelay { 500 }; // ms between two attempts; bounds how late the store's recovery is noticed
 };
 
 class StoreFollower {
@@ -56,22 +58,26 @@
     bool isReachable() const { return failures_ == 0; } // no call has failed since the last answer
     Millis answeredAt() const { return answeredAt_; } // time of the store's last answer
     Millis recoveredAt() const { return recoveredAt_; } // time of the last answer that followed a failed call
+    Millis outageTime() const { return outageTime_; } // ms between that answer and the one before it
 
 private:
     // A listing of all prefixes in progress. The prefixes are listed one after the other.
     struct Listing {
+        uint64_t number = 0; // of this listing, in the order of their starts
         size_t nextPrefix = 0; // index of the prefix to list next
         uint64_t revision = 0; // of the store, at the first answer
         std::map<std::string, KvItem> items;
     };
 
-    void listAll() { listNext(std::make_shared<Listing>()); }
+    void listAll();
     void listNext(const std::shared_ptr<Listing>& listing);
+    void applyListing(Listing& listing);
     void watch();
     void apply(const KvChanges& changes);
     bool isFollowed(const std::string& key) const;
     void noteAnswer();
     void noteFailure(const absl::Status& status);
+    Millis nextPause() const;
     Millis backoffDelay(Millis initialDelay, uint32_t failureCount) const;
 
     Options options_;
@@ -82,10 +88,13 @@
     std::vector<std::function<void()>> listeners_;
     std::map<std::string, KvItem> items_;
     uint64_t revision_ = 0;
-    uint32_t failures_ = 0; // consecutive failed calls
+    uint64_t startedListings_ = 0;
+    uint64_t obsoleteListings_ = 0; // listings with numbers up to this one are ignored: one of them succeeded
+    uint32_t failures_ = 0; // consecutive attempts since the first failed call
     uint32_t historyLossCount_ = 0; // consecutive watches that failed because history was lost
     Millis answeredAt_ { 0 };
     Millis recoveredAt_ { -3600000 }; // earlier than any real time
+    Millis outageTime_ { 0 };
     bool hasData_ = false;
     bool isWatching_ = false; // the next call is a watch, not a listing
 };
--- a/tests/FollowersTest.cpp
+++ b/tests/FollowersTest.cpp
@@ -20,6 +20,9 @@
 
 // A tenth of the default intervals.
 const FollowTiming timing { .wait = Millis(200), .pause = Millis(10), .retryDelay = Millis(25) };
+constexpr Millis lapseTime { 240 };
+// A grace period that no test waits for.
+constexpr Millis longGracePeriod { 60000 };
 
 class FollowersTest : public testing::Test {
 protected:
@@ -106,7 +109,7 @@
 TEST_F(FollowersTest, OneWatchServesAllKeys)
 {
     ConfigurationFollower configuration(configurationOptions_, follower_, adapter_, log_);
-    EndpointFollower endpoints({ .clock = clock_, .onChange = [] {} }, follower_, adapter_, log_);
+    EndpointFollower endpoints(store_.context(), { .clock = clock_, .onChange = [] {} }, follower_, adapter_, log_);
     store_.put("config", "3");
     store_.put("endpoints/e1", "ready");
     store_.put("other", "of no concern");
@@ -125,7 +128,7 @@
 // The watch reports a change that was made between two answers of the initial listing. An older event has no effect.
 TEST_F(FollowersTest, ChangeWhileReadingIsNotLost)
 {
-    EndpointFollower endpoints({ .clock = clock_, .onChange = [] {} }, follower_, adapter_, log_);
+    EndpointFollower endpoints(store_.context(), { .clock = clock_, .onChange = [] {} }, follower_, adapter_, log_);
     store_.put("endpoints/e1", "ready");
     int lists = 0;
     adapter_.store.list = [this, &lists, list = adapter_.store.list](const std::string& prefix, bool mayBeStale, KvStore::Done<KvItems> done) {
@@ -154,7 +157,7 @@
 
 TEST_F(FollowersTest, ExpiredEntriesAreRetainedForAGracePeriod)
 {
-    EndpointFollower follower({ .clock = clock_, .onChange = [] {} }, follower_, adapter_, log_);
+    EndpointFollower follower(store_.context(), { .clock = clock_, .lapseTime = lapseTime, .onChange = [] {} }, follower_, adapter_, log_);
     store_.put("endpoints/e1", "ready");
     store_.put("endpoints/e2", "ready");
     follower_.start();
@@ -171,9 +174,144 @@
     EXPECT_EQ(follower.endpoints().front().id, "endpoints/e1");
 }
 
+// Guards against an endpoint that is dropped while it lives: it could not renew its entry in the outage, which expires after it.
+TEST_F(FollowersTest, EntryThatExpiresSoonAfterTheRecoveryIsRetained)
+{
+    EndpointFollower follower(store_.context(), { .clock = clock_, .lapseTime = lapseTime, .gracePeriod = longGracePeriod, .onChange = [] {} }, follower_, adapter_, log_);
+    store_.put("endpoints/e1", "ready");
+    store_.put("endpoints/e2", "ready");
+    follower_.start();
+    waitUntil([&] { return follower.endpoints().size() == 2; });
+    store_.setDown(true);
+    run(Millis(300));
+    store_.setDown(false);
+    waitUntil([&] { return follower_.isReachable(); });
+    store_.remove("endpoints/e1");
+    waitUntil([&] { return !follower_.find("endpoints/e1"); });
+    EXPECT_EQ(follower.endpoints().size(), 2U);
+}
+
+// Endpoints renew their entries several times before these expire.
+TEST_F(FollowersTest, ShortOutageRetainsNothing)
+{
+    EndpointFollower follower(store_.context(), { .clock = clock_, .lapseTime = Millis(5000), .gracePeriod = longGracePeriod, .onChange = [] {} }, follower_, adapter_, log_);
+    store_.put("endpoints/e1", "ready");
+    store_.put("endpoints/e2", "ready");
+    follower_.start();
+    waitUntil([&] { return follower.endpoints().size() == 2; });
+    store_.setDown(true);
+    waitUntil([&] { return !follower_.isReachable(); });
+    store_.remove("endpoints/e1");
+    store_.setDown(false);
+    waitUntil([&] { return follower.endpoints().size() == 1; });
+    EXPECT_EQ(follower.endpoints().front().id, "endpoints/e2");
+}
+
+// Guards against requests to an endpoint that is gone: the grace period was over, but the list was not changed before the
+// store's next answer.
+TEST_F(FollowersTest, GracePeriodEndsWithoutAnAnswerOfTheStore)
+{
+    FollowTiming quiet = timing;
+    quiet.wait = Millis(60000);
+    StoreFollower store(store_.context(), { .clock = clock_, .prefixes = { "config", "endpoints/" }, .timing = quiet }, adapter_.store, log_);
+    EndpointFollower follower(store_.context(), { .clock = clock_, .lapseTime = Millis(0), .gracePeriod = Millis(300), .onChange = [] {} }, store, adapter_, log_);
+    store_.put("endpoints/e1", "ready");
+    store_.put("endpoints/e2", "ready");
+    store.start();
+    waitUntil([&] { return follower.endpoints().size() == 2; });
+    store_.setDown(true);
+    waitUntil([&] { return !store.isReachable(); });
+    store_.remove("endpoints/e1");
+    store_.setDown(false);
+    waitUntil([&] { return store.isReachable(); });
+    const Millis recoveredAt = clock_();
+    EXPECT_EQ(follower.endpoints().size(), 2U);
+    waitUntil([&] { return follower.endpoints().size() == 1; });
+    EXPECT_GE(clock_() - recoveredAt, Millis(290));
+    EXPECT_EQ(follower.endpoints().front().id, "endpoints/e2");
+}
+
+// A store that is lost again within the grace period gave the endpoints too little time.
+TEST_F(FollowersTest, SecondOutageStartsTheGracePeriodAnew)
+{
+    EndpointFollower follower(store_.context(), { .clock = clock_, .lapseTime = lapseTime, .gracePeriod = Millis(400), .onChange = [] {} }, follower_, adapter_, log_);
+    store_.put("endpoints/e1", "ready");
+    store_.put("endpoints/e2", "ready");
+    follower_.start();
+    waitUntil([&] { return follower.endpoints().size() == 2; });
+    store_.setDown(true);
+    run(Millis(300));
+    store_.remove("endpoints/e1");
+    store_.setDown(false);
+    waitUntil([&] { return follower_.isReachable(); });
+    store_.setDown(true);
+    run(Millis(500));
+    EXPECT_EQ(follower.endpoints().size(), 2U);
+    store_.setDown(false);
+    waitUntil([&] { return follower_.isReachable(); });
+    EXPECT_EQ(follower.endpoints().size(), 2U);
+    store_.put("endpoints/e1", "ready");
+    run(Millis(500));
+    EXPECT_EQ(follower.endpoints().size(), 2U);
+}
+
+// The calls of a node that is cut off from the store hang until they time out, even if the store is back before that.
+class HangingStore : public FollowersTest {
+protected:
+    HangingStore()
+    {
+        adapter_.store.list = [this, list = adapter_.store.list](const std::string& prefix, bool mayBeStale, KvStore::Done<KvItems> done) {
+            if (isCut_)
+                hanging_.push_back(std::move(done));
+            else
+                list(prefix, mayBeStale, std::move(done));
+        };
+        adapter_.store.watch = [this, watch = adapter_.store.watch](const std::string& prefix, uint64_t after, Millis wait, KvStore::Done<KvChanges> done) {
+            ++watches_;
+            if (isCut_)
+                boost::asio::post(store_.context(), [done] { done(absl::UnknownError("timed out")); });
+            else
+                watch(prefix, after, wait, std::move(done));
+        };
+        store_.put("endpoints/e1", "ready");
+        follower_.start();
+        waitUntil([this] { return follower_.hasData(); });
+        isCut_ = true;
+        waitUntil([this] { return !hanging_.empty(); });
+    }
+
+    bool isCut_ = false;
+    int watches_ = 0;
+    std::vector<KvStore::Done<KvItems>> hanging_; // calls without an answer
+};
+
+TEST_F(HangingStore, RecoveryIsNoticedWhileAnEarlierCallHangs)
+{
+    isCut_ = false;
+    waitUntil([this] { return follower_.isReachable(); });
+}
+
+TEST_F(HangingStore, LateAnswerToAnEarlierCallIsIgnored)
+{
+    waitUntil([this] { return hanging_.size() >= 2; });
+    isCut_ = false;
+    store_.put("endpoints/e2", "ready");
+    waitUntil([this] { return follower_.isReachable(); });
+    for (const auto& done : hanging_)
+        done(KvItems { .revision = 1 });
+    for (const auto& done : hanging_)
+        done(absl::UnknownError("timed out"));
+    EXPECT_TRUE(follower_.isReachable());
+    EXPECT_EQ(follower_.itemsWith("endpoints/").size(), 2U);
+    // One watch at a time: each of them waits for 190 ms.
+    const int before = watches_;
+    run(Millis(1000));
+    EXPECT_LE(watches_ - before, 6);
+}
+
 TEST_F(FollowersTest, InvalidEntryIsIgnoredAndOthersAreUnaffected)
 {
-    EndpointFollower follower({ .clock = clock_, .onChange = [] {} }, follower_, adapter_, log_);
+    EndpointFollower follower(store_.context(), { .clock = clock_, .onChange = [] {} }, follower_, adapter_, log_);
     store_.put("endpoints/e1", "ready");
     store_.put("endpoints/e2", "garbage");
     follower_.start();
@@ -199,7 +337,7 @@
         return std::string(bytes.data(), static_cast<size_t>(std::max<ssize_t>(0, size)));
     };
     bool logsEach = false;
-    EndpointFollower follower({ .clock = clock_, .logsEachChange = [&] { return logsEach; }, .onChange = [] {} }, follower_, adapter_, log);
+    EndpointFollower follower(store_.context(), { .clock = clock_, .logsEachChange = [&] { return logsEach; }, .onChange = [] {} }, follower_, adapter_, log);
     store_.put("endpoints/e1", "ready");
     store_.put("endpoints/e2", "ready");
     follower_.start();
@@ -226,7 +364,7 @@
         Node(PeerSnapshotsTest& test, const PlatformAdapter& adapter)
             : store(test.store_.context(), { .clock = test.clock_, .prefixes = { "config", "endpoints/" }, .timing = timing }, adapter.store, test.log_)
             , configuration({ .onConfiguration = [this](const auto& routes) { versions.push_back(routes->configuration().version); } }, store, adapter, test.log_)
-            , endpoints({ .clock = test.clock_, .onChange = [] {} }, store, adapter, test.log_)
+            , endpoints(test.store_.context(), { .clock = test.clock_, .onChange = [] {} }, store, adapter, test.log_)
             , snapshots(test.store_.context(), { .clock = test.clock_, .random = makeSeededRandom(1), .control = "127.0.0.1:1", .endpointPrefix = "endpoints/", .seeds = { Endpoint { .address = "127.0.0.1", .port = test.port_ } }, .interval = Millis(20), .timeout = Millis(200) }, store, configuration, endpoints, test.log_)
             , server(test.store_.context(), { .address = "127.0.0.1", .clock = test.clock_, .onRequest = [this](const auto& connection, const ServerRequest& request) { ++requestCount; snapshots.answer(connection, request); } })
         {
