Share the start of the tests of the grace period

Change: the fixture's startWithTwoEndpoints() holds them; no assertion and no time is changed. Evidence: FollowersTest 26 of 26 before and after, plain build; format and lint of the file pass. Sanitized it was not run again. Conclusion: behaviour as before.

--- a/tests/FollowersTest.cpp
+++ b/tests/FollowersTest.cpp
@@ -46,6 +46,15 @@
     // Runs the event loop for a fixed time, for checks that something does not happen.
     void run(Millis time) { store_.run(time); }
 
+    // Registers the endpoints e1 and e2, starts to follow the store and waits until both are in the list.
+    void startWithTwoEndpoints(StoreFollower& store, const EndpointFollower& list)
+    {
+        store_.put("endpoints/e1", "ready");
+        store_.put("endpoints/e2", "ready");
+        store.start();
+        waitUntil([&] { return list.endpoints().size() == 2; });
+    }
+
     void waitUntil(const std::function<bool()>& condition) { runUntil(store_.context(), condition); }
 
     FakeKvStore store_;
@@ -158,10 +167,7 @@
 TEST_F(FollowersTest, ExpiredEntriesAreRetainedForAGracePeriod)
 {
     EndpointFollower follower(store_.context(), { .clock = clock_, .lapseTime = lapseTime, .onChange = [] {} }, follower_, adapter_, log_);
-    store_.put("endpoints/e1", "ready");
-    store_.put("endpoints/e2", "ready");
-    follower_.start();
-    waitUntil([&] { return follower.endpoints().size() == 2; });
+    startWithTwoEndpoints(follower_, follower);
     store_.setDown(true);
     run(Millis(300));
     store_.remove("endpoints/e1");
@@ -178,10 +184,7 @@
 TEST_F(FollowersTest, EntryThatExpiresSoonAfterTheRecoveryIsRetained)
 {
     EndpointFollower follower(store_.context(), { .clock = clock_, .lapseTime = lapseTime, .gracePeriod = longGracePeriod, .onChange = [] {} }, follower_, adapter_, log_);
-    store_.put("endpoints/e1", "ready");
-    store_.put("endpoints/e2", "ready");
-    follower_.start();
-    waitUntil([&] { return follower.endpoints().size() == 2; });
+    startWithTwoEndpoints(follower_, follower);
     store_.setDown(true);
     run(Millis(300));
     store_.setDown(false);
@@ -195,10 +198,7 @@
 TEST_F(FollowersTest, ShortOutageRetainsNothing)
 {
     EndpointFollower follower(store_.context(), { .clock = clock_, .lapseTime = Millis(5000), .gracePeriod = longGracePeriod, .onChange = [] {} }, follower_, adapter_, log_);
-    store_.put("endpoints/e1", "ready");
-    store_.put("endpoints/e2", "ready");
-    follower_.start();
-    waitUntil([&] { return follower.endpoints().size() == 2; });
+    startWithTwoEndpoints(follower_, follower);
     store_.setDown(true);
     waitUntil([&] { return !follower_.isReachable(); });
     store_.remove("endpoints/e1");
@@ -215,10 +215,7 @@
     quiet.wait = Millis(60000);
     StoreFollower store(store_.context(), { .clock = clock_, .prefixes = { "config", "endpoints/" }, .timing = quiet }, adapter_.store, log_);
     EndpointFollower follower(store_.context(), { .clock = clock_, .lapseTime = Millis(0), .gracePeriod = Millis(300), .onChange = [] {} }, store, adapter_, log_);
-    store_.put("endpoints/e1", "ready");
-    store_.put("endpoints/e2", "ready");
-    store.start();
-    waitUntil([&] { return follower.endpoints().size() == 2; });
+    startWithTwoEndpoints(store, follower);
     store_.setDown(true);
     waitUntil([&] { return !store.isReachable(); });
     store_.remove("endpoints/e1");
@@ -235,10 +232,7 @@
 TEST_F(FollowersTest, SecondOutageStartsTheGracePeriodAnew)
 {
     EndpointFollower follower(store_.context(), { .clock = clock_, .lapseTime = lapseTime, .gracePeriod = Millis(400), .onChange = [] {} }, follower_, adapter_, log_);
-    store_.put("endpoints/e1", "ready");
-    store_.put("endpoints/e2", "ready");
-    follower_.start();
-    waitUntil([&] { return follower.endpoints().size() == 2; });
+    startWithTwoEndpoints(follower_, follower);
     store_.setDown(true);
     run(Millis(300));
     store_.remove("endpoints/e1");
