Log what was expected of a request that the exit cuts

A request that the exit cuts left one line of its end among all failures, without the reason for which the stopping node had taken it, so the log could not tell an admission by a wrong estimate from an answer that was lost with its connection. request_cut has the time left and the expected time as of the send, and how far the endpoint came; gateway_stopped has the bytes of answers that callers have not read. The tests' log is a pipe, by one class.

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -415,7 +415,7 @@
     const bool isGraceOver = clock_() >= proxyContext_.shutdown->endsAt;
     if ((!proxy_.isIdle() && !isGraceOver) || !onStopped_)
         return;
-    log_.noteChange("gateway_stopped", { { "requests_left", std::to_string(proxy_.flowCount()) }, { "took_ms", std::to_string(elapsed.count()) } });
+    log_.noteChange("gateway_stopped", { { "requests_left", std::to_string(proxy_.flowCount()) }, { "unsent_bytes", std::to_string(proxy_.unsentBytes()) }, { "took_ms", std::to_string(elapsed.count()) } });
     proxy_.endShutdown();
     log_.reportOmitted();
     std::exchange(onStopped_, {})();
--- a/packages/http/RequestServer.cpp
+++ b/packages/http/RequestServer.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <numeric>
 
 namespace hemlockweir {
 
@@ -106,6 +107,11 @@
     return std::any_of(connections_.begin(), connections_.end(), [](const auto& connection) { return connection->isBusy(); });
 }
 
+size_t RequestServer::unsentBytes() const
+{
+    return std::accumulate(connections_.begin(), connections_.end(), size_t { 0 }, [](size_t sum, const auto& connection) { return sum + connection->unsentBytes(); });
+}
+
 void RequestServer::closeGracefully()
 {
     acceptQueued();
--- a/packages/http/RequestServer.h
+++ b/packages/http/RequestServer.h
@@ -50,6 +50,9 @@
 
     size_t connectionCount() const { return connections_.size(); }
 
+    // Returns the bytes of answers that wait for callers to read.
+    size_t unsentBytes() const;
+
     // Returns whether a request is being read or answered on any connection.
     bool isBusy() const;
 
--- a/packages/proxy/Proxy.h
+++ b/packages/proxy/Proxy.h
@@ -52,6 +52,9 @@
     size_t flowCount() const { return flows_.size(); }
     size_t connectionCount() const { return server_.connectionCount(); }
 
+    // Returns the bytes of answers that wait for callers to read.
+    size_t unsentBytes() const { return server_.unsentBytes(); }
+
 private:
     void startFlow(const std::shared_ptr<ServerConnection>& connection, ServerRequest request);
 
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -129,14 +129,34 @@
     return !context_.shutdown || endsInTime(context_.shutdown->endsAt - context_.clock(), longestServiceTime(), deadlineAt_ - context_.clock());
 }
 
+std::optional<ProxyFlow::ExitOutlook> ProxyFlow::exitOutlook() const
+{
+    if (!context_.shutdown)
+        return std::nullopt;
+    return ExitOutlook { .timeLeft = context_.shutdown->endsAt - context_.clock(), .expectedTime = longestServiceTime() };
+}
+
+static std::string formatTime(std::optional<Millis> time)
+{
+    return time ? std::to_string(time->count()) : "unknown";
+}
+
 // Refuses a request that has not run, because this process would end before its response. The caller reaches another node.
 void ProxyFlow::refuseForExit()
 {
-    const std::optional<Millis> longest = longestServiceTime();
-    context_.log.noteFailure("request_refused", { { "request", requestId_ }, { "route", route_.name }, { "reason", "stopping" }, { "time_left_ms", std::to_string((context_.shutdown->endsAt - context_.clock()).count()) }, { "longest_ms", longest ? std::to_string(longest->count()) : "unknown" }, { "deadline_ms", std::to_string((deadlineAt_ - context_.clock()).count()) } });
+    const ExitOutlook outlook = *exitOutlook();
+    context_.log.noteFailure("request_refused", { { "request", requestId_ }, { "route", route_.name }, { "reason", "stopping" }, { "time_left_ms", formatTime(outlook.timeLeft) }, { "longest_ms", formatTime(outlook.expectedTime) }, { "deadline_ms", formatTime(deadlineAt_ - context_.clock()) } });
     sendError(statusUnavailable, "stopping", stoppingRetryAfter);
 }
 
+// Logs a request whose run the exit interrupts, with what was expected of it when it was sent.
+void ProxyFlow::logCut() const
+{
+    const Millis now = context_.clock();
+    const std::optional<ExitOutlook>& outlook = attempt_->exitOutlook;
+    context_.log.noteChange("request_cut", { { "request", requestId_ }, { "route", route_.name }, { "endpoint", attempt_->target.id }, { "sent_ms_ago", formatTime(now - attempt_->sentAt) }, { "time_left_ms", outlook ? formatTime(outlook->timeLeft) : "not_stopping" }, { "longest_ms", outlook ? formatTime(outlook->expectedTime) : "not_stopping" }, { "deadline_ms", formatTime(deadlineAt_ - now) }, { "first_event_ms", attempt_->hasBody ? formatTime(attempt_->firstEventAt - attempt_->sentAt) : "none" }, { "last_event", eventSplitter_.lastId() ? std::to_string(*eventSplitter_.lastId()) : "none" } });
+}
+
 void ProxyFlow::requestPlacement(Millis objectiveAt, int priority)
 {
     PlacementRequest request {
@@ -193,7 +213,7 @@
         refuseForExit();
         return;
     }
-    attempt_.emplace(Attempt { .target = target, .sentAt = now, .progressAt = now });
+    attempt_.emplace(Attempt { .target = target, .sentAt = now, .exitOutlook = exitOutlook(), .progressAt = now });
     lastTarget_ = target.id;
     ++sends_;
     const auto self = shared_from_this();
@@ -422,8 +442,11 @@
 
 void ProxyFlow::handleExit()
 {
-    if (!isDone_)
-        giveUp("stopped");
+    if (isDone_)
+        return;
+    if (attempt_)
+        logCut();
+    giveUp("stopped");
 }
 
 // Ends the flow because the caller closed its connection.
--- a/packages/proxy/ProxyFlow.h
+++ b/packages/proxy/ProxyFlow.h
@@ -43,11 +43,20 @@
     // Retry-After of a request that a stopping node refuses: other nodes can serve it at once.
     static constexpr Millis stoppingRetryAfter { 100 };
 
+    // Why a stopping node let a request run.
+    struct ExitOutlook {
+        Millis timeLeft { 0 }; // ms until this process exits
+        std::optional<Millis> expectedTime; // ms, by ServiceTimes
+
+        auto operator<=>(const ExitOutlook&) const = default;
+    };
+
     // One send of the request to an endpoint.
     struct Attempt {
         Target target;
         std::shared_ptr<ClientConnection> connection;
         Millis sentAt { 0 };
+        std::optional<ExitOutlook> exitOutlook; // if this node was stopping when it sent the request
         Millis firstEventAt { 0 }; // when the first complete event of a stream arrived
         Millis progressAt { 0 }; // when the head, the last part of the body or, of a stream, the last complete event arrived
         std::optional<ResponseHead> head;
@@ -68,6 +77,8 @@
     bool endsBeforeExit() const;
     bool mayRefuse() const;
     void refuseForExit();
+    std::optional<ExitOutlook> exitOutlook() const;
+    void logCut() const;
     void leaveQueue();
     void requestPlacement(Millis objectiveAt, int priority);
     void handlePlacement(const Target& target);
--- a/tests/FollowersTest.cpp
+++ b/tests/FollowersTest.cpp
@@ -4,13 +4,11 @@
 #include "gateway/Presence.h"
 #include "http/RequestServer.h"
 #include "support/FakeKvStore.h"
+#include "support/LogCapture.h"
 #include "support/ScriptedEndpoint.h"
 
-#include <QScopeGuard>
 #include <algorithm>
-#include <array>
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 // Tests a node's copy of the platform's store while the store is unavailable, has lost its history, or loses answers.
 
@@ -318,18 +316,8 @@
 // the others log how many there were.
 TEST_F(FollowersTest, ChangesOfTheListAreLoggedAsCounts)
 {
-    std::array<int, 2> pipe {};
-    ASSERT_EQ(::pipe(pipe.data()), 0);
-    const auto closePipe = qScopeGuard([&] {
-        ::close(pipe[0]);
-        ::close(pipe[1]);
-    });
-    DecisionLog log({ .clock = clock_, .descriptor = pipe[1] });
-    const auto readLog = [&] {
-        std::array<char, 4096> bytes {};
-        const ssize_t size = ::read(pipe[0], bytes.data(), bytes.size());
-        return std::string(bytes.data(), static_cast<size_t>(std::max<ssize_t>(0, size)));
-    };
+    const LogCapture lines;
+    DecisionLog log({ .clock = clock_, .descriptor = lines.descriptor() });
     bool logsEach = false;
     EndpointFollower follower(store_.context(), { .clock = clock_, .logsEachChange = [&] { return logsEach; }, .onChange = [] {} }, follower_, adapter_, log);
     store_.put("endpoints/e1", "ready");
@@ -338,14 +326,14 @@
     waitUntil([&] { return follower.endpoints().size() == 2; });
     follower.logChanges();
     follower.logChanges();
-    const std::string counts = readLog();
+    const std::string counts = lines.read();
     EXPECT_NE(counts.find("event=endpoints_changed found=2 leaving=0 gone=0 endpoints=2"), std::string::npos) << counts;
     EXPECT_EQ(std::count(counts.begin(), counts.end(), '\n'), 1) << counts;
     logsEach = true;
     store_.put("endpoints/e1", "leaving");
     waitUntil([&] { return follower.endpoints().front().isLeaving; });
     follower.logChanges();
-    const std::string single = readLog();
+    const std::string single = lines.read();
     EXPECT_NE(single.find("event=endpoint_leaving endpoint=endpoints/e1"), std::string::npos) << single;
     EXPECT_NE(single.find("found=0 leaving=1 gone=0"), std::string::npos) << single;
 }
--- a/tests/ProxyFlowTest.cpp
+++ b/tests/ProxyFlowTest.cpp
@@ -494,6 +494,24 @@
     EXPECT_EQ(proxy_.flowCount(), 0U);
 }
 
+// A request that the exit cuts had a line of its end only, which does not tell why the node took it.
+TEST_F(ProxyShutdown, RequestThatTheExitCutsIsLoggedWithWhatWasExpectedOfIt)
+{
+    configure();
+    script([](int) { return ScriptedResponse { .bytes = streamHead("r1") + chunk(event(1)), .ending = Ending::Hold }; });
+    noteServiceTime("draft", Millis(600));
+    startShutdown(Millis(1000));
+    ScriptedCaller caller(context_, proxy_.port());
+    caller.send(request("/draft/7", "r1"));
+    caller.readUntil(event(1));
+    clockOffset_ += Millis(1000);
+    proxy_.endShutdown();
+    const std::string lines = logLines_.read();
+    EXPECT_NE(lines.find("event=request_cut request=r1 route=draft endpoint=e"), std::string::npos) << lines;
+    EXPECT_NE(lines.find(" longest_ms=600 "), std::string::npos) << lines;
+    EXPECT_NE(lines.find(" last_event=1\n"), std::string::npos) << lines;
+}
+
 // A stopping node learns from the requests that it serves how long they run.
 TEST_F(ProxyShutdown, CompleteResponsesTellHowLongRequestsRun)
 {
--- a/tests/support/ProxyTest.h
+++ b/tests/support/ProxyTest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "proxy/Proxy.h"
+#include "support/LogCapture.h"
 #include "support/ScriptedEndpoint.h"
 
 #include <glog/logging.h>
@@ -105,7 +106,8 @@
     Clock clock_ = [this, steady = makeSteadyClock()] { return steady() + clockOffset_; };
     ScriptedEndpoint first_ { context_ };
     ScriptedEndpoint second_ { context_ };
-    DecisionLog log_ { { .clock = clock_, .descriptor = -1 } };
+    LogCapture logLines_;
+    DecisionLog log_ { { .clock = clock_, .descriptor = logLines_.descriptor() } };
     ProxyMetrics metrics_;
     Random random_ = makeSeededRandom(7);
     Dispatcher dispatcher_ { { .clock = clock_, .random = random_, .domain = "a" } };
