Show that a stopping node takes streams by the pace of recent ones, and cuts them

With real processes: the engines become slower after the last complete streams, and a stream that is sent 3.2 s after SIGTERM is taken, runs, and is interrupted by the exit.

--- a/tests/GatewayShutdownProcessTest.cpp
+++ b/tests/GatewayShutdownProcessTest.cpp
@@ -20,6 +20,7 @@
 static constexpr int shortStreamEvents = 10;
 static constexpr int usualStreamEvents = 60; // 1.2 s
 static constexpr int warmUps = 8;
+static constexpr int slowFactor = 6; // of an engine that has become slow
 // The balancer may send new connections for this time after SIGTERM, in ms.
 static constexpr int lastSendMs = 3400;
 static constexpr int sendIntervalMs = 200;
@@ -158,4 +159,25 @@
     EXPECT_TRUE(usual->isWhole()) << "had time to end, but was not served";
 }
 
+// Guards against a stream that is cut at the exit because recent ones were faster: what was seen lately is no bound.
+TEST_F(GatewayShutdown, LateStreamIsNotTakenByThePaceOfRecentOnes)
+{
+    ASSERT_TRUE(runUntil([&] { return isServed("large", shortStreamEvents); }));
+    streams_.clear();
+    for (int i = 0; i < warmUps; ++i)
+        send("large", usualStreamEvents, Millis(0));
+    awaitEnds();
+    ASSERT_TRUE(std::all_of(streams_.begin(), streams_.end(), [](const auto& stream) { return stream->isWhole(); }));
+    streams_.clear();
+    for (const std::string& engine : cluster_.engines())
+        cluster_.processes().setFaults(engine, { { "slow", slowFactor } });
+    const Millis stoppedAt = clock_();
+    cluster_.processes().terminate(gateway_);
+    ASSERT_TRUE(runUntil([&] { return clock_() - stoppedAt >= Millis(lastSendMs - sendIntervalMs); }));
+    const auto late = send("large", usualStreamEvents, clock_() - stoppedAt);
+    awaitEnds();
+    EXPECT_TRUE(late->isRefused()) << "was taken and interrupted after " << late->received.size() << " bytes";
+    EXPECT_FALSE(wasRun(late->id));
+}
+
 } // namespace hemlockweir
