Let only the deadline bound what a stopping node takes after the balancer has removed it

Cause: a stopping node took what fitted into the time left by ServiceTimes, that is by recent answers and a margin. What was seen lately is no bound: the next stream may start later, run on a slower replica or be longer.

Now two phases. While the balancer still lists the node (2.5 s: two polls of a second fail), a refused caller may be sent back to it, so the estimate decides as before. After that a refusal costs its caller one retry at another node, so only a bound counts: the request's deadline and its route's timeout. This holds for new requests, those that wait for a slot, and those that got one.

Why it works: what is taken in the second phase ends by its deadline before the exit, also if it is sent again or resumed. What is taken in the first has been sent less than 3 s after the signal and is given the rest of the grace period.

Ruled out: only the deadline from the start (with 8 s of budget and 7.5 s left every stream would be refused, by nodes that its retry meets again); a larger margin (bounds nothing); a later exit (SIGKILL comes at the end of the grace period).

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -31,9 +31,10 @@
 // Shortest outage of the store, in heartbeats of the endpoints, that lets entries expire: three missed heartbeats, the first of
 // which may have been due before the outage was noticed.
 static constexpr int heartbeatsBeforeLapse = 2;
-// Time for which a stopping node still accepts connections. The balancer polls readiness once a second and removes a
-// node after two failures; new connections arrive until then.
-static constexpr Millis deregistrationDelay { 3500 };
+// Time after which the balancer has removed a stopping node: it polls readiness once a second, and two failures count.
+static constexpr Millis deregistrationDelay { 2500 };
+// Time for which a stopping node still accepts connections. Some are under way when the balancer removes it.
+static constexpr Millis listenDelay { 3500 };
 // Part of the grace period that is reserved for the exit of the process.
 static constexpr Millis exitMargin { 500 };
 
@@ -398,7 +399,11 @@
     stopStartedAt_ = clock_();
     onStopped_ = std::move(onStopped);
     presence_.resign();
-    proxy_.startShutdown({ .startedAt = stopStartedAt_, .endsAt = stopStartedAt_ + settings_.grace - exitMargin });
+    proxy_.startShutdown({
+        .startedAt = stopStartedAt_,
+        .deregisteredAt = stopStartedAt_ + std::min(deregistrationDelay, settings_.grace / 2),
+        .endsAt = stopStartedAt_ + settings_.grace - exitMargin,
+    });
 }
 
 // Finishes the shutdown once the balancer has removed the node and all requests are answered, or the grace period
@@ -406,7 +411,7 @@
 void Gateway::checkStop()
 {
     const Millis elapsed = clock_() - stopStartedAt_;
-    if (elapsed < std::min(deregistrationDelay, settings_.grace / 2))
+    if (elapsed < std::min(listenDelay, settings_.grace / 2))
         return;
     if (!hasStoppedListening_) {
         hasStoppedListening_ = true;
--- a/packages/proxy/ProxyContext.h
+++ b/packages/proxy/ProxyContext.h
@@ -34,6 +34,7 @@
 // The time of a graceful shutdown.
 struct ShutdownWindow {
     Millis startedAt { 0 };
+    Millis deregisteredAt { 0 }; // from then on the balancer sends callers that were refused to other nodes
     Millis endsAt { 0 }; // when the process exits, even if requests are left
 
     auto operator<=>(const ShutdownWindow&) const = default;
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -123,10 +123,16 @@
     return context_.serviceTimes.longest(route_.name, route_.kind == RequestKind::Stream ? tokenCounts_.maxAnswer : 0);
 }
 
-// Returns whether a request that would run from now on ends before this process does, if it shuts down.
+// Returns whether a request that would run from now on ends before this process does, if it shuts down. The estimate from
+// recent requests may be exceeded and its request cut. It counts only while a refused caller may be sent back to this node;
+// later, only the request's own deadline is a bound.
 bool ProxyFlow::endsBeforeExit() const
 {
-    return !context_.shutdown || endsInTime(context_.shutdown->endsAt - context_.clock(), longestServiceTime(), deadlineAt_ - context_.clock());
+    if (!context_.shutdown)
+        return true;
+    const Millis now = context_.clock();
+    const std::optional<Millis> expected = now < context_.shutdown->deregisteredAt ? longestServiceTime() : std::nullopt;
+    return endsInTime(context_.shutdown->endsAt - now, expected, deadlineAt_ - now);
 }
 
 std::optional<ProxyFlow::ExitOutlook> ProxyFlow::exitOutlook() const
--- a/packages/proxy/ServiceTimes.h
+++ b/packages/proxy/ServiceTimes.h
@@ -7,8 +7,8 @@
 #include <optional>
 #include <string>
 
-// Estimates how long requests run at their endpoints, from those that were answered completely. A node that shuts down
-// takes no request that may not end before its process does. Performs no I/O.
+// Estimates how long requests run at their endpoints, from those that were answered completely. A node that has begun to
+// shut down takes no request that is not expected to end before its process does. Performs no I/O.
 
 namespace hemlockweir {
 
@@ -67,8 +67,8 @@
     std::map<std::string, Windows> byRoute_;
 };
 
-// Returns whether a request that is placed now ends in time. `longest` is ServiceTimes::longest() of its route. `limit` is the
-// time in ms after which it ends in any case, by its deadline.
+// Returns whether a request that is placed now ends in time. `longest` is ServiceTimes::longest() of its route; without it, only
+// `limit` counts: the time in ms after which the request ends in any case, by its deadline.
 bool endsInTime(Millis timeLeft, std::optional<Millis> longest, Millis limit);
 
 } // namespace hemlockweir
