Move rendezvous hashing to the base package

The proxy needs it for the choice of the nodes that use a limited endpoint, and does not depend on the membership package. No change of behaviour.

--- a/packages/membership/Rendezvous.cpp
+++ b/packages/base/Rendezvous.cpp
@@ -1,4 +1,4 @@
-#include "membership/Rendezvous.h"
+#include "base/Rendezvous.h"
 
 #include "base/StableHash.h"
 
--- a/packages/membership/NodeTable.cpp
+++ b/packages/membership/NodeTable.cpp
@@ -1,6 +1,6 @@
 #include "membership/NodeTable.h"
 
-#include "membership/Rendezvous.h"
+#include "base/Rendezvous.h"
 
 #include <algorithm>
 #include <bit>
--- a/packages/membership/PeerLink.cpp
+++ b/packages/membership/PeerLink.cpp
@@ -1,7 +1,7 @@
 #include "membership/PeerLink.h"
 
 #include "base/Log.h"
-#include "membership/Rendezvous.h"
+#include "base/Rendezvous.h"
 
 #include <QNetworkDatagram>
 #include <QUrl>
--- a/packages/membership/SenderCheck.cpp
+++ b/packages/membership/SenderCheck.cpp
@@ -1,6 +1,6 @@
 #include "membership/SenderCheck.h"
 
-#include "membership/Rendezvous.h"
+#include "base/Rendezvous.h"
 
 #include <algorithm>
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -1,7 +1,7 @@
 #include "node/Node.h"
 
 #include "base/Log.h"
-#include "membership/Rendezvous.h"
+#include "base/Rendezvous.h"
 
 #include <QJsonArray>
 #include <QUrl>
--- a/packages/node/NodeOptions.cpp
+++ b/packages/node/NodeOptions.cpp
@@ -1,6 +1,6 @@
 #include "node/Node.h"
 
-#include "membership/Rendezvous.h"
+#include "base/Rendezvous.h"
 
 #include <algorithm>
 #include <map>
--- a/packages/quarantine/Quarantine.cpp
+++ b/packages/quarantine/Quarantine.cpp
@@ -1,6 +1,6 @@
 #include "quarantine/Quarantine.h"
 
-#include "membership/Rendezvous.h"
+#include "base/Rendezvous.h"
 
 #include <QCryptographicHash>
 #include <QtEndian>
--- a/tests/PeerLinkTest.cpp
+++ b/tests/PeerLinkTest.cpp
@@ -1,7 +1,7 @@
 // Tests membership: replay protection, failure detection and forwarding by relays.
 
 #include "membership/PeerLink.h"
-#include "membership/Rendezvous.h"
+#include "base/Rendezvous.h"
 #include "support/Wait.h"
 
 #include <QCoreApplication>
--- a/tests/QuarantineProcessTest.cpp
+++ b/tests/QuarantineProcessTest.cpp
@@ -1,7 +1,7 @@
 // A request that crashes every endpoint that runs it is quarantined. Requests that were running on
 // the same endpoints still finish.
 
-#include "membership/Rendezvous.h"
+#include "base/Rendezvous.h"
 #include "quarantine/Quarantine.h"
 #include "support/Cluster.h"
 
--- a/tests/QuarantineTest.cpp
+++ b/tests/QuarantineTest.cpp
@@ -1,6 +1,6 @@
 // Tests the decisions of Quarantine without sockets.
 
-#include "membership/Rendezvous.h"
+#include "base/Rendezvous.h"
 #include "quarantine/SuspectExchange.h"
 
 #include <deque>
