--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -46,6 +46,7 @@
     std::shared_ptr<Answer> answer;
     std::shared_ptr<bool> isDone;
     std::shared_ptr<QByteArray> received; // bytes of the body so far
+    std::string name; // method and URL, for messages
 
     // Waits for the end of the call.
     Answer wait(Millis limit = hangLimit) const;
