Keep the request limits that endpoints name in their answers, over all nodes together

Cause: nothing read the header. What endpoints ask for was followed only where a rule was known, and the other two announcements bind each node by itself; this one binds the sum of all nodes, which share only their datagrams and the store.

EndpointLimits holds a token bucket of the whole rate on each node, less the node's own requests at once and those of the others as they report them. Reports carry counts, so a lost one is made up for by the next; requests of the same moment are a debt. At most five nodes use a limited endpoint, so that the debts fit into what it tolerates, and the part of a node that is not heard of stays unused. A limit is learnt from the others too, and ends by an answer without one to a request that was sent after it was last named. The dispatcher places nothing without an allowance: new requests, repetitions and resumed streams pass there alike, wait for their turn or go to other endpoints, and refusals name the time of the next allowed request if all are limited.

Ruled out: a part for each node (wastes what others leave; 30 nodes with one saved request each exceed the tolerance at once); one node that hands out the rate (lost with its failure domain); a call to the store for each request.

The AnnouncedDispatch and ProxyFlow tests of limits fail with the allowance ignored in canAccept() (4 and 1 of them), as on the code before; they pass now.

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -44,7 +44,7 @@
     , random_(makeSystemRandom())
     , log_({ .clock = clock_ })
     , adapter_(makeAdapter(context, settings_, clock_, log_))
-    , dispatcher_({ .clock = clock_, .random = random_, .domain = settings_.domain, .onSuspect = [this](const Target& target, bool isUnresponsive) { handleSuspect(target, isUnresponsive); }, .onUsageChanged = [this] { usage_.publishSoon(); } })
+    , dispatcher_({ .clock = clock_, .random = random_, .node = settings_.node, .domain = settings_.domain, .onSuspect = [this](const Target& target, bool isUnresponsive) { handleSuspect(target, isUnresponsive); }, .onUsageChanged = [this] { usage_.publishSoon(); } })
     , pool_(context, { .clock = clock_ })
     , retries_({ .clock = clock_, .window = settings_.retryWindow, .retriesPerRequest = settings_.retriesPerRequest, .allowance = settings_.retryAllowance })
     , crashes_({ .clock = clock_, .onConnectionLost = [this](const std::string& endpoint) { handleConnectionLost(endpoint); }, .onCrash = [this](const CrashReport& report) { publishCrash(report); }, .onSoundPart = [this](uint64_t part) { usage_.addSoundPart(part); }, .onBlocked = [this](uint64_t blocked, size_t crashes) { log_.noteChange("crashes_explained", { { "blocked", absl::StrFormat("%016x", blocked) }, { "crashes", std::to_string(crashes) } }); } })
@@ -77,6 +77,8 @@
               .ownBlocks = [this] { return crashes_.ownBlocks(); },
               .onBlock = [this](uint64_t blocked) { crashes_.notePeerBlock(blocked); },
               .onSoundPart = [this](uint64_t part) { crashes_.notePeerSoundPart(part); },
+              .takeLimitReports = [this] { return dispatcher_.takeLimitReports(); },
+              .onLimits = [this](const std::string& node, const std::vector<LimitReport>& reports) { dispatcher_.applyLimitReports(node, reports); },
           },
           log_)
     , snapshots_(context, { .clock = clock_, .random = random_, .control = settings_.control.toString(), .endpointPrefix = adapter_.endpointPrefix, .seeds = settings_.seeds }, store_, configuration_, endpoints_, log_)
@@ -351,6 +353,13 @@
     tickTimer_.callAfter(tickInterval);
 }
 
+static std::vector<std::string> peerNames(const std::vector<Presence::Peer>& peers)
+{
+    std::vector<std::string> names;
+    std::transform(peers.begin(), peers.end(), std::back_inserter(names), [](const Presence::Peer& peer) { return peer.node; });
+    return names;
+}
+
 void Gateway::sweep()
 {
     proxy_.sweep();
@@ -362,6 +371,7 @@
     probeUnverified();
     updateWatchPause();
     usage_.setPeers(presence_.peers());
+    dispatcher_.setPeerNodes(peerNames(presence_.peers()));
     for (auto* probes : { &replicaProbedAt_, &lostConnectionProbedAt_ })
         std::erase_if(*probes, [this](const auto& entry) { return clock_() - entry.second > sweepInterval * 10; });
     retries_.setNodeCount(presence_.peers().size() + 1);
--- a/packages/gateway/UsageExchange.cpp
+++ b/packages/gateway/UsageExchange.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
+#include <cmath>
 
 namespace hemlockweir {
 
@@ -71,6 +72,7 @@
     for (const uint32_t target : std::exchange(suspects_, {}))
         message.rows.push_back({ .target = target, .isSuspect = true });
     addReports(message);
+    addLimits(message);
     if (message.rows.size() > UsageMessage::maxRows)
         message.rows.resize(UsageMessage::maxRows);
     const QByteArray bytes = encodeBody(message);
@@ -104,6 +106,29 @@
         message.blocks.resize(UsageMessage::maxBlocks);
 }
 
+void UsageExchange::addLimits(UsageMessage& message)
+{
+    if (!options_.takeLimitReports)
+        return;
+    for (const LimitReport& report : options_.takeLimitReports()) {
+        if (message.limits.size() == UsageMessage::maxLimits)
+            break;
+        message.limits.push_back({ .target = report.target, .startedAtMs = report.startedAtMs, .perSecond = report.perSecond, .ageMs = static_cast<uint32_t>(report.age.count()), .sent = report.sent });
+    }
+}
+
+void UsageExchange::handleLimits(const UsageMessage& message)
+{
+    if (!options_.onLimits)
+        return;
+    std::vector<LimitReport> reports;
+    for (const LimitRow& row : message.limits) {
+        if (std::isfinite(row.perSecond))
+            reports.push_back({ .target = row.target, .startedAtMs = row.startedAtMs, .perSecond = row.perSecond, .age = Millis(row.ageMs), .sent = row.sent });
+    }
+    options_.onLimits(message.node, reports);
+}
+
 void UsageExchange::addCrash(const CrashRow& crash)
 {
     // Requests that ran beside the crashing one are suspected and reported too. As many as fit into a message are enough.
@@ -163,6 +188,7 @@
         if (options_.onBlock)
             options_.onBlock(blocked);
     }
+    handleLimits(*message);
     options_.onUsage(message->node, std::move(usage));
 }
 
--- a/packages/gateway/UsageExchange.h
+++ b/packages/gateway/UsageExchange.h
@@ -48,13 +48,30 @@
     auto operator<=>(const CrashRow&) const = default;
 };
 
+// The request limit of one endpoint in a datagram; see LimitReport.
+struct LimitRow {
+    uint32_t target = 0;
+    int64_t startedAtMs = 0;
+    double perSecond = 0;
+    uint32_t ageMs = 0;
+    uint64_t sent = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(target, startedAtMs, perSecond, ageMs, sent);
+    }
+    auto operator<=>(const LimitRow&) const = default;
+};
+
 struct UsageMessage {
-    static constexpr uint32_t currentFormat = 4;
+    static constexpr uint32_t currentFormat = 5;
     static constexpr uint32_t maxNameBytes = 200;
     static constexpr uint32_t maxRows = 4000;
     static constexpr uint32_t maxCrashes = 64;
     static constexpr uint32_t maxBlocks = 32;
     static constexpr uint32_t maxSoundParts = 64;
+    static constexpr uint32_t maxLimits = 300;
 
     uint32_t format = currentFormat;
     std::string node;
@@ -63,11 +80,12 @@
     std::vector<CrashRow> crashes;
     std::vector<uint64_t> blocks; // CrashList::ownBlocks()
     std::vector<uint64_t> soundParts; // hashes of suspected parts of prompts that an endpoint has answered
+    std::vector<LimitRow> limits;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(format, bounded(node, maxNameBytes), sequence, bounded(rows, maxRows), bounded(crashes, maxCrashes), bounded(blocks, maxBlocks), bounded(soundParts, maxSoundParts));
+        archive(format, bounded(node, maxNameBytes), sequence, bounded(rows, maxRows), bounded(crashes, maxCrashes), bounded(blocks, maxBlocks), bounded(soundParts, maxSoundParts), bounded(limits, maxLimits));
     }
     auto operator<=>(const UsageMessage&) const = default;
 };
@@ -106,6 +124,8 @@
         std::function<std::vector<uint64_t>()> ownBlocks; // returns what this node blocks because it crashes endpoints; may be empty
         std::function<void(uint64_t blocked)> onBlock; // a peer blocks a request or a part of prompts; may be empty
         std::function<void(uint64_t part)> onSoundPart; // a peer got a response to a suspected part; may be empty
+        std::function<std::vector<LimitReport>()> takeLimitReports; // returns what to tell about the limits of endpoints; may be empty
+        std::function<void(const std::string& node, const std::vector<LimitReport>&)> onLimits; // a peer's message told this, maybe nothing; may be empty
     };
 
     UsageExchange(boost::asio::io_context& context, Options options, DecisionLog& log);
@@ -134,6 +154,8 @@
 
     void publish();
     void addReports(UsageMessage& message);
+    void addLimits(UsageMessage& message);
+    void handleLimits(const UsageMessage& message);
     void receive();
     void handleMessage(const std::string& bytes);
 
--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -39,6 +39,7 @@
 Dispatcher::Dispatcher(Options options)
     : options_(std::move(options))
     , notices_({ .clock = options_.clock })
+    , limits_({ .clock = options_.clock, .node = options_.node })
 {
 }
 
@@ -172,7 +173,7 @@
     const Millis now = options_.clock();
     double free = 0;
     for (const TargetLoad* load : loadsFor(key).local)
-        free += !load->isUsable(now) ? 0 : std::max(0.0, load->target.slots - load->usedSlots());
+        free += !load->isUsable(now) ? 0 : std::max(0.0, std::min(load->allowance, load->target.slots - load->usedSlots()));
     return free;
 }
 
@@ -213,6 +214,7 @@
     queue.placementsPerMs = decayedPlacementRate(queue, options_.clock()) + 1 / placementRateMs;
     queue.placedAt = options_.clock();
     ++load.running;
+    useAllowance(load);
     const Target target = load.target;
     const double promptMs = target.promptMs(request.promptTokens);
     load.promptsDoneAtMs = std::max(load.promptsDoneAtMs, static_cast<double>(options_.clock().count())) + promptMs;
@@ -249,7 +251,7 @@
         wait = Millis(static_cast<int64_t>(1000.0 * static_cast<double>(requestsAhead + 1) / queue.startsPerSecond));
     const PlacementRefusal refusal {
         .reason = reason,
-        .retryAfter = untilPauseEnds({ request.service, request.model }) + chooseRetryAfter(request, wait),
+        .retryAfter = untilAvailable({ request.service, request.model }) + chooseRetryAfter(request, wait),
         .requestsAhead = requestsAhead,
         .targets = countTargets(request.service, request.model),
     };
@@ -323,25 +325,6 @@
         found->second.unavailableUntil = notices_.unavailableUntil(target.id, target.startedAtMs);
 }
 
-// Returns the time in ms until the first of the endpoints that asked for a pause may be used again; 0 if another one may be
-// used before, or if all of them leave.
-Millis Dispatcher::untilPauseEnds(const QueueKey& key) const
-{
-    const Millis now = options_.clock();
-    const ModelLoads& loads = loadsFor(key);
-    std::optional<Millis> first;
-    for (const auto* list : { &loads.local, &loads.spanning }) {
-        for (const TargetLoad* load : *list) {
-            if (load->unavailableUntil <= now)
-                return Millis(0);
-            const Millis end = notices_.pausedUntil(load->target.id, load->target.startedAtMs);
-            if (end > now)
-                first = std::min(first.value_or(end), end);
-        }
-    }
-    return first ? *first - now : Millis(0);
-}
-
 void Dispatcher::notePeerFailure(uint32_t target)
 {
     const auto found = loadsByHash_.find(target);
@@ -477,6 +460,7 @@
 {
     dropStalePeers();
     notices_.sweep();
+    updateAllowances();
     std::vector<QueueKey> keys;
     for (const auto& [key, queue] : queues_) {
         if (!queue.waiting.empty())
--- a/packages/proxy/Dispatcher.h
+++ b/packages/proxy/Dispatcher.h
@@ -19,6 +19,7 @@
     struct Options {
         Clock clock;
         Random random;
+        std::string node; // name of this node
         std::string domain; // failure domain of this node
         Millis peerUsageLifetime { 1500 }; // ms, age at which the usage report of a peer is dropped
         Millis peerLoadHalfLife { 1500 }; // ms, half-life of the load that an endpoint reported, while no peer reports usage
@@ -64,6 +65,19 @@
     // Records that an endpoint announced that it wants no request for a time in ms. Afterwards it gets a single one first.
     void notePause(const Target& target, Millis time);
 
+    // Applies what an answer says of the endpoint's request limit: the requests a second from all nodes, or nullopt if it names
+    // none. `sentAt` is when the request of the answer was placed. Returns whether the limit changes.
+    bool noteRequestLimit(const Target& target, std::optional<double> perSecond, Millis sentAt);
+
+    // Sets the names of the other nodes, which share the limits of endpoints.
+    void setPeerNodes(std::vector<std::string> nodes) { limits_.setPeers(std::move(nodes)); }
+
+    // Applies what another node reported about the limits of endpoints. Call it for each of its messages.
+    void applyLimitReports(const std::string& node, const std::vector<LimitReport>& reports);
+
+    // Returns what to tell the other nodes about the limits of endpoints.
+    std::vector<LimitReport> takeLimitReports() { return limits_.takeReports(); }
+
     // Records that an endpoint responds.
     void noteSuccess(const std::string& targetId);
 
@@ -116,7 +130,7 @@
     void refuse(PlacementRequest request, RefusalReason reason, size_t requestsAhead);
     void updateStartRate(Queue& queue);
     void applyNotice(const Target& target);
-    Millis untilPauseEnds(const QueueKey& key) const;
+    Millis untilAvailable(const QueueKey& key);
     static double decayedPlacementRate(const Queue& queue, Millis now);
     double countUnseenPlacements(const Queue& queue) const;
     void placeWaiting(const QueueKey& key, const TargetLoad* freed = nullptr);
@@ -140,9 +154,12 @@
     void reportIfContended(const TargetLoad& load);
     Millis chooseRetryAfter(const PlacementRequest& request, Millis wait);
     void dropStalePeers();
+    void updateAllowances();
+    void useAllowance(TargetLoad& load);
 
     Options options_;
     EndpointNotices notices_;
+    EndpointLimits limits_;
     std::map<std::string, TargetLoad> loads_; // by endpoint id
     std::map<std::string, std::vector<Target>> targets_; // by service, as set last
     std::unordered_map<uint32_t, TargetLoad*> loadsByHash_; // by hashTarget() of the id
--- a/packages/proxy/DispatcherLoads.cpp
+++ b/packages/proxy/DispatcherLoads.cpp
@@ -103,6 +103,9 @@
         double used = 0;
         // Spanning replicas are used last, so they tell nothing about the need for others.
         for (const TargetLoad* load : loads.local) {
+            // The slots of a limited endpoint can't be used at will.
+            if (load->isLimited())
+                continue;
             slots += load->target.slots;
             used += std::min<double>(load->target.slots, load->running + currentPeerRunning(*load));
         }
@@ -149,4 +152,60 @@
     load.peerRunningUpdatedAt = options_.clock();
 }
 
+// Returns the time in ms until the first of the endpoints may be used, if all of them asked for a pause or have no allowance; 0 if
+// all of them leave, too.
+Millis Dispatcher::untilAvailable(const QueueKey& key)
+{
+    const Millis now = options_.clock();
+    const ModelLoads& loads = loadsFor(key);
+    std::optional<Millis> first;
+    for (const auto* list : { &loads.local, &loads.spanning }) {
+        for (const TargetLoad* load : *list) {
+            const Target& target = load->target;
+            const bool isAnnounced = load->unavailableUntil > now;
+            if (!isAnnounced && load->allowance >= 1)
+                return Millis(0);
+            const Millis pauseEnd = notices_.pausedUntil(target.id, target.startedAtMs);
+            const std::optional<Millis> wait = isAnnounced ? std::optional(pauseEnd - now) : limits_.untilAllowed(hashTarget(target.id), target.startedAtMs);
+            if (wait && *wait > Millis(0))
+                first = std::min(first.value_or(*wait), *wait);
+        }
+    }
+    return first.value_or(Millis(0));
+}
+
+bool Dispatcher::noteRequestLimit(const Target& target, std::optional<double> perSecond, Millis sentAt)
+{
+    const bool isChange = limits_.noteAnswer(hashTarget(target.id), target.startedAtMs, perSecond, sentAt);
+    if (isChange)
+        updateAllowances();
+    return isChange;
+}
+
+void Dispatcher::applyLimitReports(const std::string& node, const std::vector<LimitReport>& reports)
+{
+    limits_.applyReports(node, reports);
+    if (!reports.empty())
+        updateAllowances();
+}
+
+void Dispatcher::updateAllowances()
+{
+    limits_.sweep([this](uint32_t target) { return loadsByHash_.count(target) > 0; });
+    for (auto& [hash, load] : loadsByHash_)
+        load->allowance = limits_.allowance(hash, load->target.startedAtMs);
+}
+
+// Takes a request off the allowance of its target, and publishes that soon: the nodes share the limit.
+void Dispatcher::useAllowance(TargetLoad& load)
+{
+    if (!load.isLimited())
+        return;
+    const uint32_t hash = hashTarget(load.target.id);
+    limits_.noteSent(hash);
+    load.allowance = limits_.allowance(hash, load.target.startedAtMs);
+    if (options_.onUsageChanged)
+        options_.onUsageChanged();
+}
+
 } // namespace hemlockweir
--- /dev/null
+++ b/packages/proxy/EndpointLimits.cpp
@@ -0,0 +1,214 @@
+#include "proxy/EndpointLimits.h"
+
+#include "base/Rendezvous.h"
+
+#include <absl/strings/numbers.h>
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace hemlockweir {
+
+// Unused requests that add up: one, and those of this time. Requests are placed at a timer's intervals.
+static constexpr double burstSeconds = 0.1;
+// Largest debt, in seconds of the rate beyond one request for each user.
+static constexpr double maxDebtSeconds = 1;
+// An endpoint with a lower limit still gets requests at this rate: only an answer tells that the limit has ended.
+static constexpr double minPerSecond = 0.25;
+// ms for which a change is in each message to the other nodes: some may be lost.
+static constexpr Millis newsTime { 2000 };
+// ms between two reports of a limit that does not change, for nodes that start or missed it.
+static constexpr Millis reportInterval { 1000 };
+// ms for which the end of a limit is remembered and reported.
+static constexpr Millis endedTime { 10000 };
+// ms after the last answer that named it, until a limit is forgotten by nodes that don't use the endpoint, or don't know it any more.
+// They would not learn of the end by themselves.
+static constexpr Millis unconfirmedTime { 60000 };
+
+EndpointLimits::EndpointLimits(Options options)
+    : options_(std::move(options))
+    , nodes_({ options_.node })
+{
+}
+
+void EndpointLimits::setPeers(std::vector<std::string> nodes)
+{
+    nodes.push_back(options_.node);
+    std::sort(nodes.begin(), nodes.end());
+    nodes.erase(std::unique(nodes.begin(), nodes.end()), nodes.end());
+    if (nodes == nodes_)
+        return;
+    nodes_ = std::move(nodes);
+    std::erase_if(heardAt_, [this](const auto& entry) { return !std::binary_search(nodes_.begin(), nodes_.end(), entry.first); });
+    for (auto& [target, limit] : limits_) {
+        refill(limit);
+        assignUsers(target, limit);
+    }
+}
+
+void EndpointLimits::assignUsers(uint32_t target, Limit& limit) const
+{
+    limit.users = pickByRendezvous(nodes_, std::to_string(target), options_.maxUsers);
+}
+
+bool EndpointLimits::isUser(const Limit& limit) const
+{
+    return std::find(limit.users.begin(), limit.users.end(), options_.node) != limit.users.end();
+}
+
+// Returns the fraction of an endpoint's rate that is left after the parts of the users that were not heard of lately.
+double EndpointLimits::heardFraction(const Limit& limit) const
+{
+    const Millis now = options_.clock();
+    const auto silent = std::count_if(limit.users.begin(), limit.users.end(), [&](const std::string& node) {
+        const auto heard = heardAt_.find(node);
+        return node != options_.node && (heard == heardAt_.end() || now - heard->second > options_.peerTimeout);
+    });
+    return 1 - static_cast<double>(silent) / static_cast<double>(limit.users.size());
+}
+
+void EndpointLimits::refill(Limit& limit) const
+{
+    const Millis now = options_.clock();
+    const double seconds = std::chrono::duration<double>(now - std::exchange(limit.refilledAt, now)).count();
+    const double capacity = 1 + limit.perSecond * burstSeconds;
+    limit.tokens = std::min(capacity, limit.tokens + seconds * limit.perSecond * heardFraction(limit));
+}
+
+EndpointLimits::Limit* EndpointLimits::findActive(uint32_t target, int64_t startedAtMs)
+{
+    const auto found = limits_.find(target);
+    const bool isActive = found != limits_.end() && found->second.startedAtMs == startedAtMs && found->second.perSecond > 0;
+    return isActive ? &found->second : nullptr;
+}
+
+EndpointLimits::Limit& EndpointLimits::findOrCreate(uint32_t target, int64_t startedAtMs)
+{
+    Limit& limit = limits_[target];
+    if (limit.users.empty() || limit.startedAtMs != startedAtMs) {
+        limit = { .startedAtMs = startedAtMs, .refilledAt = options_.clock() };
+        assignUsers(target, limit);
+    }
+    return limit;
+}
+
+bool EndpointLimits::noteAnswer(uint32_t target, int64_t startedAtMs, std::optional<double> perSecond, Millis sentAt)
+{
+    const Millis now = options_.clock();
+    Limit* active = findActive(target, startedAtMs);
+    if (!perSecond) {
+        if (!active || sentAt <= active->observedAt)
+            return false;
+        active->perSecond = 0;
+        active->observedAt = now;
+        active->isFirstHand = true;
+        active->changedAt = now;
+        return true;
+    }
+    Limit& limit = findOrCreate(target, startedAtMs);
+    refill(limit);
+    const bool isChange = std::exchange(limit.perSecond, std::max(minPerSecond, *perSecond)) != std::max(minPerSecond, *perSecond);
+    limit.observedAt = now;
+    if (isChange || !std::exchange(limit.isFirstHand, true))
+        limit.changedAt = now;
+    return isChange;
+}
+
+void EndpointLimits::noteSent(uint32_t target)
+{
+    const auto found = limits_.find(target);
+    if (found == limits_.end() || found->second.perSecond <= 0)
+        return;
+    Limit& limit = found->second;
+    refill(limit);
+    limit.tokens -= 1;
+    ++limit.sent;
+    limit.changedAt = options_.clock();
+}
+
+void EndpointLimits::applyReports(const std::string& node, const std::vector<LimitReport>& reports)
+{
+    heardAt_[node] = options_.clock();
+    for (const LimitReport& report : reports)
+        applyReport(node, report);
+}
+
+void EndpointLimits::applyReport(const std::string& node, const LimitReport& report)
+{
+    const Millis observedAt = options_.clock() - report.age;
+    const auto known = limits_.find(report.target);
+    const bool isUnknown = known == limits_.end() || known->second.startedAtMs != report.startedAtMs;
+    const bool isOlder = known != limits_.end() && known->second.startedAtMs > report.startedAtMs;
+    if (isOlder || (isUnknown && report.perSecond <= 0))
+        return;
+    Limit& limit = findOrCreate(report.target, report.startedAtMs);
+    refill(limit);
+    if (observedAt > limit.observedAt) {
+        limit.perSecond = report.perSecond <= 0 ? 0 : std::max(minPerSecond, report.perSecond);
+        limit.observedAt = observedAt;
+    }
+    uint64_t& before = limit.sentByPeer[node];
+    // A count that has become smaller began anew, with a limit that this node knew of for longer.
+    const uint64_t sent = report.sent >= before ? report.sent - before : report.sent;
+    before = report.sent;
+    const double maxDebt = static_cast<double>(limit.users.size()) + limit.perSecond * maxDebtSeconds;
+    limit.tokens = std::max(limit.tokens - static_cast<double>(sent), std::min(limit.tokens, -maxDebt));
+}
+
+std::vector<LimitReport> EndpointLimits::takeReports()
+{
+    const Millis now = options_.clock();
+    std::vector<LimitReport> reports;
+    for (auto& [target, limit] : limits_) {
+        const bool isNews = now - limit.changedAt < newsTime;
+        const bool isDue = now - limit.reportedAt >= reportInterval;
+        if ((!limit.isFirstHand && limit.sent == 0) || !(isNews || isDue))
+            continue;
+        limit.reportedAt = now;
+        reports.push_back({ .target = target, .startedAtMs = limit.startedAtMs, .perSecond = limit.perSecond, .age = now - limit.observedAt, .sent = limit.sent });
+    }
+    return reports;
+}
+
+double EndpointLimits::allowance(uint32_t target, int64_t startedAtMs)
+{
+    Limit* limit = findActive(target, startedAtMs);
+    if (!limit)
+        return unlimited;
+    if (!isUser(*limit))
+        return 0;
+    refill(*limit);
+    return limit->tokens;
+}
+
+std::optional<Millis> EndpointLimits::untilAllowed(uint32_t target, int64_t startedAtMs)
+{
+    Limit* limit = findActive(target, startedAtMs);
+    if (!limit)
+        return Millis(0);
+    if (!isUser(*limit))
+        return std::nullopt;
+    refill(*limit);
+    const double missing = std::max(0.0, 1 - limit->tokens);
+    return Millis(std::llround(1000 * missing / (limit->perSecond * heardFraction(*limit))));
+}
+
+void EndpointLimits::sweep(const std::function<bool(uint32_t)>& isKnown)
+{
+    const Millis now = options_.clock();
+    std::erase_if(limits_, [&](const auto& entry) {
+        const Limit& limit = entry.second;
+        const Millis age = now - limit.observedAt;
+        return limit.perSecond <= 0 ? age > endedTime : age > unconfirmedTime && !(isUser(limit) && isKnown(entry.first));
+    });
+}
+
+std::optional<double> parseRequestLimit(std::string_view text)
+{
+    double perSecond = 0;
+    if (!absl::SimpleAtod(std::string(text), &perSecond) || !std::isfinite(perSecond) || perSecond < 0)
+        return std::nullopt;
+    return perSecond;
+}
+
+} // namespace hemlockweir
--- /dev/null
+++ b/packages/proxy/EndpointLimits.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "base/Clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+// The request rates that endpoints allow. An endpoint in trouble names in its answers how many requests a second it takes from
+// all nodes together, for as long as it says so. Each node counts the requests of all: its own at once, those of the others when
+// they report them. Requests that nodes sent at the same moment become a debt, which a pause makes up for. Only a few nodes
+// use a limited endpoint, so that the debt stays small. A node that is not heard of is expected to use its part of the rate, so
+// that nodes that can't reach each other don't exceed it together. Performs no I/O.
+
+namespace hemlockweir {
+
+// What one node tells the others about the limit of an endpoint.
+struct LimitReport {
+    uint32_t target = 0; // hashTarget() of the endpoint's id
+    int64_t startedAtMs = 0; // incarnation of the endpoint, by its start in ms since the Unix epoch
+    double perSecond = 0; // requests from all nodes; 0: the limit has ended
+    Millis age { 0 }; // ms since an answer said so
+    uint64_t sent = 0; // requests that this node has sent under this limit
+
+    auto operator<=>(const LimitReport&) const = default;
+};
+
+class EndpointLimits {
+public:
+    struct Options {
+        Clock clock;
+        std::string node; // name of this node
+        size_t maxUsers = 5; // nodes that use one limited endpoint at most
+        Millis peerTimeout { 1500 }; // ms without a report after which a node is expected to use its part of the rate
+    };
+
+    // Allowance of an endpoint without a limit.
+    static constexpr double unlimited = std::numeric_limits<double>::infinity();
+
+    explicit EndpointLimits(Options options);
+
+    // Sets the names of the other nodes. Those that are gone give up their parts.
+    void setPeers(std::vector<std::string> nodes);
+
+    // Applies an answer of an endpoint to a request that was sent at `sentAt`: the requests a second that it named, or nullopt
+    // if it named none. Returns whether that changes the limit. An answer to a request that was sent before the
+    // limit was last named does not end it.
+    bool noteAnswer(uint32_t target, int64_t startedAtMs, std::optional<double> perSecond, Millis sentAt);
+
+    // Records that this node sends a request to the endpoint.
+    void noteSent(uint32_t target);
+
+    // Applies the reports of another node. Call it for each of its messages, also for one without a report.
+    void applyReports(const std::string& node, const std::vector<LimitReport>& reports);
+
+    // Returns what to tell the other nodes now.
+    std::vector<LimitReport> takeReports();
+
+    // Returns how many requests this node may send to the endpoint now, a fraction or a debt included.
+    double allowance(uint32_t target, int64_t startedAtMs);
+
+    // Returns the time in ms until this node may send a request; nullopt if it does not use the endpoint.
+    std::optional<Millis> untilAllowed(uint32_t target, int64_t startedAtMs);
+
+    // Removes limits that have ended, and later those of endpoints for which the predicate returns false. Call periodically.
+    void sweep(const std::function<bool(uint32_t target)>& isKnown);
+
+    bool isEmpty() const { return limits_.empty(); }
+
+private:
+    struct Limit {
+        int64_t startedAtMs = 0;
+        double perSecond = 0; // 0: has ended
+        Millis observedAt { 0 }; // when an answer said so last, to any node
+        double tokens = 0; // requests that may be sent now; negative: a debt
+        Millis refilledAt { 0 };
+        uint64_t sent = 0; // by this node
+        std::map<std::string, uint64_t> sentByPeer; // as reported last
+        std::vector<std::string> users; // names of the nodes that may use the endpoint
+        bool isFirstHand = false; // an answer told this node
+        Millis changedAt { 0 }; // last change that the other nodes should hear of
+        Millis reportedAt { 0 };
+    };
+
+    Limit* findActive(uint32_t target, int64_t startedAtMs);
+    Limit& findOrCreate(uint32_t target, int64_t startedAtMs);
+    void assignUsers(uint32_t target, Limit& limit) const;
+    bool isUser(const Limit& limit) const;
+    double heardFraction(const Limit& limit) const;
+    void refill(Limit& limit) const;
+    void applyReport(const std::string& node, const LimitReport& report);
+
+    Options options_;
+    std::vector<std::string> nodes_; // all, with this one
+    std::map<std::string, Millis> heardAt_; // by node
+    std::map<uint32_t, Limit> limits_; // by target
+};
+
+// Returns the requests a second that the text of a limit names; nullopt if it is no finite number of 0 or more.
+std::optional<double> parseRequestLimit(std::string_view text);
+
+} // namespace hemlockweir
--- a/packages/proxy/Placement.cpp
+++ b/packages/proxy/Placement.cpp
@@ -53,7 +53,7 @@
 
 bool canAccept(const TargetLoad& load, const PlacementRequest& request, Millis now)
 {
-    if (!load.isUsable(now) || request.excludedEndpoints.count(load.target.id) > 0)
+    if (!load.isUsable(now) || load.allowance < 1 || request.excludedEndpoints.count(load.target.id) > 0)
         return false;
     double slots = std::max<uint32_t>(1, load.target.slots);
     if (request.isLate || request.yieldsToUrgent)
--- a/packages/proxy/Placement.h
+++ b/packages/proxy/Placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Clock.h"
+#include "proxy/EndpointLimits.h"
 #include "proxy/Target.h"
 
 #include <functional>
@@ -59,6 +60,7 @@
     Millis lastResponseAt { 0 }; // when this node last received part of a response
     Millis suspectUntil { 0 }; // no request is placed on the target before this time
     Millis unavailableUntil { 0 }; // the same, as the endpoint announced itself
+    double allowance = EndpointLimits::unlimited; // requests that the endpoint's request limit leaves to this node now
     uint32_t consecutiveFailures = 0;
     uint32_t consecutiveRejections = 0;
 
@@ -68,6 +70,9 @@
     // Returns whether requests may be placed on the target, if it has a slot.
     bool isUsable(Millis now) const { return suspectUntil <= now && unavailableUntil <= now; }
 
+    // Returns whether the endpoint limits its requests.
+    bool isLimited() const { return allowance < EndpointLimits::unlimited; }
+
     // Returns the time in ms until all prompts placed on the target are processed.
     double promptWaitMs(Millis now) const;
 };
--- a/packages/proxy/ProxyContext.h
+++ b/packages/proxy/ProxyContext.h
@@ -23,6 +23,7 @@
     std::string load; // running requests, queued requests and slots of an endpoint
     std::string notRun; // present if the endpoint did not run the request
     std::string leaving; // "1" in an answer: the endpoint leaves
+    std::string requestLimit; // in an answer: requests a second that the endpoint takes from all nodes together
     std::string faultyEndpoint; // of a rejection: id of the endpoint that caused it
     std::string model;
     std::string tokenCounts; // prompt tokens and maximum response tokens
--- a/packages/proxy/ProxyFlow.h
+++ b/packages/proxy/ProxyFlow.h
@@ -93,6 +93,7 @@
     void handleCompleteResponse();
     void noteServiceTime(const Attempt& attempt);
     void noteAnnouncements(const ResponseHead& head);
+    void noteRequestLimit(const ResponseHead& head);
     void handleRejection(const ResponseHead& head);
     std::vector<HeaderLine> responseHeaders(const ResponseHead& head) const;
     void handleEvents(std::string_view bytes);
--- a/packages/proxy/ProxyFlowAnswer.cpp
+++ b/packages/proxy/ProxyFlowAnswer.cpp
@@ -59,9 +59,22 @@
     attempt.head = head;
 }
 
-// Records what the endpoint announces of itself: that it leaves, or that it wants no request for some time.
+// Records the requests a second that the endpoint takes, which an answer without such a limit ends.
+void ProxyFlow::noteRequestLimit(const ResponseHead& head)
+{
+    const Target& target = attempt_->target;
+    const auto text = findHeader(head.headers, context_.headers.requestLimit);
+    const std::optional<double> limit = text ? parseRequestLimit(*text) : std::nullopt;
+    if (text && !limit)
+        context_.log.noteFailure("endpoint_announced", { { "endpoint", target.id }, { "what", "unreadable_limit" }, { "requests_per_s", std::string(text->substr(0, maxLoggedBytes)) }, { "request", requestId_ } });
+    else if (context_.dispatcher.noteRequestLimit(target, limit, attempt_->sentAt))
+        context_.log.noteChange("endpoint_announced", { { "endpoint", target.id }, { "what", limit ? "limit" : "limit_ended" }, { "requests_per_s", text ? std::string(text->substr(0, maxLoggedBytes)) : "none" }, { "request", requestId_ } });
+}
+
+// Records what the endpoint announces of itself: that it leaves, wants no request for some time, or limits its requests.
 void ProxyFlow::noteAnnouncements(const ResponseHead& head)
 {
+    noteRequestLimit(head);
     const Target& target = attempt_->target;
     if (findHeader(head.headers, context_.headers.leaving) == "1" && context_.dispatcher.noteLeaving(target))
         context_.log.noteChange("endpoint_announced", { { "endpoint", target.id }, { "what", "leaving" }, { "request", requestId_ } });
--- a/tests/EndpointNoticesTest.cpp
+++ b/tests/EndpointNoticesTest.cpp
@@ -128,6 +128,61 @@
     EXPECT_EQ(submit(), "") << "the load returns by steps";
 }
 
+// Guards against a limited endpoint that gets more than its limit, while another one has slots.
+TEST_F(AnnouncedDispatch, RequestsBeyondALimitGoToTheOtherEndpoints)
+{
+    dispatcher_.setTargets("engines", { target("e1"), target("e2") });
+    EXPECT_TRUE(dispatcher_.noteRequestLimit(target("e1"), 2.0, now_));
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 400; ++i) {
+        now_ += Millis(10);
+        dispatcher_.tick();
+        const std::string endpoint = submit();
+        ++counts[endpoint];
+        dispatcher_.release(endpoint);
+    }
+    EXPECT_GE(counts["e1"], 1);
+    EXPECT_LE(counts["e1"], 9);
+    EXPECT_EQ(counts["e1"] + counts["e2"], 400);
+}
+
+// The limit holds for repetitions and resumed streams, too.
+TEST_F(AnnouncedDispatch, ResumedStreamWaitsForTheLimit)
+{
+    dispatcher_.setTargets("engines", { target("e1") });
+    dispatcher_.noteRequestLimit(target("e1"), 2.0, now_);
+    std::string chosen;
+    dispatcher_.submit({ .id = ++lastId_, .service = "engines", .model = "m", .arrivedAt = now_, .objectiveAt = now_, .deadlineAt = now_ + Millis(6000), .hasResponseStarted = true, .onPlaced = [&](const Target& placed) { chosen = placed.id; }, .onRefused = [](const PlacementRefusal&) {} });
+    EXPECT_EQ(chosen, "");
+    now_ += Millis(500);
+    dispatcher_.tick();
+    EXPECT_EQ(chosen, "e1");
+}
+
+TEST_F(AnnouncedDispatch, RefusalNamesTheTimeOfTheNextAllowedRequest)
+{
+    dispatcher_.setTargets("engines", { target("e1") });
+    dispatcher_.noteRequestLimit(target("e1"), 0.5, now_);
+    EXPECT_EQ(submit(), "");
+    now_ += Millis(600);
+    dispatcher_.tick();
+    ASSERT_TRUE(refusal_.has_value());
+    EXPECT_GE(refusal_->retryAfter, Millis(1400));
+    EXPECT_LE(refusal_->retryAfter, Millis(3400));
+}
+
+TEST_F(AnnouncedDispatch, EndOfALimitBringsBackTheEndpoint)
+{
+    dispatcher_.setTargets("engines", { target("e1") });
+    dispatcher_.noteRequestLimit(target("e1"), 2.0, now_);
+    EXPECT_EQ(submit(), "");
+    now_ += Millis(100);
+    EXPECT_TRUE(dispatcher_.noteRequestLimit(target("e1"), std::nullopt, now_));
+    dispatcher_.tick();
+    EXPECT_EQ(placed_, "e1");
+    EXPECT_EQ(submit(), "e1");
+}
+
 // Over any announcements, no request is placed on an endpoint that leaves or pauses, and one is placed where one is free.
 RC_GTEST_PROP(AnnouncedDispatchProperty, NothingReachesAnEndpointThatLeavesOrPauses, ())
 {
--- a/tests/ProxyFlowTest.cpp
+++ b/tests/ProxyFlowTest.cpp
@@ -389,6 +389,33 @@
     EXPECT_FALSE(second.starts_with("HTTP/1.1 200")) << second;
 }
 
+// Guards against requests beyond the rate that an endpoint names in its answers.
+TEST_F(ProxyFlowTest, LimitInAnAnswerHoldsForTheNextRequests)
+{
+    configure();
+    dispatcher_.setTargets("desk", { target("e1", first_) });
+    first_.setScript([](int count) { return ScriptedResponse { "HTTP/1.1 200 OK\r\nTest-Id: r" + std::to_string(count) + "\r\nTest-Seal: s\r\nTest-Limit: 2.5\r\nContent-Length: 5\r\n\r\nwhole" }; });
+    EXPECT_TRUE(exchange(request("/look/1", "r1")).ends_with("whole"));
+    ScriptedCaller waiting(context_, proxy_.port());
+    waiting.send(request("/look/2", "r2"));
+    runUntil(context_, [this] { return dispatcher_.waitingCount() == 1; });
+    clockOffset_ += Millis(400);
+    proxy_.tick();
+    waiting.readUntil("whole");
+    EXPECT_EQ(requestCount(), 2U);
+    EXPECT_NE(logLines_.read().find("event=endpoint_announced endpoint=e1 what=limit requests_per_s=2.5"), std::string::npos);
+}
+
+TEST_F(ProxyFlowTest, UnreadableLimitChangesNothing)
+{
+    configure();
+    dispatcher_.setTargets("desk", { target("e1", first_) });
+    first_.setScript([](int count) { return ScriptedResponse { "HTTP/1.1 200 OK\r\nTest-Id: r" + std::to_string(count) + "\r\nTest-Seal: s\r\nTest-Limit: few\r\nContent-Length: 5\r\n\r\nwhole" }; });
+    for (const std::string id : { "r1", "r2", "r3" })
+        EXPECT_TRUE(exchange(request("/look/1", id)).ends_with("whole"));
+    EXPECT_NE(logLines_.read().find("what=unreadable_limit requests_per_s=few"), std::string::npos);
+}
+
 class ProxyShutdown : public ProxyFlowTest {
 protected:
     // Starts a shutdown that ends this time from now, while the balancer still lists the node.
--- a/tests/UsageExchangeTest.cpp
+++ b/tests/UsageExchangeTest.cpp
@@ -31,6 +31,8 @@
                 .ownBlocks = [name] { return name == "a" ? std::vector<uint64_t> { 11, 12 } : std::vector<uint64_t>(); },
                 .onBlock = [this](uint64_t blocked) { blocks_.insert(blocked); },
                 .onSoundPart = [this](uint64_t part) { soundParts_.push_back(part); },
+                .takeLimitReports = [this] { return limits_; },
+                .onLimits = [this](const std::string& from, const std::vector<LimitReport>& reports) { receivedLimits_[from] = reports; },
             },
             log_);
         CHECK(node->start().ok());
@@ -49,8 +51,31 @@
     std::vector<CrashRow> crashes_;
     std::set<uint64_t> blocks_;
     std::vector<uint64_t> soundParts_;
+    std::vector<LimitReport> limits_; // that each node tells
+    std::map<std::string, std::vector<LimitReport>> receivedLimits_; // by the node that told them
 };
 
+TEST_F(UsageExchangeTest, PeersLearnTheLimitsOfEndpoints)
+{
+    limits_ = { { .target = 3, .startedAtMs = 1796396177797, .perSecond = 3.2, .age = Millis(20), .sent = 7 } };
+    const auto receiver = makeNode("b", portB, 0, 1);
+    const auto sender = makeNode("a", portA, 0, 2);
+    runUntil(context_, [&] { return receivedLimits_.count("a") > 0; });
+    EXPECT_EQ(receivedLimits_["a"], limits_);
+}
+
+// As many limits as a message can't hold must not keep the usage from the other nodes, nor may one that is no number.
+TEST_F(UsageExchangeTest, TooManyOrUnreadableLimitsDoNotStopTheUsage)
+{
+    limits_.push_back({ .target = 1, .perSecond = std::numeric_limits<double>::quiet_NaN() });
+    for (uint32_t i = 0; i < 1000; ++i)
+        limits_.push_back({ .target = i, .perSecond = 1 });
+    const auto receiver = makeNode("b", portB, 0, 1);
+    const auto sender = makeNode("a", portA, 5, 2);
+    runUntil(context_, [&] { return received_["a"] == 5; });
+    EXPECT_EQ(receivedLimits_["a"].size(), UsageMessage::maxLimits - 1);
+}
+
 TEST_F(UsageExchangeTest, PeersLearnWhatCrashesEndpointsAndWhatIsSound)
 {
     const auto receiver = makeNode("b", portB, 0, 1);
--- a/tests/support/ProxyTest.h
+++ b/tests/support/ProxyTest.h
@@ -22,6 +22,7 @@
     .load = "Test-Load",
     .notRun = "Test-Not-Run",
     .leaving = "Test-Leaving",
+    .requestLimit = "Test-Limit",
     .faultyEndpoint = "Test-Faulty",
     .model = "Test-Model",
     .tokenCounts = "Test-Tokens",
