Tell the first naming of a limit, and let no outage, rejection or earlier incarnation end one

From the review of the request limits (read, then each shown by a test that fails without its change): - The first answer that named a limit was not told to the other nodes until the next one (FirstAnswerIsTold*). - After an outage of the store that lets leases lapse, no node is listed for a moment, and each took the whole rate. A node keeps its part for 10 s after it was listed last (NodeThatIsNotListed*). - Any answer without the header ended the limit for all nodes, also a rejection or one of another process at the address. Only a sealed success does now (OnlyTheAnswerToARun*). - A late answer of an earlier incarnation replaced the limit of the present one, whose requests were unlimited where the list lagged (LateAnswerOf*). - A node that uses none of a service's limited endpoints held its callers until their objectives had passed. It refuses them at once (RequestIsRefusedAtOnceWhere*). Reports touch only the endpoints that they name, are repeated for 0.5 s instead of 2 s, and a model whose replicas are all limited counts as fully used. The nodes that use a limited endpoint are called sharers. Open from the review: a queue's first request that excludes the other endpoints holds up those behind it, and a slow stream is given up although no other endpoint has an allowance.

--- a/packages/proxy/Dispatcher.h
+++ b/packages/proxy/Dispatcher.h
@@ -102,7 +102,7 @@
 
     size_t waitingCount() const { return waitingCount_; }
 
-    // Returns the number of targets for the model, without those that are suspect.
+    // Returns the number of targets for the model, without those that are suspect or that only other nodes use.
     size_t countTargets(const std::string& service, const std::string& model) const;
 
 private:
--- a/packages/proxy/DispatcherLoads.cpp
+++ b/packages/proxy/DispatcherLoads.cpp
@@ -101,16 +101,21 @@
     for (const auto& [key, loads] : loadsByModel_) {
         double slots = 0;
         double used = 0;
+        size_t limited = 0;
         // Spanning replicas are used last, so they tell nothing about the need for others.
         for (const TargetLoad* load : loads.local) {
             // The slots of a limited endpoint can't be used at will.
-            if (load->isLimited())
+            if (load->isLimited()) {
+                ++limited;
                 continue;
+            }
             slots += load->target.slots;
             used += std::min<double>(load->target.slots, load->running + currentPeerRunning(*load));
         }
         if (key.first == service && slots > 0)
             utilization[key.second] = used / slots;
+        else if (key.first == service && limited > 0)
+            utilization[key.second] = 1;
     }
     return utilization;
 }
@@ -136,7 +141,7 @@
 {
     const Millis now = options_.clock();
     const auto countUsable = [now](const std::vector<const TargetLoad*>& loads) {
-        return static_cast<size_t>(std::count_if(loads.begin(), loads.end(), [now](const TargetLoad* load) { return load->isUsable(now); }));
+        return static_cast<size_t>(std::count_if(loads.begin(), loads.end(), [now](const TargetLoad* load) { return load->isUsable(now) && load->allowance > EndpointLimits::notShared; }));
     };
     const ModelLoads& loads = loadsFor({ service, model });
     return countUsable(loads.local) + countUsable(loads.spanning);
@@ -167,7 +172,7 @@
                 return Millis(0);
             const Millis pauseEnd = notices_.pausedUntil(target.id, target.startedAtMs);
             const std::optional<Millis> wait = isAnnounced ? std::optional(pauseEnd - now) : limits_.untilAllowed(hashTarget(target.id), target.startedAtMs);
-            if (wait && *wait > Millis(0))
+            if (wait && (!isAnnounced || *wait > Millis(0)))
                 first = std::min(first.value_or(*wait), *wait);
         }
     }
@@ -185,8 +190,11 @@
 void Dispatcher::applyLimitReports(const std::string& node, const std::vector<LimitReport>& reports)
 {
     limits_.applyReports(node, reports);
-    if (!reports.empty())
-        updateAllowances();
+    for (const LimitReport& report : reports) {
+        const auto found = loadsByHash_.find(report.target);
+        if (found != loadsByHash_.end())
+            found->second->allowance = limits_.allowance(report.target, found->second->target.startedAtMs);
+    }
 }
 
 void Dispatcher::updateAllowances()
--- a/packages/proxy/EndpointLimits.cpp
+++ b/packages/proxy/EndpointLimits.cpp
@@ -16,7 +16,7 @@
 // An endpoint with a lower limit still gets requests at this rate: only an answer tells that the limit has ended.
 static constexpr double minPerSecond = 0.25;
 // ms for which a change is in each message to the other nodes: some may be lost.
-static constexpr Millis newsTime { 2000 };
+static constexpr Millis newsTime { 500 };
 // ms between two reports of a limit that does not change, for nodes that start or missed it.
 static constexpr Millis reportInterval { 1000 };
 // ms for which the end of a limit is remembered and reported.
@@ -33,38 +33,45 @@
 
 void EndpointLimits::setPeers(std::vector<std::string> nodes)
 {
-    nodes.push_back(options_.node);
-    std::sort(nodes.begin(), nodes.end());
-    nodes.erase(std::unique(nodes.begin(), nodes.end()), nodes.end());
-    if (nodes == nodes_)
+    const Millis now = options_.clock();
+    for (std::string& node : nodes)
+        listedAt_[std::move(node)] = now;
+    listedAt_.erase(options_.node);
+    std::erase_if(listedAt_, [&](const auto& entry) { return now - entry.second > options_.unlistedTime; });
+    std::vector<std::string> all { options_.node };
+    all.reserve(listedAt_.size() + 1);
+    for (const auto& [node, listedAt] : listedAt_)
+        all.push_back(node);
+    std::sort(all.begin(), all.end());
+    if (all == nodes_)
         return;
-    nodes_ = std::move(nodes);
+    nodes_ = std::move(all);
     std::erase_if(heardAt_, [this](const auto& entry) { return !std::binary_search(nodes_.begin(), nodes_.end(), entry.first); });
     for (auto& [target, limit] : limits_) {
         refill(limit);
-        assignUsers(target, limit);
+        assignSharers(target, limit);
     }
 }
 
-void EndpointLimits::assignUsers(uint32_t target, Limit& limit) const
+void EndpointLimits::assignSharers(uint32_t target, Limit& limit) const
 {
-    limit.users = pickByRendezvous(nodes_, std::to_string(target), options_.maxUsers);
+    limit.sharers = pickByRendezvous(nodes_, std::to_string(target), options_.maxSharers);
 }
 
-bool EndpointLimits::isUser(const Limit& limit) const
+bool EndpointLimits::isSharer(const Limit& limit) const
 {
-    return std::find(limit.users.begin(), limit.users.end(), options_.node) != limit.users.end();
+    return std::find(limit.sharers.begin(), limit.sharers.end(), options_.node) != limit.sharers.end();
 }
 
-// Returns the fraction of an endpoint's rate that is left after the parts of the users that were not heard of lately.
+// Returns the fraction of an endpoint's rate that is left after the parts of the sharers that were not heard of lately.
 double EndpointLimits::heardFraction(const Limit& limit) const
 {
     const Millis now = options_.clock();
-    const auto silent = std::count_if(limit.users.begin(), limit.users.end(), [&](const std::string& node) {
+    const auto silent = std::count_if(limit.sharers.begin(), limit.sharers.end(), [&](const std::string& node) {
         const auto heard = heardAt_.find(node);
         return node != options_.node && (heard == heardAt_.end() || now - heard->second > options_.peerTimeout);
     });
-    return 1 - static_cast<double>(silent) / static_cast<double>(limit.users.size());
+    return 1 - static_cast<double>(silent) / static_cast<double>(limit.sharers.size());
 }
 
 void EndpointLimits::refill(Limit& limit) const
@@ -78,16 +85,17 @@
 EndpointLimits::Limit* EndpointLimits::findActive(uint32_t target, int64_t startedAtMs)
 {
     const auto found = limits_.find(target);
-    const bool isActive = found != limits_.end() && found->second.startedAtMs == startedAtMs && found->second.perSecond > 0;
+    // The list may still show an earlier incarnation.
+    const bool isActive = found != limits_.end() && found->second.startedAtMs >= startedAtMs && found->second.perSecond > 0;
     return isActive ? &found->second : nullptr;
 }
 
 EndpointLimits::Limit& EndpointLimits::findOrCreate(uint32_t target, int64_t startedAtMs)
 {
     Limit& limit = limits_[target];
-    if (limit.users.empty() || limit.startedAtMs != startedAtMs) {
+    if (limit.sharers.empty() || limit.startedAtMs != startedAtMs) {
         limit = { .startedAtMs = startedAtMs, .refilledAt = options_.clock() };
-        assignUsers(target, limit);
+        assignSharers(target, limit);
     }
     return limit;
 }
@@ -96,6 +104,9 @@
 {
     const Millis now = options_.clock();
     Limit* active = findActive(target, startedAtMs);
+    const auto known = limits_.find(target);
+    if (known != limits_.end() && known->second.startedAtMs > startedAtMs)
+        return false;
     if (!perSecond) {
         if (!active || sentAt <= active->observedAt)
             return false;
@@ -109,7 +120,8 @@
     refill(limit);
     const bool isChange = std::exchange(limit.perSecond, std::max(minPerSecond, *perSecond)) != std::max(minPerSecond, *perSecond);
     limit.observedAt = now;
-    if (isChange || !std::exchange(limit.isFirstHand, true))
+    const bool isNews = !std::exchange(limit.isFirstHand, true);
+    if (isChange || isNews)
         limit.changedAt = now;
     return isChange;
 }
@@ -151,7 +163,7 @@
     // A count that has become smaller began anew, with a limit that this node knew of for longer.
     const uint64_t sent = report.sent >= before ? report.sent - before : report.sent;
     before = report.sent;
-    const double maxDebt = static_cast<double>(limit.users.size()) + limit.perSecond * maxDebtSeconds;
+    const double maxDebt = static_cast<double>(limit.sharers.size()) + limit.perSecond * maxDebtSeconds;
     limit.tokens = std::max(limit.tokens - static_cast<double>(sent), std::min(limit.tokens, -maxDebt));
 }
 
@@ -175,8 +187,8 @@
     Limit* limit = findActive(target, startedAtMs);
     if (!limit)
         return unlimited;
-    if (!isUser(*limit))
-        return 0;
+    if (!isSharer(*limit))
+        return notShared;
     refill(*limit);
     return limit->tokens;
 }
@@ -186,7 +198,7 @@
     Limit* limit = findActive(target, startedAtMs);
     if (!limit)
         return Millis(0);
-    if (!isUser(*limit))
+    if (!isSharer(*limit))
         return std::nullopt;
     refill(*limit);
     const double missing = std::max(0.0, 1 - limit->tokens);
@@ -199,7 +211,7 @@
     std::erase_if(limits_, [&](const auto& entry) {
         const Limit& limit = entry.second;
         const Millis age = now - limit.observedAt;
-        return limit.perSecond <= 0 ? age > endedTime : age > unconfirmedTime && !(isUser(limit) && isKnown(entry.first));
+        return limit.perSecond <= 0 ? age > endedTime : age > unconfirmedTime && !(isSharer(limit) && isKnown(entry.first));
     });
 }
 
--- a/packages/proxy/EndpointLimits.h
+++ b/packages/proxy/EndpointLimits.h
@@ -35,21 +35,25 @@
     struct Options {
         Clock clock;
         std::string node; // name of this node
-        size_t maxUsers = 5; // nodes that use one limited endpoint at most
+        size_t maxSharers = 5; // nodes that use one limited endpoint at most
         Millis peerTimeout { 1500 }; // ms without a report after which a node is expected to use its part of the rate
+        Millis unlistedTime { 10000 }; // ms for which a node that is not listed any more keeps its part
     };
 
     // Allowance of an endpoint without a limit.
     static constexpr double unlimited = std::numeric_limits<double>::infinity();
+    // Allowance of a limited endpoint that other nodes use.
+    static constexpr double notShared = -std::numeric_limits<double>::infinity();
 
     explicit EndpointLimits(Options options);
 
-    // Sets the names of the other nodes. Those that are gone give up their parts.
+    // Sets the names of the other nodes. Those that are gone give up their parts later: after an outage of the store, all nodes are
+    // missing from its list for a while. Call periodically.
     void setPeers(std::vector<std::string> nodes);
 
     // Applies an answer of an endpoint to a request that was sent at `sentAt`: the requests a second that it named, or nullopt
     // if it named none. Returns whether that changes the limit. An answer to a request that was sent before the
-    // limit was last named does not end it.
+    // limit was last named does not end it, and one of an earlier incarnation says nothing.
     bool noteAnswer(uint32_t target, int64_t startedAtMs, std::optional<double> perSecond, Millis sentAt);
 
     // Records that this node sends a request to the endpoint.
@@ -61,7 +65,8 @@
     // Returns what to tell the other nodes now.
     std::vector<LimitReport> takeReports();
 
-    // Returns how many requests this node may send to the endpoint now, a fraction or a debt included.
+    // Returns how many requests this node may send to the endpoint now, a fraction or a debt included; `notShared` if it
+    // does not use the endpoint.
     double allowance(uint32_t target, int64_t startedAtMs);
 
     // Returns the time in ms until this node may send a request; nullopt if it does not use the endpoint.
@@ -81,7 +86,7 @@
         Millis refilledAt { 0 };
         uint64_t sent = 0; // by this node
         std::map<std::string, uint64_t> sentByPeer; // as reported last
-        std::vector<std::string> users; // names of the nodes that may use the endpoint
+        std::vector<std::string> sharers; // names of the nodes that may use the endpoint
         bool isFirstHand = false; // an answer told this node
         Millis changedAt { 0 }; // last change that the other nodes should hear of
         Millis reportedAt { 0 };
@@ -89,14 +94,15 @@
 
     Limit* findActive(uint32_t target, int64_t startedAtMs);
     Limit& findOrCreate(uint32_t target, int64_t startedAtMs);
-    void assignUsers(uint32_t target, Limit& limit) const;
-    bool isUser(const Limit& limit) const;
+    void assignSharers(uint32_t target, Limit& limit) const;
+    bool isSharer(const Limit& limit) const;
     double heardFraction(const Limit& limit) const;
     void refill(Limit& limit) const;
     void applyReport(const std::string& node, const LimitReport& report);
 
     Options options_;
     std::vector<std::string> nodes_; // all, with this one
+    std::map<std::string, Millis> listedAt_; // by name of another node, when it was listed last
     std::map<std::string, Millis> heardAt_; // by node
     std::map<uint32_t, Limit> limits_; // by target
 };
--- a/packages/proxy/ProxyFlowAnswer.cpp
+++ b/packages/proxy/ProxyFlowAnswer.cpp
@@ -65,6 +65,10 @@
     const Target& target = attempt_->target;
     const auto text = findHeader(head.headers, context_.headers.requestLimit);
     const std::optional<double> limit = text ? parseRequestLimit(*text) : std::nullopt;
+    // Another process may have answered, or one in trouble: only an answer to a run shows that the limit has ended.
+    const bool isRunAnswer = head.status / 100 == 2 && findHeader(head.headers, context_.headers.seal) && !findHeader(head.headers, context_.headers.notRun);
+    if (!text && !isRunAnswer)
+        return;
     if (text && !limit)
         context_.log.noteFailure("endpoint_announced", { { "endpoint", target.id }, { "what", "unreadable_limit" }, { "requests_per_s", std::string(text->substr(0, maxLoggedBytes)) }, { "request", requestId_ } });
     else if (context_.dispatcher.noteRequestLimit(target, limit, attempt_->sentAt))
--- a/tests/EndpointLimitsTest.cpp
+++ b/tests/EndpointLimitsTest.cpp
@@ -143,17 +143,55 @@
 TEST_F(EndpointLimitsTest, OnlyAFewNodesUseALimitedEndpoint)
 {
     std::vector<std::string> nodes;
+    nodes.reserve(30);
     for (int i = 0; i < 30; ++i)
         nodes.push_back("n" + std::to_string(i));
-    size_t users = 0;
+    size_t sharers = 0;
     for (const std::string& node : nodes) {
-        EndpointLimits limits({ .clock = [this] { return now_; }, .node = node, .maxUsers = 5 });
+        EndpointLimits limits({ .clock = [this] { return now_; }, .node = node, .maxSharers = 5 });
         limits.setPeers(nodes);
         limits.noteAnswer(endpoint, incarnation, 100.0, now_);
         now_ += Millis(1000);
-        users += limits.allowance(endpoint, incarnation) >= 1 ? 1 : 0;
+        sharers += limits.allowance(endpoint, incarnation) >= 1 ? 1 : 0;
     }
-    EXPECT_EQ(users, 5U);
+    EXPECT_EQ(sharers, 5U);
+}
+
+// After an outage of the store all nodes were missing from its list for a moment, and each took the whole rate.
+TEST_F(EndpointLimitsTest, NodeThatIsNotListedKeepsItsPartForAWhile)
+{
+    limits_.setPeers({ "b", "c", "d" });
+    limits_.noteAnswer(endpoint, incarnation, 4.0, now_);
+    int sent = 0;
+    for (int i = 0; i < 400; ++i) {
+        now_ += Millis(20);
+        limits_.setPeers({});
+        sent += sendAll(limits_);
+    }
+    EXPECT_NEAR(sent, 8, 1);
+    now_ += Millis(10000);
+    limits_.setPeers({});
+    sendAll(limits_);
+    now_ += Millis(250);
+    EXPECT_EQ(sendAll(limits_), 1) << "they are gone";
+}
+
+// A node with a single request told nobody of the limit, and the others sent at will.
+TEST_F(EndpointLimitsTest, FirstAnswerIsToldToTheOtherNodes)
+{
+    limits_.noteAnswer(endpoint, incarnation, 4.0, now_);
+    ASSERT_EQ(limits_.takeReports().size(), 1U);
+    EXPECT_EQ(limits_.takeReports().front().perSecond, 4);
+}
+
+// The list shows the earlier incarnation for a while after a restart under the same id.
+TEST_F(EndpointLimitsTest, LateAnswerOfAnEarlierIncarnationChangesNothing)
+{
+    limits_.noteAnswer(endpoint, incarnation + 1, 4.0, now_);
+    EXPECT_FALSE(limits_.noteAnswer(endpoint, incarnation, std::nullopt, now_ + Millis(1)));
+    EXPECT_FALSE(limits_.noteAnswer(endpoint, incarnation, 100.0, now_ + Millis(1)));
+    EXPECT_LT(limits_.allowance(endpoint, incarnation + 1), 1);
+    EXPECT_LT(limits_.allowance(endpoint, incarnation), 1) << "requests reach the new one";
 }
 
 TEST_F(EndpointLimitsTest, EndedLimitIsToldAndForgotten)
@@ -204,6 +242,7 @@
         , random_(seed)
     {
         std::vector<std::string> names;
+        names.reserve(options_.nodes);
         for (size_t i = 0; i < options_.nodes; ++i)
             names.push_back("n" + std::to_string(i));
         for (const std::string& name : names) {
--- a/tests/EndpointNoticesTest.cpp
+++ b/tests/EndpointNoticesTest.cpp
@@ -171,6 +171,22 @@
     EXPECT_LE(refusal_->retryAfter, Millis(3400));
 }
 
+// A node that may not use any endpoint of a service held its callers until their objectives had passed.
+TEST_F(AnnouncedDispatch, RequestIsRefusedAtOnceWhereOnlyOtherNodesUseTheEndpoints)
+{
+    std::vector<std::string> nodes;
+    nodes.reserve(100);
+    for (int i = 0; i < 100; ++i)
+        nodes.push_back("n" + std::to_string(i));
+    dispatcher_.setPeerNodes(nodes);
+    dispatcher_.setTargets("engines", { target("e1") });
+    dispatcher_.noteRequestLimit(target("e1"), 2.0, now_);
+    EXPECT_EQ(submit(), "");
+    ASSERT_TRUE(refusal_.has_value());
+    EXPECT_EQ(refusal_->reason, RefusalReason::NoTarget);
+    EXPECT_EQ(refusal_->targets, 0U);
+}
+
 TEST_F(AnnouncedDispatch, EndOfALimitBringsBackTheEndpoint)
 {
     dispatcher_.setTargets("engines", { target("e1") });
--- a/tests/ProxyFlowTest.cpp
+++ b/tests/ProxyFlowTest.cpp
@@ -406,6 +406,26 @@
     EXPECT_NE(logLines_.read().find("event=endpoint_announced endpoint=e1 what=limit requests_per_s=2.5"), std::string::npos);
 }
 
+// A rejection without the header ended the limit for all nodes.
+TEST_F(ProxyFlowTest, OnlyTheAnswerToARunEndsALimit)
+{
+    configure();
+    dispatcher_.setTargets("desk", { target("e1", first_) });
+    dispatcher_.noteRequestLimit(target("e1", first_), 1000.0, clock_());
+    clockOffset_ += Millis(1000);
+    first_.setScript([](int) { return ScriptedResponse { "HTTP/1.1 503 Busy\r\nTest-Id: r1\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n" }; });
+    proxy_.tick();
+    ScriptedCaller rejected(context_, proxy_.port());
+    rejected.send(request("/look/1", "r1"));
+    runUntil(context_, [this] { return requestCount() == 1 && dispatcher_.waitingCount() == 1; });
+    EXPECT_EQ(logLines_.read().find("what=limit_ended"), std::string::npos);
+    clockOffset_ += Millis(1000);
+    first_.setScript([](int) { return ScriptedResponse { sealedResponse("r2", "whole") }; });
+    proxy_.tick();
+    EXPECT_TRUE(exchange(request("/look/2", "r2")).ends_with("whole"));
+    EXPECT_NE(logLines_.read().find("what=limit_ended"), std::string::npos);
+}
+
 TEST_F(ProxyFlowTest, UnreadableLimitChangesNothing)
 {
     configure();
