Log why a broken answer was broken off

Found while requests around a SIGTERM were traced with real processes: the connection of a broken answer was closed before its flow had ended, so the flow ended as abandoned by its caller. request_done of a request that the exit cut said reason=caller_gone instead of stopped, and the same held for slow callers. The flow ends first now. The check in RequestThatTheExitCutsIsLogged* fails with the former order.

LateStreamThatIsLongerThanAnyRecentOneIsRefused had lost its power with the bound by the deadline (review): at 3.2 s the deadline decided both of its streams. They are sent 2.1 s after SIGTERM again with no deadline of their own, where only the estimate tells them apart.

--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -381,8 +381,7 @@
     if (isDone_)
         return;
     if (isHeadSent_) {
-        options_.caller->abort();
-        finish("failed", reason);
+        abortAnswer("failed", reason);
         return;
     }
     if (executionState_ == ExecutionState::NotRun)
@@ -468,6 +467,14 @@
     finish("abandoned", "caller_gone");
 }
 
+// Ends the flow and breaks off its answer. In this order, since the closed connection would end the flow as abandoned.
+void ProxyFlow::abortAnswer(const std::string& end, std::string_view reason)
+{
+    const auto self = shared_from_this();
+    finish(end, reason);
+    options_.caller->abort();
+}
+
 void ProxyFlow::finish(const std::string& end, std::string_view reason)
 {
     if (isDone_)
--- a/packages/proxy/ProxyFlow.h
+++ b/packages/proxy/ProxyFlow.h
@@ -116,6 +116,7 @@
     void sendError(int status, std::string_view reason, std::optional<Millis> retryAfter = std::nullopt);
     void checkInactivity(Millis now);
     void cancel();
+    void abortAnswer(const std::string& end, std::string_view reason);
     void finish(const std::string& end, std::string_view reason);
 
     std::string_view requestHeader(const std::string& name) const { return options_.request.header(name); }
--- a/packages/proxy/ProxyFlowAnswer.cpp
+++ b/packages/proxy/ProxyFlowAnswer.cpp
@@ -207,8 +207,7 @@
     if (attempt_)
         attempt_->connection->close();
     endAttempt("caller_too_slow");
-    options_.caller->abort();
-    finish("abandoned", "caller_too_slow");
+    abortAnswer("abandoned", "caller_too_slow");
     return true;
 }
 
--- a/tests/GatewayShutdownProcessTest.cpp
+++ b/tests/GatewayShutdownProcessTest.cpp
@@ -157,9 +157,9 @@
     streams_.clear();
     const Millis stoppedAt = clock_();
     cluster_.processes().terminate(gateway_);
-    ASSERT_TRUE(runUntil([&] { return clock_() - stoppedAt >= Millis(lastSendMs - sendIntervalMs); }));
+    ASSERT_TRUE(runUntil([&] { return clock_() - stoppedAt >= servedUntil - Millis(sendIntervalMs); }));
     const auto late = send("large", longStreamEvents, clock_() - stoppedAt);
-    const auto usual = send("large", usualStreamEvents, clock_() - stoppedAt, earlyDeadline);
+    const auto usual = send("large", usualStreamEvents, clock_() - stoppedAt);
     awaitEnds();
     EXPECT_TRUE(late->isRefused()) << "was taken and interrupted after " << late->received.size() << " bytes";
     EXPECT_FALSE(wasRun(late->id));
--- a/tests/ProxyFlowTest.cpp
+++ b/tests/ProxyFlowTest.cpp
@@ -603,6 +603,7 @@
     EXPECT_NE(lines.find("event=request_cut request=r1 route=draft endpoint=e"), std::string::npos) << lines;
     EXPECT_NE(lines.find(" longest_ms=600 "), std::string::npos) << lines;
     EXPECT_NE(lines.find(" last_event=1\n"), std::string::npos) << lines;
+    EXPECT_NE(lines.find(" end=failed reason=stopped "), std::string::npos) << "it was logged as abandoned by its caller: " << lines;
 }
 
 // A stopping node learns from the requests that it serves how long they run.
