Let an endpoint's stand-in limit its requests, and check what it gets

The fault `limit` of standin-member names that many requests a second in streams, plain answers and rejections (`Server-Limit`). The stand-in records each request that arrives, also one that it rejects, and when a limit is first named and taken away.

checkLimits: from 3 s after a limit was named until it is taken away, replaced by another or lost with the process, the endpoint gets at most 1.5 x limit x 4 + 5 requests in any 4 s. A window is excused if from 3 s before it to its end a gateway was restarted, paused or cut (from the store), or the link or the process of the endpoint was disturbed; faults of the store, of the callers' links and of the endpoint's own behaviour don't excuse it.

checkOneReplica took the last effect that it did not know for the state of a replica, so the new ones would have hidden heads that serve.

--- a/standins/member.cpp
+++ b/standins/member.cpp
@@ -13,9 +13,13 @@
 //   late_orders   count: does not answer an order, and executes it two seconds later
 //   leave         bool: reports that it is leaving, serves a while longer, then exits
 //   unlisted      bool: stops writing its entry
+//   limit         number, decimals allowed: names this many requests a second in all answers to requests, also in
+//                 rejections; 0: none
 //
-// Effects: "run" when a request starts; "joined", "ready", "open", "closing", "closed", "broken" and "left" for the
-// state of a replica; "leaving" when the store has acknowledged that state.
+// Effects: "arrived" when a request with an id arrives, also one that is rejected; "run" when a request starts;
+// "joined", "ready", "open", "closing", "closed", "broken" and "left" for the state of a replica; "leaving" when the
+// store has acknowledged that state; "limited" when an answer names a limit for the first time since it was set, and
+// "unlimited" when such a limit is taken away.
 
 #include "StandIn.h"
 
@@ -90,6 +94,8 @@
         standIn_.onFaultsChanged = [this] {
             if (standIn_.hasFault("leave") && !isLeaving_)
                 leave();
+            if (requestLimit() <= 0 && std::exchange(namedLimit_, 0) > 0)
+                standIn_.recordEffect("unlimited");
         };
         startTimer(heartbeatTimer_, heartbeatMs, [this] { writeEntry(); });
         startTimer(pollTimer_, memberPollMs, [this] { pollMembers(); });
@@ -156,6 +162,9 @@
     void handle(const std::shared_ptr<Exchange>& exchange)
     {
         const QByteArray expected = exchange->header("X-Expect-Instance");
+        const QByteArray request = exchange->header("X-Request-Id");
+        if (!request.isEmpty())
+            standIn_.recordEffect("arrived", { { "request", QString::fromLatin1(request) } });
         if (exchange->path() == "/report")
             exchange->sendJson(200, makeEntry());
         else if (!expected.isEmpty() && expected != QByteArray::fromStdString(options_.id))
@@ -166,9 +175,25 @@
             handleRequest(exchange);
     }
 
-    void reject(Exchange& exchange, int status) const
+    void reject(Exchange& exchange, int status)
     {
-        exchange.sendBytes(status, "text/plain", {}, { { "X-Request-Id", exchange.header("X-Request-Id") }, { "X-Not-Executed", "1" } });
+        std::vector<HttpHeader> headers { { "X-Request-Id", exchange.header("X-Request-Id") }, { "X-Not-Executed", "1" } };
+        addLimit(headers);
+        exchange.sendBytes(status, "text/plain", {}, headers);
+    }
+
+    // Returns the limit in requests a second; 0: none.
+    double requestLimit() const { return standIn_.faults()["limit"].toDouble(); }
+
+    // Adds the limit, if any, to the headers of an answer that is about to be sent.
+    void addLimit(std::vector<HttpHeader>& headers)
+    {
+        const double limit = requestLimit();
+        if (limit <= 0)
+            return;
+        headers.push_back({ "Server-Limit", QByteArray::number(limit) });
+        if (std::exchange(namedLimit_, limit) != limit)
+            standIn_.recordEffect("limited", { { "limit", limit } });
     }
 
     void handleOrder(const std::shared_ptr<Exchange>& exchange)
@@ -370,9 +395,11 @@
             std::_Exit(1);
     }
 
-    std::vector<HttpHeader> answerHeaders(Exchange& exchange) const
+    std::vector<HttpHeader> answerHeaders(Exchange& exchange)
     {
-        return { { "X-Request-Id", exchange.header("X-Request-Id") }, { "X-Server-Seal", "seal-" + QByteArray::fromStdString(options_.id) }, { "X-Server-Load", QByteArray::number(static_cast<int>(runs_.size()) + plainRuns_) + ",0," + QByteArray::number(slots) } };
+        std::vector<HttpHeader> headers { { "X-Request-Id", exchange.header("X-Request-Id") }, { "X-Server-Seal", "seal-" + QByteArray::fromStdString(options_.id) }, { "X-Server-Load", QByteArray::number(static_cast<int>(runs_.size()) + plainRuns_) + ",0," + QByteArray::number(slots) } };
+        addLimit(headers);
+        return headers;
     }
 
     void runPlain(const std::shared_ptr<Exchange>& exchange)
@@ -479,6 +506,7 @@
     qint64 epoch_ = 0;
     qint64 highestEpoch_ = 0;
     qint64 missingSinceMs_ = 0; // ms since the epoch; 0: none is missing
+    double namedLimit_ = 0; // limit that the last answer named, in requests a second; 0: none
     qint64 advancedAtMs_ = 0; // ms since the epoch, last call of advanceStreams() that sent events
     int rank_ = 0;
     int sequence_ = 0;
--- a/tests/SoakChecksTest.cpp
+++ b/tests/SoakChecksTest.cpp
@@ -2,6 +2,7 @@
 
 #include "http/StatusCodes.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 // Tests that each soak check detects records that violate its invariant.
@@ -119,4 +120,79 @@
     EXPECT_EQ(checkDeadlines({ request }, {}).size(), 1);
 }
 
+// The limit of the endpoint in makeLimited(), in requests a second: it may get 17 requests in a window.
+constexpr double requestLimit = 2;
+constexpr qint64 limitedAtMs = 1000;
+constexpr qint64 limitKnownAtMs = 4000;
+constexpr qint64 unlimitedAtMs = 12000;
+
+// Returns the effects of an endpoint that names its limit for some time and gets a request at each interval, in ms, while all
+// gateways must know the limit, and many before and after.
+SoakEffects makeLimited(qint64 interval)
+{
+    std::vector<SoakEffect> effects;
+    const auto addArrivals = [&](qint64 from, qint64 until, qint64 step) {
+        for (qint64 at = from; at < until; at += step)
+            effects.push_back({ .endpoint = "desk-a", .at = at, .what = "arrived", .request = "r1" });
+    };
+    effects.push_back({ .endpoint = "desk-a", .at = limitedAtMs, .what = "limited", .limit = requestLimit });
+    addArrivals(limitedAtMs, limitKnownAtMs, 20);
+    addArrivals(limitKnownAtMs, unlimitedAtMs, interval);
+    effects.push_back({ .endpoint = "desk-a", .at = unlimitedAtMs, .what = "unlimited" });
+    addArrivals(unlimitedAtMs, unlimitedAtMs + limitWindowMs, 20);
+    return { { "desk-a", effects } };
+}
+
+TEST(SoakChecks, LimitedEndpointThatGetsMore)
+{
+    EXPECT_TRUE(checkLimits(makeLimited(236), {}).isEmpty()) << "17 requests in a window";
+    EXPECT_EQ(checkLimits(makeLimited(235), {}).size(), 1) << "18 requests in a window";
+    SoakEffects effects = makeLimited(236);
+    for (SoakEffect& effect : effects["desk-a"])
+        effect.limit /= 2;
+    EXPECT_EQ(checkLimits(effects, {}).size(), 1) << "more than a lower limit allows";
+    effects = makeLimited(20);
+    std::erase_if(effects["desk-a"], [](const SoakEffect& effect) { return effect.what == "limited"; });
+    EXPECT_TRUE(checkLimits(effects, {}).isEmpty()) << "it never named its limit";
+    effects = makeLimited(20);
+    effects["desk-a"].insert(effects["desk-a"].begin() + 1, { .endpoint = "desk-a", .at = limitedAtMs + 1, .what = "started" });
+    EXPECT_TRUE(checkLimits(effects, {}).isEmpty()) << "it restarted without a limit";
+}
+
+TEST(SoakChecks, LimitChangesToALowerOne)
+{
+    SoakEffects effects = makeLimited(236);
+    SoakEffect lower { .endpoint = "desk-a", .at = 5000, .what = "limited", .limit = requestLimit / 2 };
+    std::vector<SoakEffect>& list = effects["desk-a"];
+    list.insert(std::find_if(list.begin(), list.end(), [](const SoakEffect& effect) { return effect.at > 5000; }), lower);
+    EXPECT_EQ(checkLimits(effects, {}).size(), 1);
+}
+
+TEST(SoakChecks, LimitIsExcusedOnlyByFaultsThatMayHideIt)
+{
+    const SoakEffects effects = makeLimited(100);
+    const auto check = [&](const std::string& what, const std::string& kind, qint64 from, qint64 until) {
+        return checkLimits(effects, { { .what = what, .kind = kind, .from = from, .until = until } }).size();
+    };
+    EXPECT_EQ(check("g1", "pause", limitedAtMs, unlimitedAtMs), 0);
+    EXPECT_EQ(check("g1", "kill", limitedAtMs, 0), 0) << "still down";
+    EXPECT_EQ(check("g1", "store-g1.cut", limitedAtMs, unlimitedAtMs), 0);
+    EXPECT_EQ(check("desk-a", "to-desk-a.drop_answers", limitedAtMs, unlimitedAtMs), 0);
+    EXPECT_EQ(check("g1", "pause", 0, 900), 1) << "long before";
+    EXPECT_EQ(check("g1", "pause", unlimitedAtMs + 1, unlimitedAtMs + 500), 1) << "after it";
+    EXPECT_EQ(check("g1", "front-g1.cut", limitedAtMs, unlimitedAtMs), 1) << "between callers and a gateway";
+    EXPECT_EQ(check("store", "store.down", limitedAtMs, unlimitedAtMs), 1);
+    EXPECT_EQ(check("desk-a", "desk-a.limit", limitedAtMs, unlimitedAtMs), 1) << "the fault that is checked";
+}
+
+// An effect that tells nothing of the replica must not hide that its head serves.
+TEST(SoakChecks, HeadThatServesAfterItWasLimited)
+{
+    SoakEffects effects = makeReplica();
+    for (const std::string what : { "arrived", "limited", "unlimited" })
+        effects["a1"].push_back(makeEffect("a1", 45, what, "", 0));
+    effects["a2"].push_back(makeEffect("a2", 50, "joined", "h", 2));
+    EXPECT_EQ(checkOneReplica(effects, {}).size(), 1);
+}
+
 } // namespace
--- a/tests/support/SoakChecks.cpp
+++ b/tests/support/SoakChecks.cpp
@@ -4,9 +4,17 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <limits>
+#include <set>
 
 namespace hemlockweir {
 
+// Time in which all gateways must know an endpoint's limit after one of its answers named it, in ms.
+static constexpr qint64 limitKnownMs = 3000;
+// A limited endpoint may get this many times what its limit allows in a window, and some requests more.
+static constexpr double limitFactor = 1.5;
+static constexpr size_t limitExtra = 5;
+
 static QString describe(const SoakRequest& request)
 {
     return QString::fromStdString(request.id + " " + request.path + " at " + request.gateway + " sent " + std::to_string(request.sentAt) + " status " + std::to_string(request.status));
@@ -18,7 +26,7 @@
     for (const std::string& endpoint : cluster.endpoints()) {
         std::vector<SoakEffect>& effects = all[endpoint];
         for (const QJsonObject& fields : cluster.processes().effects(endpoint, {})) {
-            SoakEffect effect { .endpoint = endpoint, .at = static_cast<qint64>(fields["at"].toDouble()), .what = fields["what"].toString().toStdString(), .request = fields["request"].toString().toStdString(), .group = fields["group"].toString().toStdString(), .epoch = static_cast<qint64>(fields["epoch"].toDouble()), .model = fields["model"].toString().toStdString() };
+            SoakEffect effect { .endpoint = endpoint, .at = static_cast<qint64>(fields["at"].toDouble()), .what = fields["what"].toString().toStdString(), .request = fields["request"].toString().toStdString(), .group = fields["group"].toString().toStdString(), .epoch = static_cast<qint64>(fields["epoch"].toDouble()), .model = fields["model"].toString().toStdString(), .limit = fields["limit"].toDouble() };
             for (const QJsonValue& member : fields["members"].toArray())
                 effect.members.push_back(member.toString().toStdString());
             effects.push_back(std::move(effect));
@@ -108,6 +116,13 @@
     });
 }
 
+// Returns whether an effect tells of the state of a replica.
+static bool isGroupEffect(const SoakEffect& effect)
+{
+    static const std::set<std::string> others { "run", "arrived", "faults", "leaving", "limited", "unlimited" };
+    return others.count(effect.what) == 0;
+}
+
 // Returns the last change of an engine's group membership before a time; null if it was in no group.
 static const SoakEffect* lastGroupEffect(const std::vector<SoakEffect>& effects, qint64 at)
 {
@@ -115,7 +130,7 @@
     for (const SoakEffect& effect : effects) {
         if (effect.at >= at)
             break;
-        if (effect.what != "run" && effect.what != "faults" && effect.what != "leaving")
+        if (isGroupEffect(effect))
             last = &effect;
     }
     const bool isMember = last && last->what != "left" && last->what != "started";
@@ -180,4 +195,71 @@
     return violations;
 }
 
+namespace {
+
+    // A time for which all gateways must keep to an endpoint's limit, in ms since the Unix epoch.
+    struct LimitPeriod {
+        double limit = 0; // requests a second
+        qint64 from = 0;
+        qint64 until = std::numeric_limits<qint64>::max();
+    };
+
+} // namespace
+
+static std::vector<LimitPeriod> limitPeriods(const std::vector<SoakEffect>& effects)
+{
+    std::vector<LimitPeriod> periods;
+    for (const SoakEffect& effect : effects) {
+        const bool isLimited = effect.what == "limited";
+        if (!periods.empty() && (isLimited || effect.what == "unlimited" || effect.what == "started"))
+            periods.back().until = std::min(periods.back().until, effect.at);
+        if (isLimited)
+            periods.push_back({ .limit = effect.limit, .from = effect.at + limitKnownMs });
+    }
+    return periods;
+}
+
+size_t maxLimitedArrivals(double limit)
+{
+    return static_cast<size_t>(limitFactor * limit * static_cast<double>(limitWindowMs) / 1000) + limitExtra;
+}
+
+// Returns whether a fault may have kept a gateway from knowing the endpoint's limit or the requests of the others: it was
+// restarted, paused or cut, or the link to the endpoint was disturbed. What the endpoint itself does is no excuse.
+static bool isLimitExcused(const SoakEffects& effects, const std::string& endpoint, const std::vector<FaultInterval>& intervals, qint64 from, qint64 until)
+{
+    return std::any_of(intervals.begin(), intervals.end(), [&](const FaultInterval& interval) {
+        if (interval.from > until || (interval.until != 0 && interval.until < from))
+            return false;
+        if (interval.what == endpoint)
+            return !interval.kind.starts_with(endpoint + ".");
+        const bool isGateway = interval.what != "store" && effects.count(interval.what) == 0;
+        return isGateway && !interval.kind.starts_with("front-");
+    });
+}
+
+QStringList checkLimits(const SoakEffects& effects, const std::vector<FaultInterval>& intervals)
+{
+    QStringList violations;
+    for (const auto& [endpoint, list] : effects) {
+        std::vector<qint64> arrivals;
+        for (const SoakEffect& effect : list) {
+            if (effect.what == "arrived")
+                arrivals.push_back(effect.at);
+        }
+        for (const LimitPeriod& period : limitPeriods(list)) {
+            auto first = std::lower_bound(arrivals.begin(), arrivals.end(), period.from);
+            for (; first != arrivals.end() && *first < period.until; ++first) {
+                const qint64 end = std::min(*first + limitWindowMs, period.until);
+                const auto count = static_cast<size_t>(std::lower_bound(first, arrivals.end(), end) - first);
+                if (count <= maxLimitedArrivals(period.limit) || isLimitExcused(effects, endpoint, intervals, *first - limitKnownMs, end))
+                    continue;
+                violations << QString::fromStdString(absl::StrCat(endpoint, " got ", count, " requests from ", *first, " to ", end, " at a limit of ", period.limit, " a second"));
+                break;
+            }
+        }
+    }
+    return violations;
+}
+
 } // namespace hemlockweir
--- a/tests/support/SoakChecks.h
+++ b/tests/support/SoakChecks.h
@@ -12,11 +12,12 @@
     std::string endpoint;
     qint64 at = 0; // ms since the Unix epoch
     std::string what;
-    std::string request; // only if `what` is "run"
+    std::string request; // only if `what` is "run" or "arrived"
     std::string group;
     qint64 epoch = 0;
     std::string model;
     std::vector<std::string> members;
+    double limit = 0; // requests a second, only if `what` is "limited"
 
     bool isSameGroup(const SoakEffect& other) const { return group == other.group && epoch == other.epoch; }
 };
@@ -49,4 +50,15 @@
 // A gateway process never goes back to an older configuration version.
 QStringList checkVersions(const std::vector<SoakRequest>& requests, const std::vector<FaultInterval>& intervals);
 
+// Time of a window in which the requests to a limited endpoint are counted, in ms.
+inline constexpr qint64 limitWindowMs = 4000;
+
+// Returns the most requests that may reach an endpoint in a window. The limit is in requests a second.
+size_t maxLimitedArrivals(double limit);
+
+// An endpoint that limits its requests gets no more than maxLimitedArrivals() from all gateways together in any
+// window, from the time in which all of them must know the limit, unless a fault affected a gateway or the link to the
+// endpoint.
+QStringList checkLimits(const SoakEffects& effects, const std::vector<FaultInterval>& intervals);
+
 } // namespace hemlockweir
