Limit endpoints at random in the gateway's soak

A fault of its own beside the others: an endpoint names 0.5 to 8 requests a second for 2 to 6 s; checkPromises calls checkLimits. As one of the endpoint's eight random faults it would come about once in two runs.

RequestLimitProcess.* shows the limit itself. The soak was not run with the limit ignored.

--- a/tests/GatewaySoakProcessTest.cpp
+++ b/tests/GatewaySoakProcessTest.cpp
@@ -165,6 +165,7 @@
             expectNone(checkOneReplica(effects, faults_.intervals()));
             expectNone(checkDeadlines(requests, faults_.intervals()));
             expectNone(checkVersions(requests, faults_.intervals()));
+            expectNone(checkLimits(effects, faults_.intervals()));
             const auto completeCount = std::count_if(requests.begin(), requests.end(), [](const SoakRequest& request) { return request.status == statusOk && request.isComplete; });
             std::cout << requests.size() << " requests, " << completeCount << " answered whole, " << faults_.intervals().size() << " faults\n";
         }
--- a/tests/support/SoakFaults.cpp
+++ b/tests/support/SoakFaults.cpp
@@ -4,6 +4,11 @@
 
 namespace hemlockweir {
 
+// Request limits that endpoints name at random, in tenths of a request a second, and for how long.
+static constexpr uint64_t minLimitTenths = 5;
+static constexpr uint64_t maxLimitTenths = 80;
+static constexpr int minLimitMs = 2000;
+static constexpr int maxLimitMs = 6000;
 // Maximum number of simultaneous faults. With more, no request could be served.
 static constexpr size_t maxActive = 5;
 
@@ -29,7 +34,7 @@
     if (active_.size() >= maxActive)
         return;
     using Break = void (SoakFaults::*)();
-    static constexpr Break kinds[] { &SoakFaults::breakGateway, &SoakFaults::breakGateway, &SoakFaults::breakStore, &SoakFaults::breakStoreLink, &SoakFaults::breakFront, &SoakFaults::breakEngine, &SoakFaults::breakEngine, &SoakFaults::breakEndpointLink, &SoakFaults::injectEndpointFault, &SoakFaults::injectEndpointFault };
+    static constexpr Break kinds[] { &SoakFaults::breakGateway, &SoakFaults::breakGateway, &SoakFaults::breakStore, &SoakFaults::breakStoreLink, &SoakFaults::breakFront, &SoakFaults::breakEngine, &SoakFaults::breakEngine, &SoakFaults::breakEndpointLink, &SoakFaults::injectEndpointFault, &SoakFaults::injectEndpointFault, &SoakFaults::limitEndpoint };
     (this->*kinds[random_() % std::size(kinds)])();
 }
 
@@ -185,6 +190,13 @@
     setStandInFault(endpoint, { { name, value } }, { { name, clearedFaults } }, endpoint, randomDuration(300, 3000));
 }
 
+void SoakFaults::limitEndpoint()
+{
+    const std::string endpoint = pickRandom(cluster_.endpoints());
+    const double limit = static_cast<double>(minLimitTenths + random_() % (maxLimitTenths - minLimitTenths + 1)) / 10;
+    setStandInFault(endpoint, { { "limit", limit } }, { { "limit", 0 } }, endpoint, randomDuration(minLimitMs, maxLimitMs));
+}
+
 void SoakFaults::update()
 {
     const qint64 now = soakNow();
--- a/tests/support/SoakFaults.h
+++ b/tests/support/SoakFaults.h
@@ -54,6 +54,7 @@
     void breakEngine();
     void breakEndpointLink();
     void injectEndpointFault();
+    void limitEndpoint();
     void pause(const std::string& process, Millis time);
     void setProxyFault(const std::string& link, const std::string& kind, const std::string& what, Millis time);
     void setStandInFault(const std::string& name, const QJsonObject& faults, const QJsonObject& clearedFaults, const std::string& what, Millis time);
