Order the entries of an endpoint by its own clock, not by the store's

Cause: a write of the head's entry from before its join was carried out late by the store. decodeEndpoint() did not read `sequence`, and EndpointFollower took each entry with another revision as news, so the planner saw an open head in no group and took it for free.

Now EndpointClock orders statements by the start of the endpoint's process, then by their number. EndpointFollower, through which the entries of the store and of other nodes pass, keeps the newest one, and hands only that one on. An entry whose start or number can't be read is taken as before. An older entry that still stands after 8 s counts, so that neither a clock that was set back nor another writer's number fixes an old state. The removal of an entry is handled as before. An entry in which only the number is new is no change of the list.

The numbers of entries and of reports are not compared: the users' protocol defines that of a report (orders accepted) and not that of an entry. Probes still compare the start of the process.

Ruled out: a longer trust in accepted joins (bounds nothing); asking each engine before a join (a call each, and reports lag too).

--- a/packages/gateway/EndpointFollower.cpp
+++ b/packages/gateway/EndpointFollower.cpp
@@ -1,5 +1,7 @@
 #include "gateway/EndpointFollower.h"
 
+#include <algorithm>
+
 namespace hemlockweir {
 
 EndpointFollower::EndpointFollower(boost::asio::io_context& context, Options options, StoreFollower& store, const PlatformAdapter& adapter, DecisionLog& log)
@@ -60,30 +62,64 @@
     log_.noteChange("endpoints_changed", { { "found", std::to_string(counts.found) }, { "leaving", std::to_string(counts.leaving) }, { "gone", std::to_string(counts.gone) }, { "endpoints", std::to_string(endpoints_.size()) }, { "store_revision", std::to_string(store_.revision()) }, { "list_age_ms", std::to_string((options_.clock() - store_.answeredAt()).count()) } });
 }
 
-// Returns whether the entry was new.
+// Returns whether the entry changed the list.
 bool EndpointFollower::applyItem(const KvItem& item)
 {
     const auto previous = known_.find(item.key);
-    if (previous != known_.end() && previous->second.item.revision == item.revision)
+    const bool isFound = previous == known_.end();
+    const bool isSeen = !isFound && previous->second.seenRevision == item.revision;
+    if (isSeen && !previous->second.contradictedSince)
         return false;
-    absl::StatusOr<EndpointInfo> info = adapter_.decodeEndpoint(item);
-    if (!info.ok()) {
+    absl::StatusOr<EndpointEntry> entry = adapter_.decodeEndpoint(item);
+    if (!entry.ok()) {
         // The entry describes no usable endpoint; another writer may own the key. The endpoint known by this key is removed.
         const bool wasKnown = known_.erase(item.key) > 0;
         if (std::exchange(loggedUnreadable_[item.key], item.revision) != item.revision)
-            log_.noteChange("endpoint_unreadable", { { "key", item.key }, { "revision", std::to_string(item.revision) }, { "error", std::string(info.status().message()) } });
+            log_.noteChange("endpoint_unreadable", { { "key", item.key }, { "revision", std::to_string(item.revision) }, { "error", std::string(entry.status().message()) } });
         return wasKnown;
     }
-    const bool isFound = previous == known_.end();
-    const bool startsLeaving = !isFound && info->isLeaving && !previous->second.info.isLeaving;
-    unlogged_.found += isFound ? 1 : 0;
+    KnownEndpoint& known = isFound ? known_[item.key] : previous->second;
+    known.seenRevision = item.revision;
+    if (!isNews(known, entry->time())) {
+        if (!isSeen && logsEachChange())
+            log_.noteChange("endpoint_outdated", { { "endpoint", entry->info.id }, { "service", entry->info.service }, { "revision", std::to_string(item.revision) }, { "newest", std::to_string(known.item.revision) } });
+        return false;
+    }
+    logEntry(isFound ? nullptr : &known, entry->info, item.revision);
+    const bool hasChanged = isFound || known.info != entry->info;
+    known.info = std::move(entry->info);
+    known.item = item;
+    return hasChanged;
+}
+
+// Returns whether a statement of an endpoint counts. An older one that still stands after the contradiction time does as well:
+// the clock by which the endpoint tells its start was set back, or the newer entry was another writer's.
+bool EndpointFollower::isNews(KnownEndpoint& known, const StatementTime& time) const
+{
+    const Millis now = options_.clock();
+    if (!known.clock.accept(time)) {
+        if (!known.contradictedSince)
+            known.contradictedSince = now;
+        // While the store was unavailable, the endpoint could not correct it.
+        if (now - std::max(*known.contradictedSince, store_.recoveredAt()) < options_.contradictionTime)
+            return false;
+        known.clock = {};
+        known.clock.accept(time);
+    }
+    known.contradictedSince.reset();
+    return true;
+}
+
+// Counts and logs an entry that counts. `previous` is null for a new endpoint.
+void EndpointFollower::logEntry(const KnownEndpoint* previous, const EndpointInfo& info, uint64_t revision)
+{
+    const bool startsLeaving = previous && info.isLeaving && !previous->info.isLeaving;
+    unlogged_.found += previous ? 0 : 1;
     unlogged_.leaving += startsLeaving ? 1 : 0;
-    if (isFound && logsEachChange())
-        log_.noteChange("endpoint_found", { { "endpoint", info->id }, { "service", info->service }, { "domain", info->domain }, { "fabric", info->fabric }, { "revision", std::to_string(item.revision) } });
+    if (!previous && logsEachChange())
+        log_.noteChange("endpoint_found", { { "endpoint", info.id }, { "service", info.service }, { "domain", info.domain }, { "fabric", info.fabric }, { "revision", std::to_string(revision) } });
     if (startsLeaving && logsEachChange())
-        log_.noteChange("endpoint_leaving", { { "endpoint", info->id }, { "service", info->service }, { "revision", std::to_string(item.revision) } });
-    known_.insert_or_assign(item.key, KnownEndpoint { std::move(*info), item });
-    return true;
+        log_.noteChange("endpoint_leaving", { { "endpoint", info.id }, { "service", info.service }, { "revision", std::to_string(revision) } });
 }
 
 // Returns whether an endpoint was removed.
--- a/packages/gateway/EndpointFollower.h
+++ b/packages/gateway/EndpointFollower.h
@@ -7,6 +7,10 @@
 // after, because endpoints can't renew them. After such an outage, missing entries stay in the list for a grace period, in which
 // their endpoints can register again. Whether the store was unavailable for all or only for this node can't be told, so an
 // endpoint that left meanwhile stays for as long.
+//
+// What an entry says counts by the endpoint's own clock (proxy/EndpointClock.h), whether it comes from the store or from another
+// node: a write that the store carries out late is older than one that it overwrites. The next write of the endpoint corrects the
+// store. The removal of an entry counts by the store's order.
 
 namespace hemlockweir {
 
@@ -16,6 +20,7 @@
         Clock clock;
         Millis lapseTime { 2400 }; // ms, a shorter outage lets no entry expire
         Millis gracePeriod { 2200 }; // ms after the store's recovery for which expired entries are retained
+        Millis contradictionTime { 8000 }; // ms after which an older entry that still stands counts: a late write is corrected before
         std::function<bool()> logsEachChange; // whether this node acts on single changes; empty: it does not
         std::function<void()> onChange; // called after each answer of the store or of another node, even without a change
     };
@@ -31,14 +36,17 @@
     // single changes are logged only where logsEachChange says so. Call periodically.
     void logChanges();
 
-    // Returns the undecoded entries of the endpoints, for a node that can't reach the store.
+    // Returns the undecoded newest entries of the endpoints, for a node that can't reach the store.
     std::vector<KvItem> entries() const;
 
 private:
-    // An endpoint and the entry that it was decoded from.
+    // An endpoint and its newest entry.
     struct KnownEndpoint {
         EndpointInfo info;
-        KvItem item;
+        KvItem item; // that `info` was decoded from
+        EndpointClock clock;
+        uint64_t seenRevision = 0; // of the last entry, older ones included
+        std::optional<Millis> contradictedSince; // all entries since then were older than `item`
     };
 
     // Changes of the list since the last summary.
@@ -54,6 +62,8 @@
     void noteOutage();
     bool logsEachChange() const { return options_.logsEachChange && options_.logsEachChange(); }
     bool applyItem(const KvItem& item);
+    bool isNews(KnownEndpoint& known, const StatementTime& time) const;
+    void logEntry(const KnownEndpoint* previous, const EndpointInfo& info, uint64_t revision);
     bool removeMissing();
     Millis graceEndsAt() const { return outageEndedAt_ + options_.gracePeriod; }
 
--- a/packages/gateway/PlatformAdapter.h
+++ b/packages/gateway/PlatformAdapter.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/KvStore.h"
-#include "proxy/EndpointInfo.h"
+#include "proxy/EndpointEntry.h"
 #include "proxy/ProxyContext.h"
 #include "replicas/EngineOrder.h"
 
@@ -26,7 +26,7 @@
     ProxyHeaders headers;
 
     std::function<absl::StatusOr<ProxyConfiguration>(const std::string&)> decodeConfiguration;
-    std::function<absl::StatusOr<EndpointInfo>(const KvItem&)> decodeEndpoint;
+    std::function<absl::StatusOr<EndpointEntry>(const KvItem&)> decodeEndpoint;
     std::function<std::string(const EngineOrder&)> formatOrder; // returns an HTTP request
     std::function<OrderResult(int status)> readOrderResult;
     std::function<std::string(const std::string& address, uint16_t port)> formatReportRequest; // returns an HTTP request
--- a/tests/FollowersTest.cpp
+++ b/tests/FollowersTest.cpp
@@ -34,10 +34,10 @@
                 return absl::InvalidArgumentError("not a configuration");
             return ProxyConfiguration { .version = std::stoull(text) };
         };
-        adapter_.decodeEndpoint = [](const KvItem& item) -> absl::StatusOr<EndpointInfo> {
+        adapter_.decodeEndpoint = [](const KvItem& item) -> absl::StatusOr<EndpointEntry> {
             if (item.value == "garbage")
                 return absl::InvalidArgumentError("not an endpoint");
-            return EndpointInfo { .id = item.key, .service = "desk", .isLeaving = item.value == "leaving" };
+            return EndpointEntry { .info = { .id = item.key, .service = "desk", .isLeaving = item.value == "leaving" } };
         };
     }
 
