Take only a readable 200 for an engine's report of its group

Callers could see: streams refused because a group was dissolved or formed anew, after one of its members had answered a probe with an error.

Cause: EngineOrders::probe() decoded the body of any complete answer, and readReport() gave "in no replica" for a body that it could not read or whose group it could not read. After acceptedTrustTime, ReplicaPlanner::noteReport() takes that for an engine that lost its membership.

Now the types keep apart what an engine says of its group (MembershipReport: a membership, or none) and that it said nothing. onProbed gets the former or nullopt, and the planner hears of a report only. An engine that answers anything is still alive (noteProbe), since that is what the search for crashes and dead engines asks. A body is a report of no group if it names the models and no group: a member names its group wherever it names its models. The start time is read apart from that, so that another process at the address is found also if its group can't be read.

Ruled out: another answer as a sign of death. A busy engine would be taken for crashed.

EngineOrdersTest.AnswerThatIsNoReportShowsOnlyThatTheEngineLives failed (15 failed checks) with the old decision put back behind the new types, since the old ones can't express the result; it passes now (EngineOrdersTest 5 of 5, ReplicaPlannerTest 21 of 21).

--- a/packages/gateway/EngineOrders.cpp
+++ b/packages/gateway/EngineOrders.cpp
@@ -1,5 +1,7 @@
 #include "gateway/EngineOrders.h"
 
+#include "http/StatusCodes.h"
+
 namespace hemlockweir {
 
 EngineOrders::EngineOrders(boost::asio::io_context& context, Options options, const PlatformAdapter& adapter, DecisionLog& log, ProxyMetrics& metrics)
@@ -63,10 +65,11 @@
 {
     callServer(context_, pool_, { .address = engine.address, .port = engine.port, .request = adapter_.formatReportRequest(engine.address, engine.port), .timeout = options_.probeTimeout, .mayReuse = false },
         [this, id = engine.id, startedAtMs = engine.startedAtMs](const absl::StatusOr<CallAnswer>& answer) {
+            const bool isReport = answer.ok() && answer->status == statusOk;
+            const EngineReport report = isReport ? adapter_.readReport(answer->body) : EngineReport {};
             // Another process may have taken over the address in the meantime.
-            const EngineReport report = answer.ok() ? adapter_.readReport(answer->body) : EngineReport {};
             const bool isSameProcess = answer.ok() && report.startedAtMs.value_or(startedAtMs) == startedAtMs;
-            options_.onProbed(id, isSameProcess, report.membership);
+            options_.onProbed(id, isSameProcess, report.replica);
         });
 }
 
--- a/packages/gateway/EngineOrders.h
+++ b/packages/gateway/EngineOrders.h
@@ -20,7 +20,7 @@
         size_t maxConcurrentOrders = 48; // more wait in a queue, so that none times out while this node is busy with the others
         std::function<bool()> mayOrder; // whether this node still is the planner, checked again when an order is sent
         std::function<void(const EngineOrder&, OrderResult)> onResult;
-        std::function<void(const std::string& engine, bool isAlive, const std::optional<Membership>&)> onProbed; // with the membership that it reports
+        std::function<void(const std::string& engine, bool isAlive, const std::optional<MembershipReport>&)> onProbed; // without a report if the answer tells nothing of its replica
     };
 
     EngineOrders(boost::asio::io_context& context, Options options, const PlatformAdapter& adapter, DecisionLog& log, ProxyMetrics& metrics);
@@ -30,7 +30,8 @@
     void send(const EngineOrder& order);
 
     // Requests an engine's report and calls onProbed. The engine counts as alive if it answers and has not restarted
-    // since its entry was written. A report without a start time counts as one of the same start.
+    // since its entry was written. A report without a start time counts as one of the same start. An answer other than a
+    // report, such as an error, shows only that the engine is alive.
     void probe(const EndpointInfo& engine);
 
     // Closes expired idle connections. Call periodically.
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -87,7 +87,7 @@
               .clock = clock_,
               .mayOrder = [this] { return presence_.isPlanner(); },
               .onResult = [this](const EngineOrder& order, OrderResult result) { handleOrderResult(order, result); },
-              .onProbed = [this](const std::string& engine, bool isAlive, const std::optional<Membership>& membership) { handleProbeResult(engine, isAlive, membership); },
+              .onProbed = [this](const std::string& engine, bool isAlive, const std::optional<MembershipReport>& report) { handleProbeResult(engine, isAlive, report); },
           },
           adapter_, log_, metrics_)
     , readyServer_(context, controlServerOptions(settings_.ready))
@@ -320,13 +320,13 @@
     usage_.publishSoon();
 }
 
-void Gateway::handleProbeResult(const std::string& engine, bool isAlive, const std::optional<Membership>& membership)
+void Gateway::handleProbeResult(const std::string& engine, bool isAlive, const std::optional<MembershipReport>& report)
 {
     if (!isAlive)
         crashes_.noteEndpointDown(engine);
     bool hasNews = false;
     for (auto& [name, planner] : planners_)
-        hasNews = (isAlive && planner.noteReport(engine, membership)) || hasNews;
+        hasNews = (isAlive && report && planner.noteReport(engine, report->membership)) || hasNews;
     if (hasNews)
         requestPlan();
     bool hasChanged = false;
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -53,7 +53,7 @@
     void probeUnverified();
     void probeReplica(const std::string& service, const std::string& head);
     void handleOrderResult(const EngineOrder& order, OrderResult result);
-    void handleProbeResult(const std::string& engine, bool isAlive, const std::optional<Membership>& membership);
+    void handleProbeResult(const std::string& engine, bool isAlive, const std::optional<MembershipReport>& report);
     void handleConnectionLost(const std::string& endpoint);
     void publishCrash(const CrashReport& report);
     void logReplicas(const std::string& service, const ReplicaPlanner& planner);
--- a/packages/gateway/PlatformAdapter.h
+++ b/packages/gateway/PlatformAdapter.h
@@ -10,10 +10,17 @@
 
 namespace hemlockweir {
 
+// What an engine says of its replica.
+struct MembershipReport {
+    std::optional<Membership> membership; // absent: the engine is in no replica
+
+    bool operator==(const MembershipReport&) const = default;
+};
+
 // What an engine reports when it is asked.
 struct EngineReport {
     std::optional<int64_t> startedAtMs; // ms since the Unix epoch
-    std::optional<Membership> membership; // absent if the engine is in no replica
+    std::optional<MembershipReport> replica; // absent: the report tells nothing of it
 
     bool operator==(const EngineReport&) const = default;
 };
@@ -30,7 +37,7 @@
     std::function<std::string(const EngineOrder&)> formatOrder; // returns an HTTP request
     std::function<OrderResult(int status)> readOrderResult;
     std::function<std::string(const std::string& address, uint16_t port)> formatReportRequest; // returns an HTTP request
-    std::function<EngineReport(const std::string& body)> readReport; // fields that the body doesn't contain are absent
+    std::function<EngineReport(const std::string& body)> readReport; // what the body doesn't tell is absent
 };
 
 } // namespace hemlockweir
--- a/tests/EngineOrdersTest.cpp
+++ b/tests/EngineOrdersTest.cpp
@@ -1,9 +1,10 @@
 #include "gateway/EngineOrders.h"
+#include "platform/Documents.h"
 #include "support/ScriptedEndpoint.h"
 
 #include <gtest/gtest.h>
 
-// Tests the orders of a planner whose term ends while they are on their way.
+// Tests the orders of a planner whose term ends while they are on their way, and what it takes from the answers to its probes.
 
 using namespace hemlockweir;
 
@@ -15,11 +16,31 @@
     {
         adapter_.formatOrder = [](const EngineOrder&) { return std::string("POST /order HTTP/1.1\r\nHost: e\r\nContent-Length: 0\r\n\r\n"); };
         adapter_.readOrderResult = [](int) { return OrderResult::Done; };
+        adapter_.formatReportRequest = adapter::formatReportRequest;
+        adapter_.readReport = adapter::readReport;
         engine_.setScript([](int) { return ScriptedResponse { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" }; });
     }
 
     EngineOrder order() const { return { .kind = EngineOrderKind::Join, .engine = "e1", .address = "127.0.0.1", .port = engine_.port(), .group = "g1", .epoch = 1 }; }
 
+    struct Probed {
+        bool isAlive = false;
+        std::optional<MembershipReport> report;
+
+        bool operator==(const Probed&) const = default;
+    };
+
+    // Probes an engine that started at this time and gives this answer. Returns what the planner is told.
+    Probed probe(const std::string& statusLine, const std::string& body, int64_t startedAtMs = 7)
+    {
+        const std::string bytes = "HTTP/1.1 " + statusLine + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        engine_.setScript([bytes](int) { return ScriptedResponse { bytes }; });
+        probed_.reset();
+        orders_.probe({ .id = "e1", .address = "127.0.0.1", .port = engine_.port(), .startedAtMs = startedAtMs });
+        runUntil(context_, [this] { return probed_.has_value(); });
+        return probed_.value_or(Probed {});
+    }
+
     boost::asio::io_context context_;
     ScriptedEndpoint engine_ { context_ };
     Clock clock_ = makeSteadyClock();
@@ -28,7 +49,15 @@
     PlatformAdapter adapter_;
     bool isPlanner_ = true;
     std::vector<OrderResult> results_;
-    EngineOrders orders_ { context_, { .clock = clock_, .mayOrder = [this] { return isPlanner_; }, .onResult = [this](const EngineOrder&, OrderResult result) { results_.push_back(result); } }, adapter_, log_, metrics_ };
+    std::optional<Probed> probed_;
+    EngineOrders orders_ { context_,
+        {
+            .clock = clock_,
+            .mayOrder = [this] { return isPlanner_; },
+            .onResult = [this](const EngineOrder&, OrderResult result) { results_.push_back(result); },
+            .onProbed = [this](const std::string&, bool isAlive, const std::optional<MembershipReport>& report) { probed_ = { isAlive, report }; },
+        },
+        adapter_, log_, metrics_ };
 };
 
 TEST_F(EngineOrdersTest, OrderOfThePlannerIsSent)
@@ -50,4 +79,32 @@
     EXPECT_TRUE(engine_.requests().empty());
 }
 
+// Guards against a planner that takes a member out of its group because the member answered a probe with an error or with
+// bytes that are no report.
+TEST_F(EngineOrdersTest, AnswerThatIsNoReportShowsOnlyThatTheEngineLives)
+{
+    const std::string report = R"({"models":[],"born":8,"group":{"name":"g1","epoch":1,"rank":0,"state":"open"}})";
+    for (const char* status : { "503 Busy", "404 Not Found", "500 Error" }) {
+        EXPECT_EQ(probe(status, ""), (Probed { .isAlive = true })) << status;
+        EXPECT_EQ(probe(status, report), (Probed { .isAlive = true })) << status;
+    }
+    for (const char* body : { "", "{", "null", "[]", "busy", R"({"error":"busy"})", R"({"models":7})", R"({"models":[],"group":"g1"})", R"({"models":[],"group":{"name":1,"epoch":1}})" })
+        EXPECT_EQ(probe("200 OK", body), (Probed { .isAlive = true })) << body;
+}
+
+TEST_F(EngineOrdersTest, ReportTellsTheGroupOrThatThereIsNone)
+{
+    const Membership member { .group = "g1", .epoch = 3, .rank = 1, .state = MemberState::Ready };
+    EXPECT_EQ(probe("200 OK", R"({"models":[],"group":{"name":"g1","epoch":3,"rank":1,"state":"ready"}})"), (Probed { true, MembershipReport { member } }));
+    for (const char* body : { R"({"models":[]})", R"({"models":[],"group":null})", R"({"models":[],"born":7})" })
+        EXPECT_EQ(probe("200 OK", body), (Probed { true, MembershipReport {} })) << body;
+}
+
+// What can't be read of the group does not hide that another process answers.
+TEST_F(EngineOrdersTest, ReportOfAnotherStartShowsThatTheEngineIsGone)
+{
+    EXPECT_FALSE(probe("200 OK", R"({"models":[],"born":8})").isAlive);
+    EXPECT_FALSE(probe("200 OK", R"({"born":8,"group":7})").isAlive);
+}
+
 } // namespace
