Take off what a request added to the load of its target, however it ended

Cause: Dispatcher::place() added the time of the prompt to promptsDoneAtMs, and release() took only the slot off.

A target now keeps the requests placed on it, with the time of each prompt. release() names the request. What its prompt would still have taken comes off, and the prompts behind it move up. If it was a long prompt, the other nodes are told at once, as they were of its arrival.

Found on the way, by the property test and by reading: - release() took a slot off for any request: one of an earlier incarnation of the endpoint, or from before the endpoint left the list and came back, freed a slot that a new request held. It frees nothing now. - The prompts of several peers are added one after the other but age at the same time, so a part of the sum stayed after all of them were taken back (two peers with 20 s, taken back after 1 s: 1 s). A target without requests of peers has no prompts of peers.

Checked, nothing to take off: the average of placements and the allowance of a request limit count what was sent, and return by time; claims return by time and with freed slots, up to their bound; the start rate is an average of the queue, not a load.

Ruled out: time off only for rejections (each other way to end has the same fault); a prompt time without its place in the order (a request whose prompt was half read would take off the time of others).

Tests that ended "a request on e1" name the request now; their checks are the same.

--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -61,7 +61,7 @@
         const auto old = before.find(target.id);
         TargetLoad load;
         if (old != before.end() && old->second.target.isSameTarget(target))
-            load = old->second;
+            load = std::move(old->second);
         load.target = target;
         load.unavailableUntil = notices_.unavailableUntil(target.id, target.startedAtMs);
         loads_[target.id] = std::move(load);
@@ -213,22 +213,19 @@
     Queue& queue = queues_[{ request.service, request.model }];
     queue.placementsPerMs = decayedPlacementRate(queue, options_.clock()) + 1 / placementRateMs;
     queue.placedAt = options_.clock();
-    ++load.running;
+    load.add(request, options_.clock());
     useAllowance(load);
     const Target target = load.target;
-    const double promptMs = target.promptMs(request.promptTokens);
-    load.promptsDoneAtMs = std::max(load.promptsDoneAtMs, static_cast<double>(options_.clock().count())) + promptMs;
-    if (promptMs > longPromptMs && options_.onUsageChanged)
-        options_.onUsageChanged();
-    else
-        reportIfContended(load);
+    reportChange(load, load.placed.back().promptMs);
     request.onPlaced(target); // may change the targets
 }
 
-// Publishes the usage immediately when few slots are left, so that nodes don't place requests there concurrently.
-void Dispatcher::reportIfContended(const TargetLoad& load)
+// Publishes the usage immediately when a long prompt came or went, or few slots are left: the other nodes place their
+// requests by it.
+void Dispatcher::reportChange(const TargetLoad& load, double promptMs)
 {
-    if (options_.onUsageChanged && load.usedSlots() >= contendedFraction * load.target.slots)
+    const bool isContended = load.usedSlots() >= contendedFraction * load.target.slots;
+    if (options_.onUsageChanged && (promptMs > longPromptMs || isContended))
         options_.onUsageChanged();
 }
 
@@ -258,20 +255,21 @@
     request.onRefused(refusal);
 }
 
-void Dispatcher::release(const std::string& targetId)
+void Dispatcher::release(const std::string& targetId, uint64_t id)
 {
     const auto found = loads_.find(targetId);
     if (found == loads_.end())
         return;
     TargetLoad& load = found->second;
-    if (load.running > 0)
-        --load.running;
+    const std::optional<double> promptLeftMs = load.remove(id, options_.clock());
+    if (!promptLeftMs)
+        return;
     const QueueKey key { load.target.service, load.target.model };
     Queue& queue = queues_[key];
-    if (queue.waiting.empty()) {
-        reportIfContended(load);
+    if (queue.waiting.empty() || *promptLeftMs > longPromptMs)
+        reportChange(load, *promptLeftMs);
+    if (queue.waiting.empty())
         return;
-    }
     if (!load.target.isSpanning())
         queue.claims = std::min(maxClaims, queue.claims + 1);
     placeWaiting(key, &load);
--- a/packages/proxy/Dispatcher.h
+++ b/packages/proxy/Dispatcher.h
@@ -45,8 +45,8 @@
     // Removes a queued request without calling its callbacks.
     void cancel(uint64_t id);
 
-    // Frees the slot of a finished request.
-    void release(const std::string& targetId);
+    // Takes a request that ended, in whatever way, off the load of the target that it was placed on.
+    void release(const std::string& targetId, uint64_t id);
 
     // Applies the load that an endpoint reported: its running and queued requests from all nodes. Ignored while peers
     // report their usage.
@@ -151,7 +151,7 @@
     void applyUsageChange(uint32_t hash, const TargetUsage& before, Millis receivedBefore, const TargetUsage& after);
     bool isLate(const Queue& queue, const PlacementRequest& request) const;
     void updateUrgency(Queue& queue, int priority);
-    void reportIfContended(const TargetLoad& load);
+    void reportChange(const TargetLoad& load, double promptMs);
     Millis chooseRetryAfter(const PlacementRequest& request, Millis wait);
     void dropStalePeers();
     void updateAllowances();
--- a/packages/proxy/DispatcherLoads.cpp
+++ b/packages/proxy/DispatcherLoads.cpp
@@ -34,6 +34,9 @@
     load.peerRunning = std::max(0.0, load.peerRunning + after.running - before.running);
     load.peerRunningUpdatedAt = now;
     load.peerPromptsDoneAtMs = std::max(load.peerPromptsDoneAtMs, static_cast<double>(now.count())) + after.promptMs - remainingPromptMs(before, now - receivedBefore);
+    // The prompts of several nodes are added one after the other, but age at the same time: some of the sum stays.
+    if (load.peerRunning <= 0)
+        load.peerPromptsDoneAtMs = static_cast<double>(now.count());
 }
 
 // Updates only the targets in the previous and in the new report of the peer, since a report changes the usage of one
@@ -89,8 +92,8 @@
     const auto now = static_cast<double>(options_.clock().count());
     std::map<uint32_t, TargetUsage> usage;
     for (const auto& [id, load] : loads_) {
-        if (load.running > 0)
-            usage.emplace(hashTarget(id), TargetUsage { .running = load.running, .promptMs = static_cast<uint32_t>(std::max(0.0, load.promptsDoneAtMs - now)) });
+        if (!load.placed.empty())
+            usage.emplace(hashTarget(id), TargetUsage { .running = load.running(), .promptMs = static_cast<uint32_t>(std::max(0.0, load.promptsDoneAtMs() - now)) });
     }
     return usage;
 }
@@ -110,7 +113,7 @@
                 continue;
             }
             slots += load->target.slots;
-            used += std::min<double>(load->target.slots, load->running + currentPeerRunning(*load));
+            used += std::min<double>(load->target.slots, load->running() + currentPeerRunning(*load));
         }
         if (key.first == service && slots > 0)
             utilization[key.second] = used / slots;
@@ -153,7 +156,7 @@
     if (found == loads_.end() || !peers_.empty())
         return;
     TargetLoad& load = found->second;
-    load.peerRunning = std::max(0.0, static_cast<double>(running) + waiting - load.running);
+    load.peerRunning = std::max(0.0, static_cast<double>(running) + waiting - load.running());
     load.peerRunningUpdatedAt = options_.clock();
 }
 
--- a/packages/proxy/Placement.cpp
+++ b/packages/proxy/Placement.cpp
@@ -20,10 +20,29 @@
 // Fraction of the prompt budget available to less urgent requests.
 static constexpr double yieldingPromptFraction = 0.5;
 
+void TargetLoad::add(const PlacementRequest& request, Millis now)
+{
+    const double promptMs = target.promptMs(request.promptTokens);
+    const double startsAtMs = std::max(promptsDoneAtMs(), static_cast<double>(now.count()));
+    placed.push_back({ .id = request.id, .promptMs = promptMs, .promptDoneAtMs = startsAtMs + promptMs });
+}
+
+std::optional<double> TargetLoad::remove(uint64_t id, Millis now)
+{
+    const auto found = std::find_if(placed.begin(), placed.end(), [id](const PlacedRequest& request) { return request.id == id; });
+    if (found == placed.end())
+        return std::nullopt;
+    const double startedAtMs = found->promptDoneAtMs - found->promptMs;
+    const double leftMs = std::max(0.0, found->promptDoneAtMs - std::max(startedAtMs, static_cast<double>(now.count())));
+    for (auto behind = placed.erase(found); behind != placed.end(); ++behind)
+        behind->promptDoneAtMs -= leftMs;
+    return leftMs;
+}
+
 double TargetLoad::promptWaitMs(Millis now) const
 {
     const auto time = static_cast<double>(now.count());
-    return std::max(0.0, promptsDoneAtMs - time) + std::max(0.0, peerPromptsDoneAtMs - time);
+    return std::max(0.0, promptsDoneAtMs() - time) + std::max(0.0, peerPromptsDoneAtMs - time);
 }
 
 uint32_t hashTarget(const std::string& targetId)
--- a/packages/proxy/Placement.h
+++ b/packages/proxy/Placement.h
@@ -6,7 +6,9 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
+#include <vector>
 
 // Placement of requests on targets: the load of each target as known to this node, and the selection of a target
 // by that load.
@@ -49,14 +51,22 @@
     std::function<void(const PlacementRefusal&)> onRefused; // the request was not sent
 };
 
+// A request that this node placed on a target and that has not ended.
+struct PlacedRequest {
+    uint64_t id = 0;
+    double promptMs = 0; // ms, to process its prompt
+    double promptDoneAtMs = 0; // time in ms at which its prompt is processed, after those placed before it
+
+    auto operator<=>(const PlacedRequest&) const = default;
+};
+
 // A target and its load as known to this node.
 struct TargetLoad {
     Target target;
-    uint32_t running = 0; // requests of this node on the target
+    std::vector<PlacedRequest> placed; // by this node, in the order of their placement
     double peerRunning = 0; // requests of other nodes on the target, estimated
     Millis peerRunningUpdatedAt { 0 };
-    double promptsDoneAtMs = 0; // time in ms at which the prompts placed by this node are processed
-    double peerPromptsDoneAtMs = 0; // the same for the prompts of other nodes, as if processed in parallel
+    double peerPromptsDoneAtMs = 0; // time in ms at which the prompts of other nodes are processed, as if in parallel to those of this node
     Millis lastResponseAt { 0 }; // when this node last received part of a response
     Millis suspectUntil { 0 }; // no request is placed on the target before this time
     Millis unavailableUntil { 0 }; // the same, as the endpoint announced itself
@@ -64,8 +74,21 @@
     uint32_t consecutiveFailures = 0;
     uint32_t consecutiveRejections = 0;
 
+    // Adds a request that was placed on the target.
+    void add(const PlacementRequest& request, Millis now);
+
+    // Takes a request that ended off the load. Returns the time in ms that its prompt would still have taken, or nullopt if
+    // the target doesn't have the request, because it was placed on an earlier incarnation.
+    std::optional<double> remove(uint64_t id, Millis now);
+
+    // Returns the number of requests of this node on the target.
+    uint32_t running() const { return static_cast<uint32_t>(placed.size()); }
+
+    // Returns the time in ms at which the prompts placed by this node are processed.
+    double promptsDoneAtMs() const { return placed.empty() ? 0 : placed.back().promptDoneAtMs; }
+
     // Returns the number of occupied slots.
-    double usedSlots() const { return running + peerRunning; }
+    double usedSlots() const { return running() + peerRunning; }
 
     // Returns whether requests may be placed on the target, if it has a slot.
     bool isUsable(Millis now) const { return suspectUntil <= now && unavailableUntil <= now; }
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -206,16 +206,16 @@
     const Millis now = context_.clock();
     times_.stopWaiting(now);
     if (isDone_) {
-        context_.dispatcher.release(target.id);
+        context_.dispatcher.release(target.id, options_.id);
         return;
     }
     if (isCrashBlocked()) {
-        context_.dispatcher.release(target.id);
+        context_.dispatcher.release(target.id, options_.id);
         endCrashing();
         return;
     }
     if (mayRefuse() && !endsBeforeExit()) {
-        context_.dispatcher.release(target.id);
+        context_.dispatcher.release(target.id, options_.id);
         refuseForExit();
         return;
     }
@@ -285,7 +285,7 @@
     attempt_.reset();
     context_.metrics.countSend(std::string(result));
     context_.pool.release(attempt.target.address, attempt.target.port, attempt.connection);
-    context_.dispatcher.release(attempt.target.id);
+    context_.dispatcher.release(attempt.target.id, options_.id);
 }
 
 // Returns whether the request may be sent again, given whether and how often it may have run.
--- a/tests/DispatcherFleetTest.cpp
+++ b/tests/DispatcherFleetTest.cpp
@@ -40,6 +40,7 @@
     };
 
     struct Running {
+        uint64_t id = 0;
         size_t node = 0;
         std::string target;
         Millis endsAt { 0 };
@@ -102,7 +103,7 @@
         for (const Running& running : ended) {
             pauses_ += running.isMeasured && running.hasPaused ? 1 : 0;
             --replicas_.at(running.target).running;
-            nodes_[running.node].dispatcher->release(running.target);
+            nodes_[running.node].dispatcher->release(running.target, running.id);
         }
     }
 
@@ -110,8 +111,9 @@
     {
         // Half of the requests ask for a long answer.
         const Millis duration(random_() % 2 == 0 ? 2000 : 400);
+        const uint64_t id = ++lastId_;
         nodes_[node].dispatcher->submit({
-            .id = ++lastId_,
+            .id = id,
             .service = "engines",
             .model = "m",
             .priority = 1,
@@ -120,20 +122,20 @@
             .deadlineAt = now_ + Millis(8000),
             .promptTokens = tokens,
             .gapTarget = gapTarget,
-            .onPlaced = [this, node, tokens, duration, isMeasured](const Target& target) { place(node, target.id, tokens, duration, isMeasured); },
+            .onPlaced = [this, id, node, tokens, duration, isMeasured](const Target& target) { place({ .id = id, .node = node, .target = target.id, .endsAt = now_ + duration }, tokens, isMeasured); },
             .onRefused = [](const PlacementRefusal&) {},
         });
     }
 
-    void place(size_t node, const std::string& target, uint32_t tokens, Millis duration, bool isMeasured)
+    void place(const Running& request, uint32_t tokens, bool isMeasured)
     {
-        Replica& replica = replicas_.at(target);
+        Replica& replica = replicas_.at(request.target);
         replica.promptsDoneAtMs = std::max(replica.promptsDoneAtMs, static_cast<double>(now_.count())) + tokens / promptTokensPerMs;
         ++replica.running;
-        running_.push_back({ .node = node, .target = target, .endsAt = now_ + duration });
+        running_.push_back(request);
         const bool makesPause = replica.promptsDoneAtMs - static_cast<double>(now_.count()) + eventIntervalMs > static_cast<double>(gapTarget.count());
         for (Running& running : running_)
-            running.hasPaused = running.hasPaused || (makesPause && running.target == target && &running != &running_.back());
+            running.hasPaused = running.hasPaused || (makesPause && running.target == request.target && &running != &running_.back());
         if (!isMeasured)
             return;
         ++placed_;
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -53,6 +53,15 @@
         return id;
     }
 
+    // Ends one of the requests that run on the target.
+    void release(const std::string& target)
+    {
+        const auto found = std::find_if(placed_.begin(), placed_.end(), [&](const auto& entry) { return entry.second == target && ended_.count(entry.first) == 0; });
+        ASSERT_NE(found, placed_.end());
+        ended_.insert(found->first);
+        dispatcher_.release(target, found->first);
+    }
+
     void advance(Millis time)
     {
         now_ += time;
@@ -65,6 +74,7 @@
     Dispatcher dispatcher_ { { .clock = [this] { return now_; }, .random = makeSeededRandom(3), .domain = "a", .onSuspect = [this](const Target&, bool) { ++suspects_; }, .onUsageChanged = [this] { ++usageChanges_; } } };
     std::map<uint64_t, std::string> placed_;
     std::map<uint64_t, PlacementRefusal> refused_;
+    std::set<uint64_t> ended_;
     std::vector<uint64_t> order_;
     uint64_t lastId_ = 0;
 };
@@ -110,7 +120,7 @@
         submit(2, Millis(1000));
     const uint64_t urgent = submit(0);
     EXPECT_EQ(placed_.count(urgent), 0U);
-    dispatcher_.release("e1");
+    release("e1");
     EXPECT_EQ(placed_.count(urgent), 1U);
 }
 
@@ -126,7 +136,7 @@
     // One slot becomes free every 100 ms, which sets the start rate of the queue.
     for (int i = 0; i < 4; ++i) {
         advance(Millis(100));
-        dispatcher_.release("e1");
+        release("e1");
     }
     for (int i = 0; i < 20; ++i)
         burst.push_back(submit(0));
@@ -157,7 +167,7 @@
     const uint64_t late = submit(0, Millis(300));
     advance(Millis(350));
     const uint64_t inTime = submit(0, Millis(300));
-    dispatcher_.release("e1");
+    release("e1");
     EXPECT_EQ(placed_.count(inTime), 1U);
     EXPECT_EQ(placed_.count(late), 0U);
 }
@@ -179,7 +189,7 @@
         while (!ends.empty() && ends.begin()->first <= now_) {
             const std::string freed = ends.begin()->second;
             ends.erase(ends.begin());
-            dispatcher_.release(freed);
+            release(freed);
         }
         if (step % 3 == 0) // 33 requests per second; 8 slots serve 20
             arrivedAt[submit(0)] = now_;
@@ -235,7 +245,7 @@
     dispatcher_.updatePeerUsage("n2", { .byTarget = { { hashTarget("e1"), { .running = 14 } } }, .receivedAt = now_ });
     submitPrompt(100);
     EXPECT_EQ(usageChanges_, 2);
-    dispatcher_.release("e1");
+    release("e1");
     EXPECT_EQ(usageChanges_, 3);
 }
 
@@ -323,7 +333,7 @@
     dispatcher_.setTargets("engines", { target("e1", 4) });
     submit(0);
     dispatcher_.noteFailure("e1", true);
-    dispatcher_.release("e1");
+    release("e1");
     const uint64_t refused = submit(0);
     EXPECT_EQ(refused_.at(refused).reason, RefusalReason::NoTarget);
     advance(Millis(1600));
@@ -344,7 +354,7 @@
     for (int i = 0; i < 5; ++i)
         submit(1);
     EXPECT_EQ(placed_, (std::map<uint64_t, std::string> { { 1, "e1" }, { 2, "e1" }, { 3, "spanning" }, { 4, "spanning" } }));
-    dispatcher_.release("e1");
+    release("e1");
     EXPECT_EQ(placed_.at(5), "e1");
 }
 
@@ -361,7 +371,7 @@
     const uint64_t patient = submit(1, Millis(1000));
     EXPECT_EQ(placed_.count(urgent), 0U);
     EXPECT_EQ(placed_.count(patient), 0U) << "the queue is in order";
-    dispatcher_.release("e1");
+    release("e1");
     EXPECT_EQ(placed_.at(urgent), "e1");
     EXPECT_EQ(placed_.at(patient), "spanning");
     const uint64_t late = submit(1, Millis(100));
@@ -408,9 +418,9 @@
     dispatcher_.setTargets("engines", { target("e1", 1) });
     const uint64_t waiting = submit(0);
     EXPECT_EQ(placed_.count(waiting), 0U);
-    dispatcher_.release("e2"); // no longer a target
+    release("e2"); // no longer a target
     EXPECT_EQ(placed_.count(waiting), 0U);
-    dispatcher_.release("e1");
+    release("e1");
     EXPECT_EQ(placed_.count(waiting), 1U);
 }
 
--- a/tests/EndpointNoticesTest.cpp
+++ b/tests/EndpointNoticesTest.cpp
@@ -103,7 +103,7 @@
     EXPECT_EQ(submit(), "e1");
     dispatcher_.notePause(target("e1"), Millis(1000));
     dispatcher_.noteSuccess("e1");
-    dispatcher_.release("e1");
+    dispatcher_.release("e1", lastId_);
     now_ += Millis(1000);
     EXPECT_EQ(submit(), "e1");
     EXPECT_EQ(submit(), "");
@@ -139,7 +139,7 @@
         dispatcher_.tick();
         const std::string endpoint = submit();
         ++counts[endpoint];
-        dispatcher_.release(endpoint);
+        dispatcher_.release(endpoint, lastId_);
     }
     EXPECT_GE(counts["e1"], 1);
     EXPECT_LE(counts["e1"], 9);
@@ -237,7 +237,7 @@
             RC_ASSERT(!placed.empty() == isOneFree);
             if (!placed.empty()) {
                 dispatcher.noteSuccess(placed);
-                dispatcher.release(placed);
+                dispatcher.release(placed, step);
             }
         }
         }
