Refuse a prompt at once that no endpoint can hold

Three rejections in a row count as a failure of the endpoint, so that such requests also keep others away from it.

The service's engine document names the memory of a replica in tokens (kv_capacity; absent: no bound). A request whose prompt alone exceeds that of every target of its model is refused with 503 and Retry-After, reason too_large, before it is placed or queued. 503 is true: it has not run and never will. The Retry-After is the longest one, since a repetition meets the same answer until the configuration changes.

Ruled out: prompt and limit of the answer together as the bound. Endpoints preempt when memory runs out and an answer may end before its limit, so the refusal could be wrong; what an endpoint then rejects leaves no load behind. 413: another configuration may allow the request. A bound for a resumed stream: some endpoint held its prompt.

DispatcherTest.PromptThatNoTargetHoldsIsRefusedAtOnce failed without the check (the other 25 of DispatcherTest passed). With it: DispatcherTest 26, ProxyLoadsTest 6, TargetTest 3, DocumentsTest 4, all passed. The new test in ProxyLoadsTest was not run without the check.

--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -28,6 +28,8 @@
     switch (reason) {
     case RefusalReason::NoTarget:
         return "no_target";
+    case RefusalReason::TooLarge:
+        return "too_large";
     case RefusalReason::QueueTooLong:
         return "queue_too_long";
     case RefusalReason::WaitedTooLong:
@@ -75,6 +77,10 @@
 void Dispatcher::submit(PlacementRequest request)
 {
     const QueueKey key { request.service, request.model };
+    if (isTooLarge(request)) {
+        refuse(std::move(request), RefusalReason::TooLarge, 0);
+        return;
+    }
     Queue& queue = queues_[key];
     updateUrgency(queue, request.priority);
     if (countAhead(queue, request) == 0 && tryPlace(request))
@@ -244,7 +250,9 @@
 {
     const Queue& queue = queues_[{ request.service, request.model }];
     Millis wait = minRetryAfter;
-    if (reason != RefusalReason::NoTarget && queue.startsPerSecond > 0)
+    if (reason == RefusalReason::TooLarge)
+        wait = maxRetryAfter; // only another configuration would let it run
+    else if (reason != RefusalReason::NoTarget && queue.startsPerSecond > 0)
         wait = Millis(static_cast<int64_t>(1000.0 * static_cast<double>(requestsAhead + 1) / queue.startsPerSecond));
     const PlacementRefusal refusal {
         .reason = reason,
--- a/packages/proxy/Dispatcher.h
+++ b/packages/proxy/Dispatcher.h
@@ -138,6 +138,7 @@
     Millis latestStart(const Queue& queue, const PlacementRequest& request) const;
     bool goesBefore(const Queue& queue, const PlacementRequest& one, const PlacementRequest& other) const;
     std::list<PlacementRequest>::iterator findNext(Queue& queue);
+    bool isTooLarge(const PlacementRequest& request) const;
     size_t countAhead(const Queue& queue, const PlacementRequest& request) const;
     // The targets of one model.
     struct ModelLoads {
--- a/packages/proxy/DispatcherLoads.cpp
+++ b/packages/proxy/DispatcherLoads.cpp
@@ -150,6 +150,16 @@
     return countUsable(loads.local) + countUsable(loads.spanning);
 }
 
+// Returns whether no target of the model has the memory for the prompt: each would reject it. The limit of the answer does
+// not count, since an answer may end before it. A started response shows that its prompt was held.
+bool Dispatcher::isTooLarge(const PlacementRequest& request) const
+{
+    const ModelLoads& loads = loadsFor({ request.service, request.model });
+    const auto isFull = [&](const TargetLoad* load) { return !load->target.holdsPrompt(request.promptTokens); };
+    const bool hasTargets = !loads.local.empty() || !loads.spanning.empty();
+    return hasTargets && !request.hasResponseStarted && std::all_of(loads.local.begin(), loads.local.end(), isFull) && std::all_of(loads.spanning.begin(), loads.spanning.end(), isFull);
+}
+
 void Dispatcher::noteReportedLoad(const std::string& targetId, uint32_t running, uint32_t waiting)
 {
     const auto found = loads_.find(targetId);
--- a/packages/proxy/Placement.h
+++ b/packages/proxy/Placement.h
@@ -18,6 +18,7 @@
 // Why a request was refused without being sent to a target.
 enum class RefusalReason : uint8_t {
     NoTarget, // no endpoint or replica is available
+    TooLarge, // its prompt exceeds the memory of every endpoint or replica
     QueueTooLong, // more requests are queued ahead of it than can start in time
     WaitedTooLong, // no slot became free in time
 };
--- a/packages/proxy/ProxyConfiguration.h
+++ b/packages/proxy/ProxyConfiguration.h
@@ -72,6 +72,7 @@
     double stepMs = 0; // ms for a decode step (one token of each request) at timeFactor 1
     double stepMsPerRequest = 0; // additional ms per decode step for each request in the batch
     uint32_t stepsPerEvent = 1; // decode steps between two events of a stream
+    uint64_t memoryTokens = 0; // tokens that the memory of a replica holds; 0: unknown
     double spanningTimeFactor = 0; // factor on the times of a replica whose engines are in several fabric domains; 0: unknown
 
     // Returns the time in ms to process one prompt token; 0 if not configured.
--- a/packages/proxy/Target.cpp
+++ b/packages/proxy/Target.cpp
@@ -43,6 +43,7 @@
                 continue;
             target.model = endpoint.model;
             target.slots = service.engines->slots;
+            target.memoryTokens = service.engines->memoryTokens;
             if (spanning.count({ endpoint.membership->group, endpoint.membership->epoch }) > 0)
                 target.timeFactor = service.engines->spanningTimeFactor;
             if (const ReplicaModel* model = service.engines->findModel(endpoint.model)) {
--- a/packages/proxy/Target.h
+++ b/packages/proxy/Target.h
@@ -20,6 +20,7 @@
     uint32_t slots = 1; // concurrent requests
     double promptMsPerToken = 0; // ms to process a prompt token; 0: prompts cost no time
     double eventIntervalMs = 0; // ms between two events of each stream in a full batch; 0: unknown
+    uint64_t memoryTokens = 0; // tokens that its memory holds; 0: unknown
     double timeFactor = 1; // factor on the times of the model: above 1 if the replica spans fabric domains
 
     // Returns whether the replica spans fabric domains: it is slower than others of its model.
@@ -28,6 +29,9 @@
     // Returns the time in ms to process a prompt.
     double promptMs(uint32_t tokens) const { return promptMsPerToken * tokens; }
 
+    // Returns whether its memory holds a prompt of this length.
+    bool holdsPrompt(uint32_t tokens) const { return memoryTokens == 0 || tokens <= memoryTokens; }
+
     bool operator==(const Target&) const = default;
 
     // Returns whether both describe the same endpoint with the same model, so that its known load stays valid.
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -87,6 +87,29 @@
     EXPECT_GT(refused_.at(id).retryAfter.count(), 0);
 }
 
+// Guards against a request that is sent to one endpoint after the other, each of which rejects it.
+TEST_F(DispatcherTest, PromptThatNoTargetHoldsIsRefusedAtOnce)
+{
+    Target small = engine("e1");
+    small.memoryTokens = 90000;
+    dispatcher_.setTargets("engines", { small });
+    const uint64_t huge = submitPrompt(90001);
+    EXPECT_TRUE(placed_.empty());
+    ASSERT_EQ(refused_.count(huge), 1U);
+    EXPECT_EQ(refused_.at(huge).reason, RefusalReason::TooLarge);
+    EXPECT_EQ(refused_.at(huge).retryAfter, Millis(2000)) << "a repetition would be refused, too";
+    EXPECT_EQ(placed_.count(submitPrompt(90000)), 1U);
+    EXPECT_EQ(refused_.count(submitPrompt(0)), 0U) << "its length is unknown";
+}
+
+TEST_F(DispatcherTest, PromptThatOneTargetHoldsIsPlaced)
+{
+    Target small = engine("e1");
+    small.memoryTokens = 90000;
+    dispatcher_.setTargets("engines", { small, engine("e2") });
+    EXPECT_EQ(placed_.count(submitPrompt(90001)), 1U);
+}
+
 // Found by random testing (mix, seed 775646345129): a stream that had to be resumed at another replica was aborted
 // immediately, because every replica of its model was suspect at that moment.
 TEST_F(DispatcherTest, StartedStreamWaitsForATarget)
--- a/tests/DocumentsTest.cpp
+++ b/tests/DocumentsTest.cpp
@@ -73,6 +73,14 @@
         EXPECT_TRUE(adapter::decodeEndpoint({ .key = key, .value = entryWith("more", nested(open, close, 1000)) }).ok());
 }
 
+TEST(ServiceDocument, NamesTheMemoryOfAReplica)
+{
+    const absl::StatusOr<ProxyConfiguration> configuration = adapter::decodeConfiguration(R"({"version":1,"routes":[],"services":[{"name":"engines","engine":{"models":[],"kv_capacity":90000}},{"name":"others","engine":{"models":[]}}]})");
+    ASSERT_TRUE(configuration.ok()) << configuration.status();
+    EXPECT_EQ(configuration->findService("engines")->engines->memoryTokens, 90000U);
+    EXPECT_EQ(configuration->findService("others")->engines->memoryTokens, 0U) << "unknown";
+}
+
 // Guards against a node that stops following the list, or ends, because of one entry.
 TEST(OddEntry, LeavesTheOthersInTheList)
 {
--- a/tests/ProxyLoadsTest.cpp
+++ b/tests/ProxyLoadsTest.cpp
@@ -51,6 +51,22 @@
     }
 };
 
+// Guards against a request that is sent to one endpoint after the other, each of which rejects it. The caller learns that it has
+// not run.
+TEST_F(ProxyLoadsTest, PromptThatNoEndpointHoldsIsRefusedUnsent)
+{
+    configure();
+    Target small = engine("e1", first_);
+    small.memoryTokens = 90000;
+    dispatcher_.setTargets("desk", { small });
+    script([](int) { return ScriptedResponse { sealedResponse("r1", "whole") }; });
+    const std::string answer = exchange(request("/draft/7", "r1", hugePrompt));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+    EXPECT_NE(answer.find("Retry-After: 2.00"), std::string::npos) << answer;
+    EXPECT_EQ(requestCount(), 0U);
+    EXPECT_NE(logLines_.read().find("reason=too_large"), std::string::npos);
+}
+
 // Guards against an endpoint that gets no stream for the time of a prompt that it rejected, or answered sooner than expected.
 TEST_F(ProxyLoadsTest, PromptOfARejectedRequestHoldsNothingUp)
 {
--- a/tests/TargetTest.cpp
+++ b/tests/TargetTest.cpp
@@ -35,6 +35,16 @@
     EXPECT_DOUBLE_EQ(targets[1].eventIntervalMs, 25);
 }
 
+TEST(Target, HoldsPromptsUpToTheMemoryOfAReplica)
+{
+    EndpointService service = makeService(1);
+    EXPECT_TRUE(findTargets({ member("e1", "g1", 0, "f1") }, service).at(0).holdsPrompt(UINT32_MAX)) << "unknown";
+    service.engines->memoryTokens = 90000;
+    const Target target = findTargets({ member("e1", "g1", 0, "f1") }, service).at(0);
+    EXPECT_TRUE(target.holdsPrompt(90000));
+    EXPECT_FALSE(target.holdsPrompt(90001));
+}
+
 // A member of an earlier epoch tells nothing about the group's present members.
 TEST(Target, OnlyMembersOfTheSameEpochCount)
 {
