Share the streams that precede the tests of late ones

Two tests of the shutdown began with the same seven lines: they let the gateway serve streams of the usual length, by which it estimates later ones. The fixture does so now; bounds and checks are unchanged. Built with warnings as errors, formatted, linted; the three GatewayShutdown tests pass.

--- a/tests/GatewayShutdownProcessTest.cpp
+++ b/tests/GatewayShutdownProcessTest.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/str_cat.h>
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
+#include <utility>
 
 namespace hemlockweir {
 
@@ -91,6 +92,19 @@
             return runUntil([&] { return stream->end.has_value(); }) && stream->isWhole();
         }
 
+        // Lets the gateway serve streams of the usual length, by which it estimates later ones. Returns whether all were whole.
+        bool serveUsualStreams()
+        {
+            if (!runUntil([&] { return isServed("large", shortStreamEvents); }))
+                return false;
+            streams_.clear();
+            for (int i = 0; i < warmUps; ++i)
+                send("large", usualStreamEvents, Millis(0));
+            awaitEnds();
+            const auto served = std::exchange(streams_, {});
+            return std::all_of(served.begin(), served.end(), [](const auto& stream) { return stream->isWhole(); });
+        }
+
         bool wasRun(const std::string& id)
         {
             for (const std::string& engine : cluster_.engines()) {
@@ -148,13 +162,7 @@
 // whether it was taken.
 TEST_F(GatewayShutdown, LateStreamThatIsLongerThanAnyRecentOneIsRefused)
 {
-    ASSERT_TRUE(runUntil([&] { return isServed("large", shortStreamEvents); }));
-    streams_.clear();
-    for (int i = 0; i < warmUps; ++i)
-        send("large", usualStreamEvents, Millis(0));
-    awaitEnds();
-    ASSERT_TRUE(std::all_of(streams_.begin(), streams_.end(), [](const auto& stream) { return stream->isWhole(); }));
-    streams_.clear();
+    ASSERT_TRUE(serveUsualStreams());
     const Millis stoppedAt = clock_();
     cluster_.processes().terminate(gateway_);
     ASSERT_TRUE(runUntil([&] { return clock_() - stoppedAt >= servedUntil - Millis(sendIntervalMs); }));
@@ -169,13 +177,7 @@
 // Guards against a stream that is cut at the exit because recent ones were faster: what was seen lately is no bound.
 TEST_F(GatewayShutdown, LateStreamIsNotTakenByThePaceOfRecentOnes)
 {
-    ASSERT_TRUE(runUntil([&] { return isServed("large", shortStreamEvents); }));
-    streams_.clear();
-    for (int i = 0; i < warmUps; ++i)
-        send("large", usualStreamEvents, Millis(0));
-    awaitEnds();
-    ASSERT_TRUE(std::all_of(streams_.begin(), streams_.end(), [](const auto& stream) { return stream->isWhole(); }));
-    streams_.clear();
+    ASSERT_TRUE(serveUsualStreams());
     for (const std::string& engine : cluster_.engines())
         cluster_.processes().setFaults(engine, { { "slow", slowFactor } });
     const Millis stoppedAt = clock_();
