Count what an endpoint takes of a large request as progress

What callers saw: a body of 4,000,000 bytes, within the limits, to endpoints behind links of 14 Mbit/s was sent to two of three of them, and the link carried it twice; with one endpoint it ended with 502 after half a second. Cause: ProxyFlow::checkInactivity() measured silence from the moment of the send, whatever the endpoint had taken since. A body that takes longer than the silence an endpoint is allowed was given up while it was on its way. Why it works: bytes that the endpoint's host has acknowledged (SIOCOUTQ, and what the writer still holds) are progress for requests of 64 KB and more; the kernel takes smaller ones at once, so nothing changes for them. An endpoint that takes nothing is given up as before.

--- a/packages/http/ClientConnection.cpp
+++ b/packages/http/ClientConnection.cpp
@@ -9,6 +9,8 @@
 #include <charconv>
 #include <glog/logging.h>
 #include <limits>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 namespace hemlockweir {
 
@@ -129,6 +131,14 @@
     noteHeldBytes();
 }
 
+size_t ClientConnection::untakenBytes() const
+{
+    int unacknowledged = 0; // bytes that the kernel keeps for the server
+    if (isClosed_ || ::ioctl(const_cast<SocketWriter::Socket&>(socket_).native_handle(), SIOCOUTQ, &unacknowledged) != 0)
+        unacknowledged = 0;
+    return request_.size() + writer_.unsentBytes() + static_cast<size_t>(unacknowledged);
+}
+
 void ClientConnection::waitForBytes()
 {
     socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
--- a/packages/http/ClientConnection.h
+++ b/packages/http/ClientConnection.h
@@ -80,6 +80,9 @@
     // Returns whether another exchange may follow on this connection.
     bool isReusable() const { return isConnected_ && !isExchanging_ && keepsAlive_; }
 
+    // Returns the bytes of the request that the server's host has not taken yet.
+    size_t untakenBytes() const;
+
     // Returns whether the request of the current or last exchange was written, at least in part.
     bool wasSent() const { return wasSent_; }
 
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -18,6 +18,8 @@
 static constexpr Millis deadlineMargin { 10 };
 static constexpr Millis defaultDeadline { 60000 };
 static constexpr size_t maxRequestIdBytes = 128;
+// Body from which on it is observed how an endpoint takes it. The kernel takes a smaller one at once.
+static constexpr size_t largeBodyBytes = size_t { 64 } * 1024;
 
 ProxyFlow::ProxyFlow(ProxyContext& context, Options options)
     : context_(context)
@@ -225,7 +227,8 @@
     }
     if (!hasMemoryFor(target))
         return;
-    attempt_.emplace(Attempt { .target = target, .sentAt = now, .exitOutlook = exitOutlook(), .progressAt = now });
+    const size_t bodyBytes = options_.request.body.size();
+    attempt_.emplace(Attempt { .target = target, .sentAt = now, .exitOutlook = exitOutlook(), .untakenBytes = bodyBytes >= largeBodyBytes ? bodyBytes : 0, .progressAt = now });
     lastTarget_ = target.id;
     ++sends_;
     const auto self = shared_from_this();
@@ -399,6 +402,17 @@
     finish(status == statusUnavailable ? "refused" : "failed", reason);
 }
 
+// What an endpoint takes of a large request is progress: its link may need longer for the whole than it may be silent.
+void ProxyFlow::noteTakenBytes(Millis now)
+{
+    if (attempt_->untakenBytes == 0)
+        return;
+    const size_t untaken = attempt_->connection->untakenBytes();
+    if (untaken < attempt_->untakenBytes)
+        attempt_->progressAt = now;
+    attempt_->untakenBytes = untaken;
+}
+
 void ProxyFlow::checkInactivity(Millis now)
 {
     if (!attempt_->connection->wasSent()) {
@@ -406,6 +420,7 @@
             retryOrFail("connect_timeout", true);
         return;
     }
+    noteTakenBytes(now);
     if (now - attempt_->progressAt < inactivityTimeout(route_, attempt_->head.has_value()) || !route_.isRetryable())
         return;
     // A slow stream is not given up unless another endpoint may continue it.
--- a/packages/proxy/ProxyFlow.h
+++ b/packages/proxy/ProxyFlow.h
@@ -58,7 +58,9 @@
         Millis sentAt { 0 };
         std::optional<ExitOutlook> exitOutlook; // if this node was stopping when it sent the request
         Millis firstEventAt { 0 }; // when the first complete event of a stream arrived
-        Millis progressAt { 0 }; // when the head, the last part of the body or, of a stream, the last complete event arrived
+        size_t untakenBytes = 0; // of a large request, when last asked; 0: all were taken, or the request is small
+        bool isSilenceNoted = false;
+        Millis progressAt { 0 }; // when bytes of a large request were last taken, or the head, the last part of the body or, of a stream, the last complete event arrived
         std::optional<ResponseHead> head;
         std::string body; // buffered until the response is complete; empty for streams
         bool hasBody = false; // part of the body or, of a stream, a complete event arrived
@@ -119,6 +121,7 @@
     void giveUp(std::string_view reason);
     void fail(std::string_view reason);
     void sendError(int status, std::string_view reason, std::optional<Millis> retryAfter = std::nullopt);
+    void noteTakenBytes(Millis now);
     void checkInactivity(Millis now);
     void cancel();
     void abortAnswer(const std::string& end, std::string_view reason);
--- a/standins/proxy.cpp
+++ b/standins/proxy.cpp
@@ -11,6 +11,7 @@
 //   NAME.answer_delay_ms  delay towards the caller; default: the same as delay_ms
 //   NAME.cut_from         text ADDRESS:PORT,...: drop datagrams of these senders, for cuts in one direction
 //   NAME.drop_answers     bool: forward only towards the target
+//   NAME.bytes_per_s      number: read at most so many bytes a second from each caller; the rest stays with its kernel
 
 #include "StandIn.h"
 
@@ -54,6 +55,7 @@
     int blackHole = 0;
     int delayMs = 0;
     int answerDelayMs = 0;
+    int bytesPerSecond = 0; // 0: no limit
     QStringList cutFrom; // UDP senders, ADDRESS:PORT
 };
 
@@ -86,6 +88,7 @@
             connect(socket, &QTcpSocket::errorOccurred, this, [this] { close(); });
         }
         connect(target_, &QTcpSocket::connected, this, [this] { forward(); });
+        limitRate();
         target_->connectToHost(target.address, target.port);
     }
 
@@ -115,6 +118,24 @@
         qint64 dueAt = 0;
     };
 
+    // Lets the kernel take only little, and reads it in small parts.
+    void limitRate()
+    {
+        const int bytesPerSecond = faults_().bytesPerSecond;
+        if (bytesPerSecond == 0)
+            return;
+        constexpr int intervalMs = 10;
+        constexpr int kernelBytes = 64 * 1024;
+        bytesPerInterval_ = std::max(1, bytesPerSecond * intervalMs / 1000);
+        caller_->setReadBufferSize(bytesPerInterval_);
+        caller_->setSocketOption(QAbstractSocket::ReceiveBufferSizeSocketOption, kernelBytes);
+        connect(&rateTimer_, &QTimer::timeout, this, [this] {
+            mayRead_ = true;
+            forward();
+        });
+        rateTimer_.start(intervalMs);
+    }
+
     bool isBlocked(const LinkFaults& faults) const
     {
         return faults.freeze || faults.silence != silenceAtStart_ || faults.blackHole != blackHoleAtStart_;
@@ -132,6 +153,8 @@
     {
         if (to->state() != QAbstractSocket::ConnectedState || from->bytesAvailable() == 0)
             return;
+        if (from == caller_ && bytesPerInterval_ > 0 && !std::exchange(mayRead_, false))
+            return;
         // If the delay becomes shorter, bytes must not overtake earlier ones.
         std::deque<Chunk>& chunks = from == caller_ ? towardsTarget_ : towardsCaller_;
         const qint64 now = QDateTime::currentMSecsSinceEpoch();
@@ -181,6 +204,9 @@
     ReadFaults faults_;
     int silenceAtStart_;
     int blackHoleAtStart_;
+    QTimer rateTimer_;
+    int bytesPerInterval_ = 0; // 0: no limit
+    bool mayRead_ = false; // in this interval
     bool isBlackHoled_ = false;
     bool closing_ = false;
 };
@@ -290,6 +316,7 @@
                 .blackHole = standIn.fault((name + ".black_hole").c_str()),
                 .delayMs = delayMs,
                 .answerDelayMs = standIn.faults()[QString::fromStdString(name + ".answer_delay_ms")].toInt(delayMs),
+                .bytesPerSecond = standIn.fault((name + ".bytes_per_s").c_str()),
                 .cutFrom = standIn.faults()[QString::fromStdString(name + ".cut_from")].toString().split(',', Qt::SkipEmptyParts) };
         };
         if (parts.size() > 3 && parts[3] == "udp")
