Keep an attempt at the only endpoint that may run a request

What callers saw: a request to a service with one endpoint ended with 502 once the endpoint was silent for half a second, and every other caller got 503 (no_target) for more than a second, although the endpoint was at work. So a few slow requests took a service away from all others. Cause: checkInactivity() asked whether a retry was allowed, not whether there was an endpoint for it, contrary to its comment; the failed attempt then made the only endpoint suspect. Why it works: an attempt is given up only if another usable target exists. Else the request waits for its answer or its deadline, and the planner probes the members of a replica once, as it did before.

--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -341,6 +341,21 @@
         options_.onSuspect(load.target, isUnresponsive);
 }
 
+void Dispatcher::noteSilence(const std::string& targetId)
+{
+    const auto found = loads_.find(targetId);
+    if (found != loads_.end() && options_.onSuspect)
+        options_.onSuspect(found->second.target, false);
+}
+
+bool Dispatcher::hasTargetBeside(const std::string& service, const std::string& model, const std::set<std::string>& endpoints) const
+{
+    const Millis now = options_.clock();
+    const auto isCandidate = [&](const TargetLoad* load) { return load->isUsable(now) && endpoints.count(load->target.id) == 0; };
+    const ModelLoads& loads = loadsFor({ service, model });
+    return std::any_of(loads.local.begin(), loads.local.end(), isCandidate) || std::any_of(loads.spanning.begin(), loads.spanning.end(), isCandidate);
+}
+
 void Dispatcher::noteRejection(const std::string& targetId)
 {
     const auto found = loads_.find(targetId);
--- a/packages/proxy/Dispatcher.h
+++ b/packages/proxy/Dispatcher.h
@@ -59,6 +59,12 @@
     // Records that an endpoint failed a request: it sent no response or an invalid one.
     void noteFailure(const std::string& targetId, bool isUnresponsive);
 
+    // Records that the only endpoint that may run a request is silent. It gets further requests, since no other may run them.
+    void noteSilence(const std::string& targetId);
+
+    // Returns whether the model has a target that may get requests now, beside the given endpoints.
+    bool hasTargetBeside(const std::string& service, const std::string& model, const std::set<std::string>& endpoints) const;
+
     // Records that an endpoint rejected a request. It may just be full for a moment, but several rejections in a row
     // count as a failure.
     void noteRejection(const std::string& targetId);
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -423,9 +423,15 @@
     noteTakenBytes(now);
     if (now - attempt_->progressAt < inactivityTimeout(route_, attempt_->head.has_value()) || !route_.isRetryable())
         return;
-    // A slow stream is not given up unless another endpoint may continue it.
-    if (canRetry(ExecutionState::MayHaveRun, executions_ + 1) && context_.retries.hasBudget(service_))
+    // A slow request is not given up unless another endpoint may run or continue it.
+    if (!canRetry(ExecutionState::MayHaveRun, executions_ + 1) || !context_.retries.hasBudget(service_))
+        return;
+    std::set<std::string> tried = excludedEndpoints_;
+    tried.insert(attempt_->target.id);
+    if (context_.dispatcher.hasTargetBeside(service_, model_, tried))
         retryOrFail("endpoint_silent", true);
+    else if (!std::exchange(attempt_->isSilenceNoted, true))
+        context_.dispatcher.noteSilence(attempt_->target.id);
 }
 
 void ProxyFlow::checkTimeouts()
--- a/tests/LargeBodyProcessTest.cpp
+++ b/tests/LargeBodyProcessTest.cpp
@@ -60,6 +60,20 @@
     Cluster cluster_;
 };
 
+TEST_F(GatewayLargeBody, IsServedByTheOnlyEndpointBesideOrdinaryRequests)
+{
+    start({ "desk-1" });
+    RawClient caller(cluster_.addressOf("g"));
+    caller.send(makeRequest("/x", QByteArray(bodyBytes, 'x'), "large"));
+    int ordinary = 0;
+    waitUntil([&] {
+        EXPECT_EQ(send(makeRequest("/x", "hi", "ordinary-" + QByteArray::number(++ordinary))), 200);
+        return testing::Test::HasFailure() || caller.received().contains("\r\n\r\n") || caller.socket().state() == QAbstractSocket::UnconnectedState;
+    });
+    EXPECT_EQ(caller.waitForStatus(), 200);
+    EXPECT_EQ(arrivals("desk-1", "large"), 1U);
+}
+
 TEST_F(GatewayLargeBody, IsSentToOneOfSeveralEndpoints)
 {
     start({ "desk-1", "desk-2", "desk-3" });
@@ -68,6 +82,20 @@
     EXPECT_FALSE(cluster_.logOf("g").contains("endpoint_silent"));
 }
 
+// An answer that takes longer than an endpoint may be silent is awaited, since no other endpoint could give one.
+TEST_F(GatewayLargeBody, SlowAnswerOfTheOnlyEndpointIsAwaited)
+{
+    start({ "desk-1" });
+    cluster_.setFaults("desk-1", { { "slow", 200 } });
+    RawClient caller(cluster_.addressOf("g"));
+    caller.send(makeRequest("/x", "hi", "slow"));
+    ASSERT_TRUE(waitUntil([&] { return arrivals("desk-1", "slow") == 1; }));
+    cluster_.setFaults("desk-1", { { "slow", 0 } });
+    EXPECT_EQ(caller.waitForStatus(), 200);
+    EXPECT_EQ(send(makeRequest("/x", "hi", "next")), 200);
+    EXPECT_EQ(arrivals("desk-1", "slow"), 1U);
+}
+
 // The node of the project's own interface.
 TEST(NodeLargeBody, IsServedByTheOnlyEndpoint)
 {
