Derive the bounds that the settings don't name from the machine

What callers saw: without [gateway.memory] 80 clients with one large chunk took 331 MB of a gateway (the users' first look), and on a machine of 112 MB such clients ended the process. The project's own node held up to a gigabyte on any machine, and 4,096 connections with 256 descriptors. Cause: the budgets were constants where the settings named no memory, and descriptors bounded nothing on the node. Evidence: GatewaySettings.DerivesTheBoundsFromTheMachineWithoutSettings and Settings.DerivesBoundsFromTheMachine state the bounds of a machine of 112 MB; the old parsers take no machine. Why it works: the memory of the machine, of the control groups and of the address space, whichever is least, takes the place of an absent setting, and the limit of descriptors, which the process raises to its hard limit, that of max_open_files. What the settings name holds as before, and 1 GiB and 4,096 connections stay the most without settings. More connections than the descriptors leave are an error.

--- a/packages/config/Settings.cpp
+++ b/packages/config/Settings.cpp
@@ -1,5 +1,6 @@
 #include "config/Settings.h"
 
+#include "config/ConnectionShares.h"
 #include "config/TomlReader.h"
 
 #include <QHostAddress>
@@ -8,6 +9,10 @@
 
 namespace hemlockweir {
 
+// Memory to have for each connection, in bytes, with its buffers.
+static constexpr size_t plainConnectionBytes = size_t { 16 } * 1024;
+static constexpr size_t tlsConnectionBytes = size_t { 64 } * 1024;
+
 std::string Endpoint::toString() const
 {
     const bool isIpv6 = address.find(':') != std::string::npos;
@@ -112,14 +117,32 @@
         reader.addError("key_file", "is required with certificate_file; write the path of the PEM private key, or leave both out for plain HTTP");
 }
 
-static void readLimits(TableReader& reader, Settings& settings)
+// Lowers the bounds of the settings to what the machine can hold.
+static void applyMachine(const MachineLimits& machine, Settings& settings)
+{
+    // The memory is also for requests at work, for what the allocator does not return, and for the buffers of the kernel.
+    constexpr size_t callerMemoryShare = 4;
+    settings.callerMemory = shareOfMemory(machine, callerMemoryShare, settings.callerMemory);
+    if (!machine.openFiles)
+        return;
+    const ConnectionShares shares = shareDescriptors(*machine.openFiles);
+    settings.maxConnections = static_cast<int>(std::min(static_cast<size_t>(settings.maxConnections), shares.callers));
+    settings.maxPeerConnections = static_cast<int>(std::min(static_cast<size_t>(settings.maxPeerConnections), shares.control));
+}
+
+static void readLimits(TableReader& reader, Settings& settings, const MachineLimits& machine)
 {
     settings.headBytes = static_cast<size_t>(reader.readInteger("head_bytes", static_cast<int64_t>(settings.headBytes), 1024, 1024 * 1024));
     settings.bodyBytes = static_cast<size_t>(reader.readInteger("body_bytes", static_cast<int64_t>(settings.bodyBytes), 1024, 1024 * 1024 * 1024));
     settings.requestTimeout = readMillis(reader, "request_timeout_ms", settings.requestTimeout, 10);
     settings.idleTimeout = readMillis(reader, "idle_timeout_ms", settings.idleTimeout, 10);
     settings.callerMemory = static_cast<size_t>(reader.readInteger("caller_memory_bytes", static_cast<int64_t>(settings.callerMemory), 1024 * 1024, int64_t { 1024 } * 1024 * 1024 * 1024));
-    settings.maxConnections = static_cast<int>(reader.readInteger("max_connections", settings.maxConnections, 1, 1000000));
+    // Many connections without any request must leave room in the budget. TLS takes more of it.
+    const size_t connectionBytes = settings.tlsCertificateFile.empty() ? plainConnectionBytes : tlsConnectionBytes;
+    const int fitting = static_cast<int>(std::max<size_t>(1, std::min(static_cast<size_t>(settings.maxConnections), settings.callerMemory / connectionBytes)));
+    settings.maxConnections = static_cast<int>(reader.readInteger("max_connections", fitting, 1, 1000000));
+    if (machine.openFiles && static_cast<size_t>(settings.maxConnections) > shareDescriptors(*machine.openFiles).callers)
+        reader.addError("max_connections", "leaves too few of the " + std::to_string(*machine.openFiles) + " descriptors that the process may open; write at most " + std::to_string(shareDescriptors(*machine.openFiles).callers) + " or raise the hard limit of descriptors (ulimit -Hn)");
     settings.maxConnectionsPerAddress = static_cast<int>(reader.readInteger("max_connections_per_address", settings.maxConnectionsPerAddress, 1, 1000000));
     const int defaultPerAddress = Settings().maxConnectionsPerAddress;
     if (settings.maxConnectionsPerAddress > settings.maxConnections && settings.maxConnectionsPerAddress != defaultPerAddress)
@@ -158,16 +181,17 @@
         reader.addError("status_freshness_ms", "write at least twice status_interval_ms, otherwise no group is ever served");
 }
 
-absl::StatusOr<Settings> parseSettings(const std::string& text, const std::string& file)
+absl::StatusOr<Settings> parseSettings(const std::string& text, const std::string& file, const MachineLimits& machine)
 {
     const absl::StatusOr<toml::table> table = parseToml(text, file);
     if (!table.ok())
         return table.status();
     Settings settings;
+    applyMachine(machine, settings);
     std::vector<std::string> errors;
     TableReader root(*table, file, "", errors);
     const toml::table empty;
-    auto readSection = [&](std::string_view name, void (*read)(TableReader&, Settings&)) {
+    auto readSection = [&](std::string_view name, const std::function<void(TableReader&, Settings&)>& read) {
         const toml::table* section = root.readTable(name);
         TableReader reader(section ? *section : empty, file, std::string(name), errors);
         read(reader, settings);
@@ -176,7 +200,7 @@
     readSection("node", readNode);
     readSection("platform", readPlatform);
     readSection("tls", readTls);
-    readSection("limits", readLimits);
+    readSection("limits", [&machine](TableReader& reader, Settings& read) { readLimits(reader, read, machine); });
     readSection("schedule", readSchedule);
     readSection("timing", readTiming);
     root.rejectUnknownKeys();
--- a/packages/config/Settings.h
+++ b/packages/config/Settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Clock.h"
+#include "base/MachineLimits.h"
 
 #include <absl/status/statusor.h>
 #include <string>
@@ -51,8 +52,9 @@
     Millis requestTimeout { 10000 }; // ms, first byte to last byte of a request; also limits the TLS handshake
     Millis idleTimeout { 60000 }; // ms, between requests of a connection
     size_t callerMemory = size_t { 1024 } * 1024 * 1024; // bytes held for callers; over it, the largest and slowest unfinished requests are dropped
-    int maxConnections = 4096;
+    int maxConnections = 4096; // over it, the connection that has waited longest without a request at work is closed
     int maxConnectionsPerAddress = 1024;
+    int maxPeerConnections = 128; // open connections of other nodes; derived from the machine
     int maxWaiting = 2000; // requests waiting for a slot
     int claimSharingNodes = 8; // with this many live nodes or more, a failure domain shares calls for claims
     int maxRequestsPerCaller = 1000; // waiting and running requests of one caller at this node
@@ -74,7 +76,8 @@
     Millis shutdownTimeout { 3600000 }; // ms, for requests in flight at a planned stop
 };
 
-// Parses and validates the text of a settings file. The error lists every mistake with file and line.
-absl::StatusOr<Settings> parseSettings(const std::string& text, const std::string& file);
+// Parses and validates the text of a settings file. Bounds on memory and connections that it doesn't name are derived from the
+// machine. The error lists every mistake with file and line.
+absl::StatusOr<Settings> parseSettings(const std::string& text, const std::string& file, const MachineLimits& machine = {});
 
 } // namespace hemlockweir
--- a/packages/gateway/GatewaySettings.cpp
+++ b/packages/gateway/GatewaySettings.cpp
@@ -1,5 +1,6 @@
 #include "gateway/GatewaySettings.h"
 
+#include "config/ConnectionShares.h"
 #include "config/TomlReader.h"
 
 #include <algorithm>
@@ -15,13 +16,6 @@
 static constexpr size_t budgetShare = 4;
 // Memory budgeted for each connection of a caller, so that many small heads can't take the budget before they are refused.
 static constexpr size_t bytesPerConnection = size_t { 16 } * 1024;
-// A quarter of the descriptors, within these bounds, is kept for all that is no caller and no endpoint: listeners, the
-// store, other nodes, probes and orders, and operators. Of that, a quarter each is for the control and the ready address.
-static constexpr size_t minReserved = 64;
-static constexpr size_t maxReserved = 512;
-static constexpr size_t reservedShare = 4;
-// A request at work has a connection from its caller and one to its endpoint. Idle connections to endpoints take the rest.
-static constexpr size_t callerFifths = 2;
 
 bool hasGatewaySettings(const std::string& text, const std::string& file)
 {
@@ -45,18 +39,28 @@
 // Derives the bounds from the descriptors that the process may open.
 static void boundConnections(ProcessBounds& bounds, size_t maxOpenFiles)
 {
-    const size_t reserved = std::clamp(maxOpenFiles / reservedShare, minReserved, maxReserved);
-    const size_t fifth = (maxOpenFiles - reserved) / 5;
-    bounds.callerConnections = std::min(callerFifths * fifth, bounds.callerMemory / bytesPerConnection);
-    bounds.controlConnections = reserved / reservedShare;
-    bounds.idleEndpointConnections = fifth;
+    const ConnectionShares shares = shareDescriptors(maxOpenFiles);
+    bounds.callerConnections = std::min(shares.callers, bounds.callerMemory / bytesPerConnection);
+    bounds.controlConnections = shares.control;
+    bounds.idleEndpointConnections = shares.idleEndpoints;
 }
 
-static ProcessBounds readBounds(TableReader& reader)
+// Returns the bounds that hold without settings.
+static ProcessBounds deriveBounds(const MachineLimits& machine)
+{
+    ProcessBounds bounds;
+    bounds.callerMemory = shareOfMemory(machine, budgetShare, bounds.callerMemory);
+    bounds.endpointMemory = shareOfMemory(machine, budgetShare, bounds.endpointMemory);
+    if (machine.openFiles)
+        boundConnections(bounds, *machine.openFiles);
+    return bounds;
+}
+
+static ProcessBounds readBounds(TableReader& reader, const MachineLimits& machine)
 {
     constexpr int64_t minMemory = 16; // MB, of the machine; a process at rest takes that much
     constexpr int64_t minOpenFiles = 128;
-    ProcessBounds bounds;
+    ProcessBounds bounds = deriveBounds(machine);
     const auto memory = static_cast<size_t>(reader.readInteger("memory_mb", 0, minMemory, maxMegabytes) * bytesPerMegabyte);
     const auto openFiles = static_cast<size_t>(reader.readInteger("max_open_files", 0, minOpenFiles, INT32_MAX));
     if (memory > 0)
@@ -69,17 +73,18 @@
     bounds.endpointMemory = readBudget("endpoint_memory_mb", bounds.endpointMemory);
     if (memory > 0 && bounds.callerMemory + bounds.endpointMemory > memory)
         reader.addError("caller_memory_mb", "with endpoint_memory_mb is above memory_mb; write budgets that fit into the memory together");
-    if (openFiles > 0)
-        boundConnections(bounds, openFiles);
+    const size_t usableFiles = openFiles > 0 ? openFiles : machine.openFiles.value_or(0);
+    if (usableFiles > 0)
+        boundConnections(bounds, usableFiles);
     const int64_t connections = reader.readInteger("max_connections", 0, 1, INT32_MAX);
-    if (connections > 0 && openFiles > 0 && static_cast<size_t>(connections) > bounds.callerConnections)
+    if (connections > 0 && usableFiles > 0 && static_cast<size_t>(connections) > bounds.callerConnections)
         reader.addError("max_connections", "leaves too few descriptors or too little memory; write at most " + std::to_string(bounds.callerConnections));
     if (connections > 0)
         bounds.callerConnections = static_cast<size_t>(connections);
     return bounds;
 }
 
-absl::StatusOr<GatewaySettings> parseGatewaySettings(const std::string& text, const std::string& file)
+absl::StatusOr<GatewaySettings> parseGatewaySettings(const std::string& text, const std::string& file, const MachineLimits& machine)
 {
     const absl::StatusOr<toml::table> table = parseToml(text, file);
     if (!table.ok())
@@ -126,9 +131,10 @@
         settings.retryWindow = Millis(retryReader.readInteger("window_ms", settings.retryWindow.count(), 100, maxMillis));
         retryReader.rejectUnknownKeys();
     }
+    settings.bounds = deriveBounds(machine);
     if (const toml::table* memory = reader.readTable("memory")) {
         TableReader memoryReader(*memory, file, "gateway.memory", errors);
-        settings.bounds = readBounds(memoryReader);
+        settings.bounds = readBounds(memoryReader, machine);
         memoryReader.rejectUnknownKeys();
     }
     reader.rejectUnknownKeys();
--- a/packages/gateway/GatewaySettings.h
+++ b/packages/gateway/GatewaySettings.h
@@ -8,8 +8,8 @@
 
 namespace hemlockweir {
 
-// Bounds on what the process holds for its peers. Without the bounds of the machine they are above everything that callers
-// within the limits of requests reach.
+// Bounds on what the process holds for its peers. If the machine is unknown too, they are above everything that callers within the
+// limits of requests reach.
 struct ProcessBounds {
     size_t callerMemory = size_t { 1024 } * 1024 * 1024; // bytes held for callers
     size_t endpointMemory = size_t { 1024 } * 1024 * 1024; // bytes held for endpoints
@@ -43,14 +43,15 @@
     double retryAllowance = 100; // additional retries per window, over all nodes
     Millis retryWindow { 10000 }; // ms
 
-    // [gateway.memory], of which the bounds of the machine are optional
+    // [gateway.memory]; what it doesn't name follows from the machine
     ProcessBounds bounds;
 };
 
 // Returns whether the text contains gateway settings.
 bool hasGatewaySettings(const std::string& text, const std::string& file);
 
-// Parses and validates the settings. The error lists every invalid setting with file and line.
-absl::StatusOr<GatewaySettings> parseGatewaySettings(const std::string& text, const std::string& file);
+// Parses and validates the settings. Bounds that they don't name are derived from the machine. The error lists every invalid
+// setting with file and line.
+absl::StatusOr<GatewaySettings> parseGatewaySettings(const std::string& text, const std::string& file, const MachineLimits& machine = {});
 
 } // namespace hemlockweir
--- a/programs/hemlockweir.cpp
+++ b/programs/hemlockweir.cpp
@@ -1,6 +1,7 @@
 // hemlockweir, the entry node. Reads its settings, runs until SIGTERM or SIGINT, then drains and stops.
 
 #include "base/Log.h"
+#include "base/MachineLimits.h"
 #include "config/TomlReader.h"
 #include "gateway/EventLoop.h"
 #include "node/Node.h"
@@ -74,14 +75,14 @@
 static void reloadGateway(Gateway& gateway, const std::string& path)
 {
     const absl::StatusOr<std::string> text = readTextFile(path);
-    gateway.reload(text.ok() ? parseGatewaySettings(*text, path) : text.status());
+    gateway.reload(text.ok() ? parseGatewaySettings(*text, path, readMachineLimits()) : text.status());
 }
 
 // Runs the gateway, a node that serves requests in front of the engines of a platform. With
 // `checkOnly`, only checks the settings.
 static int runGateway(const std::string& text, const std::string& path, bool checkOnly)
 {
-    const absl::StatusOr<GatewaySettings> settings = parseGatewaySettings(text, path);
+    const absl::StatusOr<GatewaySettings> settings = parseGatewaySettings(text, path, readMachineLimits());
     if (!settings.ok()) {
         std::cerr << settings.status().message() << '\n';
         return exitUsage;
@@ -117,6 +118,7 @@
 int main(int argc, char** argv)
 {
     returnFreedBuffers();
+    raiseDescriptorLimit();
     options::options_description description("hemlockweir: the entry node. Usage: hemlockweir --settings FILE");
     description.add_options()("help,h", "show this text")("settings,s", options::value<std::string>(), "the node's TOML settings file")(
         "check", "check the settings and exit");
@@ -145,7 +147,7 @@
     }
     if (hasGatewaySettings(*text, path))
         return runGateway(*text, path, values.count("check") > 0);
-    const absl::StatusOr<Settings> settings = parseSettings(*text, path);
+    const absl::StatusOr<Settings> settings = parseSettings(*text, path, readMachineLimits());
     if (!settings.ok()) {
         std::cerr << settings.status().message() << '\n';
         return exitUsage;
--- a/tests/GatewaySettingsTest.cpp
+++ b/tests/GatewaySettingsTest.cpp
@@ -60,9 +60,25 @@
     EXPECT_GT(settings->bounds.callerConnections, 900U);
 }
 
+// Seen with the settings left out: 80 callers took 331 MB of a process, since the budget was a gigabyte on any machine.
+TEST(GatewaySettings, DerivesTheBoundsFromTheMachineWithoutSettings)
+{
+    const MachineLimits machine { .memory = size_t { 112 } * 1024 * 1024, .openFiles = 2870 };
+    const absl::StatusOr<GatewaySettings> named = parseGatewaySettings(wellFormed + "\n[gateway.memory]\nmemory_mb = 112\nmax_open_files = 2870\n", "f");
+    for (const char* memory : { "", "\n[gateway.memory]\n" }) {
+        const absl::StatusOr<GatewaySettings> settings = parseGatewaySettings(wellFormed + memory, "f", machine);
+        ASSERT_TRUE(settings.ok()) << settings.status();
+        EXPECT_EQ(settings->bounds, named->bounds);
+    }
+    // What the settings name holds, whatever the machine has.
+    const absl::StatusOr<GatewaySettings> other = parseGatewaySettings(wellFormed + "\n[gateway.memory]\nmemory_mb = 64\nmax_open_files = 256\n", "f", machine);
+    EXPECT_EQ(other->bounds.callerMemory, 16U * 1024 * 1024);
+    EXPECT_LT(other->bounds.callerConnections, 128U);
+}
+
 TEST(GatewaySettings, RefusesBoundsThatTheMachineCannotHold)
 {
-    for (const char* memory : { "memory_mb = 15", "max_open_files = 64", "memory_mb = 32\ncaller_memory_mb = 30", "max_open_files = 256\nmax_connections = 200", "memory = 3" })
+    for (const char* memory : { "memory_mb = 15", "max_open_files = 64", "memory_mb = 32\ncaller_memory_mb = 30", "max_open_files = 256\nmax_connections = 200", "memory = 3", "discard_bytes = -1" })
         EXPECT_FALSE(parseGatewaySettings(wellFormed + "\n[gateway.memory]\n" + memory + "\n", "f").ok()) << memory;
 }
 
--- a/tests/SettingsTest.cpp
+++ b/tests/SettingsTest.cpp
@@ -33,6 +33,24 @@
     EXPECT_EQ(settings->maxRequestsPerCaller, 7);
 }
 
+TEST(Settings, DerivesBoundsFromTheMachine)
+{
+    const MachineLimits machine { .memory = size_t { 112 } * 1024 * 1024, .openFiles = 256 };
+    const std::string text = validNode + validPlatform;
+    const absl::StatusOr<Settings> settings = parseSettings(text, "n.toml", machine);
+    ASSERT_TRUE(settings.ok()) << settings.status();
+    EXPECT_EQ(settings->callerMemory, 28U * 1024 * 1024);
+    EXPECT_LT(2 * settings->maxConnections + settings->maxPeerConnections, 256);
+    EXPECT_EQ(parseSettings(text, "n.toml")->maxConnections, Settings().maxConnections);
+    // Connections with TLS take more memory.
+    const std::string tls = text + "[tls]\ncertificate_file = \"c\"\nkey_file = \"k\"\n";
+    const MachineLimits small { .memory = size_t { 16 } * 1024 * 1024, .openFiles = 100000 };
+    EXPECT_LT(parseSettings(tls, "n.toml", small)->maxConnections, parseSettings(text, "n.toml", small)->maxConnections);
+    const std::string error(parseSettings(text + "[limits]\nmax_connections = 200\n", "n.toml", machine).status().message());
+    EXPECT_NE(error.find("n.toml:12"), std::string::npos) << error;
+    EXPECT_NE(error.find("write at most 76"), std::string::npos) << error;
+}
+
 TEST(Settings, ReportsLocationAndFixOfEachError)
 {
     struct Case {
