Close what has waited longest when a node has too many connections

What callers saw: 300 clients that sent one byte each shut everyone else out of a node of the project's own interface until its timeouts ended their requests; clients that send a byte now and then keep it so. Cause: over max_connections the node refused the new connection, whoever held the others, and with fewer descriptors than that nothing was accepted at all. Why it works: the open connections are a second budget of one unit each, of which the one that has waited longest without a request at work is dropped, as the gateway does. A new connection is refused with 503 only if a request is at work on each other one, and closed where 16 such refusals linger. After an error of accept(), which stops Qt's server, the node tries again.

--- a/packages/http/HttpServer.cpp
+++ b/packages/http/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpServer.h"
 
+#include "base/AcceptRetry.h"
 #include "base/Log.h"
 #include "http/ValidatingSocket.h"
 
@@ -302,6 +303,7 @@
         workers_.push_back(std::make_unique<Worker>(options_, handler_, inFlight_, connections_, options_.workers > 0));
     acceptor_ = std::make_unique<Acceptor>(*this);
     acceptor_->setListenBacklogSize(1024);
+    resumeAfterErrors(*acceptor_);
     if (!acceptor_->listen(options_.address, options_.port)) {
         return absl::UnavailableError("cannot listen on " + options_.address.toString().toStdString() + ":"
             + std::to_string(options_.port) + ": " + acceptor_->errorString().toStdString());
@@ -315,6 +317,16 @@
         acceptor_->close();
 }
 
+size_t HttpServer::connectionCount() const
+{
+    return connections_->slots()->used();
+}
+
+uint64_t HttpServer::evictedConnections() const
+{
+    return connections_->slots()->drops();
+}
+
 quint16 HttpServer::port() const
 {
     return acceptor_ ? acceptor_->serverPort() : 0;
--- a/packages/http/HttpServer.h
+++ b/packages/http/HttpServer.h
@@ -41,7 +41,7 @@
     Millis requestTimeout { 10000 }; // ms, from the first to the last byte of one request; also limits the TLS handshake
     Millis idleTimeout { 60000 }; // ms, between requests
     Millis peerTimeout { 15000 }; // ms without a response from the peer host's TCP, after which the connection is aborted
-    int maxConnections = 4096; // open connections of all callers
+    int maxConnections = 4096; // open connections of all callers; over it, the one that has waited longest without a request at work is closed
     int maxConnectionsPerAddress = 1024; // open connections from one IP address
     qint64 replyBufferBytes = 1024 * 1024; // bytes that a slow reader may leave unread before it is disconnected
     std::shared_ptr<MemoryBudget> memory; // counts the bytes held for callers, of all workers; may be null
@@ -132,6 +132,12 @@
     // Returns the number of requests whose Exchange still exists.
     int requestsInFlight() const { return *inFlight_; }
 
+    // Returns the number of open connections.
+    size_t connectionCount() const;
+
+    // Returns the number of connections that were closed because there were too many.
+    uint64_t evictedConnections() const;
+
 private:
     class Acceptor;
     class Worker;
--- a/packages/http/MemoryBudget.h
+++ b/packages/http/MemoryBudget.h
@@ -9,7 +9,7 @@
 #include <unordered_set>
 
 // Counts the bytes that a process holds for one kind of peer and bounds them. Over the bound, it drops the holders that
-// have held the most bytes for the longest time. Thread-safe; no other lock is acquired while its mutex is held, except by
+// have held the most bytes for the longest time. It counts connections likewise, with one unit for each. Thread-safe; no other lock is acquired while its mutex is held, except by
 // the functions that drop a holder.
 
 namespace hemlockweir {
--- a/packages/http/ValidatingSocket.cpp
+++ b/packages/http/ValidatingSocket.cpp
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace hemlockweir {
 
@@ -37,17 +38,16 @@
 }
 
 ConnectionCount::ConnectionCount(int total, int perAddress)
-    : totalLimit_(total)
-    , perAddressLimit_(perAddress)
+    : perAddressLimit_(perAddress)
+    , slots_(std::make_shared<MemoryBudget>(static_cast<size_t>(total), makeSteadyClock()))
 {
 }
 
 bool ConnectionCount::acquire(const QString& address)
 {
     std::lock_guard lock(mutex_);
-    if (total_ >= totalLimit_ || byAddress_[address] >= perAddressLimit_)
+    if (byAddress_[address] >= perAddressLimit_)
         return false;
-    ++total_;
     ++byAddress_[address];
     return true;
 }
@@ -55,7 +55,6 @@
 void ConnectionCount::release(const QString& address)
 {
     std::lock_guard lock(mutex_);
-    --total_;
     if (--byAddress_[address] == 0)
         byAddress_.erase(address);
 }
@@ -68,6 +67,10 @@
         QMetaObject::invokeMethod(
             this, [this] { releaseMemory(); }, Qt::QueuedConnection);
     })
+    , slot_(connections_->slots(), [this] {
+        QMetaObject::invokeMethod(
+            this, [this] { giveUpSlot(); }, Qt::QueuedConnection);
+    })
     , scanner_(options.limits)
 {
     timer_.setSingleShot(true);
@@ -98,14 +101,40 @@
     else
         setReadBufferSize(readBytes);
     counted_ = connections_->acquire(peer_);
-    if (!counted_) {
-        refuse(503, "too many connections; try again later");
+    if (!takeSlot()) {
+        if (connections_->isCrowded())
+            abort();
+        else
+            refuse(503, "too many connections; try again later");
         return false;
     }
     restartTimer();
     return true;
 }
 
+// Takes one of the open connections. Returns false if the address has as many as it may, or a request is at work on each.
+bool ValidatingSocket::takeSlot()
+{
+    refused_ = !counted_;
+    noteSlot();
+    isTurnedAway_ = slot_.isDropping();
+    return counted_ && !isTurnedAway_;
+}
+
+// A connection that is being refused is closed first when there are too many.
+void ValidatingSocket::noteSlot()
+{
+    const Millis since = refused_ ? Millis(0) : connections_->slots()->now();
+    slot_.update(1, activeReplies_ > 0 ? MemoryBudget::Use::Needed : MemoryBudget::Use::Unfinished, since);
+}
+
+// Closes the connection, because there are too many and it has waited longest.
+void ValidatingSocket::giveUpSlot()
+{
+    if (activeReplies_ == 0 && !isTurnedAway_)
+        abort();
+}
+
 void ValidatingSocket::startTls()
 {
     connect(this, &QSslSocket::encrypted, this, &ValidatingSocket::restartTimer);
@@ -123,6 +152,7 @@
 {
     ++activeReplies_;
     requestBytes_ += requestBytes;
+    noteSlot();
     noteHeldBytes();
 }
 
@@ -157,6 +187,7 @@
     --activeReplies_;
     if (activeReplies_ == 0)
         requestBytes_ = 0;
+    noteSlot();
     noteHeldBytes();
     if (closesAfterReply_ && activeReplies_ == 0)
         disconnectFromHost();
@@ -246,6 +277,7 @@
 void ValidatingSocket::refuse(int status, const char* reason)
 {
     refused_ = true;
+    noteSlot();
     logInfo("request_refused", { { "peer", peer_.toStdString() }, { "status", std::to_string(status) }, { "reason", reason } });
     // Also removes the server's slot from the current emission of readyRead, so that it sees none of these bytes.
     disconnect(this, &QTcpSocket::readyRead, nullptr, nullptr);
--- a/packages/http/ValidatingSocket.h
+++ b/packages/http/ValidatingSocket.h
@@ -17,18 +17,27 @@
 public:
     ConnectionCount(int total, int perAddress);
 
-    // Adds a connection. Returns false when a limit is reached.
+    // Adds a connection of an address. Returns false when its limit is reached.
     bool acquire(const QString& address);
 
-    // Removes a connection.
+    // Removes a connection of an address.
     void release(const QString& address);
 
+    // Returns the budget of all open connections, each of which holds one unit. Over it, the connection that has waited longest
+    // without a request at work is closed.
+    const std::shared_ptr<MemoryBudget>& slots() const { return slots_; }
+
+    // Returns whether so many connections are open that a new one is closed without an answer.
+    bool isCrowded() const { return slots_->used() > slots_->limit() + maxRefusals; }
+
 private:
+    // Connections over the limit that are answered with a refusal at the same time.
+    static constexpr size_t maxRefusals = 16;
+
     std::mutex mutex_;
-    int totalLimit_;
     int perAddressLimit_;
-    int total_ = 0;
     std::map<QString, int> byAddress_;
+    std::shared_ptr<MemoryBudget> slots_;
 };
 
 // A server-side TCP socket that validates received bytes before Qt's HTTP server reads them. A request that is
@@ -64,6 +73,9 @@
 
 private:
     bool isHandshaking() const { return options_.tls && !isEncrypted(); }
+    bool takeSlot();
+    void noteSlot();
+    void giveUpSlot();
     void startTls();
     void scanReceived();
     void handleVerdict(ScanVerdict verdict);
@@ -78,6 +90,7 @@
     HttpServerOptions options_;
     std::shared_ptr<ConnectionCount> connections_;
     MemoryBudget::Holder held_;
+    MemoryBudget::Holder slot_; // one of the open connections
     RequestScanner scanner_;
     QTimer timer_;
     QString peer_;
@@ -89,6 +102,7 @@
     bool midRequest_ = false;
     bool refused_ = false;
     bool counted_ = false;
+    bool isTurnedAway_ = false; // refused because a request is at work on each open connection
     bool closesAfterReply_ = false;
 };
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -305,6 +305,12 @@
     metrics_.setGauge("hemlockweir_caller_memory_bytes", "Bytes held for callers", static_cast<double>(callerMemory_->used()));
     metrics_.setGauge("hemlockweir_caller_memory_limit_bytes", "Bound on the bytes held for callers", static_cast<double>(callerMemory_->limit()));
     metrics_.setGauge("hemlockweir_caller_memory_drops_total", "Unfinished requests and unread answers dropped to keep the bound", static_cast<double>(drops));
+    const uint64_t evictions = server_.evictedConnections();
+    metrics_.setGauge("hemlockweir_caller_connections", "Open connections of callers", static_cast<double>(server_.connectionCount()));
+    metrics_.setGauge("hemlockweir_caller_connections_limit", "Bound on the open connections of callers", settings_.maxConnections);
+    metrics_.setGauge("hemlockweir_connections_evicted_total", "Connections closed because there were too many", static_cast<double>(evictions));
+    if (const uint64_t before = std::exchange(loggedEvictions_, evictions); before != evictions)
+        logWarning("connections_full", { { "closed", std::to_string(evictions - before) }, { "connections", std::to_string(server_.connectionCount()) }, { "limit", std::to_string(settings_.maxConnections) } });
     if (const uint64_t before = std::exchange(loggedMemoryDrops_, drops); before != drops)
         logWarning("caller_memory_full", { { "dropped", std::to_string(drops - before) }, { "held_bytes", std::to_string(callerMemory_->used()) }, { "limit_bytes", std::to_string(callerMemory_->limit()) } });
 }
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -104,6 +104,7 @@
     Millis nextPublishAt_ { 0 };
     Millis stoppingSince_ { 0 };
     uint64_t loggedMemoryDrops_ = 0;
+    uint64_t loggedEvictions_ = 0;
     bool isListening_ = true;
     bool isDrainingClaims_ = false;
     std::function<void()> onStopped_;
--- /dev/null
+++ b/tests/ClientCrowdMemoryProcessTest.cpp
@@ -0,0 +1,158 @@
+// Tests each kind of client that sends more than the limits allow, or never finishes, on each address that a process opens:
+// the process must live, stay within its memory and descriptors, and answer an ordinary request meanwhile. The clients stay
+// connected, and no timeout ends what they do.
+
+#include "support/CallerMemory.h"
+#include "support/TestAuthority.h"
+
+#include <QTemporaryDir>
+#include <QUdpSocket>
+
+namespace hemlockweir {
+
+namespace {
+
+    // The crowds are fixed: a change of the product must not change them.
+    constexpr size_t endlessClients = 4;
+    constexpr qint64 endlessBytes = 8 * mebibyte; // of each client
+    constexpr size_t unfinishedClients = 40;
+    constexpr int largeChunkBytes = 1000000; // of which the last byte is missing
+    constexpr int tinyChunks = 500000; // of one byte each; the last chunk is missing
+    constexpr size_t oneByteClients = 300; // more than the process may have descriptors
+    constexpr int pipelinedRequests = 2000;
+    constexpr rlim_t maxDescriptors = 256; // of the kernel, for processes without a setting
+    constexpr int noiseDatagrams = 3000;
+    constexpr qsizetype noiseBytes = 20000;
+
+    // A kind of client. `what` is sent to a path from a number of clients.
+    struct ClientKind {
+        const char* name;
+        size_t clients;
+        QByteArray (*bytes)(const QByteArray& path);
+        bool readsAnswers = true;
+    };
+
+    QByteArray head(const QByteArray& path, const QByteArray& headers)
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: soak.test\r\nAuthorization: Bearer caller-key\r\n" + headers + "\r\n";
+    }
+
+    QByteArray chunkedHead(const QByteArray& path)
+    {
+        return head(path, "Transfer-Encoding: chunked\r\n");
+    }
+
+    QByteArray lengthHead(const QByteArray& path, qint64 length)
+    {
+        return head(path, "Content-Length: " + QByteArray::number(length) + "\r\n");
+    }
+
+    const std::vector<ClientKind> kinds {
+        { "TrailerWithoutEnd", endlessClients, [](const QByteArray& path) { return chunkedHead(path) + "2\r\nhi\r\n0\r\nTrailer: " + QByteArray(endlessBytes, 'x'); } },
+        { "TrailerLinesWithoutEnd", endlessClients, [](const QByteArray& path) { return chunkedHead(path) + "2\r\nhi\r\n0\r\n" + QByteArray("X-Trailer: 0123456789012345678901234567890123456789012345678901\r\n").repeated(endlessBytes / 64); } },
+        { "LargeChunkStopsShort", unfinishedClients, [](const QByteArray& path) { return chunkedHead(path) + QByteArray::number(largeChunkBytes, 16) + "\r\n" + QByteArray(largeChunkBytes - 1, 'x'); } },
+        { "TinyChunksStopShort", unfinishedClients, [](const QByteArray& path) { return chunkedHead(path) + QByteArray("1\r\nx\r\n").repeated(tinyChunks); } },
+        { "LengthStopsShort", unfinishedClients, [](const QByteArray& path) { return lengthHead(path, largeChunkBytes) + QByteArray(largeChunkBytes - 1, 'x'); } },
+        { "AnnouncedOverTheLimit", endlessClients, [](const QByteArray& path) { return lengthHead(path, endlessBytes) + QByteArray(endlessBytes, 'x'); } },
+        { "SentOverTheLimit", endlessClients, [](const QByteArray& path) { return chunkedHead(path) + (QByteArray("10000\r\n") + QByteArray(65536, 'x') + "\r\n").repeated(endlessBytes / 65536); } },
+        { "ChunkExtensionWithoutEnd", endlessClients, [](const QByteArray& path) { return chunkedHead(path) + "2;" + QByteArray(endlessBytes, 'x'); } },
+        { "HeadWithoutEnd", endlessClients, [](const QByteArray& path) { return "GET " + path + " HTTP/1.1\r\nX-Long: " + QByteArray(endlessBytes, 'x'); } },
+        { "OneByte", oneByteClients, [](const QByteArray&) { return QByteArray("G"); } },
+        { "AnswersUnread", unfinishedClients, [](const QByteArray& path) { return ("GET " + path + " HTTP/1.1\r\nHost: soak.test\r\n\r\n").repeated(pipelinedRequests); }, false },
+    };
+
+    std::string nameOf(const ClientKind& kind) { return kind.name; }
+
+    // An address of the gateway, by its name in the cluster.
+    struct GatewayAddress {
+        const char* name;
+        const char* path; // of an ordinary request there
+    };
+
+    const std::vector<GatewayAddress> gatewayAddresses { { "g", "/x" }, { "ready", "/readyz" }, { "control", "/metrics" } };
+
+    void sendDatagrams(const std::string& endpoint)
+    {
+        const auto colon = endpoint.rfind(':');
+        const QHostAddress address(QString::fromStdString(endpoint.substr(0, colon)));
+        const auto port = static_cast<quint16>(std::stoi(endpoint.substr(colon + 1)));
+        QUdpSocket socket;
+        for (int i = 0; i < noiseDatagrams; ++i)
+            socket.writeDatagram(QByteArray(noiseBytes, static_cast<char>(i)), address, port);
+    }
+
+} // namespace
+
+class GatewayCrowd : public GatewayCallerMemory, public testing::WithParamInterface<std::tuple<GatewayAddress, ClientKind>> { };
+
+TEST_P(GatewayCrowd, LeavesTheProcessWithinItsBounds)
+{
+    const auto& [address, kind] = GetParam();
+    disableTimeouts();
+    sendFromAll(kind.clients, cluster_.addressOf(address.name), kind.bytes(address.path), kind.readsAnswers);
+    expectBoundsAndService();
+}
+
+INSTANTIATE_TEST_SUITE_P(All, GatewayCrowd, testing::Combine(testing::ValuesIn(gatewayAddresses), testing::ValuesIn(kinds)),
+    [](const auto& test) { return std::string(std::get<0>(test.param).name) + "_" + nameOf(std::get<1>(test.param)); });
+
+TEST_F(GatewayCallerMemory, DatagramsFromStrangers)
+{
+    sendDatagrams(cluster_.addressOf("peers"));
+    expectBoundsAndService();
+}
+
+class NodeWithFewDescriptors : public NodeCallerMemory {
+protected:
+    // Starts the node with plain HTTP or with TLS, and with few descriptors that its settings don't name.
+    void startServer(bool isTls)
+    {
+        // The node waits longer for its callers than the test does, so that no timeout ends what they do.
+        const std::string limits = "request_timeout_ms = 3600000\nidle_timeout_ms = 3600000\n";
+        cluster_.limitDescriptors(maxDescriptors);
+        if (!isTls) {
+            start(limits);
+            return;
+        }
+        const std::string endpoint = cluster_.addressOf("n1");
+        authority_.issue("node", endpoint.substr(0, endpoint.find(':')));
+        start(limits, "[tls]\ncertificate_file = \"" + authority_.certificateFile("node").toStdString() + "\"\nkey_file = \"" + authority_.keyFile("node").toStdString() + "\"\n\n", authority_.authorityFile());
+    }
+
+    QTemporaryDir folder_;
+    TestAuthority authority_ { folder_.path() };
+};
+
+class NodeCrowd : public NodeWithFewDescriptors, public testing::WithParamInterface<std::tuple<bool, ClientKind>> { };
+
+TEST_P(NodeCrowd, LeavesTheProcessWithinItsBounds)
+{
+    const auto& [isTls, kind] = GetParam();
+    startServer(isTls);
+    sendFromAll(kind.clients, cluster_.addressOf("n1"), kind.bytes("/metrics"), kind.readsAnswers);
+    expectBoundsAndService();
+}
+
+INSTANTIATE_TEST_SUITE_P(All, NodeCrowd, testing::Combine(testing::Bool(), testing::ValuesIn(kinds)),
+    [](const auto& test) { return std::string(std::get<0>(test.param) ? "tls" : "plain") + "_" + nameOf(std::get<1>(test.param)); });
+
+// The address of other nodes takes frames with their length in front, and datagrams.
+TEST_F(NodeWithFewDescriptors, UnfinishedFramesAtTheAddressOfOtherNodes)
+{
+    startServer(false);
+    const QByteArray length("\x00\x01\x00\x00", 4);
+    const std::string endpoint = cluster_.addressOf("n1.peers");
+    sendFromAll(unfinishedClients, endpoint, length + QByteArray(0xffff, 'x'));
+    sendFromAll(endlessClients, endpoint, QByteArray(endlessBytes, 'x'));
+    sendFromAll(oneByteClients, endpoint, "G");
+    expectBoundsAndService();
+}
+
+TEST_F(NodeWithFewDescriptors, DatagramsFromStrangers)
+{
+    startServer(false);
+    sendDatagrams(cluster_.addressOf("n1.peers"));
+    expectBoundsAndService();
+}
+
+} // namespace hemlockweir
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -97,6 +97,12 @@
     process->setProcessChannelMode(QProcess::MergedChannels);
     QObject::connect(process, &QProcess::readyRead, process, [this, name, process] { processes_[name].log += process->readAll(); });
     process->setProcessEnvironment(environment_);
+    if (maxDescriptors_) {
+        process->setChildProcessModifier([limit = rlimit { .rlim_cur = *maxDescriptors_, .rlim_max = *maxDescriptors_ }] {
+            if (::setrlimit(RLIMIT_NOFILE, &limit) != 0)
+                std::_Exit(EXIT_FAILURE);
+        });
+    }
     process->start(QString(BIN_DIR) + "/" + program, allArguments);
     ASSERT_TRUE(process->waitForStarted());
     ASSERT_TRUE(waitUntil([&] { return process->state() != QProcess::Running || call("GET", url).status == 200; }));
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -10,7 +10,9 @@
 #include <QProcessEnvironment>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
+#include <sys/resource.h>
 
 // Runs a complete system of real processes for tests, on loopback addresses that no other test uses.
 //
@@ -119,6 +121,9 @@
     // quarantine keeps freed memory, so a peak of memory would not show how much was in use.
     void disableAsanQuarantine();
 
+    // Limits the open descriptors of each process that is started from now on, as `ulimit -n` does.
+    void limitDescriptors(rlim_t count) { maxDescriptors_ = count; }
+
     // Returns whether the process exists. Paused processes count as running.
     bool isRunning(const std::string& name) { return processes_.at(name).process->state() == QProcess::Running; }
 
@@ -186,6 +191,7 @@
     std::vector<Instance> instances_;
     HttpClient client_;
     QProcessEnvironment environment_ = QProcessEnvironment::systemEnvironment(); // of processes started from now on
+    std::optional<rlim_t> maxDescriptors_; // of processes started from now on
     int nextPort_ = 20000;
 };
 
