Read encrypted bytes of a connection in parts

What callers saw: 40 clients with unfinished chunked bodies over TLS took 32 MB (one large chunk) and 60 MB (chunks of one byte) of a node whose budget for callers is 8 MB. Cause: Qt reads all that the kernel holds into the socket below the TLS socket, and decrypts it, before the node sees a byte. A limit on the TLS socket itself would count the bytes of the unfinished request too, and stop a larger one, so there was none. Why it works: the limit of 64 KB for a read is set on the socket below, so that the node refuses or drops a request after the first part. A connection with TLS counts 16 KB more.

--- a/packages/http/ValidatingSocket.cpp
+++ b/packages/http/ValidatingSocket.cpp
@@ -15,6 +15,8 @@
 static constexpr Millis lingerTimeout { 2000 };
 // Memory of a connection without any request, roughly: the socket, and the parser and buffers of Qt's server.
 static constexpr size_t connectionBytes = size_t { 8 } * 1024;
+// The same for what TLS adds: the state of OpenSSL and the buffers of the encrypted bytes.
+static constexpr size_t tlsBytes = size_t { 16 } * 1024;
 // Bytes that are read at once. Without a limit Qt reads all that the kernel holds, which may be the whole request.
 static constexpr qint64 readBytes = qint64 { 64 } * 1024;
 // Memory of an unfinished request relative to its size: Qt's server appends what it reads to the body, whose buffer grows by
@@ -135,11 +137,19 @@
         abort();
 }
 
+// Limits the encrypted bytes that are read at once. They pass through a socket that the TLS socket owns.
+void ValidatingSocket::limitTransportReads()
+{
+    if (auto* transport = findChild<QTcpSocket*>(QString(), Qt::FindDirectChildrenOnly))
+        transport->setReadBufferSize(readBytes);
+}
+
 void ValidatingSocket::startTls()
 {
     connect(this, &QSslSocket::encrypted, this, &ValidatingSocket::restartTimer);
     setSslConfiguration(options_.tls());
     startServerEncryption();
+    limitTransportReads();
 }
 
 void ValidatingSocket::trackUnreadBytes()
@@ -170,7 +180,7 @@
     const MemoryBudget::Use use = isUnfinished && activeReplies_ == 0 ? MemoryBudget::Use::Unfinished
         : isUnread                                                    ? MemoryBudget::Use::Unread
                                                                       : MemoryBudget::Use::Needed;
-    const size_t bytes = connectionBytes + copiesOfUnfinished * scanner_.partialBytes() + static_cast<size_t>(requestBytes_ + bytesAvailable() + unsentBytes());
+    const size_t bytes = connectionBytes + (options_.tls ? tlsBytes : 0) + copiesOfUnfinished * scanner_.partialBytes() + static_cast<size_t>(requestBytes_ + bytesAvailable() + unsentBytes());
     held_.update(bytes, use, heldSince_);
 }
 
--- a/packages/http/ValidatingSocket.h
+++ b/packages/http/ValidatingSocket.h
@@ -76,6 +76,7 @@
     bool takeSlot();
     void noteSlot();
     void giveUpSlot();
+    void limitTransportReads();
     void startTls();
     void scanReceived();
     void handleVerdict(ScanVerdict verdict);
