Answer no further request while earlier answers wait for their caller

What callers saw: 40 clients that send 2,000 requests each over TLS and read no answer took 28 MB of a node, and 26 MB once encrypted bytes were read in parts; 16 MB are allowed. Cause: a read of 64 KB holds 1,500 small requests. Qt's server hands them on one after the other, and each answer was queued, before the event loop could drop the connection over the budget. Why it works: once more than 64 KB of answers wait, further pipelined requests are discarded unexecuted and the connection is closed after what is queued, as it was already done behind an answer that is still being made. A caller that reads its answers doesn't meet this.

--- a/packages/http/HttpServer.cpp
+++ b/packages/http/HttpServer.cpp
@@ -169,10 +169,10 @@
     protected:
         bool handleRequest(const QHttpServerRequest& request, QTcpSocket* socket) override
         {
-            // A pipelined request that arrives while a reply is being written is discarded unexecuted. The
-            // connection closes after that reply, and the caller can send the request again.
+            // A pipelined request that arrives while a reply is being written, or while the caller leaves earlier ones unread, is
+            // discarded unexecuted. The connection closes after that reply, and the caller can send the request again.
             auto* serverSocket = qobject_cast<ValidatingSocket*>(socket);
-            if (serverSocket && serverSocket->isReplying()) {
+            if (serverSocket && !serverSocket->mayStartReply()) {
                 serverSocket->closeAfterReply();
                 return true;
             }
--- a/packages/http/ValidatingSocket.cpp
+++ b/packages/http/ValidatingSocket.cpp
@@ -166,6 +166,12 @@
     noteHeldBytes();
 }
 
+void ValidatingSocket::closeAfterReply()
+{
+    if (!std::exchange(closesAfterReply_, true) && activeReplies_ == 0)
+        disconnectFromHost();
+}
+
 // An unfinished request is dropped before a reply that its reader leaves unread; a request at work is never dropped.
 void ValidatingSocket::noteHeldBytes()
 {
--- a/packages/http/ValidatingSocket.h
+++ b/packages/http/ValidatingSocket.h
@@ -63,15 +63,20 @@
 
     // Tells the budget what the connection holds. Call when reply bytes were queued.
     void noteHeldBytes();
-    bool isReplying() const { return activeReplies_ > 0; }
+
+    // Returns whether a request may be handled: the reply to the one before is written, and most of it was read.
+    bool mayStartReply() const { return activeReplies_ == 0 && !closesAfterReply_ && unsentBytes() <= maxUnsentBeforeReply; }
 
     // Returns the number of reply bytes not yet written to the kernel, including encrypted bytes.
     qint64 unsentBytes() const { return bytesToWrite() + encryptedBytesToWrite(); }
 
     // Closes the connection after the current reply, so that replies to pipelined requests never interleave.
-    void closeAfterReply() { closesAfterReply_ = true; }
+    void closeAfterReply();
 
 private:
+    // Unsent bytes of earlier replies above which no further request is handled.
+    static constexpr qint64 maxUnsentBeforeReply = qint64 { 64 } * 1024;
+
     bool isHandshaking() const { return options_.tls && !isEncrypted(); }
     bool takeSlot();
     void noteSlot();
