Bound the connections of other nodes by the descriptors

What callers saw: 128 connections at a node's address for other nodes took half of its 256 descriptors, and while they were held for 5 s no other node got through. Cause: the bound was a constant, and a connection over it was closed, whoever held the others. Why it works: the bound follows from the descriptors, and over it the connection that has waited longest for its request is closed: one of a node sends its request at once. No more than one request is read from the kernel.

--- a/packages/node/NodeOptions.cpp
+++ b/packages/node/NodeOptions.cpp
@@ -97,7 +97,8 @@
 {
     return { .address = QHostAddress(QString::fromStdString(settings_.peers.address)),
         .port = settings_.peers.port,
-        .clusterKey = QByteArray::fromStdString(settings_.clusterKey) };
+        .clusterKey = QByteArray::fromStdString(settings_.clusterKey),
+        .maxConnections = static_cast<size_t>(settings_.maxPeerConnections) };
 }
 
 ConfigFollower::Options Node::makeFollowerOptions()
--- a/packages/wire/PeerExchange.cpp
+++ b/packages/wire/PeerExchange.cpp
@@ -1,5 +1,6 @@
 #include "wire/PeerExchange.h"
 
+#include "base/AcceptRetry.h"
 #include "wire/Frame.h"
 
 #include <QPointer>
@@ -12,6 +13,7 @@
     : options_(std::move(options))
 {
     connect(&server_, &QTcpServer::newConnection, this, &PeerServer::accept);
+    resumeAfterErrors(server_);
 }
 
 void PeerServer::setHandler(MessageKind kind, Handler handler)
@@ -30,22 +32,41 @@
 void PeerServer::accept()
 {
     while (QTcpSocket* socket = server_.nextPendingConnection()) {
-        if (openConnections_ >= options_.maxConnections) {
-            socket->abort();
-            socket->deleteLater();
+        if (openConnections_ >= options_.maxConnections)
+            evictOldest();
+        if (openConnections_ < options_.maxConnections) {
+            add(socket);
             continue;
         }
-        ++openConnections_;
-        connect(socket, &QObject::destroyed, this, [this] { --openConnections_; });
-        connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
-        connect(socket, &QTcpSocket::readyRead, this, [this, socket, received = QByteArray()]() mutable { readRequest(socket, received); });
-        QTimer::singleShot(options_.connectionTimeout, socket, [socket] {
-            socket->abort();
-            socket->deleteLater();
-        });
+        ++evictedConnections_;
+        socket->abort();
+        socket->deleteLater();
     }
 }
 
+void PeerServer::add(QTcpSocket* socket)
+{
+    ++openConnections_;
+    waiting_.push_back(socket);
+    socket->setReadBufferSize(options_.maxRequestBytes);
+    connect(socket, &QTcpSocket::disconnected, this, [this, socket] {
+        std::erase(waiting_, socket);
+        --openConnections_;
+        socket->deleteLater();
+    });
+    connect(socket, &QTcpSocket::readyRead, this, [this, socket, received = QByteArray()]() mutable { readRequest(socket, received); });
+    QTimer::singleShot(options_.connectionTimeout, socket, [socket] { socket->abort(); });
+}
+
+// Closes the connection that has waited longest for its request: most likely it is no node's.
+void PeerServer::evictOldest()
+{
+    if (waiting_.empty())
+        return;
+    ++evictedConnections_;
+    waiting_.front()->abort();
+}
+
 void PeerServer::readRequest(QTcpSocket* socket, QByteArray& received)
 {
     received += socket->read(options_.maxRequestBytes);
@@ -58,6 +79,7 @@
         socket->abort();
         return;
     }
+    std::erase(waiting_, socket);
     handler->second(*envelope, [socket = QPointer<QTcpSocket>(socket)](const std::optional<QByteArray>& answer) {
         if (socket)
             send(socket, answer);
--- a/packages/wire/PeerExchange.h
+++ b/packages/wire/PeerExchange.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 // Requests between nodes over TCP. Each connection carries one sealed request and one sealed answer.
 //
@@ -28,7 +29,7 @@
         quint16 port = 0; // TCP
         QByteArray clusterKey;
         Millis connectionTimeout { 5000 }; // ms for one request and its answer
-        int maxConnections = 128; // further connections are closed immediately
+        size_t maxConnections = 128; // over it, the one that has waited longest for its request is closed
         qsizetype maxRequestBytes = 80 * 1024; // of one request; connections with larger requests are closed
     };
 
@@ -45,15 +46,22 @@
     // Listens on the configured address. Returns Unavailable if that fails.
     absl::Status start();
 
+    // Returns the number of connections that were closed because there were too many.
+    uint64_t evictedConnections() const { return evictedConnections_; }
+
 private:
     void accept();
+    void add(QTcpSocket* socket);
+    void evictOldest();
     void readRequest(QTcpSocket* socket, QByteArray& received);
     static void send(QTcpSocket* socket, const std::optional<QByteArray>& answer);
 
     Options options_;
     QTcpServer server_;
     std::map<MessageKind, Handler> handlers_;
-    int openConnections_ = 0;
+    std::vector<QTcpSocket*> waiting_; // open connections without a complete request, the oldest first
+    size_t openConnections_ = 0;
+    uint64_t evictedConnections_ = 0;
 };
 
 // One request to a peer. It ends with an answer, an error or a timeout; destroying it discards the
