Stop reading refused input after a bound

What callers saw: of two bodies without end, refused with 413 at once, 461 MB were read (the users' first look): for as long as a refused connection lingers, nothing bounded what was read. That takes the processor and the link of a small machine from others. Cause: both servers discarded all that arrived until the linger timeout. The kernel's buffer of a connection may also grow to megabytes, which count as memory of the process while they are unread. Why it works: after discard_bytes (256 KB) nothing more is read and the connection is closed at the same timeout as before, so that a caller that reads while it sends still gets the refusal. Closing it at once would reset it, and the answer could be lost. The receive buffer is 64 KB for each connection. No client within the limits is refused in the middle of more than that, but for want of memory.

--- a/packages/config/Settings.cpp
+++ b/packages/config/Settings.cpp
@@ -150,6 +150,7 @@
     settings.maxWaiting = static_cast<int>(reader.readInteger("max_waiting", settings.maxWaiting, 0, 1000000));
     settings.maxRequestsPerCaller = static_cast<int>(reader.readInteger("max_requests_per_caller", settings.maxRequestsPerCaller, 1, 1000000));
     settings.claimSharingNodes = static_cast<int>(reader.readInteger("claim_sharing_nodes", settings.claimSharingNodes, 2, 1000000));
+    settings.discardBytes = reader.readInteger("discard_bytes", settings.discardBytes, 0, 1024 * 1024 * 1024);
     settings.replyBufferBytes = reader.readInteger("reply_buffer_bytes", settings.replyBufferBytes, 1024, 1024 * 1024 * 1024);
 }
 
--- a/packages/config/Settings.h
+++ b/packages/config/Settings.h
@@ -58,6 +58,7 @@
     int maxWaiting = 2000; // requests waiting for a slot
     int claimSharingNodes = 8; // with this many live nodes or more, a failure domain shares calls for claims
     int maxRequestsPerCaller = 1000; // waiting and running requests of one caller at this node
+    int64_t discardBytes = 256 * 1024; // bytes of a refused request that are still read
     int64_t replyBufferBytes = 1024 * 1024; // bytes that a slow reader may leave unread before it is disconnected
 
     // [schedule]
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -66,7 +66,7 @@
     , crashes_({ .clock = clock_, .onConnectionLost = [this](const std::string& endpoint) { handleConnectionLost(endpoint); }, .onCrash = [this](const CrashReport& report) { publishCrash(report); }, .onSoundPart = [this](uint64_t part) { usage_.addSoundPart(part); }, .onBlocked = [this](uint64_t blocked, size_t crashes) { log_.noteChange("crashes_explained", { { "blocked", absl::StrFormat("%016x", blocked) }, { "crashes", std::to_string(crashes) } }); } })
     , serviceTimes_({ .clock = clock_ })
     , proxyContext_ { .clock = clock_, .random = random_, .headers = adapter_.headers, .dispatcher = dispatcher_, .pool = pool_, .retries = retries_, .crashes = crashes_, .serviceTimes = serviceTimes_, .log = log_, .metrics = metrics_, .shutdown = std::nullopt, .endpointMemory = endpointMemory_ }
-    , proxy_(context, { .address = settings_.callers.address, .port = settings_.callers.port, .clock = clock_, .memory = callerMemory_, .maxConnections = settings_.bounds.callerConnections }, proxyContext_)
+    , proxy_(context, { .address = settings_.callers.address, .port = settings_.callers.port, .clock = clock_, .memory = callerMemory_, .maxConnections = settings_.bounds.callerConnections, .discardBytes = settings_.bounds.discardBytes }, proxyContext_)
     , store_(context, { .clock = clock_, .prefixes = followedPrefixes(adapter_) }, adapter_.store, log_)
     , configuration_({ .onConfiguration = [this](std::shared_ptr<const RouteTable> routes) { applyConfiguration(std::move(routes)); } }, store_, adapter_, log_)
     , evacuated_(clock_, store_, adapter_, log_)
@@ -145,7 +145,7 @@
         .address = endpoint.address,
         .port = endpoint.port,
         .clock = clock_,
-        .limits = std::make_shared<ServerLimits>(ServerLimits { .request = { .bodyBytes = maxControlBodyBytes }, .bodyTimeout = controlBodyTimeout }),
+        .limits = std::make_shared<ServerLimits>(ServerLimits { .request = { .bodyBytes = maxControlBodyBytes }, .bodyTimeout = controlBodyTimeout, .discardBytes = settings_.bounds.discardBytes }),
         .onRequest = [this](const std::shared_ptr<ServerConnection>& connection, const ServerRequest& request) { handleControlRequest(connection, request); },
         .onRefused = [this](int status, std::string_view reason) {
             if (reason != "memory_budget")
@@ -172,6 +172,7 @@
     metrics_.setGauge("hemlockweir_endpoint_memory_bytes", "Bytes held for endpoints", static_cast<double>(endpointMemory_->used()));
     metrics_.setGauge("hemlockweir_endpoint_memory_limit_bytes", "Bound on the bytes held for endpoints", static_cast<double>(endpointMemory_->limit()));
     metrics_.setGauge("hemlockweir_connections_evicted_total", "Connections closed because there were too many", static_cast<double>(evictions));
+    metrics_.setGauge("hemlockweir_inputs_cut_total", "Connections of which refused input was not read to its end", static_cast<double>(proxy_.cutInputs() + readyServer_.cutInputs() + controlServer_.cutInputs()));
     if (const uint64_t before = std::exchange(loggedMemoryDrops_, drops); before != drops)
         log_.noteChange("caller_memory_full", { { "dropped", std::to_string(drops - before) }, { "held_bytes", std::to_string(callerMemory_->used()) }, { "limit_bytes", std::to_string(callerMemory_->limit()) }, { "connections", std::to_string(proxy_.connectionCount()) } });
     if (const uint64_t before = std::exchange(loggedEvictions_, evictions); before != evictions)
--- a/packages/gateway/GatewaySettings.cpp
+++ b/packages/gateway/GatewaySettings.cpp
@@ -76,6 +76,7 @@
     const size_t usableFiles = openFiles > 0 ? openFiles : machine.openFiles.value_or(0);
     if (usableFiles > 0)
         boundConnections(bounds, usableFiles);
+    bounds.discardBytes = static_cast<size_t>(reader.readInteger("discard_bytes", static_cast<int64_t>(bounds.discardBytes), 0, bytesPerMegabyte * maxMegabytes));
     const int64_t connections = reader.readInteger("max_connections", 0, 1, INT32_MAX);
     if (connections > 0 && usableFiles > 0 && static_cast<size_t>(connections) > bounds.callerConnections)
         reader.addError("max_connections", "leaves too few descriptors or too little memory; write at most " + std::to_string(bounds.callerConnections));
--- a/packages/gateway/GatewaySettings.h
+++ b/packages/gateway/GatewaySettings.h
@@ -16,6 +16,7 @@
     size_t callerConnections = std::numeric_limits<size_t>::max(); // open connections of callers
     size_t controlConnections = 1024; // open connections at the control and at the ready address, each
     size_t idleEndpointConnections = std::numeric_limits<size_t>::max(); // connections to endpoints that are kept for reuse
+    size_t discardBytes = size_t { 256 } * 1024; // bytes of a refused request that are still read, for each connection
 
     auto operator<=>(const ProcessBounds&) const = default;
 };
--- a/packages/http/HttpServer.cpp
+++ b/packages/http/HttpServer.cpp
@@ -327,6 +327,11 @@
     return connections_->slots()->drops();
 }
 
+uint64_t HttpServer::cutInputs() const
+{
+    return connections_->cutInputs();
+}
+
 quint16 HttpServer::port() const
 {
     return acceptor_ ? acceptor_->serverPort() : 0;
--- a/packages/http/HttpServer.h
+++ b/packages/http/HttpServer.h
@@ -43,6 +43,7 @@
     Millis peerTimeout { 15000 }; // ms without a response from the peer host's TCP, after which the connection is aborted
     int maxConnections = 4096; // open connections of all callers; over it, the one that has waited longest without a request at work is closed
     int maxConnectionsPerAddress = 1024; // open connections from one IP address
+    qint64 discardBytes = 256 * 1024; // bytes of a refused request that are still read, so that its caller can read the refusal
     qint64 replyBufferBytes = 1024 * 1024; // bytes that a slow reader may leave unread before it is disconnected
     std::shared_ptr<MemoryBudget> memory; // counts the bytes held for callers, of all workers; may be null
     std::function<QSslConfiguration()> tls; // called for each new connection, on any worker; unset: plain HTTP
@@ -138,6 +139,9 @@
     // Returns the number of connections that were closed because there were too many.
     uint64_t evictedConnections() const;
 
+    // Returns the number of connections whose refused input was not read to its end.
+    uint64_t cutInputs() const;
+
 private:
     class Acceptor;
     class Worker;
--- a/packages/http/RequestServer.cpp
+++ b/packages/http/RequestServer.cpp
@@ -11,6 +11,9 @@
 
 // Limit of connections that the kernel queues until they are accepted.
 static constexpr int listenBacklog = 1024;
+// Receive buffer of the kernel for a connection, in bytes; the kernel takes twice as much. Without a limit it grows to megabytes, which
+// count as memory of the process while they are not read. Connections inherit it from the listener.
+static constexpr int receiveBufferBytes = 64 * 1024;
 // Pause after a connection could not be accepted, for want of descriptors above all. It can't be accepted at once, and
 // trying would keep the thread busy.
 static constexpr std::chrono::milliseconds acceptPause { 100 };
@@ -32,6 +35,8 @@
         acceptor_.open(endpoint.protocol(), error);
     if (!error)
         acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor_.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), error);
     if (!error)
         acceptor_.bind(endpoint, error);
     if (!error)
@@ -97,6 +102,7 @@
             .onRequest = options_.onRequest,
             .onClosed = [this](const std::shared_ptr<ServerConnection>& closed) { connections_.erase(closed); },
             .onRefused = options_.onRefused,
+            .onInputCut = [this] { ++cutInputs_; },
             .memory = options_.memory,
         });
     connections_.insert(connection);
--- a/packages/http/RequestServer.h
+++ b/packages/http/RequestServer.h
@@ -57,6 +57,9 @@
     // Returns the number of connections that were closed because there were too many.
     uint64_t evictedConnections() const { return evictedConnections_; }
 
+    // Returns the number of connections of which refused input was not read to its end.
+    uint64_t cutInputs() const { return cutInputs_; }
+
     // Returns the bytes of answers that wait for callers to read.
     size_t unsentBytes() const;
 
@@ -76,6 +79,7 @@
     std::unordered_set<std::shared_ptr<ServerConnection>> connections_;
     boost::asio::steady_timer acceptTimer_;
     uint64_t evictedConnections_ = 0;
+    uint64_t cutInputs_ = 0;
     bool isStopping_ = false;
 };
 
--- a/packages/http/ServerConnection.cpp
+++ b/packages/http/ServerConnection.cpp
@@ -28,6 +28,8 @@
 static constexpr size_t chunkHeaderBytes = 128;
 // Size up to which an empty buffer is kept for the next bytes.
 static constexpr size_t keptBufferBytes = 4 * 1024;
+// Receive buffer of the kernel, in bytes, for a connection whose input is no longer read.
+static constexpr int stoppedBufferBytes = 4 * 1024;
 // Part of its size by which the buffer of a complete body may exceed it.
 static constexpr size_t bodySlackShare = 4;
 // Retry-After of a request that was refused for want of memory, in seconds: most unfinished requests end sooner.
@@ -36,7 +38,7 @@
 bool ServerLimits::operator==(const ServerLimits& other) const
 {
     return request.headBytes == other.request.headBytes && request.bodyBytes == other.request.bodyBytes && headTimeout == other.headTimeout
-        && bodyTimeout == other.bodyTimeout && idleTimeout == other.idleTimeout;
+        && bodyTimeout == other.bodyTimeout && idleTimeout == other.idleTimeout && discardBytes == other.discardBytes;
 }
 
 std::string_view reasonPhrase(int status)
@@ -91,8 +93,12 @@
         closeSocket();
         return;
     }
-    if (state_ != State::Lingering)
-        unread_.append(buffer.data(), size);
+    if (state_ == State::Lingering) {
+        if (discardInput(size))
+            waitForBytes();
+        return;
+    }
+    unread_.append(buffer.data(), size);
     receivedAt_ = options_.clock();
     if (state_ == State::ReadingHead || state_ == State::ReadingBody)
         readRequest();
@@ -355,6 +361,20 @@
     waitForBytes();
 }
 
+// Counts input that follows the last answer. Returns whether more of it is read. Beyond the limit it costs the machine more than the
+// answer is worth; the connection stays open for the linger timeout, so that a caller that reads while it sends gets the answer.
+bool ServerConnection::discardInput(size_t bytes)
+{
+    discardedBytes_ += bytes;
+    if (discardedBytes_ <= options_.limits->discardBytes)
+        return true;
+    error_code ignored; // the buffer is only larger than needed
+    socket_.set_option(asio::socket_base::receive_buffer_size(stoppedBufferBytes), ignored);
+    if (options_.onInputCut)
+        options_.onInputCut();
+    return false;
+}
+
 void ServerConnection::abort()
 {
     closeSocket();
--- a/packages/http/ServerConnection.h
+++ b/packages/http/ServerConnection.h
@@ -31,6 +31,7 @@
     Millis headTimeout { 3000 }; // ms, from the first byte of a head to its last
     Millis bodyTimeout { 30000 }; // ms, from the first byte of a request to its last
     Millis idleTimeout { 15000 }; // ms, between two requests, and without a byte of an unfinished body
+    size_t discardBytes = size_t { 256 } * 1024; // bytes that are still read after the last answer, so that its caller can read it
 
     bool operator==(const ServerLimits&) const;
 };
@@ -46,6 +47,8 @@
         std::function<void(const std::shared_ptr<ServerConnection>&)> onClosed;
         // Called when a request violates the protocol or a limit. May be empty.
         std::function<void(int status, std::string_view reason)> onRefused;
+        // Called when more input follows the last answer than is read. May be empty.
+        std::function<void()> onInputCut;
         std::shared_ptr<MemoryBudget> memory; // counts the bytes that the connection holds; may be null
     };
 
@@ -117,6 +120,7 @@
     void deliver();
     void refuse(int status, std::string_view reason);
     void linger();
+    bool discardInput(size_t bytes);
     void noteWriteProgress();
     void noteHeldBytes();
     size_t receivedBytes() const;
@@ -130,6 +134,7 @@
     std::optional<MemoryBudget::Holder> held_; // set by start()
     std::vector<HeaderLine> headers_; // of the request that is being read; trailers are not added to them
     size_t headBytes_ = 0; // of the request that is being read
+    size_t discardedBytes_ = 0; // received after the last answer
     size_t requestBytes_ = 0; // memory of the request that is being answered
     size_t notedBytes_ = 0; // bytes and use last told to the budget
     MemoryBudget::Use notedUse_ = MemoryBudget::Use::Needed;
--- a/packages/http/ValidatingSocket.cpp
+++ b/packages/http/ValidatingSocket.cpp
@@ -17,6 +17,11 @@
 static constexpr size_t connectionBytes = size_t { 8 } * 1024;
 // The same for what TLS adds: the state of OpenSSL and the buffers of the encrypted bytes.
 static constexpr size_t tlsBytes = size_t { 16 } * 1024;
+// Receive buffer of the kernel, in bytes; the kernel takes twice as much. Without a limit it grows to megabytes, which count as memory
+// of the process while they are not read.
+static constexpr int receiveBufferBytes = 64 * 1024;
+// The same for a connection whose input is no longer read.
+static constexpr int stoppedBufferBytes = 4096;
 // Bytes that are read at once. Without a limit Qt reads all that the kernel holds, which may be the whole request.
 static constexpr qint64 readBytes = qint64 { 64 } * 1024;
 // Memory of an unfinished request relative to its size: Qt's server appends what it reads to the body, whose buffer grows by
@@ -96,6 +101,7 @@
     setPeerTimeout(descriptor, options_.peerTimeout);
     // Limits the bytes that a slow reader can leave in the kernel's send buffer.
     setSocketOption(QAbstractSocket::SendBufferSizeSocketOption, options_.replyBufferBytes);
+    setSocketOption(QAbstractSocket::ReceiveBufferSizeSocketOption, receiveBufferBytes);
     peer_ = peerAddress().toString();
     // With TLS the limit would count the bytes of the transaction too, and stop a larger request.
     if (options_.tls)
@@ -322,7 +328,18 @@
 {
     if (isTransactionStarted())
         commitTransaction();
-    skip(bytesAvailable());
+    discardedBytes_ += skip(bytesAvailable());
+    if (discardedBytes_ > options_.discardBytes)
+        stopReading();
+}
+
+// Reads nothing more until the connection is closed. It stays open meanwhile, so that the caller can read the error response.
+void ValidatingSocket::stopReading()
+{
+    disconnect(this, &QTcpSocket::readyRead, nullptr, nullptr);
+    setReadBufferSize(1);
+    setSocketOption(QAbstractSocket::ReceiveBufferSizeSocketOption, stoppedBufferBytes);
+    connections_->noteCutInput();
 }
 
 void ValidatingSocket::shutDownWriting()
--- a/packages/http/ValidatingSocket.h
+++ b/packages/http/ValidatingSocket.h
@@ -30,6 +30,10 @@
     // Returns whether so many connections are open that a new one is closed without an answer.
     bool isCrowded() const { return slots_->used() > slots_->limit() + maxRefusals; }
 
+    // Count the connections whose refused input was not read to its end.
+    void noteCutInput() { ++cutInputs_; }
+    uint64_t cutInputs() const { return cutInputs_; }
+
 private:
     // Connections over the limit that are answered with a refusal at the same time.
     static constexpr size_t maxRefusals = 16;
@@ -38,6 +42,7 @@
     int perAddressLimit_;
     std::map<QString, int> byAddress_;
     std::shared_ptr<MemoryBudget> slots_;
+    std::atomic<uint64_t> cutInputs_ { 0 };
 };
 
 // A server-side TCP socket that validates received bytes before Qt's HTTP server reads them. A request that is
@@ -82,6 +87,7 @@
     void noteSlot();
     void giveUpSlot();
     void limitTransportReads();
+    void stopReading();
     void startTls();
     void scanReceived();
     void handleVerdict(ScanVerdict verdict);
@@ -101,6 +107,7 @@
     QTimer timer_;
     QString peer_;
     qint64 scannedUnread_ = 0; // bytes scanned, but not yet read by Qt's server
+    qint64 discardedBytes_ = 0; // received since the refusal
     qint64 requestBytes_ = 0; // of the request that is being answered
     Millis heldSince_ { 0 }; // start of the unfinished request, or of the reply that is unread
     uint64_t requestsSeen_ = 0;
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -61,6 +61,7 @@
         .peerTimeout = settings.callerTimeout,
         .maxConnections = settings.maxConnections,
         .maxConnectionsPerAddress = settings.maxConnectionsPerAddress,
+        .discardBytes = settings.discardBytes,
         .replyBufferBytes = settings.replyBufferBytes,
         .memory = std::move(memory),
         .tls = {} };
@@ -310,6 +311,7 @@
     metrics_.setGauge("hemlockweir_caller_connections_limit", "Bound on the open connections of callers", settings_.maxConnections);
     metrics_.setGauge("hemlockweir_connections_evicted_total", "Connections closed because there were too many", static_cast<double>(evictions));
     metrics_.setGauge("hemlockweir_peer_connections_evicted_total", "Connections of other nodes closed because there were too many", static_cast<double>(peerServer_.evictedConnections()));
+    metrics_.setGauge("hemlockweir_inputs_cut_total", "Connections of which refused input was not read to its end", static_cast<double>(server_.cutInputs()));
     if (const uint64_t before = std::exchange(loggedEvictions_, evictions); before != evictions)
         logWarning("connections_full", { { "closed", std::to_string(evictions - before) }, { "connections", std::to_string(server_.connectionCount()) }, { "limit", std::to_string(settings_.maxConnections) } });
     if (const uint64_t before = std::exchange(loggedMemoryDrops_, drops); before != drops)
--- a/packages/proxy/Proxy.cpp
+++ b/packages/proxy/Proxy.cpp
@@ -11,6 +11,7 @@
               .address = options.address,
               .port = options.port,
               .clock = options.clock,
+              .limits = std::make_shared<ServerLimits>(ServerLimits { .discardBytes = options.discardBytes }),
               .onRequest = [this](const std::shared_ptr<ServerConnection>& from, ServerRequest request) { startFlow(from, std::move(request)); },
               .onRefused =
                   [this](int status, std::string_view reason) {
@@ -54,6 +55,7 @@
         .request = { .headBytes = limits.headBytes, .bodyBytes = limits.bodyBytes },
         .headTimeout = limits.headTimeout,
         .idleTimeout = limits.idleTimeout,
+        .discardBytes = server_.limits().discardBytes,
     });
 }
 
--- a/packages/proxy/Proxy.h
+++ b/packages/proxy/Proxy.h
@@ -16,6 +16,7 @@
         Clock clock;
         std::shared_ptr<MemoryBudget> memory; // bytes held for callers; may be null
         size_t maxConnections = std::numeric_limits<size_t>::max(); // open connections of callers
+        size_t discardBytes = ServerLimits().discardBytes; // bytes of a refused request that are still read
     };
 
     Proxy(boost::asio::io_context& context, const Options& options, ProxyContext& shared);
@@ -57,6 +58,9 @@
     // Returns the number of connections that were closed because there were too many.
     uint64_t evictedConnections() const { return server_.evictedConnections(); }
 
+    // Returns the number of connections of which refused input was not read to its end.
+    uint64_t cutInputs() const { return server_.cutInputs(); }
+
     // Returns the bytes of answers that wait for callers to read.
     size_t unsentBytes() const { return server_.unsentBytes(); }
 
--- a/tests/ClientCrowdMemoryProcessTest.cpp
+++ b/tests/ClientCrowdMemoryProcessTest.cpp
@@ -21,6 +21,8 @@
     constexpr size_t oneByteClients = 300; // more than the process may have descriptors
     constexpr int pipelinedRequests = 2000;
     constexpr rlim_t maxDescriptors = 256; // of the kernel, for processes without a setting
+    constexpr qint64 refusedBytes = 64 * mebibyte;
+    constexpr qint64 refusedBytesRead = 2 * mebibyte; // discard_bytes, and what the kernel holds on both sides
     constexpr int noiseDatagrams = 3000;
     constexpr qsizetype noiseBytes = 20000;
 
@@ -96,6 +98,14 @@
 INSTANTIATE_TEST_SUITE_P(All, GatewayCrowd, testing::Combine(testing::ValuesIn(gatewayAddresses), testing::ValuesIn(kinds)),
     [](const auto& test) { return std::string(std::get<0>(test.param).name) + "_" + nameOf(std::get<1>(test.param)); });
 
+// A refused body is not read on, which would take the processor and the link from others.
+TEST_F(GatewayCallerMemory, RefusedBodiesAreNotReadToTheirEnd)
+{
+    for (const GatewayAddress& address : gatewayAddresses)
+        EXPECT_LT(sendRefusedBody(cluster_.addressOf(address.name), lengthHead(address.path, refusedBytes), refusedBytes), refusedBytesRead) << address.name;
+    expectBoundsAndService();
+}
+
 TEST_F(GatewayCallerMemory, DatagramsFromStrangers)
 {
     sendDatagrams(cluster_.addressOf("peers"));
@@ -136,6 +146,13 @@
 INSTANTIATE_TEST_SUITE_P(All, NodeCrowd, testing::Combine(testing::Bool(), testing::ValuesIn(kinds)),
     [](const auto& test) { return std::string(std::get<0>(test.param) ? "tls" : "plain") + "_" + nameOf(std::get<1>(test.param)); });
 
+TEST_F(NodeWithFewDescriptors, RefusedBodiesAreNotReadToTheirEnd)
+{
+    startServer(false);
+    EXPECT_LT(sendRefusedBody(cluster_.addressOf("n1"), lengthHead("/orders", refusedBytes), refusedBytes), refusedBytesRead);
+    expectBoundsAndService();
+}
+
 // The address of other nodes takes frames with their length in front, and datagrams.
 TEST_F(NodeWithFewDescriptors, UnfinishedFramesAtTheAddressOfOtherNodes)
 {
