Lower max_connections to what the descriptors leave instead of refusing the file

Cause: made more connections than the descriptors leave an error of the settings. Files that were valid stopped the node: BenchSmoke failed, since its nodes name 20,000 connections with a limit of 20,000 descriptors. Change: the bound is lowered, after the other checks, and node_started tells it.

--- a/packages/config/Settings.cpp
+++ b/packages/config/Settings.cpp
@@ -141,12 +141,12 @@
     const size_t connectionBytes = settings.tlsCertificateFile.empty() ? plainConnectionBytes : tlsConnectionBytes;
     const int fitting = static_cast<int>(std::max<size_t>(1, std::min(static_cast<size_t>(settings.maxConnections), settings.callerMemory / connectionBytes)));
     settings.maxConnections = static_cast<int>(reader.readInteger("max_connections", fitting, 1, 1000000));
-    if (machine.openFiles && static_cast<size_t>(settings.maxConnections) > shareDescriptors(*machine.openFiles).callers)
-        reader.addError("max_connections", "leaves too few of the " + std::to_string(*machine.openFiles) + " descriptors that the process may open; write at most " + std::to_string(shareDescriptors(*machine.openFiles).callers) + " or raise the hard limit of descriptors (ulimit -Hn)");
     settings.maxConnectionsPerAddress = static_cast<int>(reader.readInteger("max_connections_per_address", settings.maxConnectionsPerAddress, 1, 1000000));
     const int defaultPerAddress = Settings().maxConnectionsPerAddress;
     if (settings.maxConnectionsPerAddress > settings.maxConnections && settings.maxConnectionsPerAddress != defaultPerAddress)
         reader.addError("max_connections_per_address", "is above max_connections and has no effect; write at most " + std::to_string(settings.maxConnections));
+    if (machine.openFiles)
+        settings.maxConnections = std::min(settings.maxConnections, static_cast<int>(shareDescriptors(*machine.openFiles).callers));
     settings.maxWaiting = static_cast<int>(reader.readInteger("max_waiting", settings.maxWaiting, 0, 1000000));
     settings.maxRequestsPerCaller = static_cast<int>(reader.readInteger("max_requests_per_caller", settings.maxRequestsPerCaller, 1, 1000000));
     settings.claimSharingNodes = static_cast<int>(reader.readInteger("claim_sharing_nodes", settings.claimSharingNodes, 2, 1000000));
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -187,7 +187,7 @@
     report_.start();
     publishTimer_.start(settings_.heartbeatInterval);
     pumpTimer_.start(idlePumpInterval);
-    logInfo("node_started", { { "node", settings_.node }, { "incarnation", std::to_string(incarnation_) }, { "domain", settings_.domain }, { "callers", settings_.callers.toString() } });
+    logInfo("node_started", { { "node", settings_.node }, { "incarnation", std::to_string(incarnation_) }, { "domain", settings_.domain }, { "callers", settings_.callers.toString() }, { "max_connections", std::to_string(settings_.maxConnections) } });
     return absl::OkStatus();
 }
 
