Release what the parser of a node has consumed after each read

Cause: Qt's server reads inside a transaction of the socket until the request is complete, and the socket then keeps each read in a block of 16 KB, even if it brought one byte. The budget counted the bytes, not the blocks, so nothing was dropped. Why it works: the parser never goes back to bytes that it has consumed, so the transaction is committed after each read.

--- a/packages/http/ValidatingSocket.cpp
+++ b/packages/http/ValidatingSocket.cpp
@@ -160,7 +160,13 @@
 
 void ValidatingSocket::trackUnreadBytes()
 {
-    connect(this, &QTcpSocket::readyRead, this, [this] { scannedUnread_ = bytesAvailable(); });
+    connect(this, &QTcpSocket::readyRead, this, [this] {
+        // Qt's server keeps what its parser has consumed until the request is complete, in a block of 16 KB for each read, however few
+        // bytes it brought. It never reads them again.
+        if (isTransactionStarted())
+            commitTransaction();
+        scannedUnread_ = bytesAvailable();
+    });
     connect(this, &QTcpSocket::bytesWritten, this, &ValidatingSocket::noteHeldBytes);
 }
 
--- a/tests/ClientCrowdMemoryProcessTest.cpp
+++ b/tests/ClientCrowdMemoryProcessTest.cpp
@@ -20,6 +20,8 @@
     constexpr int tinyChunks = 500000; // of one byte each; the last chunk is missing
     constexpr size_t oneByteClients = 300; // more than the process may have descriptors
     constexpr int pipelinedRequests = 2000;
+    constexpr size_t slowClients = 10;
+    constexpr int slowBytes = 500;
     constexpr rlim_t maxDescriptors = 256; // of the kernel, for processes without a setting
     constexpr qint64 refusedBytes = 64 * mebibyte;
     constexpr qint64 refusedBytesRead = 2 * mebibyte; // discard_bytes, and what the kernel holds on both sides
@@ -63,7 +65,13 @@
         { "AnswersUnread", unfinishedClients, [](const QByteArray& path) { return ("GET " + path + " HTTP/1.1\r\nHost: soak.test\r\n\r\n").repeated(pipelinedRequests); }, false },
     };
 
-    std::string nameOf(const ClientKind& kind) { return kind.name; }
+    // A head without its end.
+    QByteArray slowHead(const QByteArray& path)
+    {
+        return "GET " + path + " HTTP/1.1\r\nX-Slow: " + QByteArray(slowBytes, 'x');
+    }
+
+    std::ostream& operator<<(std::ostream& out, const ClientKind& kind) { return out << kind.name; }
 
     // An address of the gateway, by its name in the cluster.
     struct GatewayAddress {
@@ -71,6 +79,8 @@
         const char* path; // of an ordinary request there
     };
 
+    std::ostream& operator<<(std::ostream& out, const GatewayAddress& address) { return out << address.name; }
+
     const std::vector<GatewayAddress> gatewayAddresses { { "g", "/x" }, { "ready", "/readyz" }, { "control", "/metrics" } };
 
     void sendDatagrams(const std::string& endpoint)
@@ -96,7 +106,16 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(All, GatewayCrowd, testing::Combine(testing::ValuesIn(gatewayAddresses), testing::ValuesIn(kinds)),
-    [](const auto& test) { return std::string(std::get<0>(test.param).name) + "_" + nameOf(std::get<1>(test.param)); });
+    [](const auto& test) { return std::string(std::get<0>(test.param).name) + "_" + std::get<1>(test.param).name; });
+
+// Guards against memory that grows with the number of reads.
+TEST_F(GatewayCallerMemory, HeadsThatComeAByteAtATime)
+{
+    disableTimeouts();
+    for (const GatewayAddress& address : gatewayAddresses)
+        sendByteByByte(slowClients, cluster_.addressOf(address.name), slowHead(address.path));
+    expectBoundsAndService();
+}
 
 // A refused body is not read on, which would take the processor and the link from others.
 TEST_F(GatewayCallerMemory, RefusedBodiesAreNotReadToTheirEnd)
@@ -144,7 +163,21 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(All, NodeCrowd, testing::Combine(testing::Bool(), testing::ValuesIn(kinds)),
-    [](const auto& test) { return std::string(std::get<0>(test.param) ? "tls" : "plain") + "_" + nameOf(std::get<1>(test.param)); });
+    [](const auto& test) { return std::string(std::get<0>(test.param) ? "tls" : "plain") + "_" + std::get<1>(test.param).name; });
+
+TEST_F(NodeWithFewDescriptors, HeadsThatComeAByteAtATime)
+{
+    startServer(false);
+    sendByteByByte(slowClients, cluster_.addressOf("n1"), slowHead("/orders"));
+    expectBoundsAndService();
+}
+
+TEST_F(NodeWithFewDescriptors, HeadsThatComeAByteAtATimeOverTls)
+{
+    startServer(true);
+    sendByteByByte(slowClients, cluster_.addressOf("n1"), slowHead("/orders"));
+    expectBoundsAndService();
+}
 
 TEST_F(NodeWithFewDescriptors, RefusedBodiesAreNotReadToTheirEnd)
 {
--- a/tests/support/CallerMemory.cpp
+++ b/tests/support/CallerMemory.cpp
@@ -38,6 +38,22 @@
     })) << "the process has stopped reading or answering";
 }
 
+void CallerMemory::sendByteByByte(size_t callers, const std::string& endpoint, const QByteArray& bytes)
+{
+    const size_t before = callers_.size();
+    for (size_t i = 0; i < callers; ++i) {
+        callers_.push_back(std::make_unique<RawClient>(endpoint));
+        if (isTls_)
+            callers_.back()->startTls();
+        callers_.back()->socket().setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    }
+    for (const char byte : bytes) {
+        for (size_t i = before; i < callers_.size(); ++i)
+            callers_[i]->send(QByteArray(1, byte));
+        ASSERT_TRUE(waitUntil([&] { return haveSentAll() && hasReadAll(endpoint); })) << "the process has stopped reading";
+    }
+}
+
 qint64 CallerMemory::sendRefusedBody(const std::string& endpoint, const QByteArray& head, qint64 bytes)
 {
     namespace asio = boost::asio;
--- a/tests/support/CallerMemory.h
+++ b/tests/support/CallerMemory.h
@@ -35,6 +35,9 @@
     // connections. Callers that don't read their answers may stop the process from reading; then it waits for the answers.
     void sendFromAll(size_t callers, const std::string& endpoint, const QByteArray& bytes, bool readsAnswers = true);
 
+    // Sends a number of bytes on new connections, each of which the process reads alone.
+    void sendByteByByte(size_t callers, const std::string& endpoint, const QByteArray& bytes);
+
     // Sends a head that is refused with 413, and then so many bytes whatever the answer. Returns how many the connection took until it
     // ended.
     static qint64 sendRefusedBody(const std::string& endpoint, const QByteArray& head, qint64 bytes);
