Read no more pipelined requests than fit beside the one at work

Cause: reading paused while more than 64 KB of pipelined bytes waited, but after each answer one more read of up to 64 KB was made, while the next request took 40 bytes of them. So the bytes grew with each answer; they count as those of a request at work, which is never dropped. Why it works: after an answer the next request is parsed first, and more is read only if fewer than 16 KB wait; a read behind a request at work takes no more than that.

--- a/packages/http/ServerConnection.cpp
+++ b/packages/http/ServerConnection.cpp
@@ -17,7 +17,7 @@
 // it, and the caller could lose the answer. One second covers any round trip.
 static constexpr Millis lingerTimeout { 1000 };
 // Pipelined bytes to buffer while a request is being processed, before reading pauses.
-static constexpr size_t maxPipelinedBytes = 64 * 1024;
+static constexpr size_t maxPipelinedBytes = 16 * 1024;
 // Unsent bytes of earlier answers above which no further request is read from a caller that doesn't read its answers.
 static constexpr size_t maxUnsentBeforeRequest = 64 * 1024;
 // Time after which part of an answer that waits for the caller counts as unread, if it is small. Most callers read it at once.
@@ -88,7 +88,9 @@
 {
     static thread_local std::array<char, readBufferBytes> buffer;
     error_code error;
-    const size_t size = socket_.read_some(asio::buffer(buffer), error);
+    // Bytes behind the request that is being answered are part of no request yet: only a few are kept.
+    const size_t most = state_ == State::Answering ? maxPipelinedBytes - std::min(maxPipelinedBytes - 1, unread_.size()) : buffer.size();
+    const size_t size = socket_.read_some(asio::buffer(buffer.data(), std::min(most, buffer.size())), error);
     if (error && error != asio::error::would_block) {
         closeSocket();
         return;
@@ -105,9 +107,14 @@
     if (unread_.empty() && unread_.capacity() > keptBufferBytes)
         unread_ = std::string();
     noteHeldBytes();
-    // Above the limit for pipelined bytes, reading resumes after the current answer, or when the caller has read it.
+    continueReading();
+}
+
+// Waits for more bytes, unless enough of them wait for the current answer, or for the caller to read it. Reading resumes then.
+void ServerConnection::continueReading()
+{
     const bool isPaused = state_ == State::Answering || (state_ == State::ReadingHead && writer_.unsentBytes() > maxUnsentBeforeRequest);
-    if (!isPaused || unread_.size() <= maxPipelinedBytes)
+    if (!isPaused || unread_.size() < maxPipelinedBytes)
         waitForBytes();
 }
 
@@ -319,14 +326,18 @@
 {
     if (isClosed_ || state_ != State::ReadingHead)
         return;
-    // A pipelined request is read in the next iteration of the event loop, so that handlers don't nest.
-    if (!unread_.empty()) {
-        asio::post(socket_.get_executor(), [self = shared_from_this()] {
-            if (!self->isClosed_ && self->state_ == State::ReadingHead)
-                self->readRequest();
-        });
+    if (unread_.empty()) {
+        waitForBytes();
+        return;
     }
-    waitForBytes();
+    // A pipelined request is read in the next iteration of the event loop, so that handlers don't nest.
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        if (self->isClosed_ || self->state_ != State::ReadingHead)
+            return;
+        self->readRequest();
+        if (!self->isClosed_)
+            self->continueReading();
+    });
 }
 
 void ServerConnection::refuse(int status, std::string_view reason)
--- a/packages/http/ServerConnection.h
+++ b/packages/http/ServerConnection.h
@@ -112,6 +112,7 @@
 
     void waitForBytes();
     void readBytes();
+    void continueReading();
     void readRequest();
     bool readHead();
     bool readBody();
--- a/tests/ClientCrowdMemoryProcessTest.cpp
+++ b/tests/ClientCrowdMemoryProcessTest.cpp
@@ -20,6 +20,8 @@
     constexpr int tinyChunks = 500000; // of one byte each; the last chunk is missing
     constexpr size_t oneByteClients = 300; // more than the process may have descriptors
     constexpr int pipelinedRequests = 2000;
+    constexpr qsizetype pipelinedBytes = 1000000; // of each client
+    constexpr qsizetype answersBefore = 20; // which each client has got when the bounds are checked
     constexpr size_t slowClients = 10;
     constexpr int slowBytes = 500;
     constexpr rlim_t maxDescriptors = 256; // of the kernel, for processes without a setting
@@ -117,6 +119,19 @@
     expectBoundsAndService();
 }
 
+// Guards against requests that pile up behind the one that is being answered.
+TEST_F(GatewayCallerMemory, PipelinedRequestsWithoutEnd)
+{
+    const std::string endpoint = cluster_.addressOf("g");
+    const QByteArray requests = QByteArray("GET /x HTTP/1.1\r\nHost: soak.test\r\n\r\n").repeated(pipelinedBytes / 38);
+    for (size_t i = 0; i < unfinishedClients; ++i) {
+        callers_.push_back(std::make_unique<RawClient>(endpoint));
+        callers_.back()->send(requests);
+    }
+    EXPECT_TRUE(waitUntil([&] { return std::all_of(callers_.begin(), callers_.end(), [](const auto& caller) { return caller->received().count("HTTP/1.1 ") >= answersBefore || caller->socket().state() == QAbstractSocket::UnconnectedState; }); }));
+    expectBoundsAndService();
+}
+
 // A refused body is not read on, which would take the processor and the link from others.
 TEST_F(GatewayCallerMemory, RefusedBodiesAreNotReadToTheirEnd)
 {
