--- a/tests/ClientCrowdMemoryProcessTest.cpp
+++ b/tests/ClientCrowdMemoryProcessTest.cpp
@@ -22,6 +22,7 @@
     constexpr int pipelinedRequests = 2000;
     constexpr qsizetype pipelinedBytes = 1000000; // of each client
     constexpr qsizetype answersBefore = 20; // which each client has got when the bounds are checked
+    constexpr size_t busyClients = 120; // more than the gateway may have connections
     constexpr size_t slowClients = 10;
     constexpr int slowBytes = 500;
     constexpr rlim_t maxDescriptors = 256; // of the kernel, for processes without a setting
@@ -119,16 +120,32 @@
     expectBoundsAndService();
 }
 
+class GatewayPipelining : public GatewayCallerMemory {
+protected:
+    // Sends requests without end on new connections, and waits until some on each are answered.
+    void sendPipelined(size_t clients)
+    {
+        const QByteArray request = "GET /x HTTP/1.1\r\nHost: soak.test\r\n\r\n";
+        for (size_t i = 0; i < clients; ++i) {
+            callers_.push_back(std::make_unique<RawClient>(cluster_.addressOf("g")));
+            callers_.back()->send(request.repeated(pipelinedBytes / request.size()));
+        }
+        const auto isAnswered = [](const auto& caller) { return caller->received().count("HTTP/1.1 ") >= answersBefore || caller->socket().state() == QAbstractSocket::UnconnectedState; };
+        EXPECT_TRUE(waitUntil([&] { return std::all_of(callers_.begin(), callers_.end(), isAnswered); }));
+    }
+};
+
 // Guards against requests that pile up behind the one that is being answered.
-TEST_F(GatewayCallerMemory, PipelinedRequestsWithoutEnd)
+TEST_F(GatewayPipelining, RequestsWithoutEnd)
 {
-    const std::string endpoint = cluster_.addressOf("g");
-    const QByteArray requests = QByteArray("GET /x HTTP/1.1\r\nHost: soak.test\r\n\r\n").repeated(pipelinedBytes / 38);
-    for (size_t i = 0; i < unfinishedClients; ++i) {
-        callers_.push_back(std::make_unique<RawClient>(endpoint));
-        callers_.back()->send(requests);
-    }
-    EXPECT_TRUE(waitUntil([&] { return std::all_of(callers_.begin(), callers_.end(), [](const auto& caller) { return caller->received().count("HTTP/1.1 ") >= answersBefore || caller->socket().state() == QAbstractSocket::UnconnectedState; }); }));
+    sendPipelined(unfinishedClients);
+    expectBoundsAndService();
+}
+
+// Guards against clients that keep all connections, since each always has a request at work.
+TEST_F(GatewayPipelining, MoreClientsThanConnections)
+{
+    sendPipelined(busyClients);
     expectBoundsAndService();
 }
 
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -196,6 +196,12 @@
     return waitUntil([&] { return processes_.at(name).process->state() == QProcess::NotRunning; });
 }
 
+int Cluster::exitCodeOf(const std::string& name)
+{
+    const QProcess& process = *processes_.at(name).process;
+    return process.exitStatus() == QProcess::NormalExit ? process.exitCode() : -1;
+}
+
 void Cluster::pause(const std::string& name)
 {
     ::kill(static_cast<pid_t>(processes_.at(name).process->processId()), SIGSTOP);
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -127,6 +127,9 @@
     // Returns whether the process exists. Paused processes count as running.
     bool isRunning(const std::string& name) { return processes_.at(name).process->state() == QProcess::Running; }
 
+    // Returns the exit code of a process that has ended, or -1 if a signal ended it.
+    int exitCodeOf(const std::string& name);
+
     // Returns the process id of a running process.
     qint64 pidOf(const std::string& name) { return processes_.at(name).process->processId(); }
 
