--- a/packages/base/AcceptRetry.h
+++ b/packages/base/AcceptRetry.h
@@ -4,20 +4,22 @@
 
 #include <QTcpServer>
 #include <QTimer>
+#include <chrono>
 
 // Keeps Qt's servers accepting.
 
 namespace hemlockweir {
 
+// Pause before a server accepts again. Trying at once would keep the thread busy.
+inline constexpr std::chrono::milliseconds acceptPause { 100 };
+
 // Makes a server accept again a moment after it failed to, for want of descriptors above all: Qt stops to accept then. Call it once
 // for a server, before it listens.
 inline void resumeAfterErrors(QTcpServer& server)
 {
-    // Trying at once would keep the thread busy.
-    constexpr std::chrono::milliseconds pause { 100 };
     QObject::connect(&server, &QTcpServer::acceptError, &server, [&server] {
         logWarning("accept_failed", { { "error", server.errorString().toStdString() } });
-        QTimer::singleShot(pause, &server, [&server] { server.resumeAccepting(); });
+        QTimer::singleShot(acceptPause, &server, [&server] { server.resumeAccepting(); });
     });
 }
 
--- a/packages/base/MachineLimits.cpp
+++ b/packages/base/MachineLimits.cpp
@@ -3,6 +3,7 @@
 #include "base/Log.h"
 
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
 #include <absl/strings/strip.h>
 #include <algorithm>
 #include <cerrno>
@@ -46,7 +47,7 @@
     std::string group = findLine(root + "/proc/self/cgroup", "0::");
     while (true) {
         size_t bytes = 0;
-        if (absl::SimpleAtoi(findLine(root + "/sys/fs/cgroup" + group + "/memory.max", ""), &bytes))
+        if (absl::SimpleAtoi(findLine(absl::StrCat(root, "/sys/fs/cgroup", group, "/memory.max"), ""), &bytes))
             lower(limits.memory, bytes);
         const size_t slash = group.rfind('/');
         if (slash == std::string::npos)
--- a/packages/base/MachineLimits.h
+++ b/packages/base/MachineLimits.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstddef>
 #include <optional>
 #include <string>
--- a/packages/config/ConnectionShares.h
+++ b/packages/config/ConnectionShares.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstddef>
 
 // How the descriptors of a process are shared between its kinds of connections.
--- a/tests/LargeBodyProcessTest.cpp
+++ b/tests/LargeBodyProcessTest.cpp
@@ -26,6 +26,7 @@
     {
         cluster_.startProgram("store", "standin-kvstore", { "--listen", QString::fromStdString(cluster_.addressOf("store")) }, cluster_.urlOf("store") + "/effects");
         std::vector<std::string> links;
+        links.reserve(endpoints.size());
         for (const std::string& endpoint : endpoints)
             links.push_back("to-" + endpoint + "," + cluster_.addressOf("to-" + endpoint) + "," + cluster_.addressOf(endpoint));
         cluster_.startProxy(links);
