Keep what connections of other nodes change at their end alive as long as their server

What operators would have seen: a node that ends with open connections at its address for other nodes touched freed memory. It went unnoticed in the plain build; the sanitized one ended with an error of the address sanitizer instead of code 0. Cause: declared the list of waiting connections behind the server that owns them. At the end of the process the list was destroyed first, and each connection that the server then closed was taken off it. Why it works: the list stands before the server, so it outlives it.

--- a/packages/wire/PeerExchange.h
+++ b/packages/wire/PeerExchange.h
@@ -57,11 +57,11 @@
     static void send(QTcpSocket* socket, const std::optional<QByteArray>& answer);
 
     Options options_;
-    QTcpServer server_;
-    std::map<MessageKind, Handler> handlers_;
     std::vector<QTcpSocket*> waiting_; // open connections without a complete request, the oldest first
     size_t openConnections_ = 0;
     uint64_t evictedConnections_ = 0;
+    QTcpServer server_; // after what its connections change when it closes them
+    std::map<MessageKind, Handler> handlers_;
 };
 
 // One request to a peer. It ends with an answer, an error or a timeout; destroying it discards the
