Send no signal to the process group of the tests

Cause: QProcess::processId() is 0 once Qt has noticed that a process ended, and kill(0, SIGHUP) goes to the whole process group: the test, ctest and the script. The crowd soak and the gateways' soak took the id without a look at it.

Cluster::signal() sends nothing to a process that has ended, and all tests send signals through it.

--- a/tests/CrowdSoakMemoryProcessTest.cpp
+++ b/tests/CrowdSoakMemoryProcessTest.cpp
@@ -151,7 +151,6 @@
         void act(Node& node)
         {
             ++actions_;
-            const auto pid = static_cast<pid_t>(cluster_.pidOf(node.name));
             switch (random_() % 8) {
             case 0:
                 publishRoutes();
@@ -164,22 +163,22 @@
                 return;
             case 2:
             case 3:
-                ::kill(pid, SIGSTOP);
+                cluster_.signal(node.name, SIGSTOP);
                 node.isPaused = true;
                 node.resumeAt = now() + static_cast<qint64>(random_() % 500);
                 return;
             case 4:
             case 5:
                 if (node.isGateway)
-                    ::kill(pid, SIGHUP);
-                ::kill(pid, SIGTERM);
+                    cluster_.signal(node.name, SIGHUP);
+                cluster_.signal(node.name, SIGTERM);
                 if (node.isGateway)
-                    ::kill(pid, SIGHUP);
+                    cluster_.signal(node.name, SIGHUP);
                 node.isEnding = true;
                 return;
             default:
                 for (uint64_t i = random_() % 5; node.isGateway && i > 0; --i)
-                    ::kill(pid, SIGHUP);
+                    cluster_.signal(node.name, SIGHUP);
             }
         }
 
@@ -195,7 +194,7 @@
         {
             for (Node& node : nodes_) {
                 if (node.isPaused && now() >= node.resumeAt) {
-                    ::kill(static_cast<pid_t>(cluster_.pidOf(node.name)), SIGCONT);
+                    cluster_.signal(node.name, SIGCONT);
                     node.isPaused = false;
                 }
                 if (!cluster_.isRunning(node.name)) {
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -180,6 +180,13 @@
     startProcess("proxy", "standin-proxy", arguments);
 }
 
+void Cluster::signal(const std::string& name, int number)
+{
+    // The id of a process that has ended is 0, which stands for the process group of the tests.
+    if (const qint64 pid = processes_.at(name).process->processId(); pid > 0)
+        ::kill(static_cast<pid_t>(pid), number);
+}
+
 void Cluster::kill(const std::string& name)
 {
     processes_.at(name).process->kill();
@@ -204,12 +211,12 @@
 
 void Cluster::pause(const std::string& name)
 {
-    ::kill(static_cast<pid_t>(processes_.at(name).process->processId()), SIGSTOP);
+    signal(name, SIGSTOP);
 }
 
 void Cluster::resume(const std::string& name)
 {
-    ::kill(static_cast<pid_t>(processes_.at(name).process->processId()), SIGCONT);
+    signal(name, SIGCONT);
 }
 
 void Cluster::restart(const std::string& name)
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -109,7 +109,8 @@
     void startProxy(const std::vector<std::string>& links);
 
     // Signals. kill() sends SIGKILL and terminate() sends SIGTERM; restart() starts the process again
-    // with the same arguments.
+    // with the same arguments. Nothing is sent to a process that has ended.
+    void signal(const std::string& name, int number);
     void kill(const std::string& name);
     void terminate(const std::string& name);
     bool waitForExit(const std::string& name);
--- a/tests/support/SoakFaults.cpp
+++ b/tests/support/SoakFaults.cpp
@@ -80,7 +80,7 @@
         add(gateway, "terminate", randomDuration(100, 500), [] {});
         return;
     default:
-        ::kill(static_cast<pid_t>(cluster_.processes().pidOf(gateway)), SIGHUP);
+        cluster_.processes().signal(gateway, SIGHUP);
     }
 }
 
