Probe a target that failed beside the requests of other nodes

What callers saw: with several gateways and a small service, callers of one gateway got 503 for 30 s and longer ("waited_too_long"), while callers of another were served.

Cause: a target that failed gets one request before it gets more, and requests of other nodes counted. As long as they kept one slot in use, the node to which the target had failed once placed nothing there.

Now only requests of this node count if the other nodes use half of the slots or more: then the target works for them. With fewer, these may be probes themselves, and it stays as it was: one probe at a time.

Evidence: DispatcherTest.FailedTargetThatOthersUse* failed before.

--- a/packages/proxy/Placement.cpp
+++ b/packages/proxy/Placement.cpp
@@ -20,6 +20,9 @@
 // are neither: in an overload the next of them arrives within milliseconds, while a slot stays occupied for a
 // second.
 static constexpr double lateRequestFraction = 0.85;
+// Fraction of the slots of a target that failed here, in use by the other nodes, from which on it works for them. Probes alone don't
+// use as many.
+static constexpr double usedByPeersFraction = 0.5;
 // Fraction of the prompt budget available to less urgent requests.
 static constexpr double yieldingPromptFraction = 0.5;
 
@@ -82,10 +85,13 @@
     double slots = std::max<uint32_t>(1, load.target.slots);
     if (request.isLate || request.yieldsToUrgent)
         slots = std::max(1.0, std::floor(slots * lateRequestFraction));
-    // A target that failed gets a single probe request before it gets more.
-    if (load.consecutiveFailures > 0)
-        slots = 1;
-    return slots;
+    if (load.consecutiveFailures == 0)
+        return slots;
+    // A target that failed gets a single probe request before it gets more. If the other nodes use it, only requests of this node
+    // count: theirs would otherwise keep this node from it for as long as they come.
+    if (load.peerRunning >= usedByPeersFraction * load.target.slots)
+        return load.running() == 0 ? slots : 0;
+    return 1;
 }
 
 bool canAccept(const TargetLoad& load, const PlacementRequest& request, Millis now, const LoadForecast& forecast)
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -368,6 +368,27 @@
     EXPECT_EQ(placed_.count(second), 1U);
 }
 
+// Requests of other nodes counted as probes of a failed target. A node to which it had failed once got nothing from it for as long
+// as another node kept some of its slots in use.
+TEST_F(DispatcherTest, FailedTargetThatOthersUseGetsAProbeBesideThem)
+{
+    const auto reportRunning = [this](uint32_t running) { dispatcher_.updatePeerUsage("n2", { .byTarget = { { hashTarget("e1"), { .running = running } } }, .receivedAt = now_ }); };
+    dispatcher_.setTargets("engines", { target("e1", 8) });
+    dispatcher_.noteFailure("e1", false);
+    advance(Millis(1600));
+    reportRunning(1); // may be the probe of the other node
+    const uint64_t probe = submit(0);
+    const uint64_t second = submit(0);
+    EXPECT_EQ(placed_.count(probe), 0U);
+    reportRunning(6);
+    dispatcher_.tick();
+    EXPECT_EQ(placed_.count(probe), 1U);
+    EXPECT_EQ(placed_.count(second), 0U);
+    dispatcher_.noteSuccess("e1");
+    dispatcher_.tick();
+    EXPECT_EQ(placed_.count(second), 1U);
+}
+
 // Replays the burst of kcs-nairobi-large: all replicas are full, but for those that span fabric domains.
 TEST_F(DispatcherTest, SpanningReplicaServesWhatTheOthersHaveNoSlotFor)
 {
