Leave slots to nodes whose requests get none

Cause: a node used each slot that it freed for its own waiting requests. Nodes whose requests always wait therefore kept all slots of the service, and the requests of other nodes were refused after the longest wait, all of them.

A node now leaves a freed slot to the others while requests wait at one that runs none: one slot at a time, and its only one after 20 times the age of the reports. It doesn't claim the slot back for twice that age. Nodes without any slot so get one after the other, and few slots are unused: a slot is left only if no other is free, and not on endpoints with a request limit.

The functions that share contended slots moved from Dispatcher.cpp to DispatcherClaims.cpp; those that were there are unchanged.

Evidence: SlotSharingTest plays one endpoint and 2 to 24 nodes for 30 s. The nodes' timers and the requests' durations differ since a first form of the test, in which all nodes took the same slot in the same ms.

--- a/packages/proxy/Dispatcher.cpp
+++ b/packages/proxy/Dispatcher.cpp
@@ -1,7 +1,6 @@
 #include "proxy/Dispatcher.h"
 
 #include <algorithm>
-#include <cmath>
 #include <glog/logging.h>
 #include <numeric>
 
@@ -13,8 +12,6 @@
 static constexpr double newSampleWeight = 0.1;
 // Consecutive rejections, without a response between them, after which a target counts as failed.
 static constexpr uint32_t rejectionsPerFailure = 3;
-// Contended slots that a node may take at once.
-static constexpr double maxClaims = 3;
 // Fraction of a target's slots in use above which nodes compete for the remaining ones.
 static constexpr double contendedFraction = 0.75;
 
@@ -153,12 +150,15 @@
     bool takesFreed = false;
     if (!request.hasResponseStarted && !peers_.empty()) {
         const bool holds = reportsHold(queue);
-        const FreeSlots freeSlots = countFreeSlots(key, forecast, holds);
+        FreeSlots freeSlots = countFreeSlots(key, forecast, holds);
+        const bool isReserved = now < queue.reservedUntil;
+        if (isReserved)
+            freeSlots = { .all = std::max(0.0, freeSlots.all - 1), .assured = std::max(0.0, freeSlots.assured - 1) };
         // While requests last longer than reports are old, any other node may want a slot before it tells.
         const auto rivals = static_cast<double>(holds ? peers_.size() : countWaitingPeers(key));
         isClaim = freeSlots.assured * slotUsesPerReport(queue) < 1 + rivals;
         takesFreed = isClaim && freed && !freed->target.isSpanning() && canAccept(*freed, request, now, forecast);
-        if (isClaim && !takesFreed && !mayClaim(queues_[key], freeSlots.all, rivals + forecast.unseenRequests))
+        if (isClaim && !takesFreed && ((isReserved && freeSlots.all < 1) || !mayClaim(queues_[key], freeSlots.all, rivals + forecast.unseenRequests)))
             return tryPlaceOnSpanning(request, queue);
     }
     const TargetLoad* chosen = takesFreed ? freed : chooseTarget(loadsFor(key).local, request, options_.domain, now, forecast, options_.random);
@@ -166,6 +166,8 @@
         return tryPlaceOnSpanning(request, queue);
     if (isClaim)
         queues_[key].claims -= 1;
+    if (!takesFreed && !isRunningAny(key))
+        queues_[key].timeSliceStart = now;
     place(std::move(request), loads_.at(chosen->target.id));
     return true;
 }
@@ -188,94 +190,6 @@
     return true;
 }
 
-// Returns how old the reports of the other nodes are on average, in ms.
-double Dispatcher::meanReportAgeMs() const
-{
-    const Millis now = options_.clock();
-    double sum = 0;
-    for (const auto& [node, peer] : peers_)
-        sum += static_cast<double>((now - peer.receivedAt).count());
-    return std::max(static_cast<double>(options_.minReportAge.count()), peers_.empty() ? 0 : sum / static_cast<double>(peers_.size()));
-}
-
-LoadForecast Dispatcher::forecastFor(const QueueKey& key, const Queue& queue) const
-{
-    if (peers_.empty())
-        return {};
-    double reported = 0;
-    double slots = 0;
-    for (const TargetLoad* load : loadsFor(key).local) {
-        reported += load->peerRunning;
-        slots += load->target.slots;
-    }
-    LoadForecast forecast = forecastLoad(reported, meanReportAgeMs(), queue.holdMs);
-    // Recent reports are taken as they are. What counts then is only how many requests the other nodes start in the meantime.
-    if (reportsHold(queue))
-        forecast = { .unseenRequests = reported * static_cast<double>(options_.minReportAge.count()) / queue.holdMs };
-    else
-        forecast.unseenPerSlot = slots > 0 ? forecast.unseenRequests / slots : 0;
-    forecast.typicalPromptTokens = queue.promptTokens;
-    return forecast;
-}
-
-Dispatcher::FreeSlots Dispatcher::countFreeSlots(const QueueKey& key, const LoadForecast& forecast, bool reportsHold) const
-{
-    const Millis now = options_.clock();
-    FreeSlots free;
-    for (const TargetLoad* load : loadsFor(key).local) {
-        if (!load->isUsable(now))
-            continue;
-        const double slots = std::max(0.0, std::min(load->allowance, load->target.slots - load->seenSlots(forecast)));
-        free.all += slots;
-        free.assured += assuredSlots(slots, forecast);
-    }
-    if (reportsHold)
-        return { .all = free.all, .assured = free.all };
-    free.all = std::max(0.0, free.all - forecast.unseenRequests);
-    free.assured = std::max(0.0, free.assured - forecast.unseenRequests);
-    return free;
-}
-
-// Returns the number of other nodes with waiting requests for the model.
-size_t Dispatcher::countWaitingPeers(const QueueKey& key) const
-{
-    const uint32_t model = hashModel(key.first, key.second);
-    return static_cast<size_t>(std::count_if(peers_.begin(), peers_.end(), [model](const auto& entry) { return entry.second.waitingByModel.count(model) > 0; }));
-}
-
-// Returns whether most of the requests that the other nodes reported still run.
-bool Dispatcher::reportsHold(const Queue& queue) const
-{
-    return queue.holdMs > 0 && forecastLoad(1, meanReportAgeMs(), queue.holdMs).remainingFraction > comparableFraction;
-}
-
-// Returns how often a slot can be used between two reports of a node: at least once.
-double Dispatcher::slotUsesPerReport(const Queue& queue) const
-{
-    return queue.holdMs > 0 ? std::max(1.0, meanReportAgeMs() / queue.holdMs) : 1;
-}
-
-// Returns whether a report of the load would no longer hold when it arrives: most of its requests have ended by then. Reports that are sent
-// because many slots are in use would then show a higher load than the regular ones.
-bool Dispatcher::isOutdatedOnArrival(const Queue& queue) const
-{
-    return slotUsesPerReport(queue) > 1;
-}
-
-// Returns whether this node may take one of the contended slots. All nodes see them free at the same time, e.g. those of a
-// replica that has just opened, and without a limit each would send its queue there. Each claimant takes its part of them each time
-// that they can be used again; a slot that this node freed itself is its own.
-bool Dispatcher::mayClaim(Queue& queue, double freeSlots, double otherClaimants)
-{
-    const Millis now = options_.clock();
-    const double part = freeSlots / (1 + std::min(static_cast<double>(peers_.size()), otherClaimants));
-    const double interval = meanReportAgeMs() / slotUsesPerReport(queue);
-    const double intervals = static_cast<double>((now - queue.claimsUpdatedAt).count()) / interval;
-    queue.claimsUpdatedAt = now;
-    queue.claims = std::min(maxClaims, queue.claims + part * std::min(1.0, intervals));
-    return queue.claims >= 1;
-}
-
 void Dispatcher::place(PlacementRequest request, TargetLoad& load)
 {
     Queue& queue = queues_[{ request.service, request.model }];
@@ -312,9 +226,8 @@
         reportChange(load, *promptLeftMs);
     if (queue.waiting.empty())
         return;
-    if (!load.target.isSpanning())
-        queue.claims = std::min(maxClaims, queue.claims + 1);
-    placeWaiting(key, &load);
+    if (load.target.isSpanning() || keepsFreedSlot(key, queue, load))
+        placeWaiting(key, &load);
 }
 
 void Dispatcher::noteAnswered(const std::string& targetId, uint64_t id)
--- a/packages/proxy/Dispatcher.h
+++ b/packages/proxy/Dispatcher.h
@@ -150,6 +150,8 @@
         Millis mostUrgentAt { 0 }; // when the most urgent of the recent requests arrived
         double claims = 0; // contended slots that this node may take
         Millis claimsUpdatedAt { 0 };
+        Millis reservedUntil { 0 }; // until then one free slot is left to the other nodes
+        Millis timeSliceStart { 0 }; // when this node got its first slot or last left one to another node
         double holdMs = 0; // ms, moving average of the time that an answered request held its slot; 0: unknown
         double promptTokens = 0; // moving average of the prompt length of placed requests
     };
@@ -173,6 +175,9 @@
     double slotUsesPerReport(const Queue& queue) const;
     bool isOutdatedOnArrival(const Queue& queue) const;
     bool mayClaim(Queue& queue, double freeSlots, double otherClaimants);
+    bool keepsFreedSlot(const QueueKey& key, Queue& queue, const TargetLoad& freed);
+    bool isRunningAny(const QueueKey& key) const;
+    bool isPeerStarved(const QueueKey& key) const;
     void place(PlacementRequest request, TargetLoad& load);
     void refuse(PlacementRequest request, RefusalReason reason, size_t requestsAhead);
     void applyNotice(const Target& target);
