--- a/standins/member.cpp
+++ b/standins/member.cpp
@@ -5,6 +5,7 @@
 // The process exits on a body that contains "poison".
 //
 // Faults:
+//   answer_bytes  number: with --plain, answers are streams of so many bytes
 //   lose_answers  count: runs a request, then resets the connection
 //   garble        count: closes the connection in the middle of an answer
 //   reject        count: answers 503 without running the request
@@ -427,6 +428,10 @@
                 exchange->startStream("text/plain", answerHeaders(*exchange));
                 exchange->sendChunk(answer.left(answer.size() / 2));
                 exchange->abort();
+            } else if (const int bytes = standIn_.fault("answer_bytes"); bytes > 0) {
+                exchange->startStream("text/plain", answerHeaders(*exchange));
+                exchange->sendChunk(QByteArray(bytes, 'x'));
+                exchange->finishStream();
             } else {
                 exchange->sendBytes(200, "text/plain", answer, answerHeaders(*exchange));
             }
--- a/tests/ClientCrowdMemoryProcessTest.cpp
+++ b/tests/ClientCrowdMemoryProcessTest.cpp
@@ -20,6 +20,7 @@
     constexpr int tinyChunks = 500000; // of one byte each; the last chunk is missing
     constexpr size_t oneByteClients = 300; // more than the process may have descriptors
     constexpr int pipelinedRequests = 2000;
+    constexpr int requestsWithNames = 200; // of each client
     constexpr qsizetype pipelinedBytes = 1000000; // of each client
     constexpr qsizetype answersBefore = 20; // which each client has got when the bounds are checked
     constexpr size_t busyClients = 120; // more than the gateway may have connections
@@ -149,6 +150,25 @@
     expectBoundsAndService();
 }
 
+// Returns what each client sends: requests with names that no other request has, a key, a host, a path and ids.
+static std::vector<QByteArray> makeRequestsWithNames(size_t clients)
+{
+    std::vector<QByteArray> requests(clients);
+    for (size_t i = 0; i < clients * requestsWithNames; ++i) {
+        const QByteArray name = QByteArray::number(i);
+        const QByteArray host = i / clients % 2 == 0 ? "soak.test" : name + ".test";
+        requests[i % clients] += "POST /x/" + name + " HTTP/1.1\r\nHost: " + host + "\r\nAuthorization: Bearer key-" + name + "\r\nX-Request-Id: id-" + name + "\r\nIdempotency-Key: order-" + name + "\r\nX-Model: model-" + name + "\r\nContent-Length: 2\r\n\r\n{}";
+    }
+    return requests;
+}
+
+// Guards against memory that grows with what callers name.
+TEST_F(GatewayCallerMemory, NamesThatNoOtherRequestHas)
+{
+    sendFromEach(cluster_.addressOf("g"), makeRequestsWithNames(slowClients));
+    expectBoundsAndService();
+}
+
 // A refused body is not read on, which would take the processor and the link from others.
 TEST_F(GatewayCallerMemory, RefusedBodiesAreNotReadToTheirEnd)
 {
@@ -218,6 +238,13 @@
     expectBoundsAndService();
 }
 
+TEST_F(NodeWithFewDescriptors, NamesThatNoOtherRequestHas)
+{
+    startServer(false);
+    sendFromEach(cluster_.addressOf("n1"), makeRequestsWithNames(slowClients));
+    expectBoundsAndService();
+}
+
 // The address of other nodes takes frames with their length in front, and datagrams.
 TEST_F(NodeWithFewDescriptors, UnfinishedFramesAtTheAddressOfOtherNodes)
 {
--- a/tests/support/CallerMemory.cpp
+++ b/tests/support/CallerMemory.cpp
@@ -19,9 +19,14 @@
 }
 
 void CallerMemory::sendFromAll(size_t callers, const std::string& endpoint, const QByteArray& bytes, bool readsAnswers)
+{
+    sendFromEach(endpoint, std::vector<QByteArray>(callers, bytes), readsAnswers);
+}
+
+void CallerMemory::sendFromEach(const std::string& endpoint, const std::vector<QByteArray>& bytes, bool readsAnswers)
 {
     const size_t before = callers_.size();
-    for (size_t i = 0; i < callers; ++i) {
+    for (size_t i = 0; i < bytes.size(); ++i) {
         callers_.push_back(std::make_unique<RawClient>(endpoint));
         if (isTls_)
             callers_.back()->startTls();
@@ -29,7 +34,7 @@
     for (size_t i = before; i < callers_.size(); ++i) {
         if (!readsAnswers)
             callers_[i]->stopReading();
-        callers_[i]->send(bytes);
+        callers_[i]->send(bytes[i - before]);
     }
     const auto isAnswered = [](const auto& caller) { return caller->socket().bytesAvailable() > 0 || caller->socket().state() == QAbstractSocket::UnconnectedState; };
     ASSERT_TRUE(waitUntil([&] {
@@ -129,11 +134,16 @@
         + cluster_.addressOf("peers") + "\"\nfirst_start = true\n\n[gateway.platform]\nstore = \"" + cluster_.addressOf("store") + "\"\n\n[gateway.memory]\nmemory_mb = 32\nmax_open_files = 256\n";
 }
 
+void GatewayCallerMemory::setTimeouts(int headerMs, int idleMs)
+{
+    EXPECT_EQ(cluster_.call("PUT", cluster_.urlOf("store") + "/entry?key=op/config", makeConfiguration(3, headerMs, idleMs)).status, 200);
+    EXPECT_TRUE(waitUntil([this] { return isAnswered("v3.test"); }));
+}
+
 void GatewayCallerMemory::disableTimeouts()
 {
     constexpr int hourMs = 3600000;
-    EXPECT_EQ(cluster_.call("PUT", cluster_.urlOf("store") + "/entry?key=op/config", makeConfiguration(3, hourMs, hourMs)).status, 200);
-    EXPECT_TRUE(waitUntil([this] { return isAnswered("v3.test"); }));
+    setTimeouts(hourMs, hourMs);
 }
 
 bool GatewayCallerMemory::isAnswered(const QByteArray& host)
--- a/tests/support/CallerMemory.h
+++ b/tests/support/CallerMemory.h
@@ -35,6 +35,9 @@
     // connections. Callers that don't read their answers may stop the process from reading; then it waits for the answers.
     void sendFromAll(size_t callers, const std::string& endpoint, const QByteArray& bytes, bool readsAnswers = true);
 
+    // The same with other bytes on each connection.
+    void sendFromEach(const std::string& endpoint, const std::vector<QByteArray>& bytes, bool readsAnswers = true);
+
     // Sends a number of bytes on new connections, each of which the process reads alone.
     void sendByteByByte(size_t callers, const std::string& endpoint, const QByteArray& bytes);
 
@@ -68,6 +71,9 @@
 
     std::string settings();
 
+    // Sets how long in ms the gateway waits for a head, and for the next bytes of a caller.
+    void setTimeouts(int headerMs, int idleMs);
+
     // Makes the gateway wait longer for its callers than any test does, so that no timeout ends what they do.
     void disableTimeouts();
 
