--- a/packages/http/RequestServer.cpp
+++ b/packages/http/RequestServer.cpp
@@ -1,5 +1,7 @@
 #include "http/RequestServer.h"
 
+#include "http/ReceiveBuffers.h"
+
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <numeric>
@@ -11,9 +13,6 @@
 
 // Limit of connections that the kernel queues until they are accepted.
 static constexpr int listenBacklog = 1024;
-// Receive buffer of the kernel for a connection, in bytes; the kernel takes twice as much. Without a limit it grows to megabytes, which
-// count as memory of the process while they are not read. Connections inherit it from the listener.
-static constexpr int receiveBufferBytes = 64 * 1024;
 // Pause after a connection could not be accepted, for want of descriptors above all. It can't be accepted at once, and
 // trying would keep the thread busy.
 static constexpr std::chrono::milliseconds acceptPause { 100 };
@@ -35,6 +34,7 @@
         acceptor_.open(endpoint.protocol(), error);
     if (!error)
         acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    // Connections inherit the buffer from the listener.
     if (!error)
         acceptor_.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), error);
     if (!error)
--- a/packages/http/ServerConnection.cpp
+++ b/packages/http/ServerConnection.cpp
@@ -1,5 +1,7 @@
 #include "http/ServerConnection.h"
 
+#include "http/ReceiveBuffers.h"
+
 #include <absl/strings/str_cat.h>
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -28,8 +30,6 @@
 static constexpr size_t chunkHeaderBytes = 128;
 // Size up to which an empty buffer is kept for the next bytes.
 static constexpr size_t keptBufferBytes = 4 * 1024;
-// Receive buffer of the kernel, in bytes, for a connection whose input is no longer read.
-static constexpr int stoppedBufferBytes = 4 * 1024;
 // Part of its size by which the buffer of a complete body may exceed it.
 static constexpr size_t bodySlackShare = 4;
 // Retry-After of a request that was refused for want of memory, in seconds: most unfinished requests end sooner.
--- a/packages/http/ValidatingSocket.cpp
+++ b/packages/http/ValidatingSocket.cpp
@@ -1,6 +1,7 @@
 #include "http/ValidatingSocket.h"
 
 #include "base/Log.h"
+#include "http/ReceiveBuffers.h"
 
 #include <algorithm>
 #include <netinet/in.h>
@@ -17,11 +18,6 @@
 static constexpr size_t connectionBytes = size_t { 8 } * 1024;
 // The same for what TLS adds: the state of OpenSSL and the buffers of the encrypted bytes.
 static constexpr size_t tlsBytes = size_t { 16 } * 1024;
-// Receive buffer of the kernel, in bytes; the kernel takes twice as much. Without a limit it grows to megabytes, which count as memory
-// of the process while they are not read.
-static constexpr int receiveBufferBytes = 64 * 1024;
-// The same for a connection whose input is no longer read.
-static constexpr int stoppedBufferBytes = 4096;
 // Bytes that are read at once. Without a limit Qt reads all that the kernel holds, which may be the whole request.
 static constexpr qint64 readBytes = qint64 { 64 } * 1024;
 // Memory of an unfinished request relative to its size: Qt's server appends what it reads to the body, whose buffer grows by
