Handle signals of the gateway from before its start to its end

Cause: the handlers were installed after the start and removed before the gateway was destroyed. A reload that came while the stopped gateway freed its objects met the default action of SIGHUP, which ends the process. Before the start it is the same.

The handlers are now older than the gateway: what comes before it waits for signals is kept. After the event loop has ended, the signals are blocked until the process ends.

--- a/programs/hemlockweir.cpp
+++ b/programs/hemlockweir.cpp
@@ -71,6 +71,16 @@
         std::cerr << "the allocator takes no thresholds\n";
 }
 
+// Blocks the signals that the gateway handles, until the process ends. Without their handlers they would end it as a crash does.
+static void blockSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int number : { SIGTERM, SIGINT, SIGHUP })
+        sigaddset(&signals, number);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 // Reads the settings file again. If it contains an error, the current settings stay in use.
 static void reloadGateway(Gateway& gateway, const std::string& path)
 {
@@ -90,18 +100,19 @@
     if (checkOnly)
         return 0;
     boost::asio::io_context context(1);
+    // Signals that come before the gateway waits for them are kept until then.
+    boost::asio::signal_set stopSignals(context, SIGTERM, SIGINT);
+    boost::asio::signal_set reloadSignals(context, SIGHUP);
     Gateway gateway(context, *settings, adapter::makeAdapter);
     if (const absl::Status status = gateway.start(); !status.ok()) {
         std::cerr << status.message() << '\n';
         return exitFailed;
     }
     std::signal(SIGPIPE, SIG_IGN);
-    boost::asio::signal_set stopSignals(context, SIGTERM, SIGINT);
     stopSignals.async_wait([&](const boost::system::error_code& error, int) {
         if (!error)
             gateway.stop([&context] { context.stop(); });
     });
-    boost::asio::signal_set reloadSignals(context, SIGHUP);
     std::function<void()> waitForReload = [&] {
         reloadSignals.async_wait([&](const boost::system::error_code& error, int) {
             if (error)
@@ -112,6 +123,7 @@
     };
     waitForReload();
     runEventLoop(context, [&gateway](const std::string& error) { gateway.noteUnexpectedError(error); });
+    blockSignals();
     return 0;
 }
 
