Look for other free slots only when a slot may be left

Cause: each freed slot with requests behind it had all targets of the model walked, although most slots are kept by the time slice alone. Change: the cheaper checks come first; what is decided is the same. The cost was not measured.

--- a/packages/proxy/DispatcherClaims.cpp
+++ b/packages/proxy/DispatcherClaims.cpp
@@ -110,9 +110,9 @@
     const Millis now = options_.clock();
     const double reportAge = meanReportAgeMs();
     const double slice = isRunningAny(key) ? reportAge : slotTimeSlice * reportAge;
-    const bool isOnlyFreeSlot = countFreeSlots(key, forecastFor(key, queue), reportsHold(queue)).all < 2;
+    const auto isOnlyFreeSlot = [&] { return countFreeSlots(key, forecastFor(key, queue), reportsHold(queue)).all < 2; };
     // An endpoint with a request limit does not serve more requests with the slot.
-    if (freed.isLimited() || !isOnlyFreeSlot || static_cast<double>((now - queue.timeSliceStart).count()) < slice || !isPeerStarved(key)) {
+    if (freed.isLimited() || static_cast<double>((now - queue.timeSliceStart).count()) < slice || !isOnlyFreeSlot() || !isPeerStarved(key)) {
         queue.claims = std::min(maxClaims, queue.claims + 1);
         return true;
     }
