Share the exchange of usage reports and the node with few descriptors between tests

Cause: SlotSharingTest repeated the exchange of EvenLoadTest, and SlowClientMemoryProcessTest the gateway's addresses and the start of the node of ClientCrowdMemoryProcessTest. Change: they stand in tests/support/UsageReports.h and CallerMemory.*. Crowds, bounds and checks are the same.

--- a/tests/ClientCrowdMemoryProcessTest.cpp
+++ b/tests/ClientCrowdMemoryProcessTest.cpp
@@ -3,9 +3,7 @@
 // connected, and no timeout ends what they do.
 
 #include "support/CallerMemory.h"
-#include "support/TestAuthority.h"
 
-#include <QTemporaryDir>
 #include <QUdpSocket>
 
 namespace hemlockweir {
@@ -26,9 +24,10 @@
     constexpr size_t busyClients = 120; // more than the gateway may have connections
     constexpr size_t slowClients = 10;
     constexpr int slowBytes = 500;
-    constexpr rlim_t maxDescriptors = 256; // of the kernel, for processes without a setting
     constexpr qint64 refusedBytes = 64 * mebibyte;
     constexpr qint64 refusedBytesRead = 2 * mebibyte; // discard_bytes, and what the kernel holds on both sides
+    // The node waits longer for its callers than the test does, so that no timeout ends what they do.
+    constexpr const char* noTimeouts = "request_timeout_ms = 3600000\nidle_timeout_ms = 3600000\n";
     constexpr int noiseDatagrams = 3000;
     constexpr qsizetype noiseBytes = 20000;
 
@@ -77,16 +76,6 @@
 
     std::ostream& operator<<(std::ostream& out, const ClientKind& kind) { return out << kind.name; }
 
-    // An address of the gateway, by its name in the cluster.
-    struct GatewayAddress {
-        const char* name;
-        const char* path; // of an ordinary request there
-    };
-
-    std::ostream& operator<<(std::ostream& out, const GatewayAddress& address) { return out << address.name; }
-
-    const std::vector<GatewayAddress> gatewayAddresses { { "g", "/x" }, { "ready", "/readyz" }, { "control", "/metrics" } };
-
     void sendDatagrams(const std::string& endpoint)
     {
         const auto colon = endpoint.rfind(':');
@@ -109,14 +98,14 @@
     expectBoundsAndService();
 }
 
-INSTANTIATE_TEST_SUITE_P(All, GatewayCrowd, testing::Combine(testing::ValuesIn(gatewayAddresses), testing::ValuesIn(kinds)),
+INSTANTIATE_TEST_SUITE_P(All, GatewayCrowd, testing::Combine(testing::ValuesIn(gatewayAddresses()), testing::ValuesIn(kinds)),
     [](const auto& test) { return std::string(std::get<0>(test.param).name) + "_" + std::get<1>(test.param).name; });
 
 // Guards against memory that grows with the number of reads.
 TEST_F(GatewayCallerMemory, HeadsThatComeAByteAtATime)
 {
     disableTimeouts();
-    for (const GatewayAddress& address : gatewayAddresses)
+    for (const GatewayAddress& address : gatewayAddresses())
         sendByteByByte(slowClients, cluster_.addressOf(address.name), slowHead(address.path));
     expectBoundsAndService();
 }
@@ -172,7 +161,7 @@
 // A refused body is not read on, which would take the processor and the link from others.
 TEST_F(GatewayCallerMemory, RefusedBodiesAreNotReadToTheirEnd)
 {
-    for (const GatewayAddress& address : gatewayAddresses)
+    for (const GatewayAddress& address : gatewayAddresses())
         EXPECT_LT(sendRefusedBody(cluster_.addressOf(address.name), lengthHead(address.path, refusedBytes), refusedBytes), refusedBytesRead) << address.name;
     expectBoundsAndService();
 }
@@ -183,33 +172,12 @@
     expectBoundsAndService();
 }
 
-class NodeWithFewDescriptors : public NodeCallerMemory {
-protected:
-    // Starts the node with plain HTTP or with TLS, and with few descriptors that its settings don't name.
-    void startServer(bool isTls)
-    {
-        // The node waits longer for its callers than the test does, so that no timeout ends what they do.
-        const std::string limits = "request_timeout_ms = 3600000\nidle_timeout_ms = 3600000\n";
-        cluster_.limitDescriptors(maxDescriptors);
-        if (!isTls) {
-            start(limits);
-            return;
-        }
-        const std::string endpoint = cluster_.addressOf("n1");
-        authority_.issue("node", endpoint.substr(0, endpoint.find(':')));
-        start(limits, "[tls]\ncertificate_file = \"" + authority_.certificateFile("node").toStdString() + "\"\nkey_file = \"" + authority_.keyFile("node").toStdString() + "\"\n\n", authority_.authorityFile());
-    }
-
-    QTemporaryDir folder_;
-    TestAuthority authority_ { folder_.path() };
-};
-
 class NodeCrowd : public NodeWithFewDescriptors, public testing::WithParamInterface<std::tuple<bool, ClientKind>> { };
 
 TEST_P(NodeCrowd, LeavesTheProcessWithinItsBounds)
 {
     const auto& [isTls, kind] = GetParam();
-    startServer(isTls);
+    startServer(isTls, noTimeouts);
     sendFromAll(kind.clients, cluster_.addressOf("n1"), kind.bytes("/metrics"), kind.readsAnswers);
     expectBoundsAndService();
 }
@@ -219,28 +187,28 @@
 
 TEST_F(NodeWithFewDescriptors, HeadsThatComeAByteAtATime)
 {
-    startServer(false);
+    startServer(false, noTimeouts);
     sendByteByByte(slowClients, cluster_.addressOf("n1"), slowHead("/orders"));
     expectBoundsAndService();
 }
 
 TEST_F(NodeWithFewDescriptors, HeadsThatComeAByteAtATimeOverTls)
 {
-    startServer(true);
+    startServer(true, noTimeouts);
     sendByteByByte(slowClients, cluster_.addressOf("n1"), slowHead("/orders"));
     expectBoundsAndService();
 }
 
 TEST_F(NodeWithFewDescriptors, RefusedBodiesAreNotReadToTheirEnd)
 {
-    startServer(false);
+    startServer(false, noTimeouts);
     EXPECT_LT(sendRefusedBody(cluster_.addressOf("n1"), lengthHead("/orders", refusedBytes), refusedBytes), refusedBytesRead);
     expectBoundsAndService();
 }
 
 TEST_F(NodeWithFewDescriptors, NamesThatNoOtherRequestHas)
 {
-    startServer(false);
+    startServer(false, noTimeouts);
     sendFromEach(cluster_.addressOf("n1"), makeRequestsWithNames(slowClients));
     expectBoundsAndService();
 }
@@ -248,7 +216,7 @@
 // The address of other nodes takes frames with their length in front, and datagrams.
 TEST_F(NodeWithFewDescriptors, UnfinishedFramesAtTheAddressOfOtherNodes)
 {
-    startServer(false);
+    startServer(false, noTimeouts);
     const QByteArray length("\x00\x01\x00\x00", 4);
     const std::string endpoint = cluster_.addressOf("n1.peers");
     sendFromAll(unfinishedClients, endpoint, length + QByteArray(0xffff, 'x'));
@@ -259,7 +227,7 @@
 
 TEST_F(NodeWithFewDescriptors, DatagramsFromStrangers)
 {
-    startServer(false);
+    startServer(false, noTimeouts);
     sendDatagrams(cluster_.addressOf("n1.peers"));
     expectBoundsAndService();
 }
--- a/tests/SlotSharingTest.cpp
+++ b/tests/SlotSharingTest.cpp
@@ -1,4 +1,4 @@
-#include "proxy/Dispatcher.h"
+#include "support/UsageReports.h"
 
 #include <gtest/gtest.h>
 #include <memory>
@@ -126,17 +126,9 @@
     void exchangeReports()
     {
         for (size_t from = 0; from < nodes_.size(); ++from) {
-            Node& node = nodes_[from];
-            if (now_ - node.publishedAt < reportInterval(node))
-                continue;
-            node.publishedAt = now_;
-            node.hasNews = false;
-            PeerUsage usage = node.dispatcher->ownUsage();
-            usage.receivedAt = now_;
-            for (size_t to = 0; to < nodes_.size(); ++to) {
-                if (to != from)
-                    nodes_[to].dispatcher->updatePeerUsage("n" + std::to_string(from), usage);
-            }
+            const Node& node = nodes_[from];
+            if (now_ - node.publishedAt >= reportInterval(node))
+                reportUsage(nodes_, from, now_);
         }
     }
 
--- a/tests/SlowClientMemoryProcessTest.cpp
+++ b/tests/SlowClientMemoryProcessTest.cpp
@@ -2,9 +2,6 @@
 // process must live, stay within its memory and descriptors, and answer an ordinary request meanwhile.
 
 #include "support/CallerMemory.h"
-#include "support/TestAuthority.h"
-
-#include <QTemporaryDir>
 
 namespace hemlockweir {
 
@@ -17,7 +14,6 @@
     constexpr int rounds = 3;
     constexpr int timeoutMs = 1000;
     constexpr Millis pause { 700 }; // between two bytes of a client
-    constexpr rlim_t maxDescriptors = 256;
 
     // What a slow client sends at first, and then a byte again and again.
     struct SlowKind {
@@ -33,18 +29,9 @@
         { "Chunk", [](const QByteArray& path) { return "POST " + path + " HTTP/1.1\r\nHost: soak.test\r\nAuthorization: Bearer caller-key\r\nTransfer-Encoding: chunked\r\n\r\n3e8\r\n"; } },
     };
 
-    struct GatewayAddress {
-        const char* name; // in the cluster
-        const char* path; // of an ordinary request there
-    };
-
-    std::ostream& operator<<(std::ostream& out, const GatewayAddress& address) { return out << address.name; }
-
-    const std::vector<GatewayAddress> gatewayAddresses { { "g", "/x" }, { "ready", "/readyz" }, { "control", "/metrics" } };
-
 } // namespace
 
-// Base: GatewayCallerMemory or NodeCallerMemory.
+// Base: GatewayCallerMemory or NodeWithFewDescriptors.
 template <typename Base>
 class SlowClients : public Base {
 protected:
@@ -79,27 +66,15 @@
     sendSlowly(cluster_.addressOf(address.name), kind.start(address.path));
 }
 
-INSTANTIATE_TEST_SUITE_P(All, SlowGatewayClients, testing::Combine(testing::ValuesIn(gatewayAddresses), testing::ValuesIn(kinds)),
+INSTANTIATE_TEST_SUITE_P(All, SlowGatewayClients, testing::Combine(testing::ValuesIn(gatewayAddresses()), testing::ValuesIn(kinds)),
     [](const auto& test) { return std::string(std::get<0>(test.param).name) + "_" + std::get<1>(test.param).name; });
 
-class SlowNodeClients : public SlowClients<NodeCallerMemory>, public testing::WithParamInterface<std::tuple<bool, SlowKind>> {
-protected:
-    QTemporaryDir folder_;
-    TestAuthority authority_ { folder_.path() };
-};
+class SlowNodeClients : public SlowClients<NodeWithFewDescriptors>, public testing::WithParamInterface<std::tuple<bool, SlowKind>> { };
 
 TEST_P(SlowNodeClients, SendAByteBeforeEachTimeout)
 {
     const auto& [isTls, kind] = GetParam();
-    const std::string limits = "request_timeout_ms = " + std::to_string(timeoutMs) + "\nidle_timeout_ms = " + std::to_string(timeoutMs) + "\n";
-    cluster_.limitDescriptors(maxDescriptors);
-    if (isTls) {
-        const std::string endpoint = cluster_.addressOf("n1");
-        authority_.issue("node", endpoint.substr(0, endpoint.find(':')));
-        start(limits, "[tls]\ncertificate_file = \"" + authority_.certificateFile("node").toStdString() + "\"\nkey_file = \"" + authority_.keyFile("node").toStdString() + "\"\n\n", authority_.authorityFile());
-    } else {
-        start(limits);
-    }
+    startServer(isTls, "request_timeout_ms = " + std::to_string(timeoutMs) + "\nidle_timeout_ms = " + std::to_string(timeoutMs) + "\n");
     sendSlowly(cluster_.addressOf("n1"), kind.start("/orders"));
 }
 
--- a/tests/support/CallerMemory.cpp
+++ b/tests/support/CallerMemory.cpp
@@ -188,4 +188,26 @@
     EXPECT_TRUE(waitUntil([this] { return isOrdinaryRequestAnswered(); }));
 }
 
+void NodeWithFewDescriptors::startServer(bool isTls, const std::string& limits)
+{
+    cluster_.limitDescriptors(maxDescriptors);
+    if (!isTls) {
+        start(limits);
+        return;
+    }
+    const std::string endpoint = cluster_.addressOf("n1");
+    authority_.issue("node", endpoint.substr(0, endpoint.find(':')));
+    start(limits, "[tls]\ncertificate_file = \"" + authority_.certificateFile("node").toStdString() + "\"\nkey_file = \"" + authority_.keyFile("node").toStdString() + "\"\n\n", authority_.authorityFile());
+}
+
+std::ostream& operator<<(std::ostream& out, const GatewayAddress& address)
+{
+    return out << address.name;
+}
+
+std::vector<GatewayAddress> gatewayAddresses()
+{
+    return { { "g", "/x" }, { "ready", "/readyz" }, { "control", "/metrics" } };
+}
+
 } // namespace hemlockweir
--- a/tests/support/CallerMemory.h
+++ b/tests/support/CallerMemory.h
@@ -2,8 +2,11 @@
 
 #include "support/Cluster.h"
 #include "support/RawClient.h"
+#include "support/TestAuthority.h"
 
+#include <QTemporaryDir>
 #include <gtest/gtest.h>
+#include <vector>
 
 // Fixtures of tests of callers who send endless, unfinished or oversized requests: a real process with low limits, and
 // callers that stay connected to its addresses until the end of the test.
@@ -98,4 +101,27 @@
     void expectBoundsAndService();
 };
 
+// A node whose descriptors are limited by the kernel and not by its settings.
+class NodeWithFewDescriptors : public NodeCallerMemory {
+protected:
+    // Starts the node with plain HTTP or with TLS.
+    void startServer(bool isTls, const std::string& limits);
+
+    static constexpr rlim_t maxDescriptors = 256;
+
+    QTemporaryDir folder_;
+    TestAuthority authority_ { folder_.path() };
+};
+
+// An address of the gateway, by its name in the cluster.
+struct GatewayAddress {
+    const char* name;
+    const char* path; // of an ordinary request there
+};
+
+std::ostream& operator<<(std::ostream& out, const GatewayAddress& address);
+
+// Returns all TCP addresses of the gateway.
+std::vector<GatewayAddress> gatewayAddresses();
+
 } // namespace hemlockweir
