--- a/review/support-2/client.cpp
+++ b/review/support-2/client.cpp
@@ -16,6 +16,8 @@
 //                                           parts SHARED, PART if there is one ("-": none), and a last part of its own; prints one
 //                                           line for each
 
+//   client stream ADDRESS PATH VERSION      one stream; prints the engine's seal at once, and how the stream ended
+
 #include <arpa/inet.h>
 #include <chrono>
 #include <cstdlib>
@@ -265,6 +267,39 @@
     return 0;
 }
 
+int runOneStream(const Address& address, const std::string& path, const std::string& version)
+{
+    const int descriptor = openConnection(address);
+    if (descriptor < 0)
+        return 2;
+    sendAll(descriptor, "POST " + path + " " + version + "\r\nHost: " + host + "\r\nX-Request-Id: one-" + std::to_string(nowMs()) + "\r\nX-Deadline-Ms: 6000\r\nX-Key: " + key + "\r\nX-Model: m0\r\nX-Token-Counts: 500,100\r\nX-Prompt-Prefix: 5c1e07a2:40,7e100000:260\r\nContent-Length: 6\r\n\r\nprompt");
+    std::string answer;
+    std::vector<char> buffer(readBytes);
+    bool hasSeal = false;
+    ssize_t count = 0;
+    while ((count = ::recv(descriptor, buffer.data(), buffer.size(), 0)) > 0) {
+        answer.append(buffer.data(), static_cast<size_t>(count));
+        const size_t seal = answer.find("X-Server-Seal: seal-");
+        if (!hasSeal && seal != std::string::npos) {
+            hasSeal = true;
+            std::cout << "engine " << answer.substr(seal + 20, answer.find('\r', seal) - seal - 20) << std::endl;
+        }
+        if (answer.ends_with("\r\n0\r\n\r\n"))
+            break;
+    }
+    const char* end = count > 0 ? "terminator" : "orderly";
+    if (count < 0)
+        end = "reset";
+    size_t events = 0;
+    for (size_t at = answer.find("data: "); at != std::string::npos; at = answer.find("data: ", at + 1))
+        ++events;
+    const bool isChunked = answer.find("Transfer-Encoding: chunked") != std::string::npos;
+    const bool looksComplete = isChunked ? end == std::string("terminator") : end == std::string("orderly");
+    std::cout << "ended version=" << version << " status=" << statusOf(answer) << " chunked=" << (isChunked ? "yes" : "no") << " events=" << events << " end=" << end << " looks_complete=" << (looksComplete ? "yes" : "no") << std::endl;
+    ::close(descriptor);
+    return 0;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -284,6 +319,8 @@
         return sendTokens(parseAddress(words[1]), words[2], number(3), number(4));
     if (verb == "streams" && words.size() == 7)
         return runStreams(parseAddress(words[1]), words[2], words[3], words[4], std::stod(words[5]), std::stod(words[6]));
+    if (verb == "stream" && words.size() == 4)
+        return runOneStream(parseAddress(words[1]), words[2], words[3]);
     std::cerr << "see the head of client.cpp\n";
     return 2;
 }
