Show that a late write of a lapsed entry makes the planner order the head of an open group

The planner takes the head of the open group for free and orders it into another group, and it joins.

--- a/review/support-2/engine.cpp
+++ b/review/support-2/engine.cpp
@@ -3,9 +3,11 @@
 // write an answer on it: after the given number of events it closes all its channels and stops listening. It is back, as a new boot,
 // some seconds later.
 //
-//   engine PORT ID ZONE STORE BAD_PART EVENTS_BEFORE_CRASH RECORD
+//   engine PORT ID ZONE STORE BAD_PART EVENTS_BEFORE_CRASH RECORD [MODEL CUT LATE]
 //
-// RECORD gets one line for each request that arrives, each crash and each start.
+// RECORD gets one line for each request that arrives, each crash, each start and each join; a join that is taken while the engine heads an open
+// group is marked. MODEL: the model that its host holds a copy of from before. CUT 1: the engine does not reach the store from 1.6 s to 11.6 s
+// after its start. LATE 1: the first write of its entry gets no answer, and the store carries it out 5.9 s later.
 
 #include <arpa/inet.h>
 #include <chrono>
@@ -41,6 +43,9 @@
     std::string badPart;
     int eventsBeforeCrash = 0;
     std::string record;
+    std::string model;
+    bool isCut = false;
+    bool isOneLate = false;
 };
 
 int64_t nowMs()
@@ -105,6 +110,7 @@
     explicit Engine(Options options)
         : options_(std::move(options))
         , record_(options_.record, std::ios::app)
+        , staged_(options_.model)
     {
     }
 
@@ -230,6 +236,8 @@
         if (operation == "join") {
             if (epoch < epoch_)
                 return answer(descriptor, "412 Precondition Failed", "", "{}");
+            advance();
+            note("joined " + group + " epoch " + std::to_string(epoch) + (!group_.empty() && group != group_ && state_ == "open" ? " while-it-heads-the-open " + group_ : ""));
             group_ = group;
             epoch_ = epoch;
             model_ = staged_ = fieldOf(body, "model");
@@ -314,10 +322,23 @@
     void heartbeat()
     {
         constexpr int stepMs = 20;
+        constexpr int cutFromMs = 1600;
+        constexpr int cutToMs = 11600;
+        constexpr int lateMs = 5900;
         std::string written;
+        std::string late;
         int64_t writtenAt = 0;
+        const int64_t startedAt = nowMs();
         while (true) {
             sleepMs(stepMs);
+            const int64_t age = nowMs() - startedAt;
+            if (options_.isOneLate && !late.empty() && age >= lateMs) {
+                options_.isOneLate = false;
+                note("late write carried out: " + late);
+                putEntry(late);
+            }
+            if (options_.isCut && age >= cutFromMs && age < cutToMs)
+                continue;
             {
                 const std::lock_guard lock(mutex_);
                 if (isDown_)
@@ -328,7 +349,12 @@
                 continue;
             written = entry;
             writtenAt = nowMs();
-            putEntry(entry);
+            if (options_.isOneLate && late.empty()) {
+                late = entry;
+                note("late write sent");
+            } else {
+                putEntry(entry);
+            }
         }
     }
 
@@ -353,6 +379,7 @@
     std::mutex mutex_; // guards all below but the listener
     int listener_ = -1;
     std::set<int> connections_;
+    std::string staged_;
     bool isDown_ = true;
     int64_t bornMs_ = 0;
     int64_t sequence_ = 0;
@@ -361,16 +388,15 @@
     std::string group_;
     std::string state_;
     std::string model_;
-    std::string staged_;
 };
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    if (argc != 8) {
-        std::cerr << "engine PORT ID ZONE STORE BAD_PART EVENTS_BEFORE_CRASH RECORD\n";
+    if (argc != 8 && argc != 11) {
+        std::cerr << "engine PORT ID ZONE STORE BAD_PART EVENTS_BEFORE_CRASH RECORD [MODEL CUT LATE]\n";
         return 2;
     }
-    Engine({ .port = static_cast<uint16_t>(std::atoi(argv[1])), .id = argv[2], .zone = argv[3], .store = argv[4], .badPart = argv[5], .eventsBeforeCrash = std::atoi(argv[6]), .record = argv[7] }).run();
+    Engine({ .port = static_cast<uint16_t>(std::atoi(argv[1])), .id = argv[2], .zone = argv[3], .store = argv[4], .badPart = argv[5], .eventsBeforeCrash = std::atoi(argv[6]), .record = argv[7], .model = argc > 8 ? argv[8] : "", .isCut = argc > 8 && argv[9] == std::string("1"), .isOneLate = argc > 8 && argv[10] == std::string("1") }).run();
 }
--- a/review/support-2/lib.sh
+++ b/review/support-2/lib.sh
@@ -112,10 +112,10 @@
     GATEWAY=$LAST
 }
 
-# start_engine ID ZONE BAD_PART EVENTS: a model engine that a part of a prompt crashes after so many events.
+# start_engine ID ZONE BAD_PART EVENTS [MODEL CUT LATE]: a model engine that a part of a prompt crashes after so many events.
 start_engine() {
     take_port
-    start "$1" "$ENGINE" "$PORT" "$1" "$2" "$STORE" "$3" "$4" "$WORK/engines.record"
+    start "$1" "$ENGINE" "$PORT" "$1" "$2" "$STORE" "$3" "$4" "$WORK/engines.record" "${@:5}"
 }
 
 # publish ROUTES: writes the configuration with these routes, as the operator does.
