--- a/review/support-2/client.cpp
+++ b/review/support-2/client.cpp
@@ -7,17 +7,11 @@
 //   client heads ADDRESS COUNT LINES SECONDS
 //                                           opens connections, sends the head of a request with many short lines on each,
 //                                           and keeps them open without sending the announced body
-//   client tokens ADDRESS PATH COUNT PAUSE_MS
-//                                           sends requests, one on each connection, whose Connection header lists many
-//                                           names; waits for the answers
-
 //   client streams ADDRESS PATH SHARED PART RATE SECONDS
 //                                           callers of one tenant: each request is a stream on a new connection; its prompt has the
 //                                           parts SHARED, PART if there is one ("-": none), and a last part of its own; prints one
 //                                           line for each
 
-//   client stream ADDRESS PATH VERSION      one stream; prints the engine's seal at once, and how the stream ended
-
 #include <arpa/inet.h>
 #include <chrono>
 #include <cstdlib>
@@ -198,36 +192,6 @@
     return 0;
 }
 
-int sendTokens(const Address& address, const std::string& path, int count, int pauseMs)
-{
-    constexpr int tokens = 3600; // with a comma each
-    constexpr int lines = 2000; // "b:" and a line end each
-    std::string connectionHeader = "Connection: keep-alive";
-    for (int i = 0; i < tokens; ++i)
-        connectionHeader += ",a";
-    std::vector<int> connections;
-    for (int i = 0; i < count; ++i) {
-        std::string head = "GET ";
-        head.append(path).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\nX-Request-Id: tokens-").append(std::to_string(i));
-        head.append("\r\nX-Deadline-Ms: 3000\r\nX-Key: ").append(key).append("\r\n").append(connectionHeader).append("\r\n");
-        for (int line = 0; line < lines; ++line)
-            head += "b:\r\n";
-        head += "\r\n";
-        if (i == 0)
-            std::cout << "head_bytes=" << head.size() << " requests=" << count << " sent_at=" << nowMs() << std::endl;
-        connections.push_back(openConnection(address));
-        sendAll(connections.back(), head);
-        std::this_thread::sleep_for(std::chrono::milliseconds(pauseMs));
-    }
-    for (int i = 0; i < count; ++i) {
-        const int64_t since = nowMs();
-        const std::string answer = readAnswer(connections[static_cast<size_t>(i)], 60000);
-        std::cout << "tokens-" << i << " status=" << statusOf(answer) << " answered_at=" << nowMs() << " waited_ms=" << nowMs() - since << std::endl;
-        ::close(connections[static_cast<size_t>(i)]);
-    }
-    return 0;
-}
-
 void runStream(const Address& address, const std::string& path, const std::string& shared, const std::string& part, int number)
 {
     static std::mutex mutex;
@@ -267,39 +231,6 @@
     return 0;
 }
 
-int runOneStream(const Address& address, const std::string& path, const std::string& version)
-{
-    const int descriptor = openConnection(address);
-    if (descriptor < 0)
-        return 2;
-    sendAll(descriptor, "POST " + path + " " + version + "\r\nHost: " + host + "\r\nX-Request-Id: one-" + std::to_string(nowMs()) + "\r\nX-Deadline-Ms: 6000\r\nX-Key: " + key + "\r\nX-Model: m0\r\nX-Token-Counts: 500,100\r\nX-Prompt-Prefix: 5c1e07a2:40,7e100000:260\r\nContent-Length: 6\r\n\r\nprompt");
-    std::string answer;
-    std::vector<char> buffer(readBytes);
-    bool hasSeal = false;
-    ssize_t count = 0;
-    while ((count = ::recv(descriptor, buffer.data(), buffer.size(), 0)) > 0) {
-        answer.append(buffer.data(), static_cast<size_t>(count));
-        const size_t seal = answer.find("X-Server-Seal: seal-");
-        if (!hasSeal && seal != std::string::npos) {
-            hasSeal = true;
-            std::cout << "engine " << answer.substr(seal + 20, answer.find('\r', seal) - seal - 20) << std::endl;
-        }
-        if (answer.ends_with("\r\n0\r\n\r\n"))
-            break;
-    }
-    const char* end = count > 0 ? "terminator" : "orderly";
-    if (count < 0)
-        end = "reset";
-    size_t events = 0;
-    for (size_t at = answer.find("data: "); at != std::string::npos; at = answer.find("data: ", at + 1))
-        ++events;
-    const bool isChunked = answer.find("Transfer-Encoding: chunked") != std::string::npos;
-    const bool looksComplete = isChunked ? end == std::string("terminator") : end == std::string("orderly");
-    std::cout << "ended version=" << version << " status=" << statusOf(answer) << " chunked=" << (isChunked ? "yes" : "no") << " events=" << events << " end=" << end << " looks_complete=" << (looksComplete ? "yes" : "no") << std::endl;
-    ::close(descriptor);
-    return 0;
-}
-
 } // namespace
 
 int main(int argc, char** argv)
@@ -315,12 +246,8 @@
         return runSteady(parseAddress(words[1]), words[2], number(3), number(4), number(5));
     if (verb == "heads" && words.size() == 5)
         return holdHeads(parseAddress(words[1]), number(2), number(3), number(4));
-    if (verb == "tokens" && words.size() == 5)
-        return sendTokens(parseAddress(words[1]), words[2], number(3), number(4));
     if (verb == "streams" && words.size() == 7)
         return runStreams(parseAddress(words[1]), words[2], words[3], words[4], std::stod(words[5]), std::stod(words[6]));
-    if (verb == "stream" && words.size() == 4)
-        return runOneStream(parseAddress(words[1]), words[2], words[3]);
     std::cerr << "see the head of client.cpp\n";
     return 2;
 }
--- a/review/support-2/crashing-part.sh
+++ b/review/support-2/crashing-part.sh
@@ -1,4 +1,4 @@
-# Sourced by review/7 and review/8: sound requests, and requests with a part that crashes engines, at one gateway with six engines. SHARED: the parts
+# Sourced by review/8 and review/9: sound requests, and requests with a part that crashes engines, at one gateway with six engines. SHARED: the parts
 # that both have; EVENTS_BEFORE_CRASH: events that an engine has written when it crashes. Exits with 1 if more than three requests with the
 # part reach engines later than stable_window_ms after the fifth crash.
 source "$(dirname "${BASH_SOURCE[0]}")/lib.sh"
