Log which requests and parts are suspected of an endpoint's crash

Cause: the log told that endpoints went down (engine_dead) and what was blocked, but not which requests and parts of prompts the crash list holds against a crash, nor that a suspicion was withdrawn.

Change: a line endpoint_crashed for each request that ran there, with its fingerprint and its suspected parts, and a line part_cleared.

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
+#include <absl/strings/str_join.h>
 #include <algorithm>
 
 namespace hemlockweir {
@@ -63,7 +64,7 @@
     , dispatcher_({ .clock = clock_, .random = random_, .node = settings_.node, .domain = settings_.domain, .onSuspect = [this](const Target& target, bool isUnresponsive) { handleSuspect(target, isUnresponsive); }, .onCold = [this](const Target& target, Millis time) { logCold(target, time); }, .onUsageChanged = [this] { usage_.publishSoon(); } })
     , pool_(context, { .clock = clock_, .maxIdle = settings_.bounds.idleEndpointConnections, .memory = endpointMemory_ })
     , retries_({ .clock = clock_, .window = settings_.retryWindow, .retriesPerRequest = settings_.retriesPerRequest, .allowance = settings_.retryAllowance })
-    , crashes_({ .clock = clock_, .onConnectionLost = [this](const std::string& endpoint) { handleConnectionLost(endpoint); }, .onCrash = [this](const CrashReport& report) { publishCrash(report); }, .onSoundPart = [this](uint64_t part) { usage_.addSoundPart(part); }, .onBlocked = [this](uint64_t blocked, size_t crashes) { log_.noteChange("crashes_explained", { { "blocked", absl::StrFormat("%016x", blocked) }, { "crashes", std::to_string(crashes) } }); } })
+    , crashes_({ .clock = clock_, .onConnectionLost = [this](const std::string& endpoint) { handleConnectionLost(endpoint); }, .onCrash = [this](const CrashReport& report, const std::string& endpoint) { publishCrash(report, endpoint); }, .onSoundPart = [this](uint64_t part) { publishSoundPart(part); }, .onBlocked = [this](uint64_t blocked, size_t crashes) { log_.noteChange("crashes_explained", { { "blocked", absl::StrFormat("%016x", blocked) }, { "crashes", std::to_string(crashes) } }); } })
     , serviceTimes_({ .clock = clock_ })
     , proxyContext_ { .clock = clock_, .random = random_, .headers = adapter_.headers, .dispatcher = dispatcher_, .pool = pool_, .retries = retries_, .crashes = crashes_, .serviceTimes = serviceTimes_, .log = log_, .metrics = metrics_, .shutdown = std::nullopt, .endpointMemory = endpointMemory_ }
     , proxy_(context, { .address = settings_.callers.address, .port = settings_.callers.port, .clock = clock_, .memory = callerMemory_, .maxConnections = settings_.bounds.callerConnections, .discardBytes = settings_.bounds.discardBytes }, proxyContext_)
@@ -376,12 +377,31 @@
         crashes_.noteEndpointDown(endpoint);
 }
 
-void Gateway::publishCrash(const CrashReport& report)
+// Returns the suspected parts of a prompt for a log line: "POSITION:HASH,...", the last ones first, as they are examined first.
+static std::string formatSuspects(const std::vector<uint64_t>& parts)
 {
+    constexpr size_t maxLogged = 8;
+    std::vector<std::string> texts;
+    for (size_t position = parts.size(); position > 0 && texts.size() < maxLogged; --position) {
+        if (parts[position - 1] != 0)
+            texts.push_back(absl::StrFormat("%d:%016x", position - 1, parts[position - 1]));
+    }
+    return texts.empty() ? "none" : absl::StrJoin(texts, ",");
+}
+
+void Gateway::publishCrash(const CrashReport& report, const std::string& endpoint)
+{
+    log_.noteFailure("endpoint_crashed", { { "endpoint", endpoint }, { "fingerprint", absl::StrFormat("%016x", report.subject.request) }, { "suspect_parts", formatSuspects(report.subject.sharedParts) } });
     usage_.addCrash({ .request = report.subject.request, .endpoint = report.endpoint, .parts = report.subject.sharedParts });
     usage_.publishSoon();
 }
 
+void Gateway::publishSoundPart(uint64_t part)
+{
+    log_.noteFailure("part_cleared", { { "part", absl::StrFormat("%016x", part) } });
+    usage_.addSoundPart(part);
+}
+
 void Gateway::handleProbeResult(const std::string& engine, bool isAlive, const std::optional<MembershipReport>& report)
 {
     if (!isAlive)
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -58,7 +58,8 @@
     void handleOrderResult(const EngineOrder& order, OrderResult result);
     void handleProbeResult(const std::string& engine, bool isAlive, const std::optional<MembershipReport>& report);
     void handleConnectionLost(const std::string& endpoint);
-    void publishCrash(const CrashReport& report);
+    void publishCrash(const CrashReport& report, const std::string& endpoint);
+    void publishSoundPart(uint64_t part);
     void logCold(const Target& target, Millis time);
     void logReplicas(const std::string& service, const ReplicaPlanner& planner);
     void logIgnoredEras();
--- a/packages/proxy/CrashList.cpp
+++ b/packages/proxy/CrashList.cpp
@@ -91,7 +91,7 @@
     for (const LostConnection& lost : confirmed) {
         addCrash(lost.report, lost.at);
         if (reported.insert(lost.report).second && options_.onCrash)
-            options_.onCrash(lost.report);
+            options_.onCrash(lost.report, endpoint);
     }
 }
 
--- a/packages/proxy/CrashList.h
+++ b/packages/proxy/CrashList.h
@@ -55,7 +55,7 @@
         size_t maxSuspectsPerCrash = 256; // more requests on one endpoint are ignored
         size_t maxSoundParts = 4000; // beyond this no more parts are remembered until others expire
         std::function<void(const std::string& endpoint)> onConnectionLost; // asks to check whether the endpoint is alive; may be empty
-        std::function<void(const CrashReport&)> onCrash; // a crash found by this node, to be published; may be empty
+        std::function<void(const CrashReport&, const std::string& endpoint)> onCrash; // a crash of this endpoint found by this node, to be published; may be empty
         std::function<void(uint64_t part)> onSoundPart; // a suspected part is sound, to be published; may be empty
         std::function<void(uint64_t blocked, size_t crashes)> onBlocked; // this node found what explains so many crashes; may be empty
     };
--- a/tests/CrashListTest.cpp
+++ b/tests/CrashListTest.cpp
@@ -24,7 +24,7 @@
     Millis now_ { 100000 };
     std::vector<CrashReport> reportedCrashes_;
     std::vector<uint64_t> soundParts_; // published
-    CrashList list_ { { .clock = [this] { return now_; }, .maxCrashes = 10, .onCrash = [this](const CrashReport& report) { reportedCrashes_.push_back(report); }, .onSoundPart = [this](uint64_t part) { soundParts_.push_back(part); } } };
+    CrashList list_ { { .clock = [this] { return now_; }, .maxCrashes = 10, .onCrash = [this](const CrashReport& report, const std::string&) { reportedCrashes_.push_back(report); }, .onSoundPart = [this](uint64_t part) { soundParts_.push_back(part); } } };
 };
 
 TEST_F(CrashListTest, ThirdCrashBlocksTheRequest)
