Block parts of prompts that crash endpoints after their first event

Cause: the first event of an answer counted as proof that the endpoint had survived the prompt: no part was suspected of the crash, and all parts were sound for a minute. On the path of a resumed stream the endpoint that wrote only the rest cleared the request in the same way.

Evidence: endpoint_crashed for each crash with suspect_parts=none, beside send_failed last_event=1. So the crashes were recognised, and the parts were not suspected.

Change: only a whole answer by one endpoint proves anything, and a connection lost at any event brings suspicion. That an answer began decides only between two parts in the same place of their prompts.

Tests: CrashingPart.RequestsThatCrashEndpointsAfterTheFirstEventAreStopped and RestOfAStreamAtAnotherEndpointProvesNothing failed before. CrashingParts .PartOfAStartedResponseIsNoSuspect demanded the fault and is replaced by PartThatCrashesEndpointsAfterTheAnswerBeganIsBlocked, BegunPartInTheSamePlaceIsExaminedLast and WholeAnswerLiftsTheBlock*; the property now also has crashes after the first event. The bound of five in CrashingPart counts crashes, not requests, since the rest of a resumed stream is served.

--- a/packages/proxy/CrashList.cpp
+++ b/packages/proxy/CrashList.cpp
@@ -4,6 +4,7 @@
 #include "proxy/Placement.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace hemlockweir {
 
@@ -14,6 +15,8 @@
 
 CrashList::CrashList(Options options)
     : options_(std::move(options))
+    , soundParts_({ .limit = options_.maxSoundParts, .lifetime = options_.soundPartLifetime })
+    , begunParts_({ .limit = options_.maxSoundParts, .lifetime = options_.soundPartLifetime })
 {
 }
 
@@ -47,11 +50,6 @@
     return hashes;
 }
 
-bool CrashList::isSound(uint64_t part) const
-{
-    return soundParts_.count(part) > 0;
-}
-
 // Returns the parts with a 0 in place of each sound one, so that the others keep their positions.
 std::vector<uint64_t> CrashList::withoutSoundParts(const std::vector<uint64_t>& parts) const
 {
@@ -69,12 +67,9 @@
         elements.erase(elements.begin(), elements.end() - static_cast<ptrdiff_t>(limit));
 }
 
-void CrashList::noteConnectionLost(const CrashSubject& subject, const std::string& endpoint, bool hasResponse)
+void CrashList::noteConnectionLost(const CrashSubject& subject, const std::string& endpoint)
 {
-    LostConnection lost { .report = { .subject = { .request = subject.request }, .endpoint = hashTarget(endpoint) }, .at = options_.clock() };
-    if (!hasResponse)
-        lost.report.subject.sharedParts = withoutSoundParts(subject.sharedParts);
-    lost_.push_back(std::move(lost));
+    lost_.push_back({ .report = { .subject = { .request = subject.request, .sharedParts = withoutSoundParts(subject.sharedParts) }, .endpoint = hashTarget(endpoint) }, .at = options_.clock() });
     limitSize(lost_, options_.maxCrashes);
     if (options_.onConnectionLost)
         options_.onConnectionLost(endpoint);
@@ -132,13 +127,16 @@
     blocks_.erase(request);
 }
 
+void CrashList::noteBegunParts(const std::vector<uint64_t>& parts)
+{
+    for (const uint64_t part : parts)
+        hasNewEvidence_ = begunParts_.note(part, options_.clock()) || hasNewEvidence_;
+}
+
 void CrashList::noteSoundParts(const std::vector<uint64_t>& parts)
 {
     for (const uint64_t part : parts) {
-        const bool isNew = !isSound(part);
-        if (!isNew || soundParts_.size() < options_.maxSoundParts)
-            soundParts_[part] = options_.clock();
-        if (isNew)
+        if (soundParts_.note(part, options_.clock()))
             clearPart(part);
     }
 }
@@ -187,6 +185,7 @@
                 if (parts[position] == 0)
                     continue;
                 Evidence& found = evidence[parts[position]];
+                found.hasBegun = begunParts_.contains(parts[position]);
                 found.position = std::max(found.position, position);
                 found.crashes.insert(i);
                 found.requests.insert(request);
@@ -224,7 +223,7 @@
     for (const auto& [part, found] : evidence)
         parts.emplace_back(part, &found);
     std::stable_sort(parts.begin(), parts.end(), [](const auto& one, const auto& other) {
-        return std::pair(one.second->position, one.second->crashes.size()) > std::pair(other.second->position, other.second->crashes.size());
+        return std::tuple(one.second->position, !one.second->hasBegun, one.second->crashes.size()) > std::tuple(other.second->position, !other.second->hasBegun, other.second->crashes.size());
     });
     for (const auto& [part, found] : parts) {
         if (found->requests.size() >= options_.requestThreshold)
@@ -278,7 +277,8 @@
     if (std::erase_if(crashes_, [&](const Crash& crash) { return now - crash.at > options_.retention; }) > 0)
         hasNewEvidence_ = true;
     std::erase_if(blocks_, [&](const auto& entry) { return entry.second.expiresAt <= now; });
-    std::erase_if(soundParts_, [&](const auto& entry) { return now - entry.second > options_.soundPartLifetime; });
+    soundParts_.removeExpired(now);
+    begunParts_.removeExpired(now);
 }
 
 } // namespace hemlockweir
--- a/packages/proxy/CrashList.h
+++ b/packages/proxy/CrashList.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Clock.h"
+#include "proxy/RecentParts.h"
 
 #include <cstdint>
 #include <map>
@@ -8,7 +9,6 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 // Detects what crashes every endpoint that runs it, and blocks it before it takes down one endpoint after another: a
@@ -20,7 +20,8 @@
 //
 // A part of a prompt is blocked when it explains enough crashes by itself. Prompts that share a part mostly share the parts
 // before it too, so the last parts are examined first, and a crash that is explained is not held against another part. A
-// part that was answered, here or at another node, is sound.
+// part with a whole answer by one endpoint, here or at another node, is sound. An answer that only began proves nothing, since an
+// endpoint may crash at any event of it; but of two parts in the same place one without even that is examined first.
 
 namespace hemlockweir {
 
@@ -49,11 +50,11 @@
         Millis confirmationWindow { 6000 }; // ms, for which a lost connection can still be confirmed as a crash; the endpoint list lags by some seconds
         Millis retention { 60000 }; // ms, for which a crash counts, and a block holds after its last crash or request
         Millis maxBlockTime { 600000 }; // ms, after which a block ends in any case: nothing that is blocked can prove to be sound
-        Millis soundPartLifetime { 60000 }; // ms, for which a part counts as sound after a response
+        Millis soundPartLifetime { 60000 }; // ms, for which a part counts as sound after a whole answer
         Millis peerBlockLifetime { 5000 }; // ms, for which a block of another node holds after it was last reported
         size_t maxCrashes = 300; // crashes and lost connections to track; beyond this the oldest are dropped
         size_t maxSuspectsPerCrash = 256; // more requests on one endpoint are ignored
-        size_t maxSoundParts = 4000; // beyond this no more parts are remembered until others expire
+        size_t maxSoundParts = 4000; // to remember; beyond this those without an answer for the longest time are dropped
         std::function<void(const std::string& endpoint)> onConnectionLost; // asks to check whether the endpoint is alive; may be empty
         std::function<void(const CrashReport&, const std::string& endpoint)> onCrash; // a crash of this endpoint found by this node, to be published; may be empty
         std::function<void(uint64_t part)> onSoundPart; // a suspected part is sound, to be published; may be empty
@@ -69,9 +70,8 @@
     // request itself. The same part has another hash for another service or model.
     static std::vector<uint64_t> hashSharedParts(std::string_view service, std::string_view model, std::string_view prompt);
 
-    // Records that the connection on which an endpoint ran the request was lost. `hasResponse` states whether part of the
-    // response had arrived: then the endpoint had survived the prompt.
-    void noteConnectionLost(const CrashSubject& subject, const std::string& endpoint, bool hasResponse);
+    // Records that the connection on which an endpoint ran the request was lost, at any point of the response.
+    void noteConnectionLost(const CrashSubject& subject, const std::string& endpoint);
 
     // Records that an endpoint is down. Requests that lost their connection to it within confirmationWindow may have
     // crashed it.
@@ -80,10 +80,13 @@
     // Applies a crash found by another node.
     void notePeerCrash(const CrashReport& report);
 
-    // Clears a request that an endpoint answered completely.
+    // Clears a request that one endpoint answered completely.
     void noteAnswered(uint64_t request);
 
-    // Records that an endpoint survived these parts: it began to answer a request that has them.
+    // Records that an endpoint began to answer a request that has these parts.
+    void noteBegunParts(const std::vector<uint64_t>& parts);
+
+    // Records that an endpoint survived these parts: it wrote the whole answer to a request that has them.
     void noteSoundParts(const std::vector<uint64_t>& parts);
 
     // Applies what another node reported: a part is sound, or blocked.
@@ -128,12 +131,13 @@
 
     // The crashes in which a part or request is a suspect.
     struct Evidence {
+        bool hasBegun = false; // an endpoint began to answer a request with the part
         size_t position = 0; // largest position of the part in a prompt
         std::set<size_t> crashes; // indices in crashes_
         std::set<uint64_t> requests;
     };
 
-    bool isSound(uint64_t part) const;
+    bool isSound(uint64_t part) const { return soundParts_.contains(part); }
     std::vector<uint64_t> withoutSoundParts(const std::vector<uint64_t>& parts) const;
     void addCrash(const CrashReport& report, Millis at);
     void clearPart(uint64_t part);
@@ -145,7 +149,8 @@
     Options options_;
     std::vector<LostConnection> lost_;
     std::vector<Crash> crashes_; // in order of time
-    std::unordered_map<uint64_t, Millis> soundParts_; // time of the last response
+    RecentParts soundParts_;
+    RecentParts begunParts_;
     std::map<uint64_t, Block> blocks_; // by fingerprint or hash of a part
     bool hasNewEvidence_ = false; // blocks_ has to be computed again
 };
--- a/packages/proxy/ProxyFlow.cpp
+++ b/packages/proxy/ProxyFlow.cpp
@@ -228,7 +228,7 @@
     if (!hasMemoryFor(target))
         return;
     const size_t bodyBytes = options_.request.body.size();
-    attempt_.emplace(Attempt { .target = target, .sentAt = now, .exitOutlook = exitOutlook(), .untakenBytes = bodyBytes >= largeBodyBytes ? bodyBytes : 0, .progressAt = now });
+    attempt_.emplace(Attempt { .target = target, .sentAt = now, .exitOutlook = exitOutlook(), .untakenBytes = bodyBytes >= largeBodyBytes ? bodyBytes : 0, .isResumed = eventSplitter_.lastId().has_value(), .progressAt = now });
     lastTarget_ = target.id;
     ++sends_;
     const auto self = shared_from_this();
@@ -344,7 +344,7 @@
         executionState_ = ExecutionState::MayHaveRun;
         ++executions_;
         if (reason == "connection_lost" || reason == "stream_truncated")
-            context_.crashes.noteConnectionLost({ .request = fingerprint(), .sharedParts = sharedPromptParts() }, attempt.target.id, attempt.hasBody);
+            context_.crashes.noteConnectionLost({ .request = fingerprint(), .sharedParts = sharedPromptParts() }, attempt.target.id);
     }
     context_.log.noteFailure("send_failed", { { "request", requestId_ }, { "organisation", organisation_ }, { "route", route_.name }, { "endpoint", attempt.target.id }, { "model", model_ }, { "reason", std::string(reason) }, { "sent_ms_ago", std::to_string((now - attempt.sentAt).count()) }, { "heard_ms_ago", std::to_string((now - attempt.progressAt).count()) }, { "last_event", eventSplitter_.lastId() ? std::to_string(*eventSplitter_.lastId()) : "none" }, { "may_have_run", wasSent ? "true" : "false" } });
     attempt.connection->close();
--- a/packages/proxy/ProxyFlow.h
+++ b/packages/proxy/ProxyFlow.h
@@ -60,6 +60,7 @@
         Millis firstEventAt { 0 }; // when the first complete event of a stream arrived
         size_t untakenBytes = 0; // of a large request, when last asked; 0: all were taken, or the request is small
         bool isSilenceNoted = false;
+        bool isResumed = false; // the endpoint continues a stream that another one began
         Millis progressAt { 0 }; // when bytes of a large request were last taken, or the head, the last part of the body or, of a stream, the last complete event arrived
         std::optional<ResponseHead> head;
         std::string body; // buffered until the response is complete; empty for streams
--- a/packages/proxy/ProxyFlowAnswer.cpp
+++ b/packages/proxy/ProxyFlowAnswer.cpp
@@ -202,7 +202,7 @@
     attempt_->progressAt = context_.clock();
     if (!std::exchange(attempt_->hasBody, true)) {
         attempt_->firstEventAt = attempt_->progressAt;
-        context_.crashes.noteSoundParts(sharedPromptParts());
+        context_.crashes.noteBegunParts(sharedPromptParts());
     }
     context_.dispatcher.noteSuccess(attempt_->target.id);
 }
@@ -295,13 +295,14 @@
         return;
     }
     context_.dispatcher.noteSuccess(attempt.target.id);
-    if (!context_.crashes.isEmpty())
+    // The endpoint that writes the rest of a stream may not have reached the point at which the one before it crashed.
+    if (!context_.crashes.isEmpty() && !attempt.isResumed)
         context_.crashes.noteAnswered(fingerprint());
     context_.dispatcher.noteAnswered(attempt.target.id, options_.id);
     endAttempt("answered");
     const ResponseHead& head = *attempt.head;
     if (head.status / 100 == 2) {
-        if (attempt.hasBody)
+        if (attempt.hasBody && !attempt.isResumed)
             context_.crashes.noteSoundParts(sharedPromptParts());
         noteServiceTime(attempt);
     }
--- a/tests/CrashListTest.cpp
+++ b/tests/CrashListTest.cpp
@@ -16,7 +16,7 @@
     // The request loses its connection to the endpoint, and the endpoint is then found to be down.
     void crash(uint64_t request, const std::string& endpoint)
     {
-        list_.noteConnectionLost({ .request = request }, endpoint, false);
+        list_.noteConnectionLost({ .request = request }, endpoint);
         list_.noteEndpointDown(endpoint);
         now_ += Millis(2000);
     }
@@ -42,7 +42,7 @@
 TEST_F(CrashListTest, LostConnectionToALiveEndpointIsNoCrash)
 {
     for (int i = 0; i < 20; ++i) {
-        list_.noteConnectionLost({ .request = 7 }, "e" + std::to_string(i), false);
+        list_.noteConnectionLost({ .request = 7 }, "e" + std::to_string(i));
         now_ += Millis(100);
     }
     EXPECT_FALSE(list_.isBlocked({ .request = 7 }));
@@ -60,8 +60,8 @@
 // A request that runs beside one that crashes the endpoint gets one crash, not another with each report of it.
 TEST_F(CrashListTest, OneCrashCountsOnce)
 {
-    list_.noteConnectionLost({ .request = 7 }, "e1", false);
-    list_.noteConnectionLost({ .request = 7 }, "e1", false);
+    list_.noteConnectionLost({ .request = 7 }, "e1");
+    list_.noteConnectionLost({ .request = 7 }, "e1");
     list_.noteEndpointDown("e1");
     list_.noteEndpointDown("e1");
     list_.notePeerCrash({ .subject = { .request = 7 }, .endpoint = hashTarget("e1") });
@@ -100,7 +100,7 @@
 
 TEST_F(CrashListTest, LateReportOfADownEndpointIsIgnored)
 {
-    list_.noteConnectionLost({ .request = 7 }, "e1", false);
+    list_.noteConnectionLost({ .request = 7 }, "e1");
     now_ += Millis(6001);
     list_.noteEndpointDown("e1");
     EXPECT_TRUE(reportedCrashes_.empty());
@@ -124,11 +124,11 @@
     static constexpr uint64_t first = 100; // the part that all prompts here begin with
     static constexpr uint64_t deadly = 200;
 
-    // A request with these parts loses its connection before its response begins, and its endpoint is found to be down.
-    void crash(std::vector<uint64_t> parts, bool hasResponse = false)
+    // A request with these parts loses its connection, and its endpoint is found to be down.
+    void crash(std::vector<uint64_t> parts)
     {
         ++count_;
-        list_.noteConnectionLost({ .request = count_, .sharedParts = std::move(parts) }, endpoint(), hasResponse);
+        list_.noteConnectionLost({ .request = count_, .sharedParts = std::move(parts) }, endpoint());
         confirm();
     }
 
@@ -178,7 +178,7 @@
 TEST_F(CrashingParts, RepeatedRequestIsBlockedAndNotItsParts)
 {
     for (int i = 0; i < 4; ++i) {
-        list_.noteConnectionLost({ .request = 7, .sharedParts = { first, deadly } }, endpoint(), false);
+        list_.noteConnectionLost({ .request = 7, .sharedParts = { first, deadly } }, endpoint());
         confirm();
         ++count_;
     }
@@ -192,18 +192,48 @@
     constexpr uint64_t bystander = 50;
     for (int i = 0; i < 5; ++i) {
         ++count_;
-        list_.noteConnectionLost({ .request = bystander, .sharedParts = { 400 } }, endpoint(), true);
-        list_.noteConnectionLost({ .request = count_, .sharedParts = { first, deadly } }, endpoint(), false);
+        list_.noteConnectionLost({ .request = bystander, .sharedParts = { 400 } }, endpoint());
+        list_.noteConnectionLost({ .request = count_, .sharedParts = { first, deadly } }, endpoint());
         confirm();
         EXPECT_FALSE(list_.isBlocked({ .request = bystander, .sharedParts = { 400 } })) << "after crash " << i + 1;
     }
     EXPECT_TRUE(isBlocked({ deadly }));
 }
 
-TEST_F(CrashingParts, PartOfAStartedResponseIsNoSuspect)
+// An endpoint that crashed after the first event of each answer was taken for one that had survived the prompt.
+TEST_F(CrashingParts, PartThatCrashesEndpointsAfterTheAnswerBeganIsBlocked)
 {
-    for (int i = 0; i < 5; ++i)
-        crash({ first }, true);
+    for (int i = 0; i < 3; ++i) {
+        list_.noteBegunParts({ first, deadly });
+        crash({ first, deadly });
+    }
+    EXPECT_TRUE(isBlocked({ deadly }));
+    EXPECT_FALSE(isBlocked({ first })) << "the requests with the part crashed the endpoints, not all requests that begin alike";
+}
+
+// What runs beside the crashing requests and has not ended yet must not be taken for them.
+TEST_F(CrashingParts, BegunPartInTheSamePlaceIsExaminedLast)
+{
+    constexpr uint64_t begun = 201;
+    for (int i = 0; i < 5; ++i) {
+        list_.noteBegunParts({ first, begun });
+        list_.noteConnectionLost({ .request = 500 + count_, .sharedParts = { first, begun } }, "e" + std::to_string(count_ + 1));
+        crash({ first, deadly });
+    }
+    EXPECT_TRUE(isBlocked({ deadly }));
+    EXPECT_FALSE(isBlocked({ first, begun }));
+}
+
+TEST_F(CrashingParts, WholeAnswerLiftsTheBlockOfAPartWhoseAnswersBrokeOff)
+{
+    for (int i = 0; i < 3; ++i) {
+        list_.noteBegunParts({ first });
+        crash({ first });
+    }
+    EXPECT_TRUE(isBlocked({ first }));
+    list_.noteBegunParts({ first });
+    EXPECT_TRUE(isBlocked({ first })) << "the beginning of an answer proves nothing";
+    list_.noteSoundParts({ first });
     EXPECT_FALSE(isBlocked({ first }));
 }
 
@@ -272,7 +302,7 @@
     for (int i = 0; i < 3; ++i)
         crash({ first, deadly });
     for (int i = 0; i < 3; ++i) {
-        list_.noteConnectionLost({ .request = 7 }, "f" + std::to_string(i), false);
+        list_.noteConnectionLost({ .request = 7 }, "f" + std::to_string(i));
         list_.noteEndpointDown("f" + std::to_string(i));
     }
     EXPECT_TRUE(list_.isBlocked({ .request = 7 }));
@@ -346,6 +376,7 @@
     constexpr uint64_t deadly = 200;
     uint64_t request = 1000; // beyond the hashes of the parts
     int crashes = 0;
+    const bool crashesAfterTheFirstEvent = *rc::gen::arbitrary<bool>();
     for (int step = 0; step < 200; ++step) {
         now += Millis(*rc::gen::inRange(1, 400));
         const uint64_t caller = *rc::gen::inRange<uint64_t>(1, 4);
@@ -361,10 +392,12 @@
             continue;
         }
         RC_ASSERT(++crashes <= 5);
+        if (crashesAfterTheFirstEvent)
+            list.noteBegunParts(subject.sharedParts);
         const std::string endpoint = "e" + std::to_string(request);
         // A sound prompt that is not answered yet runs beside it.
-        list.noteConnectionLost({ .request = 100000 + request, .sharedParts = { *rc::gen::inRange<uint64_t>(1, 4) } }, endpoint, false);
-        list.noteConnectionLost(subject, endpoint, false);
+        list.noteConnectionLost({ .request = 100000 + request, .sharedParts = { *rc::gen::inRange<uint64_t>(1, 4) } }, endpoint);
+        list.noteConnectionLost(subject, endpoint);
         list.noteEndpointDown(endpoint);
         now += Millis(1000);
     }
--- a/tests/ProxyFlowTest.cpp
+++ b/tests/ProxyFlowTest.cpp
@@ -215,20 +215,39 @@
 
 class CrashingPart : public ProxyFlowTest {
 protected:
-    // Scripts endpoints that go down when they run a request with the part "bad0" in its prompt.
-    void configureEndpoints()
+    // Scripts endpoints that write streams of three events. They go down when they have written so many events to a request with the
+    // part "bad0" in its prompt.
+    void configureEndpoints(int eventsBeforeCrash = 0)
     {
         configure();
         for (ScriptedEndpoint* endpoint : { &first_, &second_ })
-            endpoint->setScript([endpoint](int) {
-                const std::string& sent = endpoint->requests().back();
-                if (sent.find("bad0:") != std::string::npos)
-                    return ScriptedResponse { .bytes = {}, .ending = Ending::Reset };
-                const size_t id = sent.find("Test-Id: ") + 9;
-                return ScriptedResponse { streamHead(sent.substr(id, sent.find("\r\n", id) - id)) + chunk(event(1)) + "0\r\n\r\n" };
+            endpoint->setScript([this, endpoint, eventsBeforeCrash](int) {
+                const ScriptedResponse response = writeStream(endpoint->requests().back(), eventsBeforeCrash);
+                endpointCrashes_ += response.ending == Ending::Reset ? 1 : 0;
+                return response;
             });
     }
 
+    static ScriptedResponse writeStream(const std::string& sent, int eventsBeforeCrash)
+    {
+        const auto header = [&sent](const std::string& name) {
+            const size_t at = sent.find(name + ": ");
+            return at == std::string::npos ? std::string() : sent.substr(at + name.size() + 2, sent.find("\r\n", at) - at - name.size() - 2);
+        };
+        const bool crashes = sent.find("bad0:") != std::string::npos;
+        if (crashes && eventsBeforeCrash == 0)
+            return { .bytes = {}, .ending = Ending::Reset };
+        std::string bytes = streamHead(header("Test-Id"));
+        const std::string resumedAfter = header("Last-Event-Id");
+        const int first = resumedAfter.empty() ? 1 : std::stoi(resumedAfter) + 1;
+        for (int id = first; id <= 3; ++id) {
+            bytes += chunk(event(id));
+            if (crashes && id - first + 1 == eventsBeforeCrash)
+                return { .bytes = bytes, .ending = Ending::Reset };
+        }
+        return { bytes + "0\r\n\r\n" };
+    }
+
     std::string draft(const std::string& id, const std::string& prefix)
     {
         const std::string answer = exchange(request("/draft/" + id, id, "Test-Prefix: " + prefix + "\r\n"));
@@ -240,20 +259,48 @@
         dispatcher_.setTargets("desk", { target("e1", first_), target("e2", second_) });
         return answer;
     }
+
+    // After five crashes nothing with the part reaches an endpoint, and requests without it are served.
+    void expectStopped()
+    {
+        int sent = 0;
+        const auto sendBad = [&] {
+            const std::string id = "r" + std::to_string(++sent);
+            return draft(id, "aa:40,bad0:165," + id + ":300");
+        };
+        while (sent < 5)
+            sendBad();
+        const size_t before = requestCount();
+        EXPECT_LE(endpointCrashes_, 5);
+        const std::string refused = sendBad();
+        EXPECT_TRUE(refused.starts_with("HTTP/1.1 500 ")) << refused;
+        EXPECT_EQ(refused.find("Retry-After"), std::string::npos);
+        EXPECT_EQ(requestCount(), before);
+        EXPECT_TRUE(draft("sound", "aa:40,f:300").starts_with("HTTP/1.1 200 "));
+    }
+
+    int endpointCrashes_ = 0;
 };
 
 // Seen on a day of the users: requests that share one part of their prompt, no two alike, crashed one engine after the other.
 TEST_F(CrashingPart, RequestsThatShareItAreStoppedAfterTheFifthCrash)
 {
     configureEndpoints();
-    for (int i = 1; i <= 5; ++i)
-        draft("r" + std::to_string(i), "aa:40,bad0:165,f" + std::to_string(i) + ":300");
-    const size_t before = requestCount();
-    EXPECT_LE(before, 5U);
-    const std::string refused = draft("r6", "aa:40,bad0:165,f6:300");
-    EXPECT_TRUE(refused.starts_with("HTTP/1.1 500 ")) << refused;
-    EXPECT_EQ(refused.find("Retry-After"), std::string::npos);
-    EXPECT_EQ(requestCount(), before);
+    expectStopped();
+}
+
+// Endpoints that crashed after the first event of each answer went on getting such requests: the part counted as sound.
+TEST_F(CrashingPart, RequestsThatCrashEndpointsAfterTheFirstEventAreStopped)
+{
+    configureEndpoints(1);
+    expectStopped();
+}
+
+// Another endpoint ended the stream, and the part counted as sound for that.
+TEST_F(CrashingPart, RestOfAStreamAtAnotherEndpointProvesNothing)
+{
+    configureEndpoints(2);
+    expectStopped();
 }
 
 // Sound requests have the same caller and the same first part.
