Keep what crashes endpoints in the store across a kill of all gateways

Cause: blocks were known to the processes and to their messages only, so the end of all processes ended them. The same held for whole requests that crash engines.

Evidence: crashes_explained before the kill; after gateway_started no line of the part until three new crashes. Without the kill none.

Change: StoredBlocks. The planner writes a key for each block that it found, under a lease of the longest time of a block, and removes it with the block; each node applies a key when it first reads it, which is before it has routes. A gauge counts the blocks.

Tests: KilledGateway.KeepsAPart* and KeepsARequest* (real processes) failed with the untouched program: 502 instead of 500, and two more endpoints down. StoredBlocksTest covers lost answers, outages, a restore, unreadable keys and the end of a block.

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -82,6 +82,7 @@
               .onRoleChanged = [this](bool isPlanner, uint64_t term) { handleRoleChange(isPlanner, term); },
           },
           store_, adapter_, log_)
+    , storedBlocks_({ .clock = clock_, .node = settings_.node, .mayWrite = [this] { return presence_.isPlanner(); }, .blocks = [this] { return crashes_.blocks(); }, .onBlock = [this](const CrashBlock& block) { crashes_.noteKeptBlock(block); } }, store_, adapter_, log_)
     , usage_(context,
           {
               .clock = clock_,
@@ -451,6 +452,7 @@
     readyServer_.sweep();
     controlServer_.sweep();
     crashes_.sweep();
+    storedBlocks_.update();
     snapshots_.setPeers(presence_.peers());
     probeUnverified();
     updateWatchPause();
@@ -468,6 +470,7 @@
     metrics_.setGauge("hemlockweir_evacuated_domains", "Failure domains that operators have evacuated", static_cast<double>(evacuated_.size()));
     metrics_.setGauge("hemlockweir_cold_endpoints", "Endpoints that take fewer requests because they are cold", static_cast<double>(dispatcher_.limits().coldCount()));
     metrics_.setGauge("hemlockweir_cold_sends", "Requests sent to cold endpoints since the start", static_cast<double>(dispatcher_.limits().coldSends()));
+    metrics_.setGauge("hemlockweir_crash_blocks", "Requests and parts of prompts that are blocked because they crash endpoints", static_cast<double>(crashes_.blocks().size()));
     metrics_.setGauge("hemlockweir_store_era", "Era of the platform's store, 0 if it tells none", static_cast<double>(adapter_.store.eras->current()));
     logIgnoredEras();
     reportMemory();
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/GatewaySettings.h"
 #include "gateway/PeerSnapshots.h"
 #include "gateway/Presence.h"
+#include "gateway/StoredBlocks.h"
 #include "gateway/UsageExchange.h"
 #include "proxy/Proxy.h"
 #include "replicas/ReplicaPlanner.h"
@@ -90,6 +91,7 @@
     EvacuatedDomains evacuated_; // before endpoints_, which applies it
     EndpointFollower endpoints_;
     Presence presence_;
+    StoredBlocks storedBlocks_;
     UsageExchange usage_;
     PeerSnapshots snapshots_;
     EngineOrders orders_;
--- a/packages/proxy/CrashList.cpp
+++ b/packages/proxy/CrashList.cpp
@@ -176,6 +176,19 @@
     block.expiresAt = std::max(block.expiresAt, now + options_.peerBlockLifetime);
 }
 
+void CrashList::noteKeptBlock(const CrashBlock& kept)
+{
+    if (kept.isPart && isSound(kept.blocked)) {
+        if (options_.onSoundPart)
+            options_.onSoundPart(kept.blocked);
+        return;
+    }
+    const Millis now = options_.clock();
+    Block& block = blocks_.try_emplace(kept.blocked, Block { .foundAt = now, .isPart = kept.isPart }).first->second;
+    block.isOwn = true;
+    block.expiresAt = std::max(block.expiresAt, std::min(now + options_.retention, block.foundAt + options_.maxBlockTime));
+}
+
 std::map<uint64_t, CrashList::Evidence> CrashList::collectPartEvidence() const
 {
     std::map<uint64_t, Evidence> evidence;
@@ -260,6 +273,17 @@
     return extendBlock(subject.request) ? std::optional<uint64_t>(subject.request) : std::nullopt;
 }
 
+std::vector<CrashBlock> CrashList::blocks()
+{
+    findBlocks();
+    std::vector<CrashBlock> inForce;
+    for (const auto& [blocked, block] : blocks_) {
+        if (block.expiresAt > options_.clock())
+            inForce.push_back({ .blocked = blocked, .isPart = block.isPart, .isOwn = block.isOwn });
+    }
+    return inForce;
+}
+
 std::vector<uint64_t> CrashList::ownBlocks() const
 {
     std::vector<uint64_t> own;
--- a/packages/proxy/CrashList.h
+++ b/packages/proxy/CrashList.h
@@ -41,6 +41,15 @@
     auto operator<=>(const CrashReport&) const = default;
 };
 
+// What crashes endpoints and is not sent to any.
+struct CrashBlock {
+    uint64_t blocked = 0; // fingerprint of a request, or hash of a part of prompts
+    bool isPart = false;
+    bool isOwn = false; // found by this node or kept from before, and not only reported by another node
+
+    auto operator<=>(const CrashBlock&) const = default;
+};
+
 class CrashList {
 public:
     struct Options {
@@ -93,12 +102,18 @@
     void notePeerSoundPart(uint64_t part);
     void notePeerBlock(uint64_t part);
 
+    // Applies a block that was kept from before this process started. It holds like one that this node finds now.
+    void noteKeptBlock(const CrashBlock& block);
+
     // Returns the fingerprint of the request, or the hash of a part of its prompt, if it crashed so many endpoints that it must
     // not be sent to another one; nullopt if the request may be sent. A block holds on while requests ask for what is blocked,
     // up to maxBlockTime.
     std::optional<uint64_t> findBlock(const CrashSubject& subject);
     bool isBlocked(const CrashSubject& subject) { return findBlock(subject).has_value(); }
 
+    // Returns all blocks in force.
+    std::vector<CrashBlock> blocks();
+
     // Returns the parts that this node itself found to crash endpoints, to be published to nodes that have started since.
     std::vector<uint64_t> ownBlocks() const;
 
