Examine all shared parts of a prompt for what crashes endpoints

Cause: only the first eight parts of a prompt were read, to bound the memory of the crash list and the messages between nodes. Sound requests cleared these eight, so nothing was suspected.

Evidence: endpoint_crashed for each crash with suspect_parts=none; the same script with one part before it blocks it after three crashes.

Change: all parts count. What is kept is bounded instead: 20,000 suspected parts, a third of them for one crash, the longest prompts first to go. A report takes several rows in several messages (format 7), which tell the age of the crash, so that a later row is no further crash.

Tests: CrashingPart.RequestsWithItAsTheirNinthPartAreStopped and SharedParts.CountWhereverTheyStand failed before. SharedParts.AreBounded demanded the fault; the bounds are held by CrashingParts.LongPromptsBesideItHideNothing and UsageExchangeTest.PeersLearnAllSuspectedParts* now. The tests of the exchange take reports in place of rows.

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -92,7 +92,7 @@
               .ownUsage = [this] { return dispatcher_.ownUsage(); },
               .onUsage = [this](const std::string& node, PeerUsage usage) { dispatcher_.updatePeerUsage(node, std::move(usage)); },
               .onSuspect = [this](uint32_t target) { handlePeerSuspect(target); },
-              .onCrash = [this](const CrashRow& crash) { crashes_.notePeerCrash({ .subject = { .request = crash.request, .sharedParts = crash.parts }, .endpoint = crash.endpoint }); },
+              .onCrash = [this](const CrashReport& report, Millis age) { crashes_.notePeerCrash(report, age); },
               .ownBlocks = [this] { return crashes_.ownBlocks(); },
               .onBlock = [this](uint64_t blocked) { crashes_.notePeerBlock(blocked); },
               .onSoundPart = [this](uint64_t part) { crashes_.notePeerSoundPart(part); },
@@ -393,7 +393,7 @@
 void Gateway::publishCrash(const CrashReport& report, const std::string& endpoint)
 {
     log_.noteFailure("endpoint_crashed", { { "endpoint", endpoint }, { "fingerprint", absl::StrFormat("%016x", report.subject.request) }, { "suspect_parts", formatSuspects(report.subject.sharedParts) } });
-    usage_.addCrash({ .request = report.subject.request, .endpoint = report.endpoint, .parts = report.subject.sharedParts });
+    usage_.addCrash(report);
     usage_.publishSoon();
 }
 
--- a/packages/gateway/UsageExchange.cpp
+++ b/packages/gateway/UsageExchange.cpp
@@ -99,11 +99,14 @@
 // Adds what this node found about requests that crash endpoints.
 void UsageExchange::addReports(UsageMessage& message)
 {
-    for (auto& [crash, remaining] : crashes_) {
-        message.crashes.push_back(crash);
-        --remaining;
+    for (WaitingCrash& crash : crashes_) {
+        if (message.crashes.size() == UsageMessage::maxCrashes)
+            break;
+        message.crashes.push_back(crash.row);
+        message.crashes.back().ageMs = static_cast<uint32_t>((options_.clock() - crash.addedAt).count());
+        --crash.remaining;
     }
-    std::erase_if(crashes_, [](const auto& entry) { return entry.second <= 0; });
+    std::erase_if(crashes_, [](const WaitingCrash& crash) { return crash.remaining <= 0; });
     for (auto& [part, remaining] : soundParts_) {
         if (message.soundParts.size() == UsageMessage::maxSoundParts)
             break;
@@ -163,11 +166,38 @@
     options_.onOrganisations(message.node, uses);
 }
 
-void UsageExchange::addCrash(const CrashRow& crash)
+// Returns the rows of a report: those of its parts in which there is a suspect, or one without parts.
+static std::vector<CrashRow> splitReport(const CrashReport& report)
+{
+    const std::vector<uint64_t>& parts = report.subject.sharedParts;
+    std::vector<CrashRow> rows;
+    for (size_t from = 0; from < parts.size(); from += CrashRow::maxParts) {
+        const auto begin = parts.begin() + static_cast<ptrdiff_t>(from);
+        const auto end = parts.begin() + static_cast<ptrdiff_t>(std::min(parts.size(), from + CrashRow::maxParts));
+        if (std::any_of(begin, end, [](uint64_t part) { return part != 0; }))
+            rows.push_back({ .request = report.subject.request, .endpoint = report.endpoint, .position = static_cast<uint32_t>(from), .parts = std::vector<uint64_t>(begin, end) });
+    }
+    if (rows.empty())
+        rows.push_back({ .request = report.subject.request, .endpoint = report.endpoint });
+    return rows;
+}
+
+static CrashReport makeReport(const CrashRow& row)
 {
-    // Requests that ran beside the crashing one are suspected and reported too. As many as fit into a message are enough.
-    if (crashes_.size() < UsageMessage::maxCrashes)
-        crashes_.emplace_back(crash, messagesPerReport);
+    CrashReport report { .subject = { .request = row.request }, .endpoint = row.endpoint };
+    if (row.position > CrashRow::maxPosition)
+        return report;
+    report.subject.sharedParts.resize(row.position);
+    report.subject.sharedParts.insert(report.subject.sharedParts.end(), row.parts.begin(), row.parts.end());
+    return report;
+}
+
+void UsageExchange::addCrash(const CrashReport& crash)
+{
+    for (CrashRow& row : splitReport(crash)) {
+        if (crashes_.size() < maxWaitingCrashes)
+            crashes_.push_back({ .row = std::move(row), .addedAt = options_.clock() });
+    }
 }
 
 void UsageExchange::publishSoon()
@@ -215,7 +245,7 @@
     for (const QueueRow& queue : message->queues)
         usage.waitingByModel[queue.model] = queue.waiting;
     for (const CrashRow& crash : message->crashes)
-        options_.onCrash(crash);
+        options_.onCrash(makeReport(crash), Millis(crash.ageMs));
     for (const uint64_t part : message->soundParts) {
         if (options_.onSoundPart)
             options_.onSoundPart(part);
--- a/packages/gateway/UsageExchange.h
+++ b/packages/gateway/UsageExchange.h
@@ -3,6 +3,7 @@
 #include "base/DecisionLog.h"
 #include "config/Settings.h"
 #include "gateway/Presence.h"
+#include "proxy/CrashList.h"
 #include "proxy/Dispatcher.h"
 #include "wire/Bounded.h"
 
@@ -32,18 +33,21 @@
     auto operator<=>(const UsageRow&) const = default;
 };
 
-// A request that crashed an endpoint.
+// A request that crashed an endpoint, with some of the suspected parts of its prompt. A report of more parts takes several rows.
 struct CrashRow {
     static constexpr uint32_t maxParts = 8;
+    static constexpr uint32_t maxPosition = 16384; // of a part in a prompt; a head has fewer
 
     uint64_t request = 0; // CrashList::fingerprint()
     uint32_t endpoint = 0; // hashTarget() of its id
-    std::vector<uint64_t> parts; // CrashList::hashSharedParts(), without those that are known to be sound
+    uint32_t ageMs = 0; // since the crash was found
+    uint32_t position = 0; // of the first of these parts
+    std::vector<uint64_t> parts; // some of CrashList::hashSharedParts(), 0 for those that are no suspects
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(request, endpoint, bounded(parts, maxParts));
+        archive(request, endpoint, ageMs, position, bounded(parts, maxParts));
     }
     auto operator<=>(const CrashRow&) const = default;
 };
@@ -91,7 +95,7 @@
 };
 
 struct UsageMessage {
-    static constexpr uint32_t currentFormat = 6;
+    static constexpr uint32_t currentFormat = 7;
     static constexpr uint32_t maxNameBytes = 200;
     static constexpr uint32_t maxRows = 4000;
     static constexpr uint32_t maxCrashes = 64;
@@ -150,7 +154,7 @@
         std::function<PeerUsage()> ownUsage; // returns this node's usage
         std::function<void(const std::string& node, PeerUsage)> onUsage; // a peer's usage was received
         std::function<void(uint32_t target)> onSuspect; // a peer got no answer from the target
-        std::function<void(const CrashRow&)> onCrash; // a peer detected a crash
+        std::function<void(const CrashReport&, Millis age)> onCrash; // a peer detected a crash so long ago; the report may have only some of the suspected parts
         std::function<std::vector<uint64_t>()> ownBlocks; // returns what this node blocks because it crashes endpoints; may be empty
         std::function<void(uint64_t blocked)> onBlock; // a peer blocks a request or a part of prompts; may be empty
         std::function<void(uint64_t part)> onSoundPart; // a peer got a response to a suspected part; may be empty
@@ -172,7 +176,7 @@
     void addSuspect(uint32_t target) { suspects_.insert(target); }
 
     // Reports a request that crashed an endpoint in the next few messages.
-    void addCrash(const CrashRow& crash);
+    void addCrash(const CrashReport& crash);
 
     // Reports a suspected part of prompts that is sound in the next few messages.
     void addSoundPart(uint64_t part) { soundParts_[part] = messagesPerReport; }
@@ -183,6 +187,15 @@
 private:
     // Number of messages that carry one report. More than one, because datagrams may be lost.
     static constexpr int messagesPerReport = 3;
+    // Rows of crashes that wait for their messages; beyond this further ones are dropped.
+    static constexpr size_t maxWaitingCrashes = 1024;
+
+    // A row of a crash, to be sent in so many more messages.
+    struct WaitingCrash {
+        CrashRow row;
+        Millis addedAt { 0 };
+        int remaining = messagesPerReport;
+    };
 
     void publish();
     void addUsage(UsageMessage& message);
@@ -202,8 +215,8 @@
     std::vector<boost::asio::ip::udp::endpoint> peers_;
     std::map<std::string, UsageSequence> sequences_; // by node
     std::set<uint32_t> suspects_;
-    std::vector<std::pair<CrashRow, int>> crashes_; // with the number of messages still to carry it
-    std::map<uint64_t, int> soundParts_; // the same
+    std::vector<WaitingCrash> crashes_;
+    std::map<uint64_t, int> soundParts_; // with the number of messages still to carry it
     uint64_t sequence_ = 0;
     Millis publishedAt_ { 0 };
     bool isEarlyPublishScheduled_ = false;
--- a/packages/proxy/CrashList.cpp
+++ b/packages/proxy/CrashList.cpp
@@ -4,14 +4,13 @@
 #include "proxy/Placement.h"
 
 #include <algorithm>
+#include <numeric>
 #include <tuple>
 
 namespace hemlockweir {
 
 // Two reports about the same endpoint within this time refer to the same crash, since a restart takes longer.
 static constexpr Millis sameCrashWindow { 1000 };
-// Shared parts of a prompt that are examined; a caller may name any number.
-static constexpr size_t maxSharedParts = 8;
 
 CrashList::CrashList(Options options)
     : options_(std::move(options))
@@ -39,7 +38,7 @@
 {
     std::vector<uint64_t> hashes;
     size_t at = 0;
-    for (size_t comma = prompt.find(','); comma != std::string_view::npos && hashes.size() < maxSharedParts; comma = prompt.find(',', at)) {
+    for (size_t comma = prompt.find(','); comma != std::string_view::npos; comma = prompt.find(',', at)) {
         const std::string_view part = prompt.substr(at, comma - at);
         at = comma + 1;
         const std::string_view id = part.substr(0, part.find(':'));
@@ -90,32 +89,68 @@
     }
 }
 
-void CrashList::notePeerCrash(const CrashReport& report)
+void CrashList::notePeerCrash(const CrashReport& report, Millis age)
 {
     for (const uint64_t part : report.subject.sharedParts) {
         if (isSound(part) && options_.onSoundPart)
             options_.onSoundPart(part);
     }
-    addCrash({ .subject = { .request = report.subject.request, .sharedParts = withoutSoundParts(report.subject.sharedParts) }, .endpoint = report.endpoint }, options_.clock());
+    addCrash({ .subject = { .request = report.subject.request, .sharedParts = withoutSoundParts(report.subject.sharedParts) }, .endpoint = report.endpoint }, options_.clock() - age);
+}
+
+// Adds the suspected parts of a prompt to those known of it. Returns whether one is new.
+static bool addParts(std::vector<uint64_t>& known, const std::vector<uint64_t>& parts)
+{
+    if (std::all_of(parts.begin(), parts.end(), [](uint64_t part) { return part == 0; }))
+        return false;
+    bool hasNew = false;
+    known.resize(std::max(known.size(), parts.size()));
+    for (size_t position = 0; position < parts.size(); ++position) {
+        if (parts[position] == 0 || known[position] != 0)
+            continue;
+        known[position] = parts[position];
+        hasNew = true;
+    }
+    return hasNew;
 }
 
 void CrashList::addCrash(const CrashReport& report, Millis at)
 {
     auto crash = std::find_if(crashes_.begin(), crashes_.end(), [&](const Crash& known) { return known.endpoint == report.endpoint && std::chrono::abs(known.at - at) < sameCrashWindow; });
     if (crash == crashes_.end()) {
-        crashes_.push_back({ .endpoint = report.endpoint, .at = at });
-        limitSize(crashes_, options_.maxCrashes);
-        crash = crashes_.end() - 1;
+        crash = crashes_.insert(std::upper_bound(crashes_.begin(), crashes_.end(), at, [](Millis time, const Crash& known) { return time < known.at; }), Crash { .endpoint = report.endpoint, .at = at });
     }
     const bool isFull = crash->suspects.size() >= options_.maxSuspectsPerCrash;
     if (isFull && crash->suspects.count(report.subject.request) == 0)
         return;
     const auto [suspect, isNew] = crash->suspects.try_emplace(report.subject.request);
-    std::vector<uint64_t>& parts = suspect->second;
-    const bool hasMoreParts = parts.size() < report.subject.sharedParts.size();
-    if (hasMoreParts)
-        parts = report.subject.sharedParts;
-    hasNewEvidence_ = hasNewEvidence_ || isNew || hasMoreParts;
+    hasNewEvidence_ = addParts(suspect->second, report.subject.sharedParts) || isNew || hasNewEvidence_;
+    limitParts(*crash);
+    limitCrashes();
+}
+
+size_t CrashList::Crash::countParts() const
+{
+    return std::accumulate(suspects.begin(), suspects.end(), size_t { 0 }, [](size_t count, const auto& suspect) { return count + suspect.second.size(); });
+}
+
+// Drops the parts of the longest prompts beyond what leaves room for as many crashes as explain a block.
+void CrashList::limitParts(Crash& crash)
+{
+    for (size_t count = crash.countParts(); count > options_.maxSuspectParts / options_.crashThreshold;) {
+        const auto longest = std::max_element(crash.suspects.begin(), crash.suspects.end(), [](const auto& one, const auto& other) { return one.second.size() < other.second.size(); });
+        count -= std::exchange(longest->second, {}).size();
+    }
+}
+
+// Drops the oldest crashes beyond the limits.
+void CrashList::limitCrashes()
+{
+    limitSize(crashes_, options_.maxCrashes);
+    size_t parts = 0;
+    const auto isWithinLimit = [&](const Crash& crash) { return (parts += crash.countParts()) <= options_.maxSuspectParts; };
+    const auto dropped = std::find_if_not(crashes_.rbegin(), crashes_.rend(), isWithinLimit);
+    crashes_.erase(crashes_.begin(), dropped.base());
 }
 
 void CrashList::noteAnswered(uint64_t request)
@@ -135,10 +170,12 @@
 
 void CrashList::noteSoundParts(const std::vector<uint64_t>& parts)
 {
+    std::unordered_set<uint64_t> cleared;
     for (const uint64_t part : parts) {
         if (soundParts_.note(part, options_.clock()))
-            clearPart(part);
+            cleared.insert(part);
     }
+    clearParts(cleared);
 }
 
 void CrashList::notePeerSoundPart(uint64_t part)
@@ -147,20 +184,28 @@
         noteSoundParts({ part });
 }
 
-// Withdraws the suspicion against a part, and tells the other nodes if there was one.
-void CrashList::clearPart(uint64_t part)
+// Withdraws the suspicion against the parts, and tells the other nodes of each against which there was one.
+void CrashList::clearParts(const std::unordered_set<uint64_t>& parts)
 {
-    bool wasSuspect = blocks_.erase(part) > 0;
+    if (parts.empty())
+        return;
+    std::set<uint64_t> suspects;
+    for (const uint64_t part : parts) {
+        if (blocks_.erase(part) > 0)
+            suspects.insert(part);
+    }
     for (Crash& crash : crashes_) {
-        for (auto& [request, parts] : crash.suspects) {
-            wasSuspect = wasSuspect || std::find(parts.begin(), parts.end(), part) != parts.end();
-            std::replace(parts.begin(), parts.end(), part, uint64_t { 0 });
+        for (auto& [request, suspected] : crash.suspects) {
+            for (uint64_t& part : suspected) {
+                if (parts.contains(part))
+                    suspects.insert(std::exchange(part, 0));
+            }
         }
     }
-    if (!wasSuspect)
+    hasNewEvidence_ = hasNewEvidence_ || !suspects.empty();
+    if (!options_.onSoundPart)
         return;
-    hasNewEvidence_ = true;
-    if (options_.onSoundPart)
+    for (const uint64_t part : suspects)
         options_.onSoundPart(part);
 }
 
--- a/packages/proxy/CrashList.h
+++ b/packages/proxy/CrashList.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <vector>
 
 // Detects what crashes every endpoint that runs it, and blocks it before it takes down one endpoint after another: a
@@ -28,7 +29,7 @@
 // What identifies a request to the crash list.
 struct CrashSubject {
     uint64_t request = 0; // CrashList::fingerprint()
-    std::vector<uint64_t> sharedParts; // hashes of the parts of its prompt that other requests may have, in their order; 0: known to be sound
+    std::vector<uint64_t> sharedParts; // hashes of the parts of its prompt that other requests may have, in their order; 0: no suspect
 
     auto operator<=>(const CrashSubject&) const = default;
 };
@@ -63,6 +64,7 @@
         Millis peerBlockLifetime { 5000 }; // ms, for which a block of another node holds after it was last reported
         size_t maxCrashes = 300; // crashes and lost connections to track; beyond this the oldest are dropped
         size_t maxSuspectsPerCrash = 256; // more requests on one endpoint are ignored
+        size_t maxSuspectParts = 20000; // parts in all crashes; beyond this the oldest crashes are dropped, and of one crash the longest prompts
         size_t maxSoundParts = 4000; // to remember; beyond this those without an answer for the longest time are dropped
         std::function<void(const std::string& endpoint)> onConnectionLost; // asks to check whether the endpoint is alive; may be empty
         std::function<void(const CrashReport&, const std::string& endpoint)> onCrash; // a crash of this endpoint found by this node, to be published; may be empty
@@ -86,8 +88,8 @@
     // crashed it.
     void noteEndpointDown(const std::string& endpoint);
 
-    // Applies a crash found by another node.
-    void notePeerCrash(const CrashReport& report);
+    // Applies a crash that another node found so long ago, or some of the suspected parts of one.
+    void notePeerCrash(const CrashReport& report, Millis age = Millis(0));
 
     // Clears a request that one endpoint answered completely.
     void noteAnswered(uint64_t request);
@@ -135,6 +137,8 @@
         uint32_t endpoint = 0; // hashTarget() of its id
         Millis at { 0 };
         std::map<uint64_t, std::vector<uint64_t>> suspects; // by fingerprint
+
+        size_t countParts() const;
     };
 
     struct Block {
@@ -155,7 +159,9 @@
     bool isSound(uint64_t part) const { return soundParts_.contains(part); }
     std::vector<uint64_t> withoutSoundParts(const std::vector<uint64_t>& parts) const;
     void addCrash(const CrashReport& report, Millis at);
-    void clearPart(uint64_t part);
+    void limitParts(Crash& crash);
+    void limitCrashes();
+    void clearParts(const std::unordered_set<uint64_t>& parts);
     void findBlocks();
     std::map<uint64_t, Evidence> collectPartEvidence() const;
     void blockIfUnexplained(uint64_t blocked, bool isPart, const std::set<size_t>& crashes, std::set<size_t>& explained);
--- a/tests/CrashListTest.cpp
+++ b/tests/CrashListTest.cpp
@@ -3,6 +3,7 @@
 #include "proxy/Placement.h"
 
 #include <gtest/gtest.h>
+#include <numeric>
 #include <rapidcheck/gtest.h>
 
 // Tests of the detection of requests that crash every endpoint that runs them.
@@ -165,6 +166,56 @@
     EXPECT_FALSE(isBlocked({ first, 300 }));
 }
 
+// The ninth part of the prompts crashed one engine after the other and was never a suspect.
+TEST_F(CrashingParts, PartIsBlockedWhereverItStands)
+{
+    for (const size_t position : { 8, 9, 2000 }) {
+        std::vector<uint64_t> sound(position);
+        std::iota(sound.begin(), sound.end(), 1000);
+        list_.noteSoundParts(sound);
+        std::vector<uint64_t> parts = sound;
+        parts.push_back(100000 + position);
+        for (int i = 0; i < 3; ++i)
+            crash(parts);
+        EXPECT_TRUE(isBlocked(parts)) << position;
+        EXPECT_FALSE(isBlocked(sound)) << position;
+    }
+}
+
+// Callers with long prompts of new parts must not hide the part that crashes endpoints, nor fill the memory.
+TEST_F(CrashingParts, LongPromptsBesideItHideNothing)
+{
+    constexpr size_t longPrompt = 2700; // what a head of 16 KB holds
+    uint64_t nextPart = 10000;
+    for (int i = 0; i < 3; ++i) {
+        for (uint64_t beside = 0; beside < 17; ++beside) {
+            std::vector<uint64_t> parts(longPrompt);
+            std::iota(parts.begin(), parts.end(), nextPart);
+            nextPart += longPrompt;
+            list_.noteConnectionLost({ .request = nextPart, .sharedParts = std::move(parts) }, "e" + std::to_string(count_ + 1));
+        }
+        crash({ first, deadly });
+    }
+    EXPECT_TRUE(isBlocked({ deadly }));
+    EXPECT_FALSE(isBlocked({ first, 10000, nextPart - 1 }));
+}
+
+// Other nodes' reports of a long prompt come in several messages, and each of them several times.
+TEST_F(CrashingParts, LaterPartsOfAReportAreNoFurtherCrash)
+{
+    list_.notePeerCrash({ .subject = { .request = 11, .sharedParts = { first } }, .endpoint = 5 });
+    for (int i = 1; i <= 4; ++i) {
+        now_ += Millis(1500);
+        list_.notePeerCrash({ .subject = { .request = 11, .sharedParts = { 0, deadly } }, .endpoint = 5 }, Millis(1500 * i));
+    }
+    EXPECT_FALSE(list_.isBlocked({ .request = 11 }));
+    list_.notePeerCrash({ .subject = { .request = 12, .sharedParts = { first, deadly } }, .endpoint = 6 });
+    EXPECT_FALSE(isBlocked({ deadly }));
+    list_.notePeerCrash({ .subject = { .request = 13, .sharedParts = { first, deadly } }, .endpoint = 7 });
+    EXPECT_TRUE(isBlocked({ deadly }));
+    EXPECT_FALSE(isBlocked({ first }));
+}
+
 TEST_F(CrashingParts, FirstPartIsBlockedIfNothingElseIsCommon)
 {
     crash({ first, 301 });
@@ -414,12 +465,15 @@
     EXPECT_TRUE(CrashList::hashSharedParts("lm", "m", "").empty());
 }
 
-TEST(SharedParts, AreBounded)
+// Parts behind the eighth were not looked at.
+TEST(SharedParts, CountWhereverTheyStand)
 {
     std::string prompt;
     for (int i = 0; i < 1000; ++i)
         prompt += std::to_string(i) + ":1,";
-    EXPECT_LE(CrashList::hashSharedParts("lm", "m", prompt).size(), 8U);
+    const std::vector<uint64_t> parts = CrashList::hashSharedParts("lm", "m", prompt);
+    EXPECT_EQ(parts.size(), 1000U);
+    EXPECT_EQ(std::set<uint64_t>(parts.begin(), parts.end()).size(), 1000U);
     EXPECT_TRUE(CrashList::hashSharedParts("lm", "m", ",,,").empty());
 }
 
--- a/tests/ProxyFlowTest.cpp
+++ b/tests/ProxyFlowTest.cpp
@@ -260,13 +260,13 @@
         return answer;
     }
 
-    // After five crashes nothing with the part reaches an endpoint, and requests without it are served.
-    void expectStopped()
+    // After five crashes nothing with the part reaches an endpoint, and requests without it are served. `shared` are the parts before it.
+    void expectStopped(const std::string& shared = "aa:40")
     {
         int sent = 0;
         const auto sendBad = [&] {
             const std::string id = "r" + std::to_string(++sent);
-            return draft(id, "aa:40,bad0:165," + id + ":300");
+            return draft(id, shared + ",bad0:165," + id + ":300");
         };
         while (sent < 5)
             sendBad();
@@ -276,7 +276,7 @@
         EXPECT_TRUE(refused.starts_with("HTTP/1.1 500 ")) << refused;
         EXPECT_EQ(refused.find("Retry-After"), std::string::npos);
         EXPECT_EQ(requestCount(), before);
-        EXPECT_TRUE(draft("sound", "aa:40,f:300").starts_with("HTTP/1.1 200 "));
+        EXPECT_TRUE(draft("sound", shared + ",f:300").starts_with("HTTP/1.1 200 "));
     }
 
     int endpointCrashes_ = 0;
@@ -303,6 +303,15 @@
     expectStopped();
 }
 
+// Parts behind the eighth were not looked at, and sound requests cleared those before it.
+TEST_F(CrashingPart, RequestsWithItAsTheirNinthPartAreStopped)
+{
+    configureEndpoints();
+    const std::string eightParts = "aa:40,a1:10,a2:10,a3:10,a4:10,a5:10,a6:10,a7:10";
+    EXPECT_TRUE(draft("first", eightParts + ",f0:300").starts_with("HTTP/1.1 200 "));
+    expectStopped(eightParts);
+}
+
 // Sound requests have the same caller and the same first part.
 TEST_F(CrashingPart, RequestsWithoutItAreServed)
 {
--- a/tests/UsageExchangeTest.cpp
+++ b/tests/UsageExchangeTest.cpp
@@ -27,7 +27,7 @@
                 .address = { .address = address_, .port = port },
                 .ownUsage = [running] { return PeerUsage { .byTarget = { { 1, { .running = running } } } }; },
                 .onUsage = [this](const std::string& from, const PeerUsage& usage) { received_[from] = usage.byTarget.at(1).running; },
-                .onCrash = [this](const CrashRow& crash) { crashes_.push_back(crash); },
+                .onCrash = [this](const CrashReport& crash, Millis age) { crashes_.push_back(crash); ages_.push_back(age); },
                 .ownBlocks = [name] { return name == "a" ? std::vector<uint64_t> { 11, 12 } : std::vector<uint64_t>(); },
                 .onBlock = [this](uint64_t blocked) { blocks_.insert(blocked); },
                 .onSoundPart = [this](uint64_t part) { soundParts_.push_back(part); },
@@ -50,7 +50,8 @@
     Clock clock_ = makeSteadyClock();
     DecisionLog log_ { { .clock = clock_, .descriptor = -1 } };
     std::map<std::string, uint32_t> received_; // requests on the target, by the node that reported them
-    std::vector<CrashRow> crashes_;
+    std::vector<CrashReport> crashes_;
+    std::vector<Millis> ages_; // of the crashes
     std::set<uint64_t> blocks_;
     std::vector<uint64_t> soundParts_;
     std::vector<LimitReport> limits_; // that each node tells
@@ -91,22 +92,44 @@
 {
     const auto receiver = makeNode("b", portB, 0, 1);
     const auto sender = makeNode("a", portA, 0, 2);
-    const CrashRow crash { .request = 7, .endpoint = 3, .parts = { 0, 200 } };
+    const CrashReport crash { .subject = { .request = 7, .sharedParts = { 0, 200 } }, .endpoint = 3 };
     sender->addCrash(crash);
     sender->addSoundPart(100);
     runUntil(context_, [&] { return crashes_.size() >= 3 && soundParts_.size() >= 3; });
-    EXPECT_EQ(crashes_, std::vector<CrashRow>(3, crash));
+    EXPECT_EQ(crashes_, std::vector<CrashReport>(3, crash));
     EXPECT_EQ(soundParts_, std::vector<uint64_t>(3, 100));
     EXPECT_EQ(blocks_, (std::set<uint64_t> { 11, 12 })) << "also to a node that started after they were found";
 }
 
+// Only the first eight parts of a prompt reached the other nodes. Later messages must not look like further crashes.
+TEST_F(UsageExchangeTest, PeersLearnAllSuspectedPartsOfALongPrompt)
+{
+    const auto receiver = makeNode("b", portB, 0, 1);
+    const auto sender = makeNode("a", portA, 0, 2);
+    std::vector<uint64_t> parts(1000, 0);
+    parts[8] = 208;
+    for (size_t position = 100; position < parts.size(); ++position)
+        parts[position] = 1000 + position;
+    const Millis addedAt = clock_();
+    sender->addCrash({ .subject = { .request = 7, .sharedParts = parts }, .endpoint = 3 });
+    std::set<uint64_t> received;
+    runUntil(context_, [&] {
+        for (const CrashReport& crash : crashes_)
+            received.insert(crash.subject.sharedParts.begin(), crash.subject.sharedParts.end());
+        return received.size() == 902; // with 0
+    });
+    EXPECT_TRUE(std::all_of(crashes_.begin(), crashes_.end(), [&](const CrashReport& crash) { return std::equal(crash.subject.sharedParts.begin(), crash.subject.sharedParts.end(), parts.begin(), [](uint64_t got, uint64_t part) { return got == 0 || got == part; }); })) << "in their places";
+    EXPECT_GE(ages_.back(), Millis(60)) << "it took several messages";
+    EXPECT_LE(ages_.back(), clock_() - addedAt);
+}
+
 // As many reports as an outage of many endpoints brings must not keep the usage from the other nodes.
 TEST_F(UsageExchangeTest, ReportsBeyondTheLimitsOfAMessageDoNotStopTheUsage)
 {
     const auto receiver = makeNode("b", portB, 0, 1);
     const auto sender = makeNode("a", portA, 5, 2);
     for (uint64_t i = 0; i < 500; ++i) {
-        sender->addCrash({ .request = i, .endpoint = 1, .parts = std::vector<uint64_t>(CrashRow::maxParts, i) });
+        sender->addCrash({ .subject = { .request = i, .sharedParts = std::vector<uint64_t>(CrashRow::maxParts, i) }, .endpoint = 1 });
         sender->addSoundPart(i);
     }
     runUntil(context_, [&] { return received_["a"] == 5 && soundParts_.size() >= 1500; });
