Limit the suspects only when a report brings new ones

Cause: each repeated row of a crash summed up the parts of all crashes kept, up to 300 times 256 requests, and at a hundred nodes most rows are repetitions.

Change: a row that brings nothing new ends before the limits. The search for the oldest crash to keep is a plain loop. Comments of StoredBlocks say what the era guards.

--- a/packages/gateway/StoredBlocks.cpp
+++ b/packages/gateway/StoredBlocks.cpp
@@ -64,7 +64,7 @@
     return blocks;
 }
 
-// Returns whether a key may be written or removed: the store has had time to report the last write.
+// Returns whether a key may be written or removed. After a write the store gets time to report it.
 bool StoredBlocks::isDue(const std::string& key) const
 {
     return !writtenAt_.contains(key);
@@ -75,7 +75,7 @@
     if (!store_.hasData())
         return;
     readKeys();
-    // The planner of an earlier era may act on a copy that lacks what was written since.
+    // Revisions and leases of an earlier era may belong to other keys now.
     if (isWriting_ || !options_.mayWrite() || !store_.isReachable() || !store_.isOfCurrentEra())
         return;
     std::erase_if(writtenAt_, [this](const auto& entry) { return options_.clock() - entry.second >= options_.retryInterval; });
@@ -124,7 +124,7 @@
     adapter_.store.commit(transaction, [this, key = item.key](const absl::StatusOr<StoreRevision>& revision) { finishWrite("block_removed", key, revision.status()); });
 }
 
-// A write whose outcome is unknown, or that failed, is repeated unless the store's keys show that it took effect.
+// A write that failed, or may have, is repeated after retryInterval unless the store's keys show that it took effect.
 void StoredBlocks::finishWrite(std::string_view event, const std::string& key, const absl::Status& status)
 {
     isWriting_ = false;
--- a/packages/gateway/StoredBlocks.h
+++ b/packages/gateway/StoredBlocks.h
@@ -7,9 +7,10 @@
 
 // Keeps what crashes endpoints in the platform's store, so that it stays blocked after all nodes were killed or lost power at once.
 //
-// Only the planner writes: a key for each block that it found itself or read there, under a lease that ends with the longest time for which a block holds.
-// It removes the key once no node blocks it any more. Each node applies a key when it first reads it, so a node that starts has the
-// blocks before its first request. A block is kept from about a second after it was found; what is only suspected is not kept.
+// Only the planner writes: a key for each block that it found itself or read there, under a lease of the longest time for which a block
+// holds. It removes the key once no node is known to block it any more. Each node applies a key when it first reads it, so a node that
+// starts has the blocks before its first request. A block is kept from about a second after it was found; what is only suspected
+// is not kept.
 
 namespace hemlockweir {
 
--- a/packages/proxy/CrashList.cpp
+++ b/packages/proxy/CrashList.cpp
@@ -124,7 +124,10 @@
     if (isFull && crash->suspects.count(report.subject.request) == 0)
         return;
     const auto [suspect, isNew] = crash->suspects.try_emplace(report.subject.request);
-    hasNewEvidence_ = addParts(suspect->second, report.subject.sharedParts) || isNew || hasNewEvidence_;
+    const bool hasNewParts = addParts(suspect->second, report.subject.sharedParts);
+    if (!isNew && !hasNewParts)
+        return;
+    hasNewEvidence_ = true;
     limitParts(*crash);
     limitCrashes();
 }
@@ -147,10 +150,13 @@
 void CrashList::limitCrashes()
 {
     limitSize(crashes_, options_.maxCrashes);
-    size_t parts = 0;
-    const auto isWithinLimit = [&](const Crash& crash) { return (parts += crash.countParts()) <= options_.maxSuspectParts; };
-    const auto dropped = std::find_if_not(crashes_.rbegin(), crashes_.rend(), isWithinLimit);
-    crashes_.erase(crashes_.begin(), dropped.base());
+    auto oldestKept = crashes_.end();
+    for (size_t parts = 0; oldestKept != crashes_.begin(); --oldestKept) {
+        parts += std::prev(oldestKept)->countParts();
+        if (parts > options_.maxSuspectParts)
+            break;
+    }
+    crashes_.erase(crashes_.begin(), oldestKept);
 }
 
 void CrashList::noteAnswered(uint64_t request)
