Let the soak send requests that share a crashing part, also after a kill of all gateways

Cause: the soak knew only one request that is repeated, so that neither the block of a part among four gateways nor its end with all processes could show.

Change: all streams of the soak have a prompt. After the repeated request, eight different ones with one part crash engines, all gateways are killed, and eight more come. At most five engines may go down before, and at most three such requests reach engines afterwards, the bounds of the rule.

--- a/tests/GatewaySoakProcessTest.cpp
+++ b/tests/GatewaySoakProcessTest.cpp
@@ -27,8 +27,13 @@
 static constexpr qint64 leavingDelayMs = 2000;
 // Time without faults before the configuration change is tested.
 static constexpr Millis quietTime { 3000 };
+// Time for which killed gateways are away.
+static constexpr Millis killTime { 500 };
 // Maximum number of engines that one request may crash: three, and those on which it ran at the same time.
 static constexpr int maxCrashes = 4;
+// Maximum number of engines that different requests with one part may crash, and of those that they may reach afterwards.
+static constexpr int maxPartCrashes = 5;
+static constexpr int maxLateRuns = 3;
 
 namespace {
 
@@ -136,20 +141,22 @@
         void sendCrashingRequest()
         {
             EXPECT_TRUE(servesAll(recoveryTime));
-            constexpr int sends = 8;
-            std::set<std::string> ids;
-            for (int i = 0; i < sends; ++i) {
-                SoakRequest request = load_.makeRequest("/large/1", randomGateway());
-                request.body = "poison";
-                request.key = "key-1";
-                ids.insert(request.id);
-                request = load_.sendAndWait(std::move(request));
-                runLoad(Millis(300));
-            }
-            int crashes = 0;
-            for (const auto& [endpoint, effects] : readEffects(cluster_))
-                crashes += static_cast<int>(std::count_if(effects.begin(), effects.end(), [&](const SoakEffect& effect) { return effect.what == "run" && ids.count(effect.request) > 0; }));
-            EXPECT_LE(crashes, maxCrashes) << "one request crashed too many engines";
+            EXPECT_LE(sendCrashing([](SoakRequest& request) { request.body = "poison"; }), maxCrashes) << "one request crashed too many engines";
+        }
+
+        // Checks that different requests that share a part which crashes engines are blocked, also after a kill of all gateways.
+        void sendCrashingPart()
+        {
+            EXPECT_TRUE(servesAll(recoveryTime));
+            const auto addPart = [](SoakRequest& request) {
+                request.body = "poison of " + request.id;
+                request.sharedParts += ",bad0:200";
+            };
+            EXPECT_LE(sendCrashing(addPart), maxPartCrashes) << "requests with one part crashed too many engines";
+            for (const std::string& gateway : cluster_.gateways())
+                faults_.kill(gateway, killTime);
+            recover();
+            EXPECT_LE(sendCrashing(addPart), maxLateRuns) << "requests with a part that was blocked reached engines after a kill of all gateways";
         }
 
         void checkPromises()
@@ -171,6 +178,26 @@
         }
 
     private:
+        // Sends requests that crash engines to different gateways, one after the other, and returns how often they ran. `change` makes an
+        // ordinary request one that does.
+        int sendCrashing(const std::function<void(SoakRequest&)>& change)
+        {
+            constexpr int sends = 8;
+            std::set<std::string> ids;
+            for (int i = 0; i < sends; ++i) {
+                SoakRequest request = load_.makeRequest("/large/1", randomGateway());
+                request.key = "key-1";
+                change(request);
+                ids.insert(request.id);
+                load_.sendAndWait(std::move(request));
+                runLoad(Millis(300));
+            }
+            int runs = 0;
+            for (const auto& [endpoint, effects] : readEffects(cluster_))
+                runs += static_cast<int>(std::count_if(effects.begin(), effects.end(), [&](const SoakEffect& effect) { return effect.what == "run" && ids.count(effect.request) > 0; }));
+            return runs;
+        }
+
         const std::string& randomGateway() { return cluster_.gateways()[random_() % cluster_.gateways().size()]; }
 
         static void expectNone(const QStringList& violations) { EXPECT_EQ(violations.mid(0, 5).join('\n').toStdString(), "") << violations.size() << " in all"; }
@@ -225,6 +252,7 @@
     soak.stopGateway();
     soak.drainEngine();
     soak.sendCrashingRequest();
+    soak.sendCrashingPart();
     soak.checkPromises();
 }
 
--- a/tests/support/SoakLoad.cpp
+++ b/tests/support/SoakLoad.cpp
@@ -60,7 +60,7 @@
 {
     std::string text = "POST " + request.path + " HTTP/1.1\r\nHost: soak.test\r\nX-Request-Id: " + request.id + "\r\nX-Key: " + request.key + "\r\nX-Deadline-Ms: " + std::to_string(soakDeadlineMs) + "\r\n";
     if (request.events > 0)
-        text += "X-Model: " + request.path.substr(1, 5) + "\r\nX-Token-Counts: 100," + std::to_string(request.events * tokensPerEvent) + "\r\n";
+        text += "X-Model: " + request.path.substr(1, 5) + "\r\nX-Token-Counts: 100," + std::to_string(request.events * tokensPerEvent) + "\r\nX-Prompt-Prefix: " + request.sharedParts + ",f" + request.id + ":60\r\n";
     return text + "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n" + request.body;
 }
 
--- a/tests/support/SoakLoad.h
+++ b/tests/support/SoakLoad.h
@@ -19,6 +19,7 @@
     std::string body;
     std::string key = "key-1"; // the caller's key
     int events = 0; // number of events of a stream; 0: not a stream
+    std::string sharedParts = "aa:40"; // of the prompt of a stream
     qint64 sentAt = 0;
     qint64 endedAt = 0;
     int status = 0; // 0: no head was received
