Give a model without replicas one that leaves engines over

Cause: a transfer between models had to gain at least as many engines as it takes. Two replicas of two make one of three and leave an engine over, so once crashes had ended all replicas of the model and the survivors had formed pairs, no transfer was useful any more.

The unit test shows it with the planner alone.

Change: the first replica of a model may leave engines over. The conditions on the donor (a lasting surplus, room for its own requests, at least as many engines per unit of work) hold as before.

Result: PlannerTest.ModelWithoutReplicasGetsOneThatLeavesAnEngineOver failed before (0 replicas of three after 50 s) and passes; ReplicaPlannerTest 22 of 22.

--- a/packages/replicas/ReplicaCopies.cpp
+++ b/packages/replicas/ReplicaCopies.cpp
@@ -344,6 +344,8 @@
     const auto countWarm = [&](const ReplicaView& replica) {
         return static_cast<size_t>(std::count_if(replica.members.begin(), replica.members.end(), [&](const EndpointInfo* member) { return isWarm(engines_.at(member->id), recipient.name); }));
     };
+    // A model without a replica serves nothing, so its first one may leave engines over.
+    const bool isFirst = enginesFor(recipient.name) == 0;
     std::optional<Transfer> best;
     for (auto& [fabric, replicas] : replicasByFabric) {
         const std::vector<Engine*>& engines = domains_.at(fabric).engines;
@@ -360,7 +362,8 @@
             transfer.taken += static_cast<double>(donor.size);
         }
         transfer.gained = static_cast<double>(warm - warm % recipient.size);
-        const bool isUseful = warm >= recipient.size && !transfer.groups.empty() && transfer.gained >= transfer.taken && hasSurplus(donor, transfer.taken, recipient, transfer.gained);
+        const bool isWorthwhile = transfer.gained >= transfer.taken || isFirst;
+        const bool isUseful = warm >= recipient.size && !transfer.groups.empty() && isWorthwhile && hasSurplus(donor, transfer.taken, recipient, transfer.gained);
         if (isUseful && (!best || transfer.gained - transfer.taken > best->gained - best->taken))
             best = std::move(transfer);
     }
--- a/tests/ReplicaPlannerTest.cpp
+++ b/tests/ReplicaPlannerTest.cpp
@@ -539,6 +539,34 @@
     EXPECT_TRUE(executed_.empty()) << "a balanced fleet must not change";
 }
 
+// Regression test (soak, seed 127): crashes ended all replicas of a model, smaller ones of the other model took all engines in pairs, and as a
+// replica of three would have left one of four over, the model was not served any more.
+TEST_F(PlannerTest, ModelWithoutReplicasGetsOneThatLeavesAnEngineOver)
+{
+    profile_.models.front().size = 3;
+    for (const std::string fabric : { "a", "b", "c" }) {
+        constexpr int engineCount = 6;
+        addEngines(fabric, engineCount);
+        for (int i = 0; i < engineCount; ++i) {
+            EndpointInfo& engine = engines_.at(fabric + "-" + std::to_string(i));
+            engine.membership = Membership { .group = "g" + fabric + std::to_string(i / 2), .epoch = 1, .rank = static_cast<size_t>(i % 2), .state = i % 2 == 0 ? MemberState::Open : MemberState::Ready };
+            engine.model = smallModel;
+            engine.staged = { largeModel };
+        }
+    }
+    isBeforeTraffic_ = false;
+    planner_.noteTraffic();
+    ASSERT_EQ(countServing(smallModel), 9U);
+    for (int round = 0; round < 200; ++round)
+        step();
+    EXPECT_GE(countServing(largeModel), 2U);
+    EXPECT_GE(countServing(smallModel), 4U);
+    executed_.clear();
+    for (int round = 0; round < 100; ++round)
+        step();
+    EXPECT_TRUE(executed_.empty()) << "a balanced fleet must not change";
+}
+
 // Replays kcs-nairobi-large scale-1: engines that lose their connection to the platform accept joins, but the list never
 // shows that they are ready.
 TEST_F(PlannerTest, MemberThatReportsItselfReadyCountsAlthoughTheListDoesNotShowIt)
